--- /dev/null
+++ b/src/sassafraspin/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m sassafraspin``."""
+
+from sassafraspin.cli import main
+
+main(prog_name="sassafraspin")
--- /dev/null
+++ b/src/sassafraspin/admission/limits.py
@@ -0,0 +1,77 @@
+"""Limits of each client account: request rate and tokens in flight."""
+
+from dataclasses import dataclass
+
+from sassafraspin.settings import ClientAccountSettings
+
+__all__ = ["AccountLimits", "LimitDecision", "LimitExceeded", "WithinLimits"]
+
+_BURST_SECONDS = 2.0
+_TOKENS_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class WithinLimits:
+    """The request counts against the account and may go on."""
+
+
+@dataclass(frozen=True)
+class LimitExceeded:
+    """The request is over a limit; ``retry_after`` is in seconds."""
+
+    retry_after: float
+
+
+LimitDecision = WithinLimits | LimitExceeded
+
+
+@dataclass
+class _Usage:
+    allowance: float
+    refilled_at: float
+    tokens_in_flight: int = 0
+
+
+class AccountLimits:
+    """Token buckets and tokens in flight, for all instances in one place.
+
+    Parameters
+    ----------
+    accounts : tuple of ClientAccountSettings
+        Accounts with their limits; others are not limited.
+    """
+
+    def __init__(self, accounts: tuple[ClientAccountSettings, ...]) -> None:
+        self._settings = {account.name: account for account in accounts}
+        self._usage: dict[str, _Usage] = {}
+
+    def admit(self, account: str, tokens: int, now: float) -> LimitDecision:
+        """Count a request against its account if the limits allow it."""
+        settings = self._settings.get(account)
+        if settings is None:
+            return WithinLimits()
+        usage = self._refilled(settings, now)
+        if usage.allowance < 1:
+            missing = 1 - usage.allowance
+            return LimitExceeded(missing / settings.requests_per_second)
+        in_flight = usage.tokens_in_flight
+        if in_flight and in_flight + tokens > settings.tokens_in_flight:
+            return LimitExceeded(_TOKENS_RETRY_SECONDS)
+        usage.allowance -= 1
+        usage.tokens_in_flight += tokens
+        return WithinLimits()
+
+    def finish(self, account: str, tokens: int) -> None:
+        """Give back the tokens of a request that has ended."""
+        usage = self._usage.get(account)
+        if usage is not None:
+            usage.tokens_in_flight = max(0, usage.tokens_in_flight - tokens)
+
+    def _refilled(self, settings: ClientAccountSettings, now: float) -> _Usage:
+        capacity = max(1.0, settings.requests_per_second * _BURST_SECONDS)
+        usage = self._usage.setdefault(settings.name, _Usage(capacity, now))
+        elapsed = now - usage.refilled_at
+        refill = elapsed * settings.requests_per_second
+        usage.allowance = min(capacity, usage.allowance + refill)
+        usage.refilled_at = now
+        return usage
--- /dev/null
+++ b/src/sassafraspin/admission/queue.py
@@ -0,0 +1,117 @@
+"""Requests that wait for a slot: by tier, and fair between client accounts."""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sassafraspin.dispatch.messages import SlotRequest
+from sassafraspin.profiles import LOWEST_TIER
+
+__all__ = ["WaitingQueue", "WaitingRequest"]
+
+
+@dataclass(frozen=True)
+class WaitingRequest:
+    """A request that waits for a slot.
+
+    Parameters
+    ----------
+    entry : str
+        Entry instance that asked.
+    request : SlotRequest
+        What it asked for.
+    seconds : float
+        Expected time at a backend server.
+    deadline : float
+        Monotonic time at which the whole answer is due, in seconds.
+    """
+
+    entry: str
+    request: SlotRequest
+    seconds: float
+    deadline: float
+
+    @property
+    def latest_start(self) -> float:
+        """Return the time after which the answer would be late."""
+        return self.deadline - self.seconds
+
+
+class WaitingQueue:
+    """Orders waiting requests by tier, then by start-time fair queueing.
+
+    Each client account in a tier has a virtual clock that advances by the cost of
+    its requests, so an account that sends a burst waits behind its own requests and
+    not before those of others.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._heaps: list[list[tuple[float, int, str]]] = [
+            [] for _ in range(LOWEST_TIER + 1)
+        ]
+        self._virtual_time = [0.0] * (LOWEST_TIER + 1)
+        self._account_time: list[dict[str, float]] = [
+            {} for _ in range(LOWEST_TIER + 1)
+        ]
+        self._seconds = [0.0] * (LOWEST_TIER + 1)
+        self._counter = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._waiting
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(list(self._waiting.values()))
+
+    def seconds_ahead(self, tier: int) -> float:
+        """Return the expected work that goes before a new request of a tier."""
+        return sum(self._seconds[: tier + 1])
+
+    def add(self, waiting: WaitingRequest) -> None:
+        """Add a request."""
+        request = waiting.request
+        tier = request.tier
+        times = self._account_time[tier]
+        account = request.client_account
+        start = max(self._virtual_time[tier], times.get(account, 0.0))
+        times[account] = start + waiting.seconds
+        self._counter += 1
+        heapq.heappush(self._heaps[tier], (start, self._counter, request.request_id))
+        self._waiting[request.request_id] = waiting
+        self._seconds[tier] += waiting.seconds
+
+    def remove(self, request_id: str) -> WaitingRequest | None:
+        """Remove a request wherever it stands."""
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
+            return None
+        tier = waiting.request.tier
+        self._seconds[tier] = max(0.0, self._seconds[tier] - waiting.seconds)
+        if not self._heaps[tier]:
+            self._seconds[tier] = 0.0
+        return waiting
+
+    def head(self, tier: int) -> WaitingRequest | None:
+        """Return the first request of a tier without removing it."""
+        heap = self._heaps[tier]
+        while heap:
+            start, _, request_id = heap[0]
+            waiting = self._waiting.get(request_id)
+            if waiting is not None:
+                self._virtual_time[tier] = max(self._virtual_time[tier], start)
+                return waiting
+            heapq.heappop(heap)
+        self._seconds[tier] = 0.0
+        self._account_time[tier].clear()
+        return None
+
+    def last_of_lowest_tier(self, above: int) -> WaitingRequest | None:
+        """Return the request that is shed first to make room for tier ``above``."""
+        for tier in range(LOWEST_TIER, above, -1):
+            live = [item for item in self._heaps[tier] if item[2] in self._waiting]
+            if live:
+                return self._waiting[max(live)[2]]
+        return None
--- /dev/null
+++ b/src/sassafraspin/backends/__init__.py
@@ -0,0 +1,22 @@
+"""Backend servers: announcements, load, prefix caches, speed and health."""
+
+from sassafraspin.backends.announcement import Announcement, CacheReport, LoadReport
+from sassafraspin.backends.backend import Backend, Reservation
+from sassafraspin.backends.prefixes import (
+    PREFIX_BLOCK_BYTES,
+    PrefixCacheView,
+    prefix_hashes,
+)
+from sassafraspin.backends.speed import SpeedEstimate
+
+__all__ = [
+    "PREFIX_BLOCK_BYTES",
+    "Announcement",
+    "Backend",
+    "CacheReport",
+    "LoadReport",
+    "PrefixCacheView",
+    "Reservation",
+    "SpeedEstimate",
+    "prefix_hashes",
+]
--- /dev/null
+++ b/src/sassafraspin/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line."""
+
+from sassafraspin.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/sassafraspin/cli/move.py
@@ -0,0 +1,103 @@
+"""Commands for moves."""
+
+import uuid
+from pathlib import Path
+from urllib.parse import quote
+
+import click
+import msgspec
+
+from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.cli.operator_client import OperatorClient, operator_options
+from sassafraspin.cli.output import echo_json, echo_table, format_time, json_option
+from sassafraspin.moves import Move, MoveSpec
+from sassafraspin.settings import check_document, read_document
+
+__all__ = ["move"]
+
+_HEADINGS = (
+    "NAME",
+    "SERVICE",
+    "FROM",
+    "TO",
+    "PHASE",
+    "SHARE",
+    "REASON",
+    "DEADLINE",
+    "DETAIL",
+)
+
+
+@click.group()
+def move() -> None:
+    """Declare, follow and undo moves to a new version."""
+
+
+@move.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--change-id", help="Identity of the change, to send it again.")
+@json_option
+@operator_options
+@reporting_errors
+def declare(
+    file: Path, change_id: str | None, as_json: bool, client: OperatorClient
+) -> None:
+    """Declare the move in FILE; it ends as done or taken back by its deadline."""
+    checked = read_document(file).bind(
+        lambda value: check_document(MoveSpec, value, str(file))
+    )
+    if checked.is_error():
+        fail(checked.error)
+    change_id = change_id or uuid.uuid4().hex
+    click.echo(f"change {change_id}", err=True)
+    target = f"/v1/moves?change_id={quote(change_id)}"
+    _echo((client.post(target, msgspec.json.encode(checked.ok), Move),), as_json)
+
+
+@move.command()
+@click.argument("name", required=False)
+@json_option
+@operator_options
+@reporting_errors
+def status(name: str | None, as_json: bool, client: OperatorClient) -> None:
+    """Show one move or all of them."""
+    if name is None:
+        _echo(client.get("/v1/moves", tuple[Move, ...]), as_json)
+    else:
+        _echo((client.get(f"/v1/moves/{quote(name)}", Move),), as_json)
+
+
+@move.command()
+@click.argument("name")
+@click.option("--change-id", help="Identity of the change, to send it again.")
+@json_option
+@operator_options
+@reporting_errors
+def undo(
+    name: str, change_id: str | None, as_json: bool, client: OperatorClient
+) -> None:
+    """Take back a move that has not ended."""
+    change_id = change_id or uuid.uuid4().hex
+    target = f"/v1/moves/{quote(name)}/undo?change_id={quote(change_id)}"
+    _echo((client.post(target, b"{}", Move),), as_json)
+
+
+def _echo(moves: tuple[Move, ...], as_json: bool) -> None:
+    if as_json:
+        echo_json(moves)
+        return
+    rows = [
+        (
+            item.spec.name,
+            item.spec.service,
+            item.spec.from_version,
+            item.spec.to_version,
+            item.phase,
+            f"{item.share:.0%}",
+            item.reason,
+            format_time(item.deadline_ms),
+            item.detail,
+        )
+        for item in moves
+    ]
+    echo_table(_HEADINGS, rows)
--- /dev/null
+++ b/src/sassafraspin/cli/standin.py
@@ -0,0 +1,63 @@
+"""Commands that start stand-ins for backend servers."""
+
+from pathlib import Path
+from typing import Any
+
+import click
+import trio
+
+from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.settings import check_document, read_document
+from sassafraspin.telemetry import configure_logs
+
+__all__ = ["stand_in"]
+
+_FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+@click.group("stand-in")
+def stand_in() -> None:
+    """Run stand-ins for backend servers."""
+
+
+@stand_in.command()
+@click.argument("file", type=_FILE)
+@reporting_errors
+def engine(file: Path) -> None:
+    """Run a stand-in model engine with the settings in FILE."""
+    from sassafraspin.standins import EngineServer, EngineSettings
+
+    settings = _load(file, EngineSettings)
+    _run(lambda: EngineServer(settings))
+
+
+@stand_in.command()
+@click.argument("file", type=_FILE)
+@reporting_errors
+def service(file: Path) -> None:
+    """Run a stand-in plain service with the settings in FILE."""
+    from sassafraspin.standins import PlainServer, ServiceSettings
+
+    settings = _load(file, ServiceSettings)
+    _run(lambda: PlainServer(settings))
+
+
+def _load(file: Path, schema: type) -> Any:
+    checked = read_document(file).bind(
+        lambda value: check_document(schema, value, str(file))
+    )
+    if checked.is_error():
+        fail(checked.error)
+    return checked.ok
+
+
+def _run(make_server: Any) -> None:
+    configure_logs("INFO", "text")
+
+    async def run() -> None:
+        await make_server().run()
+
+    try:
+        trio.run(run)
+    except KeyboardInterrupt:
+        raise SystemExit(0) from None
--- /dev/null
+++ b/src/sassafraspin/control/duty.py
@@ -0,0 +1,275 @@
+"""The control duty without I/O: replica, disk, configuration and member table."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sassafraspin.control.commands import (
+    ChangeView,
+    Command,
+    CommandOutcome,
+    decode_command,
+    encode_command,
+)
+from sassafraspin.control.config import Configuration
+from sassafraspin.control.disk import ReplicaDisk
+from sassafraspin.control.effects import (
+    AppendToDisk,
+    ApplyEntry,
+    Effect,
+    RestoreState,
+    SaveSnapshot,
+    SaveTerm,
+    SendToReplica,
+)
+from sassafraspin.control.messages import CommandEntry, ReplicaMessage
+from sassafraspin.control.replica import ControlReplica, ReplicaTimings, Role
+from sassafraspin.membership import (
+    HeartbeatReply,
+    MemberHeartbeat,
+    MemberTable,
+    MemberTimings,
+    View,
+)
+from sassafraspin.storage import StorageError
+from sassafraspin.telemetry import part_logger
+
+__all__ = ["ControlDuty", "ControlDutySettings", "ProposalEnd"]
+
+_log = part_logger("control")
+
+_PROPOSAL_TIMEOUT_SECONDS = 5.0
+
+
+@dataclass(frozen=True)
+class ControlDutySettings:
+    """What a control duty is made with."""
+
+    name: str
+    configured: tuple[str, ...]
+    replica: ReplicaTimings
+    members: MemberTimings
+    snapshot_after_entries: int
+
+
+@dataclass(frozen=True)
+class ProposalEnd:
+    """A proposal was decided; ``outcome`` is ``None`` if this was not possible."""
+
+    change_id: str
+    outcome: CommandOutcome | None
+
+
+ProposalCallback = Callable[[ProposalEnd], None]
+
+
+@dataclass
+class _Proposal:
+    callbacks: list[ProposalCallback]
+    given_up_at: float
+
+
+class ControlDuty:
+    """Runs one control replica and, while it leads, the table of members.
+
+    Parameters
+    ----------
+    settings : ControlDutySettings
+        Names and time limits.
+    disk : ReplicaDisk
+        What must not be forgotten.
+    configuration : Configuration
+        State machine that committed commands are applied to.
+    send : callable
+        Sends a replica message to another control instance by name.
+    generator : random.Random
+        Source of election delays.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: ControlDutySettings,
+        disk: ReplicaDisk,
+        configuration: Configuration,
+        send: Callable[[str, ReplicaMessage], None],
+        generator: random.Random,
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._disk = disk
+        self._configuration = configuration
+        self._send = send
+        self._saved_term = SaveTerm(disk.image.term, disk.image.voted_for)
+        self._replica = ControlReplica(
+            settings.name,
+            settings.configured,
+            disk.image,
+            settings.replica,
+            generator,
+            now,
+        )
+        self._table: MemberTable | None = None
+        self._proposals: dict[str, _Proposal] = {}
+        self._failure: StorageError | None = None
+        self._run(self._replica.start())
+
+    @property
+    def replica(self) -> ControlReplica:
+        """Return the replica."""
+        return self._replica
+
+    @property
+    def failure(self) -> StorageError | None:
+        """Return the storage error that has stopped this duty, if any."""
+        return self._failure
+
+    def leads(self, now: float) -> bool:
+        """Return whether this instance may grant and acknowledge as the leader."""
+        return self._failure is None and self._replica.has_lease(now)
+
+    def tick(self, now: float) -> None:
+        """Let time pass."""
+        if self._failure is not None:
+            return
+        self._run(self._replica.tick(now))
+        self._end_old_proposals(now)
+        if not self.leads(now):
+            self._table = None
+            return
+        if self._table is None:
+            self._table = MemberTable(self._settings.members, now)
+            _log.info("This instance leads in term {}.", self._replica.term)
+        self._plan_view(now)
+
+    def receive(self, source: str, message: ReplicaMessage, now: float) -> None:
+        """Handle a message of another replica."""
+        if self._failure is None:
+            self._run(self._replica.receive(source, message, now))
+
+    def heartbeat(self, heartbeat: MemberHeartbeat, now: float) -> HeartbeatReply:
+        """Answer a member's heartbeat, with a lease if this instance leads."""
+        lease = 0.0
+        leader = self._replica.leader
+        if self._table is not None and self.leads(now):
+            view = self._configuration.state.view
+            lease = self._table.grant(heartbeat, view, now)
+        elif leader == self._settings.name:
+            leader = None
+        return HeartbeatReply(
+            leader,
+            int(lease * 1000),
+            self._replica.commit_index,
+            heartbeat.sent_at,
+            self._configuration.update_since(heartbeat.config_index),
+        )
+
+    def propose(self, command: Command, callback: ProposalCallback, now: float) -> None:
+        """Commit a command; the callback is told its outcome.
+
+        A command that was applied before gets its first outcome again. The
+        callback is told ``None`` at once if this instance does not lead, and after
+        a timeout if the command was not committed; then its outcome is unknown and
+        it may be proposed again under the same identity.
+        """
+        change_id = command.change_id
+        if not self.leads(now):
+            callback(ProposalEnd(change_id, None))
+            return
+        known = self._configuration.state.outcome(change_id)
+        if known is not None:
+            callback(ProposalEnd(change_id, known))
+            return
+        pending = self._proposals.get(change_id)
+        if pending is not None:
+            pending.callbacks.append(callback)
+            return
+        given_up_at = now + _PROPOSAL_TIMEOUT_SECONDS
+        self._proposals[change_id] = _Proposal([callback], given_up_at)
+        _, effects = self._replica.propose(encode_command(command), now)
+        self._run(effects)
+
+    def _plan_view(self, now: float) -> None:
+        assert self._table is not None
+        if self._has_unapplied():
+            return
+        view = self._table.plan_view(self._configuration.state.view, now)
+        if view is not None:
+            self._propose_view(view, now)
+
+    def _propose_view(self, view: View, now: float) -> None:
+        change_id = f"view-{view.number}-{self._replica.term}"
+        names = ", ".join(member.name for member in view.members)
+        _log.info("View {} is proposed: {}.", view.number, names or "nobody")
+        command = ChangeView(change_id, 0, view)
+        self.propose(command, lambda end: None, now)
+
+    def _has_unapplied(self) -> bool:
+        return self._replica.log.last_index > self._configuration.index
+
+    def _end_old_proposals(self, now: float) -> None:
+        for change_id, proposal in list(self._proposals.items()):
+            if now >= proposal.given_up_at or self._replica.role is not Role.LEADER:
+                self._end_proposal(change_id, None)
+
+    def _end_proposal(self, change_id: str, outcome: CommandOutcome | None) -> None:
+        proposal = self._proposals.pop(change_id, None)
+        if proposal is None:
+            return
+        for callback in proposal.callbacks:
+            callback(ProposalEnd(change_id, outcome))
+
+    def _run(self, effects: list[Effect]) -> None:
+        """Carry out effects in order; a storage error stops this duty for good.
+
+        Messages after a failed write are not sent, so nothing is acknowledged that
+        the disk does not hold.
+        """
+        try:
+            for effect in effects:
+                self._run_one(effect)
+        except StorageError as error:
+            self._failure = error
+            self._table = None
+            _log.error("The control duty stops: {}.", error)
+            for change_id in list(self._proposals):
+                self._end_proposal(change_id, None)
+            return
+        self._compact_when_long()
+
+    def _run_one(self, effect: Effect) -> None:
+        match effect:
+            case SaveTerm():
+                self._disk.save_term(effect)
+                self._saved_term = effect
+            case AppendToDisk():
+                self._disk.append(effect)
+            case SaveSnapshot():
+                self._disk.save_snapshot(effect, self._saved_term)
+            case SendToReplica():
+                self._send(effect.name, effect.message)
+            case ApplyEntry():
+                self._apply(effect)
+            case RestoreState():
+                if effect.data:
+                    self._configuration.restore(effect.index, effect.data)
+
+    def _apply(self, effect: ApplyEntry) -> None:
+        entry = effect.entry
+        data = entry.data if isinstance(entry, CommandEntry) else None
+        outcome = self._configuration.apply(effect.index, data)
+        if data is None or not self._proposals:
+            return
+        change_id = decode_command(data).change_id
+        known = outcome or self._configuration.state.outcome(change_id)
+        self._end_proposal(change_id, known)
+
+    def _compact_when_long(self) -> None:
+        log = self._replica.log
+        applied = self._configuration.index
+        if applied - log.snapshot.index < self._settings.snapshot_after_entries:
+            return
+        if applied != self._replica.applied_index:
+            return
+        self._run(self._replica.compact(self._configuration.state.to_bytes()))
--- /dev/null
+++ b/src/sassafraspin/control/log.py
@@ -0,0 +1,91 @@
+"""The replicated log in memory: a snapshot point and the entries after it."""
+
+from sassafraspin.control.messages import Entry, Snapshot, Voter, VotersEntry
+
+__all__ = ["EMPTY_SNAPSHOT", "ReplicatedLog"]
+
+EMPTY_SNAPSHOT = Snapshot(0, 0, (), b"")
+
+
+class ReplicatedLog:
+    """Entries numbered from 1, of which a prefix is replaced by a snapshot."""
+
+    def __init__(
+        self, snapshot: Snapshot = EMPTY_SNAPSHOT, entries: tuple[Entry, ...] = ()
+    ) -> None:
+        self._snapshot = snapshot
+        self._entries = list(entries)
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the snapshot that the entries follow."""
+        return self._snapshot
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        if self._entries:
+            return self._entries[-1].term
+        return self._snapshot.term
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """Return the newest voters in the log, committed or not."""
+        index = self.voters_index
+        if index == self._snapshot.index:
+            return self._snapshot.voters
+        entry = self.entry(index)
+        assert isinstance(entry, VotersEntry)
+        return entry.voters
+
+    @property
+    def voters_index(self) -> int:
+        """Return the index that the newest voters stand at."""
+        for offset in range(len(self._entries) - 1, -1, -1):
+            if isinstance(self._entries[offset], VotersEntry):
+                return self._snapshot.index + 1 + offset
+        return self._snapshot.index
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, ``None`` if it is not held."""
+        if index == self._snapshot.index:
+            return self._snapshot.term
+        if self._snapshot.index < index <= self.last_index:
+            return self.entry(index).term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at ``index``."""
+        return self._entries[index - self._snapshot.index - 1]
+
+    def entries_from(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
+        """Return up to ``limit`` entries from ``index`` on."""
+        start = index - self._snapshot.index - 1
+        stop = None if limit is None else start + limit
+        return tuple(self._entries[start:stop])
+
+    def write(self, first_index: int, entries: tuple[Entry, ...]) -> None:
+        """Replace everything from ``first_index`` on by ``entries``."""
+        del self._entries[first_index - self._snapshot.index - 1 :]
+        self._entries.extend(entries)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Replace the entries up to the snapshot's index by the snapshot."""
+        kept = ()
+        if self.term_at(snapshot.index) == snapshot.term:
+            kept = self.entries_from(snapshot.index + 1)
+        self._snapshot = snapshot
+        self._entries = list(kept)
+
+    def voters_at(self, index: int) -> tuple[Voter, ...]:
+        """Return the voters that the log names up to ``index``."""
+        for position in range(index, self._snapshot.index, -1):
+            entry = self.entry(position)
+            if isinstance(entry, VotersEntry):
+                return entry.voters
+        return self._snapshot.voters
--- /dev/null
+++ b/src/sassafraspin/control/replica.py
@@ -0,0 +1,609 @@
+"""One replica of the control log: elections, replication and change of voters.
+
+The protocol is Raft with pre-vote, a leader lease and single-server changes of
+the voters. A voter is named together with the identity of its disk.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from sassafraspin.control.effects import (
+    AppendToDisk,
+    ApplyEntry,
+    Effect,
+    RestoreState,
+    SaveSnapshot,
+    SaveTerm,
+    SendToReplica,
+)
+from sassafraspin.control.leadership import Leadership
+from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog
+from sassafraspin.control.messages import (
+    AppendReply,
+    AppendRequest,
+    CommandEntry,
+    Entry,
+    Hello,
+    InstallSnapshot,
+    NoopEntry,
+    ReplicaMessage,
+    Snapshot,
+    Voter,
+    VoteReply,
+    VoteRequest,
+    VotersEntry,
+    Welcome,
+)
+
+__all__ = ["ControlReplica", "ReplicaImage", "ReplicaTimings", "Role"]
+
+_MAX_ENTRIES_PER_APPEND = 256
+
+
+class Role(StrEnum):
+    """What a replica is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class ReplicaTimings:
+    """Time limits of a replica, in seconds.
+
+    Parameters
+    ----------
+    election_timeout : float
+        Silence of the leader after which an election may start; the time until
+        then is drawn between one and two times this.
+    heartbeat : float
+        Interval of the leader's heartbeats.
+    clock_drift : float
+        Largest relative difference between two clocks' rates.
+    """
+
+    election_timeout: float = 1.0
+    heartbeat: float = 0.2
+    clock_drift: float = 0.05
+
+
+@dataclass(frozen=True)
+class ReplicaImage:
+    """What a replica has on its disk."""
+
+    disk_id: str
+    term: int = 0
+    voted_for: str | None = None
+    snapshot: Snapshot = EMPTY_SNAPSHOT
+    entries: tuple[Entry, ...] = ()
+
+
+class ControlReplica:
+    """State of one replica; every method returns effects for its shell.
+
+    The shell carries out the effects in order, and stops the replica when a
+    durable effect fails.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    configured : tuple of str
+        Names of all control instances in the settings.
+    image : ReplicaImage
+        What the disk holds.
+    timings : ReplicaTimings
+        Time limits.
+    generator : random.Random
+        Source of election delays.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        configured: tuple[str, ...],
+        image: ReplicaImage,
+        timings: ReplicaTimings,
+        generator: random.Random,
+        now: float,
+    ) -> None:
+        self._name = name
+        self._configured = configured
+        self._own = Voter(name, image.disk_id)
+        self._timings = timings
+        self._generator = generator
+        self._term = image.term
+        self._voted_for = image.voted_for
+        self._log = ReplicatedLog(image.snapshot, image.entries)
+        self._commit_index = image.snapshot.index
+        self._applied_index = image.snapshot.index
+        self._role = Role.FOLLOWER
+        self._leader: str | None = None
+        self._leadership: Leadership | None = None
+        self._votes: set[Voter] = set()
+        self._asked_pre = False
+        self._empty_peers: dict[str, str] = {}
+        self._last_contact = now
+        self._election_at = 0.0
+        self._next_hello = now
+        self._effects: list[Effect] = []
+        self._postpone_election(now)
+
+    @property
+    def role(self) -> Role:
+        """Return the current role."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._term
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the leader, if one is known."""
+        return self._leader
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which entries are committed."""
+        return self._commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which entries were handed to the state machine."""
+        return self._applied_index
+
+    @property
+    def log(self) -> ReplicatedLog:
+        """Return the log."""
+        return self._log
+
+    @property
+    def disk_id(self) -> str:
+        """Return the identity of this replica's disk."""
+        return self._own.disk_id
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this replica with this disk is a voter."""
+        return self._own in self._log.voters
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether no other leader can exist now.
+
+        While it holds, and the leader has committed an entry of its term, a read
+        of the applied state is current.
+        """
+        leadership = self._leadership
+        if leadership is None or not leadership.term_committed:
+            return False
+        return now < leadership.lease_until(self._log.voters, now)
+
+    def start(self) -> list[Effect]:
+        """Return the effects that bring the state machine to the disk's snapshot."""
+        snapshot = self._log.snapshot
+        if snapshot.data:
+            self._effects.append(RestoreState(snapshot.index, snapshot.data))
+        return self._take_effects()
+
+    def tick(self, now: float) -> list[Effect]:
+        """Let time pass."""
+        if not self._log.voters:
+            self._greet(now)
+        elif self._role is Role.LEADER:
+            self._tick_leader(now)
+        else:
+            if not self.is_voter:
+                self._greet(now)
+            if now >= self._election_at:
+                self._start_pre_vote(now)
+        return self._take_effects()
+
+    def propose(self, data: bytes, now: float) -> tuple[int | None, list[Effect]]:
+        """Append a command if this replica leads.
+
+        Returns
+        -------
+        index : int or None
+            Log index of the command; ``None`` if this replica does not lead.
+        effects : list of Effect
+            What the shell has to do.
+        """
+        if self._role is not Role.LEADER:
+            return None, []
+        self._append(CommandEntry(self._term, data), now)
+        return self._log.last_index, self._take_effects()
+
+    def compact(self, data: bytes) -> list[Effect]:
+        """Replace the applied entries by a snapshot of the state machine."""
+        index = self._applied_index
+        term = self._log.term_at(index)
+        assert term is not None
+        snapshot = Snapshot(index, term, self._log.voters_at(index), data)
+        self._log.compact(snapshot)
+        entries = self._log.entries_from(index + 1)
+        self._effects.append(SaveSnapshot(snapshot, entries))
+        return self._take_effects()
+
+    def receive(self, source: str, message: ReplicaMessage, now: float) -> list[Effect]:
+        """Handle a message from another replica."""
+        match message:
+            case VoteRequest():
+                self._on_vote_request(source, message, now)
+            case VoteReply():
+                self._on_vote_reply(source, message, now)
+            case AppendRequest():
+                self._on_append(source, message, now)
+            case AppendReply():
+                self._on_append_reply(source, message, now)
+            case InstallSnapshot():
+                self._on_snapshot(source, message, now)
+            case Hello():
+                self._on_hello(source, message, now)
+            case Welcome():
+                self._on_welcome(message, now)
+        return self._take_effects()
+
+    # Forming the first quorum
+
+    def _greet(self, now: float) -> None:
+        """Tell the other configured instances that this disk is not a voter."""
+        if now < self._next_hello:
+            return
+        self._next_hello = now + self._timings.heartbeat
+        for name in self._others(self._configured):
+            self._send(name, Hello(self._own.disk_id))
+        self._form_quorum(now)
+
+    def _on_hello(self, source: str, message: Hello, now: float) -> None:
+        if source not in self._configured:
+            return
+        newcomer = Voter(source, message.disk_id)
+        if self._log.voters:
+            self._send(source, Welcome(self._first_voters(newcomer)))
+            self._consider_newcomer(newcomer, now)
+            return
+        self._empty_peers[source] = message.disk_id
+        self._form_quorum(now)
+
+    def _first_voters(self, newcomer: Voter) -> tuple[Voter, ...]:
+        """Return the voters that a newcomer may start with.
+
+        A disk that is among the voters but empty has stored nothing since the
+        quorum formed, so it has promised nothing either.
+        """
+        voters = self._log.voters
+        return voters if newcomer in voters else ()
+
+    def _form_quorum(self, now: float) -> None:
+        """Start the log once every configured instance is known to be empty."""
+        if self._log.voters:
+            return
+        if any(name not in self._empty_peers for name in self._others()):
+            return
+        peers = (Voter(name, disk) for name, disk in self._empty_peers.items())
+        self._install_first_voters(tuple(sorted([self._own, *peers])), now)
+
+    def _on_welcome(self, message: Welcome, now: float) -> None:
+        if not self._log.voters and self._own in message.voters:
+            self._install_first_voters(message.voters, now)
+
+    def _install_first_voters(self, voters: tuple[Voter, ...], now: float) -> None:
+        snapshot = Snapshot(0, 0, voters, b"")
+        self._log.compact(snapshot)
+        self._effects.append(SaveSnapshot(snapshot, ()))
+        self._postpone_election(now)
+
+    # Elections
+
+    def _start_pre_vote(self, now: float) -> None:
+        self._postpone_election(now)
+        if not self.is_voter:
+            return
+        self._become(Role.CANDIDATE)
+        self._leader = None
+        self._ask_for_votes(pre=True, term=self._term + 1, now=now)
+
+    def _start_election(self, now: float) -> None:
+        self._save_term(self._term + 1, self._name)
+        self._postpone_election(now)
+        self._ask_for_votes(pre=False, term=self._term, now=now)
+
+    def _ask_for_votes(self, pre: bool, term: int, now: float) -> None:
+        self._asked_pre = pre
+        self._votes = {self._own}
+        request = VoteRequest(term, pre, self._log.last_index, self._log.last_term)
+        for voter in self._log.voters:
+            if voter != self._own:
+                self._send(voter.name, request)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        voters = self._log.voters
+        if 2 * len(self._votes & set(voters)) <= len(voters):
+            return
+        if self._asked_pre:
+            self._start_election(now)
+        else:
+            self._lead(now)
+
+    def _on_vote_request(self, source: str, request: VoteRequest, now: float) -> None:
+        if self._hears_leader(now):
+            granted = False
+        elif request.pre:
+            granted = request.term > self._term and self._is_current(request)
+        else:
+            granted = self._give_vote(source, request, now)
+        reply = VoteReply(
+            request.term, request.pre, granted, self._own.disk_id, self._term
+        )
+        self._send(source, reply)
+
+    def _give_vote(self, source: str, request: VoteRequest, now: float) -> bool:
+        if request.term < self._term:
+            return False
+        if request.term > self._term:
+            self._follow(request.term, None)
+        if self._voted_for not in (None, source) or not self._is_current(request):
+            return False
+        if self._voted_for is None:
+            self._save_term(self._term, source)
+        self._postpone_election(now)
+        return True
+
+    def _hears_leader(self, now: float) -> bool:
+        """Return whether a leader was heard of so recently that its lease holds."""
+        if self._role is Role.LEADER:
+            return self.has_lease(now)
+        return now - self._last_contact < self._timings.election_timeout
+
+    def _is_current(self, request: VoteRequest) -> bool:
+        own = (self._log.last_term, self._log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def _on_vote_reply(self, source: str, reply: VoteReply, now: float) -> None:
+        if reply.current_term > self._term:
+            self._follow(reply.current_term, None)
+            return
+        if self._role is not Role.CANDIDATE or reply.pre is not self._asked_pre:
+            return
+        asked_term = self._term + 1 if self._asked_pre else self._term
+        if reply.granted and reply.term == asked_term:
+            self._votes.add(Voter(source, reply.disk_id))
+            self._count_votes(now)
+
+    def _lead(self, now: float) -> None:
+        self._become(Role.LEADER)
+        self._leader = self._name
+        self._leadership = Leadership(
+            self._own, self._log.last_index, self._timings, now
+        )
+        self._append(NoopEntry(self._term), now)
+
+    def _follow(self, term: int, leader: str | None) -> None:
+        if term > self._term:
+            self._save_term(term, None)
+        self._become(Role.FOLLOWER)
+        self._leader = leader
+
+    def _become(self, role: Role) -> None:
+        self._role = role
+        self._leadership = None
+        self._votes = set()
+
+    def _postpone_election(self, now: float) -> None:
+        factor = 1 + self._generator.random()
+        self._election_at = now + factor * self._timings.election_timeout
+
+    # Leading
+
+    def _tick_leader(self, now: float) -> None:
+        leadership = self._leadership
+        assert leadership is not None
+        if leadership.has_lost_quorum(self._log.voters, now):
+            self._become(Role.FOLLOWER)
+            self._leader = None
+            self._postpone_election(now)
+            return
+        if leadership.heartbeat_due(now):
+            self._replicate(now)
+
+    def _append(self, entry: Entry, now: float) -> None:
+        first_index = self._log.last_index + 1
+        self._log.write(first_index, (entry,))
+        self._effects.append(AppendToDisk(first_index, (entry,)))
+        self._advance_commit()
+        self._replicate(now)
+
+    def _replicate(self, now: float) -> None:
+        leadership = self._leadership
+        assert leadership is not None
+        leadership.note_heartbeat(now)
+        for peer in leadership.peers(self._log.voters):
+            self._send_entries(peer, now)
+
+    def _send_entries(self, peer: Voter, now: float) -> None:
+        leadership = self._leadership
+        assert leadership is not None
+        next_index = leadership.next_index(peer)
+        previous_term = self._log.term_at(next_index - 1)
+        if previous_term is None:
+            snapshot = InstallSnapshot(self._term, self._log.snapshot, now)
+            if leadership.may_send_snapshot(peer, now):
+                self._send(peer.name, snapshot)
+            return
+        entries = self._log.entries_from(next_index, _MAX_ENTRIES_PER_APPEND)
+        leadership.note_sent(peer, next_index + len(entries))
+        request = AppendRequest(
+            self._term,
+            next_index - 1,
+            previous_term,
+            entries,
+            self._commit_index,
+            now,
+        )
+        self._send(peer.name, request)
+
+    def _on_append_reply(self, source: str, reply: AppendReply, now: float) -> None:
+        if reply.term > self._term:
+            self._follow(reply.term, None)
+            return
+        leadership = self._leadership
+        if leadership is None or reply.term < self._term:
+            return
+        peer = Voter(source, reply.disk_id)
+        if not leadership.knows(peer, self._log.voters):
+            return
+        leadership.note_contact(peer, reply.sent_at)
+        if not reply.success:
+            leadership.back_up(peer, reply.match_index)
+            self._send_entries(peer, now)
+            return
+        leadership.note_match(peer, min(reply.match_index, self._log.last_index))
+        self._advance_commit()
+        self._admit_learner(peer, now)
+        if leadership.next_index(peer) <= self._log.last_index:
+            self._send_entries(peer, now)
+
+    def _advance_commit(self) -> None:
+        leadership = self._leadership
+        assert leadership is not None
+        index = leadership.majority_match(self._log.voters, self._log.last_index)
+        if index <= self._commit_index or self._log.term_at(index) != self._term:
+            return
+        leadership.note_term_committed()
+        self._commit_to(index)
+
+    def _consider_newcomer(self, newcomer: Voter, now: float) -> None:
+        """Replicate to a disk that is not a voter; make room for it if needed."""
+        leadership = self._leadership
+        voters = self._log.voters
+        if leadership is None or newcomer in voters:
+            return
+        leadership.add_learner(newcomer, self._log.last_index)
+        outdated = [
+            voter
+            for voter in voters
+            if voter != self._own
+            and (voter.name == newcomer.name or voter.name not in self._configured)
+        ]
+        if outdated and self._may_change_voters():
+            remaining = tuple(voter for voter in voters if voter != outdated[0])
+            self._append(VotersEntry(self._term, remaining), now)
+
+    def _admit_learner(self, peer: Voter, now: float) -> None:
+        leadership = self._leadership
+        voters = self._log.voters
+        if leadership is None or peer in voters or not self._may_change_voters():
+            return
+        if any(voter.name == peer.name for voter in voters):
+            return
+        has_room = len(voters) < len(self._configured)
+        if has_room and leadership.match_index(peer) >= self._commit_index:
+            grown = tuple(sorted((*voters, peer)))
+            self._append(VotersEntry(self._term, grown), now)
+
+    def _may_change_voters(self) -> bool:
+        leadership = self._leadership
+        if leadership is None or not leadership.term_committed:
+            return False
+        return self._log.voters_index <= self._commit_index
+
+    # Following
+
+    def _on_append(self, source: str, request: AppendRequest, now: float) -> None:
+        if not self._accept_leader(source, request.term, request.sent_at, now):
+            return
+        if self._log.term_at(request.previous_index) != request.previous_term:
+            self._refuse_append(source, request)
+            return
+        self._store_new_entries(request)
+        match_index = request.previous_index + len(request.entries)
+        self._commit_to(min(request.commit_index, match_index))
+        reply = AppendReply(
+            self._term, True, match_index, self._own.disk_id, request.sent_at
+        )
+        self._send(source, reply)
+
+    def _accept_leader(
+        self, source: str, term: int, sent_at: float, now: float
+    ) -> bool:
+        if term < self._term:
+            reply = AppendReply(self._term, False, 0, self._own.disk_id, sent_at)
+            self._send(source, reply)
+            return False
+        if term > self._term or self._role is not Role.FOLLOWER:
+            self._follow(term, source)
+        self._leader = source
+        self._last_contact = now
+        self._postpone_election(now)
+        return True
+
+    def _refuse_append(self, source: str, request: AppendRequest) -> None:
+        """Tell the leader where to try next, a whole conflicting term back."""
+        hint = min(request.previous_index, self._log.last_index + 1)
+        conflicting = self._log.term_at(hint)
+        while hint > self._log.snapshot.index + 1 and (
+            self._log.term_at(hint - 1) == conflicting
+        ):
+            hint -= 1
+        hint = max(hint, self._commit_index + 1)
+        reply = AppendReply(self._term, False, hint, self._own.disk_id, request.sent_at)
+        self._send(source, reply)
+
+    def _store_new_entries(self, request: AppendRequest) -> None:
+        for offset, entry in enumerate(request.entries):
+            index = request.previous_index + 1 + offset
+            if index <= self._log.snapshot.index:
+                continue
+            if self._log.term_at(index) != entry.term:
+                fresh = request.entries[offset:]
+                self._log.write(index, fresh)
+                self._effects.append(AppendToDisk(index, fresh))
+                return
+
+    def _on_snapshot(self, source: str, message: InstallSnapshot, now: float) -> None:
+        if not self._accept_leader(source, message.term, message.sent_at, now):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > self._commit_index:
+            self._log.compact(snapshot)
+            entries = self._log.entries_from(snapshot.index + 1)
+            self._effects.append(SaveSnapshot(snapshot, entries))
+            self._effects.append(RestoreState(snapshot.index, snapshot.data))
+            self._commit_index = snapshot.index
+            self._applied_index = snapshot.index
+        match_index = max(snapshot.index, self._commit_index)
+        reply = AppendReply(
+            self._term, True, match_index, self._own.disk_id, message.sent_at
+        )
+        self._send(source, reply)
+
+    # Shared steps
+
+    def _commit_to(self, index: int) -> None:
+        self._commit_index = max(self._commit_index, index)
+        while self._applied_index < self._commit_index:
+            self._applied_index += 1
+            entry = self._log.entry(self._applied_index)
+            self._effects.append(ApplyEntry(self._applied_index, entry))
+
+    def _save_term(self, term: int, voted_for: str | None) -> None:
+        self._term = term
+        self._voted_for = voted_for
+        self._effects.append(SaveTerm(term, voted_for))
+
+    def _others(self, names: tuple[str, ...] | None = None) -> list[str]:
+        return [name for name in names or self._configured if name != self._name]
+
+    def _send(self, name: str, message: ReplicaMessage) -> None:
+        self._effects.append(SendToReplica(name, message))
+
+    def _take_effects(self) -> list[Effect]:
+        effects, self._effects = self._effects, []
+        return effects
--- /dev/null
+++ b/src/sassafraspin/control/state.py
@@ -0,0 +1,192 @@
+"""State machine of the control log: profiles, moves and the view."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+from sassafraspin.control.commands import (
+    AdvanceMove,
+    ChangeView,
+    Command,
+    CommandOutcome,
+    DeclareMove,
+    OutcomeKind,
+    PutProfile,
+    UndoMove,
+)
+from sassafraspin.membership import View
+from sassafraspin.moves import Move, MoveAccepted, MoveDecision, MoveRefused, MoveStore
+from sassafraspin.profiles import (
+    ProfileChange,
+    ProfileConflict,
+    ProfileDecision,
+    ProfileStore,
+    ProfileUnchanged,
+    ProfileUpdated,
+)
+
+__all__ = ["ControlState"]
+
+_KEPT_OUTCOMES = 5_000
+_KEPT_VIEWS = 64
+
+
+@dataclass(frozen=True)
+class _StateImage:
+    """Everything in the state, as a snapshot holds it."""
+
+    profiles: tuple[ProfileChange, ...]
+    moves: tuple[Move, ...]
+    versions: dict[str, str]
+    views: tuple[View, ...]
+    outcomes: tuple[tuple[str, CommandOutcome], ...]
+
+
+class ControlState:
+    """Applies committed commands in order; the same on every instance.
+
+    Parameters
+    ----------
+    index : int
+        Log index of the last command applied.
+    """
+
+    def __init__(self, index: int = 0) -> None:
+        self._index = index
+        self._profiles = ProfileStore()
+        self._moves = MoveStore()
+        self._views: tuple[View, ...] = (View(),)
+        self._outcomes: OrderedDict[str, CommandOutcome] = OrderedDict()
+
+    @property
+    def index(self) -> int:
+        """Return the log index of the last command applied."""
+        return self._index
+
+    @property
+    def profiles(self) -> ProfileStore:
+        """Return the profiles."""
+        return self._profiles
+
+    @property
+    def moves(self) -> MoveStore:
+        """Return the moves."""
+        return self._moves
+
+    @property
+    def view(self) -> View:
+        """Return the view in force."""
+        return self._views[-1]
+
+    @property
+    def views(self) -> tuple[View, ...]:
+        """Return the views since the newest settled one, oldest first."""
+        return self._views
+
+    def outcome(self, change_id: str) -> CommandOutcome | None:
+        """Return what came of a command that was applied before."""
+        return self._outcomes.get(change_id)
+
+    def apply(self, index: int, command: Command | None) -> CommandOutcome | None:
+        """Apply the command at the next index.
+
+        Parameters
+        ----------
+        index : int
+            Log index; one at or below the last applied is passed over.
+        command : Command or None
+            ``None`` for log entries that do not touch this state.
+
+        Returns
+        -------
+        CommandOutcome or None
+            What came of it.
+        """
+        if index <= self._index:
+            return None
+        self._index = index
+        if command is None:
+            return None
+        known = self._outcomes.get(command.change_id)
+        if known is not None:
+            return known
+        outcome = self._execute(command)
+        self._remember(command.change_id, outcome)
+        return outcome
+
+    def to_bytes(self) -> bytes:
+        """Return a snapshot of the state."""
+        image = _StateImage(
+            self._profiles.all_history(),
+            self._moves.all_moves(),
+            self._moves.versions,
+            self._views,
+            tuple(self._outcomes.items()),
+        )
+        return msgspec.msgpack.encode(image)
+
+    @classmethod
+    def from_bytes(cls, index: int, data: bytes) -> "ControlState":
+        """Return the state of a snapshot; raises ``msgspec.DecodeError``."""
+        image = msgspec.msgpack.decode(data, type=_StateImage)
+        state = cls(index)
+        state._profiles = ProfileStore(image.profiles)
+        state._moves = MoveStore(image.moves, image.versions)
+        state._views = image.views
+        state._outcomes = OrderedDict(image.outcomes)
+        return state
+
+    def _execute(self, command: Command) -> CommandOutcome:
+        match command:
+            case PutProfile():
+                change = ProfileChange(
+                    command.profile,
+                    command.operator,
+                    command.change_id,
+                    command.at_ms,
+                )
+                return _profile_outcome(self._profiles.put(change))
+            case DeclareMove():
+                return _move_outcome(
+                    self._moves.declare(command.spec, command.operator, command.at_ms)
+                )
+            case UndoMove():
+                return _move_outcome(
+                    self._moves.undo(command.name, command.operator, command.at_ms)
+                )
+            case AdvanceMove():
+                return _move_outcome(self._moves.advance(command.step, command.at_ms))
+            case ChangeView():
+                return self._change_view(command.view)
+
+    def _change_view(self, view: View) -> CommandOutcome:
+        if view.number != self.view.number + 1:
+            return CommandOutcome(OutcomeKind.CONFLICT, "not the next view")
+        kept = [old for old in self._views if old.number >= view.settled]
+        self._views = (*kept, view)[-_KEPT_VIEWS:]
+        return CommandOutcome(OutcomeKind.ACCEPTED)
+
+    def _remember(self, change_id: str, outcome: CommandOutcome) -> None:
+        self._outcomes[change_id] = outcome
+        while len(self._outcomes) > _KEPT_OUTCOMES:
+            self._outcomes.popitem(last=False)
+
+
+def _profile_outcome(decision: ProfileDecision) -> CommandOutcome:
+    match decision:
+        case ProfileUpdated(change):
+            return CommandOutcome(OutcomeKind.ACCEPTED, profile=change)
+        case ProfileUnchanged(change):
+            return CommandOutcome(OutcomeKind.UNCHANGED, profile=change)
+        case ProfileConflict(current):
+            reason = "the version is not the next one"
+            return CommandOutcome(OutcomeKind.CONFLICT, reason, profile=current)
+
+
+def _move_outcome(decision: MoveDecision) -> CommandOutcome:
+    match decision:
+        case MoveAccepted(move):
+            return CommandOutcome(OutcomeKind.ACCEPTED, move=move)
+        case MoveRefused(refusal, current):
+            return CommandOutcome(OutcomeKind.REFUSED, refusal.value, move=current)
--- /dev/null
+++ b/src/sassafraspin/daemon/access.py
@@ -0,0 +1,64 @@
+"""Tokens of callers, operators and backend servers."""
+
+import hashlib
+import hmac
+
+from sassafraspin.http import Request, Unauthorized
+from sassafraspin.settings import (
+    AccessSettings,
+    ClientAccountSettings,
+    OperatorSettings,
+)
+
+__all__ = ["AccessControl", "hash_token"]
+
+
+def hash_token(token: str) -> str:
+    """Return the SHA-256 of a token, in hexadecimal, as the settings hold it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class AccessControl:
+    """Finds who is behind the token of a request.
+
+    Parameters
+    ----------
+    settings : AccessSettings
+        Hashes of the tokens.
+    """
+
+    def __init__(self, settings: AccessSettings) -> None:
+        self._accounts = {item.token_sha256: item for item in settings.client_accounts}
+        self._operators = {item.token_sha256: item for item in settings.operators}
+        self._backend_server_hash = settings.backend_server_token_sha256
+
+    def client_account(self, request: Request) -> ClientAccountSettings:
+        """Return the calling client account; raises ``Unauthorized``."""
+        account = self._accounts.get(_token_hash(request))
+        if account is None:
+            raise Unauthorized
+        return account
+
+    def operator(self, request: Request) -> OperatorSettings:
+        """Return the calling operator; raises ``Unauthorized``."""
+        operator = self._operators.get(_token_hash(request))
+        if operator is None:
+            raise Unauthorized
+        return operator
+
+    def check_backend_server(self, request: Request) -> None:
+        """Check the token of a backend server; raises ``Unauthorized``."""
+        token_hash = _token_hash(request)
+        if not hmac.compare_digest(token_hash, self._backend_server_hash):
+            raise Unauthorized
+
+
+def _token_hash(request: Request) -> str:
+    """Return the hash of the bearer token.
+
+    Tokens are looked up by hash, so the time taken tells nothing of a token.
+    """
+    scheme, _, token = (request.headers.get("authorization") or "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise Unauthorized
+    return hash_token(token.strip())
--- /dev/null
+++ b/src/sassafraspin/daemon/daemon.py
@@ -0,0 +1,445 @@
+"""One daemon: moves bytes between trio and the aggregates."""
+
+import random
+import signal
+import time
+from pathlib import Path
+
+import trio
+
+from sassafraspin.control import (
+    Configuration,
+    ControlDuty,
+    ControlDutySettings,
+    ReplicaDisk,
+    ReplicaTimings,
+)
+from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.daemon.access import AccessControl
+from sassafraspin.daemon.claims import ClaimClient
+from sassafraspin.daemon.dispatch_duty import DispatchDuty
+from sassafraspin.daemon.entry import EntryService
+from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
+from sassafraspin.daemon.node import Node, wall_clock_ms
+from sassafraspin.daemon.operations import OperationsApi
+from sassafraspin.daemon.proposals import ProposalClient, with_time
+from sassafraspin.daemon.relay import BackendRelay
+from sassafraspin.daemon.slots import SlotClient
+from sassafraspin.daemon.status import ControlStatus, InstanceStatus
+from sassafraspin.dispatch import (
+    AnnounceBackend,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+    SlotWithdraw,
+)
+from sassafraspin.http import (
+    ClientTimeouts,
+    HttpClient,
+    HttpServer,
+    Request,
+    Responder,
+    Response,
+    answering,
+)
+from sassafraspin.ledger import (
+    Claim,
+    ClaimAnswer,
+    CloseClaim,
+    CopyAck,
+    CopyRecords,
+    Ledger,
+    SyncReply,
+    SyncRequest,
+)
+from sassafraspin.membership import (
+    HeartbeatReply,
+    Member,
+    MemberHeartbeat,
+    MemberIdentity,
+    MemberLease,
+    MemberTimings,
+)
+from sassafraspin.rpc import PeerNetwork
+from sassafraspin.settings import DaemonSettings
+from sassafraspin.storage import DataFolder
+from sassafraspin.telemetry import Metrics, part_logger
+
+__all__ = ["Daemon"]
+
+_TICK_SECONDS = 0.05
+_FRESH_HEARTBEATS = 4
+_MS_PER_SECOND = 1000
+_LEAVE_SECONDS = 2.0
+
+_log = part_logger("daemon")
+
+
+class Daemon:
+    """An entry instance with the duties that its settings and the view give it.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings, checked.
+    base_folder : Path
+        Folder that relative paths in the settings start at.
+    seed : int or None
+        Seed of random choices.
+
+    Raises
+    ------
+    StorageError
+        If the data folder cannot be opened.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, base_folder: Path, seed: int | None = None
+    ) -> None:
+        self._settings = settings
+        self._generator = random.Random(seed)
+        self._drained = trio.Event()
+        self._draining = False
+        self._sent_view = 0
+        member = _own_member(settings)
+        self._network = PeerNetwork(
+            member.name,
+            member.incarnation,
+            settings.listen.peers,
+            PeerMessage,
+            self._receive,
+        )
+        self._node = self._make_node(member)
+        self._ledger = Ledger(member.identity, settings.ledger)
+        self._claims = ClaimClient(self._node)
+        self._slots = SlotClient(self._node)
+        self._proposals = ProposalClient(self._node)
+        self._dispatch = DispatchDuty(self._node, self._generator)
+        self._backend_client = HttpClient(_client_timeouts(settings))
+        access = AccessControl(settings.access)
+        self._entry = EntryService(
+            self._node,
+            access,
+            self._claims,
+            self._slots,
+            BackendRelay(self._backend_client),
+        )
+        self._operations = OperationsApi(
+            self._node, access, self._proposals, self.status
+        )
+        self._callers = HttpServer(
+            settings.listen.callers, settings.http, self._handle_call
+        )
+        self._operators = HttpServer(
+            settings.listen.operators,
+            settings.http,
+            answering(self._operations.handle),
+        )
+        self._control = self._make_control(base_folder)
+
+    def _make_node(self, member: Member) -> Node:
+        settings = self._settings
+        timings = _member_timings(settings)
+        lease = MemberLease(
+            member,
+            tuple(address.name for address in settings.control.instances),
+            settings.control.heartbeat_interval_ms / _MS_PER_SECOND,
+            timings,
+        )
+        statsd = settings.telemetry.statsd
+        metrics = Metrics(
+            f"sassafraspin.{member.name}",
+            None if statsd is None else statsd.host,
+            8125 if statsd is None else statsd.port,
+        )
+        return Node(
+            settings,
+            member,
+            Configuration(),
+            lease,
+            metrics,
+            trio.current_time,
+            self._network.send,
+        )
+
+    def _make_control(self, base_folder: Path) -> ControlDuty | None:
+        settings = self._settings
+        if not settings.has_control_duty:
+            return None
+        assert settings.control.data_folder is not None
+        folder = DataFolder(base_folder / settings.control.data_folder)
+        duty_settings = ControlDutySettings(
+            settings.instance.name,
+            tuple(address.name for address in settings.control.instances),
+            ReplicaTimings(settings.control.election_timeout_ms / _MS_PER_SECOND),
+            _member_timings(settings),
+            settings.control.snapshot_after_entries,
+        )
+        return ControlDuty(
+            duty_settings,
+            ReplicaDisk(folder),
+            self._node.configuration,
+            self._network.send,
+            self._generator,
+            trio.current_time(),
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return not self._draining and self._node.acts_in_view()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until a shutdown has drained everything."""
+        for address in self._settings.control.instances:
+            self._network.learn_address(address)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._network.serve)
+            nursery.start_soon(self._tick_forever)
+            await nursery.start(self._operators.serve)
+            await nursery.start(self._callers.serve)
+            _log.info("Instance {} is listening.", self._node.name)
+            task_status.started()
+            await self._drained.wait()
+            nursery.cancel_scope.cancel()
+        self._backend_client.close()
+
+    async def run_until_signal(self) -> None:
+        """Serve until SIGTERM or SIGINT; a second signal stops at once."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._drain_on_signal, signals, nursery.cancel_scope)
+                await self.run()
+                nursery.cancel_scope.cancel()
+
+    async def shut_down(self) -> None:
+        """Drain: readiness fails first, requests in flight end, duties are left."""
+        self._draining = True
+        _log.info("Shutdown: readiness fails now.")
+        await trio.sleep(self._settings.readiness_grace_ms / _MS_PER_SECOND)
+        timeout = self._settings.drain_timeout_ms / _MS_PER_SECOND
+        with trio.move_on_after(timeout) as scope:
+            await self._callers.drain()
+        if scope.cancelled_caught:
+            _log.warning("Shutdown: {} calls were cut.", self._entry.in_flight)
+        await self._leave_view()
+        _log.info("Shutdown: done.")
+        self._drained.set()
+
+    def status(self) -> InstanceStatus:
+        """Return the state of this instance for operators."""
+        node = self._node
+        now = node.now()
+        state = node.configuration.state
+        age_ms = self._configuration_age_ms(now)
+        limit = _FRESH_HEARTBEATS * self._settings.control.heartbeat_interval_ms
+        return InstanceStatus(
+            instance=node.name,
+            incarnation=node.member.incarnation,
+            ready=self.is_ready,
+            draining=self._draining,
+            lease_held=node.lease.is_held(now),
+            in_flight=self._entry.in_flight,
+            configuration_index=state.index,
+            configuration_age_ms=age_ms,
+            fresh=age_ms is not None and age_ms <= limit,
+            synced_view=self._ledger.synced_view,
+            records=self._ledger.record_count,
+            view=state.view,
+            control=self._control_status(),
+            pools=self._dispatch.pool_statuses(),
+            backend_servers=self._dispatch.backend_statuses(),
+            moves=state.moves.all_moves(),
+            profiles=state.profiles.all_current(),
+            counters=node.metrics.counters,
+            histograms=node.metrics.summaries(),
+        )
+
+    def _configuration_age_ms(self, now: float) -> int | None:
+        age = self._node.lease.confirmed_age(now)
+        return None if age == float("inf") else int(age * _MS_PER_SECOND)
+
+    def _control_status(self) -> ControlStatus | None:
+        if self._control is None:
+            return None
+        replica = self._control.replica
+        failure = self._control.failure
+        return ControlStatus(
+            replica.role,
+            replica.term,
+            replica.leader,
+            replica.commit_index,
+            tuple(voter.name for voter in replica.log.voters),
+            replica.is_voter,
+            None if failure is None else str(failure),
+        )
+
+    async def _drain_on_signal(self, signals, scope: trio.CancelScope) -> None:
+        async with trio.open_nursery() as nursery:
+            async for _ in signals:
+                if self._draining:
+                    count = self._entry.in_flight
+                    _log.warning("Second signal: {} calls are cut.", count)
+                    scope.cancel()
+                    return
+                nursery.start_soon(self.shut_down)
+
+    async def _leave_view(self) -> None:
+        """Give the lease up and wait a little until the view is without us."""
+        self._node.lease.leave()
+        with trio.move_on_after(_LEAVE_SECONDS):
+            while self._node.view.contains(self._node.member.identity):
+                await trio.sleep(_TICK_SECONDS)
+
+    async def _handle_call(self, request: Request, responder: Responder) -> None:
+        match request.path:
+            case "/healthz":
+                await responder.send(Response(200))
+            case "/readyz":
+                await responder.send(Response(200 if self.is_ready else 503))
+            case _:
+                await self._entry.handle(request, responder)
+
+    # Time
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick()
+            await trio.sleep(_TICK_SECONDS)
+
+    def _tick(self) -> None:
+        now = self._node.now()
+        node = self._node
+        if self._control is not None:
+            self._control.tick(now)
+            self._push_new_view(now)
+        heartbeat = node.lease.tick(
+            node.configuration.index, self._ledger.synced_view, now
+        )
+        if heartbeat is not None:
+            node.send(heartbeat.name, heartbeat.heartbeat)
+        self._follow_view()
+        self._send_ledger(self._ledger.tick(node.acts_in_view(), now))
+        self._dispatch.tick()
+
+    def _follow_view(self) -> None:
+        state = self._node.configuration.state
+        for member in state.view.members:
+            if member.name != self._node.name:
+                self._network.learn_address(member.address)
+        now = self._node.now()
+        self._send_ledger(self._ledger.install_views(state.views, now))
+
+    def _push_new_view(self, now: float) -> None:
+        """Send a new view to the members at once, ahead of their heartbeats."""
+        view = self._node.view
+        if view.number == self._sent_view or self._control is None:
+            return
+        if not self._control.leads(now):
+            return
+        self._sent_view = view.number
+        state = self._node.configuration.state
+        for member in view.members:
+            update = self._node.configuration.update_since(state.index - 1)
+            reply = HeartbeatReply(self._node.name, 0, state.index, 0.0, update)
+            if member.name != self._node.name:
+                self._network.learn_address(member.address)
+                self._node.send(member.name, reply)
+
+    def _send_ledger(self, effects: list) -> None:
+        for effect in effects:
+            self._node.send(effect.name, effect.message)
+
+    # Messages
+
+    def _receive(self, source: str, incarnation: int, message: PeerMessage) -> None:
+        now = self._node.now()
+        match message:
+            case MemberHeartbeat():
+                self._on_heartbeat(source, message, now)
+            case HeartbeatReply():
+                self._on_heartbeat_reply(message, now)
+            case Claim() | CloseClaim() | CopyRecords() | CopyAck():
+                self._on_ledger(MemberIdentity(source, incarnation), message, now)
+            case SyncRequest() | SyncReply():
+                self._on_ledger(MemberIdentity(source, incarnation), message, now)
+            case ClaimAnswer():
+                self._claims.receive(message)
+            case SlotRequest() | SlotRelease() | SlotWithdraw() | AnnounceBackend():
+                self._dispatch.receive(source, message)
+            case SlotGrant() | SlotRefusal() | SlotRevoke():
+                self._slots.receive(message)
+            case Propose():
+                self._on_propose(source, message, now)
+            case ProposeReply():
+                self._proposals.receive(message)
+            case _:
+                self._on_replica_message(source, message, now)
+
+    def _on_heartbeat(
+        self, source: str, heartbeat: MemberHeartbeat, now: float
+    ) -> None:
+        if self._control is None:
+            return
+        if source != self._node.name:
+            self._network.learn_address(heartbeat.member.address)
+        self._node.send(source, self._control.heartbeat(heartbeat, now))
+
+    def _on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
+        configuration = self._node.configuration
+        if reply.update is not None:
+            configuration.take_update(reply.update)
+        if reply.sent_at > 0:
+            self._node.lease.on_reply(reply, configuration.index, now)
+        self._follow_view()
+
+    def _on_ledger(
+        self, source: MemberIdentity, message: PeerMessage, now: float
+    ) -> None:
+        acts = self._node.acts_in_view()
+        self._send_ledger(self._ledger.receive(source, message, acts, now))
+
+    def _on_propose(self, source: str, message: Propose, now: float) -> None:
+        command = with_time(message.command, wall_clock_ms())
+        if self._control is None:
+            self._node.send(source, ProposeReply(command.change_id, None))
+            return
+        self._control.propose(
+            command,
+            lambda end: self._node.send(
+                source, ProposeReply(end.change_id, end.outcome)
+            ),
+            now,
+        )
+
+    def _on_replica_message(
+        self, source: str, message: ReplicaMessage, now: float
+    ) -> None:
+        if self._control is not None:
+            self._control.receive(source, message, now)
+
+
+def _own_member(settings: DaemonSettings) -> Member:
+    peers = settings.listen.peers
+    return Member(
+        settings.instance.name,
+        time.time_ns() // 1_000,
+        settings.instance.region,
+        settings.instance.availability_zone,
+        peers.host,
+        peers.port,
+    )
+
+
+def _member_timings(settings: DaemonSettings) -> MemberTimings:
+    return MemberTimings(settings.control.member_lease_ms / _MS_PER_SECOND)
+
+
+def _client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
+    dispatch = settings.dispatch
+    return ClientTimeouts(
+        dispatch.connect_timeout_ms / _MS_PER_SECOND,
+        dispatch.progress_timeout_ms / _MS_PER_SECOND,
+    )
--- /dev/null
+++ b/src/sassafraspin/daemon/messages.py
@@ -0,0 +1,34 @@
+"""Every message that instances exchange."""
+
+import msgspec
+
+from sassafraspin.control.commands import Command, CommandOutcome
+from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.dispatch import DispatchMessage
+from sassafraspin.ledger import LedgerMessage
+from sassafraspin.membership import MembershipMessage
+
+__all__ = ["PeerMessage", "Propose", "ProposeReply"]
+
+
+class Propose(msgspec.Struct, frozen=True, tag=True):
+    """Asks the control leader to commit a command."""
+
+    command: Command
+
+
+class ProposeReply(msgspec.Struct, frozen=True, tag=True):
+    """What came of a proposed command; ``None`` from one that does not lead."""
+
+    change_id: str
+    outcome: CommandOutcome | None
+
+
+PeerMessage = (
+    MembershipMessage
+    | DispatchMessage
+    | ReplicaMessage
+    | LedgerMessage
+    | Propose
+    | ProposeReply
+)
--- /dev/null
+++ b/src/sassafraspin/daemon/node.py
@@ -0,0 +1,72 @@
+"""What the parts of a daemon share: identity, clock, messages and configuration."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sassafraspin.control import Configuration
+from sassafraspin.membership import Member, MemberLease, View
+from sassafraspin.settings import DaemonSettings
+from sassafraspin.telemetry import Metrics
+
+__all__ = ["Node", "wall_clock_ms"]
+
+
+@dataclass(frozen=True)
+class Node:
+    """Handles that the parts of one daemon are made with.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings of the daemon.
+    member : Member
+        This run of this instance.
+    configuration : Configuration
+        Profiles, moves and views in force here.
+    lease : MemberLease
+        Lease with the control leader.
+    metrics : Metrics
+        Counters and histograms.
+    clock : callable
+        Returns the monotonic time in seconds.
+    send : callable
+        Sends a message to an instance by name, also to this one.
+    """
+
+    settings: DaemonSettings
+    member: Member
+    configuration: Configuration
+    lease: MemberLease
+    metrics: Metrics
+    clock: Callable[[], float]
+    send: Callable[[str, object], None]
+
+    @property
+    def name(self) -> str:
+        """Return the name of this instance."""
+        return self.member.name
+
+    @property
+    def view(self) -> View:
+        """Return the view in force here."""
+        return self.configuration.state.view
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self.clock()
+
+    def acts_in_view(self) -> bool:
+        """Return whether this instance may act as home and dispatcher now."""
+        held = self.lease.is_held(self.now())
+        return held and self.view.contains(self.member.identity)
+
+    def dispatcher_of(self, service: str) -> str | None:
+        """Return the name of the instance that dispatches for a service."""
+        ranked = self.view.ranked(f"service\0{service}", 1)
+        return ranked[0].name if ranked else None
+
+
+def wall_clock_ms() -> int:
+    """Return the wall clock time in milliseconds since 1970."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/sassafraspin/daemon/operations.py
@@ -0,0 +1,189 @@
+"""HTTP API for operators and backend servers."""
+
+import uuid
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+import msgspec
+
+from sassafraspin.backends import Announcement
+from sassafraspin.control import (
+    CommandOutcome,
+    DeclareMove,
+    OutcomeKind,
+    PutProfile,
+    UndoMove,
+)
+from sassafraspin.daemon.access import AccessControl
+from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.problems import (
+    Conflict,
+    Unavailable,
+    UnknownPath,
+)
+from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.daemon.status import InstanceStatus
+from sassafraspin.dispatch import AnnounceBackend
+from sassafraspin.http import Headers, InvalidField, NotFound, Request, Response
+from sassafraspin.moves import MoveSpec
+from sassafraspin.profiles import Profile
+from sassafraspin.settings import check_document, parse_document
+
+__all__ = ["OperationsApi"]
+
+T = TypeVar("T")
+
+_JSON = Headers((("content-type", "application/json"),))
+
+
+class OperationsApi:
+    """Profiles, moves, status and announcements over HTTP.
+
+    Parameters
+    ----------
+    node : Node
+        Shared handles of the daemon.
+    access : AccessControl
+        Tokens of operators and backend servers.
+    proposals : ProposalClient
+        Client of the control log.
+    read_status : callable
+        Returns the status of this instance.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        access: AccessControl,
+        proposals: ProposalClient,
+        read_status: Callable[[], InstanceStatus],
+    ) -> None:
+        self._node = node
+        self._access = access
+        self._proposals = proposals
+        self._read_status = read_status
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; raises typed problems."""
+        parts = [part for part in request.path.split("/") if part]
+        match (request.method, *parts):
+            case ("GET", "healthz"):
+                return Response(200)
+            case ("POST", "v1", "backend-servers"):
+                return self._announce(request)
+            case _:
+                operator = self._access.operator(request).name
+                return await self._operate(request, parts, operator)
+
+    async def _operate(
+        self, request: Request, parts: list[str], operator: str
+    ) -> Response:
+        state = self._node.configuration.state
+        match (request.method, *parts):
+            case ("GET", "v1", "status"):
+                return _json(self._read_status())
+            case ("GET", "v1", "profiles"):
+                return _json(state.profiles.all_current())
+            case ("GET", "v1", "profiles", name):
+                return _json(_found(state.profiles.current(name), name))
+            case ("GET", "v1", "profiles", name, "history"):
+                return _json(_found(state.profiles.history(name), name))
+            case ("PUT", "v1", "profiles", name):
+                return await self._put_profile(request, name, operator)
+            case ("GET", "v1", "moves"):
+                return _json(state.moves.all_moves())
+            case ("GET", "v1", "moves", name):
+                return _json(_found(state.moves.get(name), name))
+            case ("POST", "v1", "moves"):
+                return await self._declare_move(request, operator)
+            case ("POST", "v1", "moves", name, "undo"):
+                return await self._undo_move(request, name, operator)
+            case _:
+                raise UnknownPath(request.path)
+
+    def _announce(self, request: Request) -> Response:
+        self._access.check_backend_server(request)
+        announcement = _read_body(request, Announcement)
+        services = {service.name for service in self._node.settings.services}
+        if announcement.service not in services:
+            raise InvalidField("$.service", f"must be one of {sorted(services)}")
+        dispatcher = self._node.dispatcher_of(announcement.service)
+        if dispatcher is not None:
+            self._node.send(dispatcher, AnnounceBackend(announcement))
+        return Response(202)
+
+    async def _put_profile(
+        self, request: Request, name: str, operator: str
+    ) -> Response:
+        profile = _read_body(request, Profile)
+        if profile.name != name:
+            raise InvalidField("$.name", f"must be {name!r} as in the path")
+        services = {service.name for service in self._node.settings.services}
+        if profile.service not in services:
+            raise InvalidField("$.service", f"must be one of {sorted(services)}")
+        command = PutProfile(_change_id(request), operator, 0, profile)
+        outcome = await self._commit(command)
+        return _json(outcome.profile)
+
+    async def _declare_move(self, request: Request, operator: str) -> Response:
+        spec = _read_body(request, MoveSpec)
+        services = {service.name for service in self._node.settings.services}
+        if spec.service not in services:
+            raise InvalidField("$.service", f"must be one of {sorted(services)}")
+        command = DeclareMove(_change_id(request), operator, 0, spec)
+        outcome = await self._commit(command)
+        return _json(outcome.move)
+
+    async def _undo_move(self, request: Request, name: str, operator: str) -> Response:
+        command = UndoMove(_change_id(request), operator, 0, name)
+        outcome = await self._commit(command)
+        return _json(outcome.move)
+
+    async def _commit(
+        self, command: PutProfile | DeclareMove | UndoMove
+    ) -> CommandOutcome:
+        outcome = await self._proposals.propose(command)
+        if outcome is None:
+            raise Unavailable
+        if outcome.kind in (OutcomeKind.ACCEPTED, OutcomeKind.UNCHANGED):
+            return outcome
+        raise Conflict(_conflict_message(outcome))
+
+
+def _conflict_message(outcome: CommandOutcome) -> str:
+    if outcome.profile is not None:
+        winner = outcome.profile
+        return (
+            f"version {winner.profile.version} by {winner.operator} is in force "
+            f"(change {winner.change_id}); {outcome.reason}"
+        )
+    if outcome.move is not None:
+        move = outcome.move
+        return f"{outcome.reason}: move {move.spec.name!r} is {move.phase}"
+    return outcome.reason
+
+
+def _found(value: T | None, name: str) -> T:
+    if not value:
+        raise NotFound(f"{name!r} does not exist")
+    return value
+
+
+def _read_body(request: Request, schema: type[T]) -> T:
+    checked = parse_document(request.body, "body").bind(
+        lambda value: check_document(schema, value, "body")
+    )
+    if checked.is_error():
+        problem = checked.error.problems[0]
+        raise InvalidField(problem.path, problem.message)
+    return checked.ok
+
+
+def _change_id(request: Request) -> str:
+    values = parse_qs(request.query).get("change_id")
+    return values[0] if values else uuid.uuid4().hex
+
+
+def _json(value: Any) -> Response:
+    return Response(200, _JSON, msgspec.json.encode(value))
--- /dev/null
+++ b/src/sassafraspin/daemon/problems.py
@@ -0,0 +1,174 @@
+"""Refusals of calls; each says whether the request ran."""
+
+from sassafraspin.dispatch import RefusalReason
+from sassafraspin.http import Execution, RequestProblem
+
+__all__ = [
+    "AlreadyAnswered",
+    "BackendUnreachable",
+    "Conflict",
+    "Draining",
+    "InternalFailure",
+    "KeyReused",
+    "LedgerUnavailable",
+    "OutcomeUnknown",
+    "SlotRefused",
+    "StillRunning",
+    "Unavailable",
+    "UnknownPath",
+    "UnknownProfile",
+]
+
+_RETRY_SOON_MS = 500
+
+
+class UnknownProfile(RequestProblem):
+    """No such profile is in force."""
+
+    status = 404
+    reason = "unknown-profile"
+    title = "Unknown profile"
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"profile {name!r} is not in force; put it first")
+
+
+class UnknownPath(RequestProblem):
+    """No service takes this path."""
+
+    status = 404
+    reason = "unknown-path"
+    title = "Unknown path"
+
+    def __init__(self, path: str) -> None:
+        super().__init__(f"no service takes the path {path!r}")
+
+
+class Conflict(RequestProblem):
+    """Another change stands in the way."""
+
+    status = 409
+    reason = "conflict"
+    title = "Conflict"
+
+
+class Unavailable(RequestProblem):
+    """The control quorum could not be reached in time."""
+
+    status = 503
+    reason = "control-unavailable"
+    title = "Control unavailable"
+    execution = Execution.UNKNOWN
+    retry_after_ms = _RETRY_SOON_MS
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the change may or may not be accepted; send it again with the same "
+            "change identity to learn which"
+        )
+
+
+class Draining(RequestProblem):
+    """The instance is shutting down."""
+
+    status = 503
+    reason = "draining"
+    title = "Instance is shutting down"
+    retry_after_ms = _RETRY_SOON_MS
+
+    def __init__(self) -> None:
+        super().__init__("send the request again on a new connection")
+
+
+class SlotRefused(RequestProblem):
+    """The dispatcher gave no slot."""
+
+    _STATUSES = {RefusalReason.ACCOUNT_LIMIT: 429}
+
+    def __init__(self, reason: RefusalReason, retry_after_ms: int) -> None:
+        super().__init__("the request was not run; send it again after the pause")
+        self.status = self._STATUSES.get(reason, 503)
+        self.reason = reason.value
+        self.title = "No capacity for the request"
+        self.retry_after_ms = retry_after_ms
+
+
+class BackendUnreachable(RequestProblem):
+    """No connection to a backend server could be opened."""
+
+    status = 503
+    reason = "backend-unreachable"
+    title = "Backend server unreachable"
+    retry_after_ms = _RETRY_SOON_MS
+
+    def __init__(self) -> None:
+        super().__init__("no byte of the request was sent to a backend server")
+
+
+class LedgerUnavailable(RequestProblem):
+    """The record of the idempotency key could not be made in time."""
+
+    status = 503
+    reason = "ledger-unavailable"
+    title = "Request record unavailable"
+    retry_after_ms = _RETRY_SOON_MS
+
+    def __init__(self) -> None:
+        super().__init__("the request was not run; send it again with the same key")
+
+
+class KeyReused(RequestProblem):
+    """The idempotency key belongs to another request."""
+
+    status = 422
+    reason = "key-reused"
+    title = "Idempotency key reused"
+
+    def __init__(self) -> None:
+        super().__init__("use another Idempotency-Key for another request")
+
+
+class StillRunning(RequestProblem):
+    """An earlier try under the same key is in flight."""
+
+    status = 409
+    reason = "in-flight"
+    title = "Request in flight"
+    execution = Execution.UNKNOWN
+    retry_after_ms = _RETRY_SOON_MS
+
+    def __init__(self) -> None:
+        super().__init__("the first try under this key has not ended yet")
+
+
+class OutcomeUnknown(RequestProblem):
+    """The request was sent, but what came of it is not known."""
+
+    status = 502
+    reason = "outcome-unknown"
+    title = "Outcome unknown"
+    execution = Execution.UNKNOWN
+
+
+class AlreadyAnswered(RequestProblem):
+    """The request ran and was answered earlier."""
+
+    status = 409
+    reason = "already-answered"
+    title = "Already answered"
+    execution = Execution.ANSWERED
+
+    def __init__(self) -> None:
+        super().__init__("this key was answered; the answer is not kept")
+
+
+class InternalFailure(RequestProblem):
+    """A fault of this program; whether the request ran is not known."""
+
+    status = 500
+    reason = "internal-failure"
+    title = "Internal failure"
+    execution = Execution.UNKNOWN
+
+    def __init__(self) -> None:
+        super().__init__("see the log of the entry instance")
--- /dev/null
+++ b/src/sassafraspin/daemon/relay.py
@@ -0,0 +1,226 @@
+"""Exchange of one granted request with its backend server."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from sassafraspin.daemon.calls import Call, ModelCall, PlainCall
+from sassafraspin.dispatch import SlotGrant
+from sassafraspin.http import (
+    ConnectionLost,
+    EventParser,
+    Headers,
+    HttpClient,
+    OpenResponse,
+    Request,
+    Response,
+    ServerSentEvent,
+)
+from sassafraspin.settings import Address
+from sassafraspin.telemetry import part_logger
+
+__all__ = ["EVENT_STREAM", "BackendRelay", "Timing", "is_event_stream"]
+
+EVENT_STREAM = "text/event-stream"
+DONE_DATA = "[DONE]"
+VERSION_HEADER = "sassafraspin-version"
+
+_RESUME_ATTEMPTS = 2
+_CANCEL_SECONDS = 1.0
+
+_NOT_PASSED_ON = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+
+_log = part_logger("relay")
+
+
+@dataclass
+class Timing:
+    """When the parts of an answer arrived, on the monotonic clock in seconds."""
+
+    sent_at: float
+    first_token_at: float | None = None
+    answer_tokens: int = 0
+
+
+class BackendRelay:
+    """Sends calls to backend servers, follows their streams and cancels them.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client towards backend servers.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    def open(self, call: Call, grant: SlotGrant):
+        """Send a call and return the context manager of its response."""
+        address = Address(grant.host, grant.port)
+        return self._client.open(address, upstream_request(call, grant))
+
+    async def events(
+        self, call: Call, grant: SlotGrant, response: OpenResponse, timing: Timing
+    ) -> AsyncIterator[ServerSentEvent]:
+        """Yield the events of a streamed answer, each once and in order.
+
+        A lost connection is replaced by one that resumes after the last event.
+
+        Raises
+        ------
+        ConnectionLost
+            If the stream cannot be joined to its end.
+        """
+        follower = _StreamFollower(timing)
+        try:
+            async for event in follower.follow(response):
+                yield event
+        except ConnectionLost as error:
+            _log.info("Stream of {} lost: {}.", call.request_id, error)
+        for _ in range(_RESUME_ATTEMPTS):
+            if follower.done:
+                return
+            try:
+                async with self._client.open(
+                    Address(grant.host, grant.port),
+                    _resume_request(call, follower.last_sequence),
+                ) as resumed:
+                    if resumed.status != 200:
+                        break
+                    async for event in follower.follow(resumed):
+                        yield event
+            except ConnectionLost as error:
+                _log.info("Resumed stream of {} lost: {}.", call.request_id, error)
+        if not follower.done:
+            raise ConnectionLost("the stream ended before its last event")
+
+    async def read_whole(self, response: OpenResponse, timing: Timing) -> Response:
+        """Return a whole answer."""
+        body = await response.read()
+        timing.first_token_at = trio.current_time()
+        timing.answer_tokens = _completion_tokens(body)
+        return Response(response.status, passed_on(response.headers), body)
+
+    async def cancel(self, call: Call, grant: SlotGrant) -> None:
+        """Ask a model engine to cancel a request; failures are ignored."""
+        if isinstance(call.kind, PlainCall):
+            return
+        request = Request("DELETE", f"/v1/streams/{call.request_id}", _host(grant))
+        with trio.move_on_after(_CANCEL_SECONDS) as scope:
+            scope.shield = True
+            try:
+                await self._client.send(Address(grant.host, grant.port), request)
+            except (ConnectionLost, OSError):
+                _log.debug("Cancel of {} failed.", call.request_id)
+
+
+class _StreamFollower:
+    """Joins the pieces of a stream by the sequence numbers of its events."""
+
+    def __init__(self, timing: Timing) -> None:
+        self._timing = timing
+        self._last_sequence = -1
+        self._done = False
+
+    @property
+    def last_sequence(self) -> int:
+        """Return the sequence number of the last event passed on."""
+        return self._last_sequence
+
+    @property
+    def done(self) -> bool:
+        """Return whether the final event was passed on."""
+        return self._done
+
+    async def follow(self, response: OpenResponse) -> AsyncIterator[ServerSentEvent]:
+        """Yield the events that are next in order; drop repeated ones."""
+        parser = EventParser()
+        async for chunk in response.chunks():
+            for event in parser.feed(chunk):
+                if self._is_next(event):
+                    yield event
+                if self._done:
+                    return
+
+    def _is_next(self, event: ServerSentEvent) -> bool:
+        if event.id is not None and event.id.isdigit():
+            sequence = int(event.id)
+            if sequence <= self._last_sequence:
+                return False
+            if sequence != self._last_sequence + 1:
+                raise ConnectionLost("the stream skipped an event")
+            self._last_sequence = sequence
+        if event.data == DONE_DATA:
+            self._done = True
+            return True
+        if self._timing.first_token_at is None:
+            self._timing.first_token_at = trio.current_time()
+        self._timing.answer_tokens += 1
+        return True
+
+
+def upstream_request(call: Call, grant: SlotGrant) -> Request:
+    """Return the request as the backend server gets it."""
+    headers = call.request.headers.without(_NOT_PASSED_ON)
+    headers = headers.adding("host", f"{grant.host}:{grant.port}")
+    headers = headers.adding("x-request-id", call.request_id)
+    headers = headers.adding(VERSION_HEADER, grant.version)
+    body = call.request.body
+    if isinstance(call.kind, ModelCall):
+        model = f"{call.service.name}:{grant.version}"
+        body = msgspec.json.encode({**call.kind.document, "model": model})
+    return Request(call.request.method, call.request.target, headers, body)
+
+
+def passed_on(headers: Headers) -> Headers:
+    """Return the headers of an answer without those of the connection."""
+    return headers.without(_NOT_PASSED_ON)
+
+
+def is_event_stream(response: OpenResponse) -> bool:
+    """Return whether a response is a stream of server-sent events."""
+    content_type = response.headers.get("content-type") or ""
+    return content_type.startswith(EVENT_STREAM)
+
+
+def _resume_request(call: Call, last_sequence: int) -> Request:
+    target = f"/v1/streams/{call.request_id}?after={last_sequence}"
+    return Request("GET", target, Headers((("host", "backend"),)))
+
+
+def _host(grant: SlotGrant) -> Headers:
+    return Headers((("host", f"{grant.host}:{grant.port}"),))
+
+
+def _completion_tokens(body: bytes) -> int:
+    """Return the number of answer tokens that a whole answer reports, or 0."""
+    try:
+        usage = msgspec.json.decode(body, type=_WithUsage).usage
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return 0
+    return usage.completion_tokens
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int = 0
+
+
+class _WithUsage(msgspec.Struct):
+    usage: _Usage = msgspec.field(default_factory=_Usage)
--- /dev/null
+++ b/src/sassafraspin/daemon/slots.py
@@ -0,0 +1,134 @@
+"""An entry instance's side of dispatch: asking for slots and giving them back."""
+
+from dataclasses import dataclass
+
+import trio
+
+from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.replies import ReplyTable
+from sassafraspin.dispatch import (
+    RefusalReason,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+    SlotWithdraw,
+)
+
+__all__ = ["SlotClient"]
+
+_REPEAT_SECONDS = 0.25
+_RETRY_AFTER_MS = 1_000
+
+
+@dataclass
+class _ActiveGrant:
+    scope: trio.CancelScope
+    revoked: bool = False
+
+
+class SlotClient:
+    """Asks the dispatcher of a service for slots.
+
+    Parameters
+    ----------
+    node : Node
+        Shared handles of the daemon.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._replies = ReplyTable()
+        self._active: dict[str, _ActiveGrant] = {}
+
+    async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
+        """Return a slot or a refusal, at the latest when the deadline has passed.
+
+        The request is repeated until it is answered, also to another instance when
+        the dispatcher changes; the dispatcher knows it by its identity.
+        """
+        receive = self._replies.open(request.request_id)
+        try:
+            with trio.move_on_after(request.deadline_ms / 1000):
+                return await self._ask(request, receive)
+        finally:
+            self._replies.close(request.request_id)
+        self.withdraw(request)
+        return SlotRefusal(request.request_id, RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
+
+    def withdraw(self, request: SlotRequest) -> None:
+        """Tell the dispatcher that a request no longer waits."""
+        message = SlotWithdraw(request.service, request.request_id)
+        self._send_to_dispatcher(request.service, message)
+
+    def release(self, release: SlotRelease) -> None:
+        """Give a slot back."""
+        self._send_to_dispatcher(release.service, release)
+
+    def note_active(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
+        """Let a revocation of the grant cancel ``scope``."""
+        self._active[grant.grant_id] = _ActiveGrant(scope)
+
+    def note_inactive(self, grant: SlotGrant) -> bool:
+        """Forget a grant; return whether it was revoked."""
+        active = self._active.pop(grant.grant_id, None)
+        return active is not None and active.revoked
+
+    def receive(self, message: SlotGrant | SlotRefusal | SlotRevoke) -> None:
+        """Handle a message of a dispatcher."""
+        match message:
+            case SlotGrant():
+                if not self._replies.deliver(message.request_id, message):
+                    self._give_back_unwanted(message)
+            case SlotRefusal():
+                self._replies.deliver(message.request_id, message)
+            case SlotRevoke():
+                active = self._active.get(message.grant_id)
+                if active is not None:
+                    active.revoked = True
+                    active.scope.cancel()
+
+    async def _ask(
+        self, request: SlotRequest, receive: trio.MemoryReceiveChannel
+    ) -> SlotGrant | SlotRefusal:
+        asked_at = self._node.now()
+        while True:
+            self._send_to_dispatcher(request.service, request)
+            with trio.move_on_after(_REPEAT_SECONDS):
+                answer = await receive.receive()
+                if not _is_wrong_dispatcher(answer):
+                    return answer
+                await trio.sleep(_REPEAT_SECONDS)
+            waited_ms = (self._node.now() - asked_at) * 1000
+            if self._is_unreachable(request, waited_ms):
+                self.withdraw(request)
+                return SlotRefusal(
+                    request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
+                )
+
+    def _is_unreachable(self, request: SlotRequest, waited_ms: float) -> bool:
+        """Return whether no dispatcher can be asked for longer than allowed."""
+        if self._node.dispatcher_of(request.service) is not None:
+            return False
+        return waited_ms > self._node.settings.dispatch.slot_timeout_ms
+
+    def _give_back_unwanted(self, grant: SlotGrant) -> None:
+        """Return a slot that came too late; its request id names the service."""
+        service = grant.request_id.partition(":")[0]
+        if grant.grant_id in self._active:
+            return
+        message = SlotWithdraw(service, grant.request_id)
+        self._send_to_dispatcher(service, message)
+
+    def _send_to_dispatcher(self, service: str, message: object) -> None:
+        dispatcher = self._node.dispatcher_of(service)
+        if dispatcher is not None:
+            self._node.send(dispatcher, message)
+
+
+def _is_wrong_dispatcher(answer: SlotGrant | SlotRefusal) -> bool:
+    return (
+        isinstance(answer, SlotRefusal)
+        and answer.reason is RefusalReason.NOT_DISPATCHER
+    )
--- /dev/null
+++ b/src/sassafraspin/daemon/status.py
@@ -0,0 +1,70 @@
+"""What an instance tells operators about itself."""
+
+from dataclasses import dataclass
+
+from sassafraspin.dispatch.pool import PoolStatus
+from sassafraspin.membership import View
+from sassafraspin.moves import Move
+from sassafraspin.profiles import ProfileChange
+from sassafraspin.telemetry import HistogramSummary
+
+__all__ = ["BackendStatus", "ControlStatus", "InstanceStatus"]
+
+
+@dataclass(frozen=True)
+class ControlStatus:
+    """State of the control duty of this instance."""
+
+    role: str
+    term: int
+    leader: str | None
+    commit_index: int
+    voters: tuple[str, ...]
+    is_voter: bool
+    failure: str | None
+
+
+@dataclass(frozen=True)
+class BackendStatus:
+    """A backend server as its dispatcher sees it."""
+
+    id: str
+    service: str
+    hardware: str
+    versions: tuple[str, ...]
+    busy_slots: int
+    slots: int
+    accepts_work: bool
+    leaving: bool
+    ejected: bool
+    prefill_tokens_per_second: float
+    decode_tokens_per_second: float
+
+
+@dataclass(frozen=True)
+class InstanceStatus:
+    """State of one instance.
+
+    ``configuration_age_ms`` is the time since the configuration was last confirmed
+    to be current; ``fresh`` says whether that is recent.
+    """
+
+    instance: str
+    incarnation: int
+    ready: bool
+    draining: bool
+    lease_held: bool
+    in_flight: int
+    configuration_index: int
+    configuration_age_ms: int | None
+    fresh: bool
+    synced_view: int
+    records: int
+    view: View
+    control: ControlStatus | None
+    pools: tuple[PoolStatus, ...]
+    backend_servers: tuple[BackendStatus, ...]
+    moves: tuple[Move, ...]
+    profiles: tuple[ProfileChange, ...]
+    counters: dict[str, int]
+    histograms: tuple[HistogramSummary, ...]
--- /dev/null
+++ b/src/sassafraspin/dispatch/messages.py
@@ -0,0 +1,141 @@
+"""Messages between entry instances and the dispatcher of a service."""
+
+from enum import StrEnum
+
+import msgspec
+
+from sassafraspin.backends import Announcement
+
+__all__ = [
+    "AnnounceBackend",
+    "DispatchMessage",
+    "RefusalReason",
+    "ReleaseResult",
+    "SlotGrant",
+    "SlotRefusal",
+    "SlotRelease",
+    "SlotRequest",
+    "SlotRevoke",
+    "SlotWithdraw",
+]
+
+
+class RefusalReason(StrEnum):
+    """Why a request gets no slot; in each case it was not run."""
+
+    NO_BACKEND = "no-backend"
+    OVERLOADED = "overloaded"
+    TOO_LATE = "too-late"
+    ACCOUNT_LIMIT = "account-limit"
+    NOT_DISPATCHER = "not-dispatcher"
+
+
+class ReleaseResult(StrEnum):
+    """How a granted request ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_SENT = "not-sent"
+    CANCELLED = "cancelled"
+
+
+class SlotRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks the dispatcher of a service for a slot at one of its backend servers.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request; a repeated message asks for the same slot.
+    service, client_account, profile, route : str
+        What the request is for and who sent it; ``route`` is the kind of call,
+        by which versions are compared.
+    tier : int
+        Urgency from 0, the highest.
+    prompt_tokens, answer_tokens : int
+        Estimated cost.
+    deadline_ms : int
+        Time left until the whole answer is due.
+    cancellable : bool
+        Whether the running request may be cancelled for a higher tier.
+    prefixes : tuple of int
+        Hashes of the prompt's prefixes.
+    avoid : tuple of str
+        Backend servers that were tried already.
+    """
+
+    request_id: str
+    service: str
+    client_account: str
+    profile: str
+    route: str
+    tier: int
+    prompt_tokens: int
+    answer_tokens: int
+    deadline_ms: int
+    cancellable: bool
+    prefixes: tuple[int, ...] = ()
+    avoid: tuple[str, ...] = ()
+
+
+class SlotGrant(msgspec.Struct, frozen=True, tag=True):
+    """A slot; it lapses unless the request is sent within ``use_within_ms``."""
+
+    request_id: str
+    grant_id: str
+    backend_id: str
+    host: str
+    port: int
+    version: str
+    use_within_ms: int
+
+
+class SlotRefusal(msgspec.Struct, frozen=True, tag=True):
+    """No slot: the request was not run and may come back after some time."""
+
+    request_id: str
+    reason: RefusalReason
+    retry_after_ms: int
+
+
+class SlotRelease(msgspec.Struct, frozen=True, tag=True):
+    """A granted request has ended; times are 0 where they are not known."""
+
+    service: str
+    request_id: str
+    grant_id: str
+    backend_id: str
+    result: ReleaseResult
+    first_token_ms: int = 0
+    total_ms: int = 0
+    answer_tokens: int = 0
+
+
+class SlotWithdraw(msgspec.Struct, frozen=True, tag=True):
+    """The request is no longer waiting for a slot."""
+
+    service: str
+    request_id: str
+
+
+class SlotRevoke(msgspec.Struct, frozen=True, tag=True):
+    """Cancel the running request to make room for a higher tier."""
+
+    request_id: str
+    grant_id: str
+
+
+class AnnounceBackend(msgspec.Struct, frozen=True, tag=True):
+    """An announcement passed on to the dispatcher of the service."""
+
+    announcement: Announcement
+
+
+DispatchMessage = (
+    SlotRequest
+    | SlotGrant
+    | SlotRefusal
+    | SlotRelease
+    | SlotWithdraw
+    | SlotRevoke
+    | AnnounceBackend
+)
--- /dev/null
+++ b/src/sassafraspin/dispatch/pool.py
@@ -0,0 +1,421 @@
+"""Aggregate of one service's backend servers and of the requests that wait for them.
+
+The dispatcher of a service decides in one place, so tiers, limits and exposure to
+new versions hold for all instances together.
+"""
+
+import random
+from dataclasses import dataclass
+
+from sassafraspin.admission import (
+    AccountLimits,
+    LimitExceeded,
+    WaitingQueue,
+    WaitingRequest,
+)
+from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.dispatch.messages import (
+    DispatchMessage,
+    RefusalReason,
+    ReleaseResult,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+    SlotWithdraw,
+)
+from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.profiles import LOWEST_TIER
+from sassafraspin.routing import choose_backend
+from sassafraspin.settings import ClientAccountSettings, DispatchSettings
+
+__all__ = ["Pool", "PoolStatus", "SendToEntry"]
+
+_MIN_RETRY_MS = 200
+_MAX_RETRY_MS = 30_000
+_GRANT_SLACK_SECONDS = 2.0
+_LATE_SCAN_SECONDS = 0.05
+
+
+@dataclass(frozen=True)
+class SendToEntry:
+    """Effect: send a message to an entry instance."""
+
+    entry: str
+    message: DispatchMessage
+
+
+@dataclass(frozen=True)
+class PoolStatus:
+    """Figures of a pool for operators."""
+
+    service: str
+    backends: int
+    accepting: int
+    slots: int
+    busy_slots: int
+    waiting: int
+
+
+@dataclass
+class _Grant:
+    entry: str
+    request: SlotRequest
+    message: SlotGrant
+    granted_at: float
+    lapses_at: float
+    revoked: bool = False
+
+
+class Pool:
+    """Grants slots of a service's backend servers to waiting requests.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    settings : DispatchSettings
+        Timeouts and bounds.
+    accounts : tuple of ClientAccountSettings
+        Limits of the client accounts.
+    gate : VersionGate
+        Decides which version a request is shown.
+    generator : random.Random
+        Source of random choices.
+    term : str
+        Prefix of grant identities; differs between dispatchers over time.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        settings: DispatchSettings,
+        accounts: tuple[ClientAccountSettings, ...],
+        gate: VersionGate,
+        generator: random.Random,
+        term: str,
+    ) -> None:
+        self._service = service
+        self._settings = settings
+        self._limits = AccountLimits(accounts)
+        self._gate = gate
+        self._generator = generator
+        self._term = term
+        self._backends: dict[str, Backend] = {}
+        self._queue = WaitingQueue()
+        self._grants: dict[str, _Grant] = {}
+        self._grant_of_request: dict[str, str] = {}
+        self._grant_counter = 0
+        self._expected_end_sum = 0.0
+        self._next_late_scan = 0.0
+        self._effects: list[SendToEntry] = []
+
+    @property
+    def gate(self) -> VersionGate:
+        """Return the gate that decides which version a request is shown."""
+        return self._gate
+
+    @property
+    def backends(self) -> tuple[Backend, ...]:
+        """Return the known backend servers."""
+        return tuple(self._backends.values())
+
+    def entries(self) -> frozenset[str]:
+        """Return the entry instances with waiting or granted requests."""
+        waiting = (item.entry for item in self._queue)
+        granted = (grant.entry for grant in self._grants.values())
+        return frozenset((*waiting, *granted))
+
+    def status(self, now: float) -> PoolStatus:
+        """Return figures for operators."""
+        accepting = [item for item in self.backends if item.accepts_work(now)]
+        return PoolStatus(
+            self._service,
+            len(self._backends),
+            len(accepting),
+            sum(item.announcement.slots for item in accepting),
+            len(self._grants),
+            len(self._queue),
+        )
+
+    def announce(self, announcement: Announcement, now: float) -> list[SendToEntry]:
+        """Take in an announcement of a backend server."""
+        backend = self._backends.get(announcement.id)
+        if backend is None:
+            self._backends[announcement.id] = Backend(announcement, now)
+        else:
+            backend.take_announcement(announcement, now)
+        return self._pump(now)
+
+    def request(
+        self, entry: str, request: SlotRequest, now: float
+    ) -> list[SendToEntry]:
+        """Grant a slot, let the request wait, or refuse it."""
+        granted = self._grant_of_request.get(request.request_id)
+        if granted is not None:
+            self._send(entry, self._grants[granted].message)
+            return self._take_effects()
+        if request.request_id in self._queue:
+            return []
+        self._admit(entry, request, now)
+        return self._pump(now)
+
+    def withdraw(self, message: SlotWithdraw, now: float) -> list[SendToEntry]:
+        """Forget a request that no longer waits, or give back its unused slot."""
+        waiting = self._queue.remove(message.request_id)
+        if waiting is not None:
+            self._give_back_limits(waiting.request)
+        grant_id = self._grant_of_request.get(message.request_id)
+        if grant_id is not None:
+            self._end_grant(grant_id)
+        return self._pump(now)
+
+    def release(self, release: SlotRelease, now: float) -> list[SendToEntry]:
+        """Give back the slot of a request that has ended, and learn from it."""
+        grant = self._end_grant(release.grant_id)
+        if grant is None:
+            return []
+        self._learn(grant, release, now)
+        return self._pump(now)
+
+    def drop_entry(self, entry: str, now: float) -> list[SendToEntry]:
+        """Forget what an entry instance that has left was waiting for."""
+        for waiting in self._queue:
+            if waiting.entry == entry:
+                self._queue.remove(waiting.request.request_id)
+                self._give_back_limits(waiting.request)
+        for grant_id, grant in list(self._grants.items()):
+            if grant.entry == entry:
+                self._end_grant(grant_id)
+        return self._pump(now)
+
+    def tick(self, now: float) -> list[SendToEntry]:
+        """Let time pass: expire backend servers, grants and late requests."""
+        for grant_id, grant in list(self._grants.items()):
+            if now >= grant.lapses_at:
+                self._end_grant(grant_id)
+        for backend_id, backend in list(self._backends.items()):
+            if backend.is_expired(now) and not backend.busy_slots:
+                del self._backends[backend_id]
+        self._refuse_late(now)
+        return self._pump(now)
+
+    # Admission
+
+    def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
+        if not any(backend.accepts_work(now) for backend in self.backends):
+            self._refuse(entry, request, RefusalReason.NO_BACKEND, 1.0)
+            return
+        tokens = request.prompt_tokens + request.answer_tokens
+        decision = self._limits.admit(request.client_account, tokens, now)
+        if isinstance(decision, LimitExceeded):
+            reason = RefusalReason.ACCOUNT_LIMIT
+            self._refuse(entry, request, reason, decision.retry_after)
+            return
+        seconds = self._typical_seconds(request, now)
+        deadline = now + request.deadline_ms / 1000
+        waiting = WaitingRequest(entry, request, seconds, deadline)
+        wait = self._expected_wait(request.tier, now)
+        if now + wait > waiting.latest_start and not self._can_preempt(request, now):
+            self._give_back_limits(request)
+            late_by = now + wait - waiting.latest_start
+            self._refuse(entry, request, RefusalReason.TOO_LATE, late_by)
+            return
+        self._queue.add(waiting)
+        self._bound_queue(now)
+
+    def _typical_seconds(self, request: SlotRequest, now: float) -> float:
+        """Return the expected time at the fastest server that accepts work."""
+        return min(
+            backend.speed.seconds(request.prompt_tokens, request.answer_tokens)
+            for backend in self.backends
+            if backend.accepts_work(now)
+        )
+
+    def _expected_wait(self, tier: int, now: float) -> float:
+        """Return how long a new request of a tier would wait for a slot."""
+        slots = self._open_slots(now)
+        free = slots - len(self._grants)
+        if free > len(self._queue):
+            return 0.0
+        running = max(0.0, self._expected_end_sum - now * len(self._grants))
+        return (self._queue.seconds_ahead(tier) + running) / max(slots, 1)
+
+    def _open_slots(self, now: float) -> int:
+        return sum(
+            backend.announcement.slots
+            for backend in self.backends
+            if backend.accepts_work(now)
+        )
+
+    def _bound_queue(self, now: float) -> None:
+        """Shed the last request of the lowest tier when too many wait."""
+        while len(self._queue) > self._settings.waiting_requests:
+            shed = self._queue.last_of_lowest_tier(above=-1)
+            assert shed is not None
+            self._shed(shed, RefusalReason.OVERLOADED, now)
+
+    def _refuse_late(self, now: float) -> None:
+        """Refuse waiting requests that can no longer be answered in time."""
+        if now < self._next_late_scan:
+            return
+        self._next_late_scan = now + _LATE_SCAN_SECONDS
+        for waiting in self._queue:
+            if now > waiting.latest_start:
+                self._shed(waiting, RefusalReason.TOO_LATE, now)
+
+    def _shed(self, waiting: WaitingRequest, reason: RefusalReason, now: float) -> None:
+        request = waiting.request
+        self._queue.remove(request.request_id)
+        self._give_back_limits(request)
+        wait = self._expected_wait(request.tier, now)
+        self._refuse(waiting.entry, request, reason, wait)
+
+    def _refuse(
+        self, entry: str, request: SlotRequest, reason: RefusalReason, retry: float
+    ) -> None:
+        retry_ms = min(max(int(retry * 1000), _MIN_RETRY_MS), _MAX_RETRY_MS)
+        self._send(entry, SlotRefusal(request.request_id, reason, retry_ms))
+
+    def _give_back_limits(self, request: SlotRequest) -> None:
+        tokens = request.prompt_tokens + request.answer_tokens
+        self._limits.finish(request.client_account, tokens)
+
+    # Granting
+
+    def _pump(self, now: float) -> list[SendToEntry]:
+        """Grant slots in the order of the queue until none fits."""
+        for tier in range(LOWEST_TIER + 1):
+            while (waiting := self._queue.head(tier)) is not None:
+                if now > waiting.latest_start:
+                    self._shed(waiting, RefusalReason.TOO_LATE, now)
+                elif not self._try_grant(waiting, now):
+                    self._make_room(waiting, now)
+                    return self._take_effects()
+        return self._take_effects()
+
+    def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
+        request = waiting.request
+        tokens = request.prompt_tokens + request.answer_tokens
+        version = self._gate.choose_version(request, now)
+        candidates = self._candidates(request, version, tokens, now)
+        if not candidates and version != self._gate.current_version:
+            version = self._gate.current_version
+            candidates = self._candidates(request, version, tokens, now)
+        choice = choose_backend(candidates, request, self._generator)
+        if choice is None:
+            return False
+        self._queue.remove(request.request_id)
+        self._grant_counter += 1
+        announcement = choice.backend.announcement
+        message = SlotGrant(
+            request.request_id,
+            f"{self._term}-{self._grant_counter}",
+            announcement.id,
+            announcement.address.host,
+            announcement.address.port,
+            version,
+            self._settings.grant_use_within_ms,
+        )
+        expected_end = now + choice.expected_seconds
+        reservation = Reservation(message.grant_id, request.tier, tokens, expected_end)
+        choice.backend.reserve(reservation)
+        choice.backend.cache.note_sent(request.prefixes)
+        self._expected_end_sum += expected_end
+        lapses_at = waiting.deadline + _GRANT_SLACK_SECONDS
+        self._grants[message.grant_id] = _Grant(
+            waiting.entry, request, message, now, lapses_at
+        )
+        self._grant_of_request[request.request_id] = message.grant_id
+        self._gate.note_start(version, request, now)
+        self._send(waiting.entry, message)
+        return True
+
+    def _candidates(
+        self, request: SlotRequest, version: str, tokens: int, now: float
+    ) -> list[Backend]:
+        return [
+            backend
+            for backend in self._backends.values()
+            if version in backend.announcement.versions
+            and backend.accepts_work(now)
+            and backend.has_room(tokens)
+            and backend.announcement.id not in request.avoid
+        ]
+
+    def _end_grant(self, grant_id: str) -> _Grant | None:
+        grant = self._grants.pop(grant_id, None)
+        if grant is None:
+            return None
+        self._grant_of_request.pop(grant.request.request_id, None)
+        self._give_back_limits(grant.request)
+        backend = self._backends.get(grant.message.backend_id)
+        reservation = None if backend is None else backend.release(grant_id)
+        if reservation is not None:
+            self._expected_end_sum -= reservation.expected_end
+        if not self._grants:
+            self._expected_end_sum = 0.0
+        return grant
+
+    def _learn(self, grant: _Grant, release: SlotRelease, now: float) -> None:
+        self._gate.note_end(grant.message.version, grant.request, release, now)
+        backend = self._backends.get(grant.message.backend_id)
+        if backend is None:
+            return
+        match release.result:
+            case ReleaseResult.ANSWERED:
+                backend.note_success()
+                backend.speed.observe(
+                    grant.request.prompt_tokens,
+                    release.first_token_ms / 1000,
+                    release.answer_tokens,
+                    (release.total_ms - release.first_token_ms) / 1000,
+                )
+            case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
+                backend.note_failure(now)
+            case ReleaseResult.CANCELLED:
+                pass
+
+    # Making room for higher tiers
+
+    def _can_preempt(self, request: SlotRequest, now: float) -> bool:
+        return self._victim(request.tier) is not None
+
+    def _make_room(self, waiting: WaitingRequest, now: float) -> None:
+        """Cancel running work of a lower tier if the request would be late."""
+        if any(grant.revoked for grant in self._grants.values()):
+            return
+        free_at = min(
+            (item.expected_end for b in self.backends for item in b.reservations),
+            default=now,
+        )
+        if max(free_at, now) <= waiting.latest_start:
+            return
+        victim = self._victim(waiting.request.tier)
+        if victim is not None:
+            victim.revoked = True
+            message = SlotRevoke(victim.request.request_id, victim.message.grant_id)
+            self._send(victim.entry, message)
+
+    def _victim(self, tier: int) -> _Grant | None:
+        """Return the cancellable grant of the lowest tier below ``tier``."""
+        lower = [
+            grant
+            for grant in self._grants.values()
+            if grant.request.cancellable
+            and grant.request.tier > tier
+            and not grant.revoked
+        ]
+        return max(
+            lower,
+            key=lambda grant: (grant.request.tier, grant.granted_at),
+            default=None,
+        )
+
+    def _send(self, entry: str, message: DispatchMessage) -> None:
+        self._effects.append(SendToEntry(entry, message))
+
+    def _take_effects(self) -> list[SendToEntry]:
+        effects, self._effects = self._effects, []
+        return effects
--- /dev/null
+++ b/src/sassafraspin/http/__init__.py
@@ -0,0 +1,54 @@
+"""HTTP/1.1 on both sides, server-sent events and problem documents."""
+
+from sassafraspin.http.client import (
+    ClientTimeouts,
+    ConnectFailed,
+    ConnectionLost,
+    HttpClient,
+    OpenResponse,
+)
+from sassafraspin.http.events import EventParser, ServerSentEvent, format_event
+from sassafraspin.http.messages import Headers, Request, Response
+from sassafraspin.http.problems import (
+    BadRequest,
+    BodyTooLarge,
+    Execution,
+    InvalidField,
+    NotFound,
+    ProblemDocument,
+    RequestProblem,
+    RequestTimeout,
+    TooManyConnections,
+    Unauthorized,
+    problem_response,
+)
+from sassafraspin.http.server import Handler, HttpServer, Responder, answering
+
+__all__ = [
+    "BadRequest",
+    "BodyTooLarge",
+    "ClientTimeouts",
+    "ConnectFailed",
+    "ConnectionLost",
+    "EventParser",
+    "Execution",
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpServer",
+    "InvalidField",
+    "NotFound",
+    "OpenResponse",
+    "ProblemDocument",
+    "Request",
+    "RequestProblem",
+    "RequestTimeout",
+    "Responder",
+    "Response",
+    "ServerSentEvent",
+    "TooManyConnections",
+    "Unauthorized",
+    "answering",
+    "format_event",
+    "problem_response",
+]
--- /dev/null
+++ b/src/sassafraspin/http/client.py
@@ -0,0 +1,255 @@
+"""HTTP/1.1 client on trio and h11 that tells how far a request got."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from sassafraspin.errors import RemoteFailure
+from sassafraspin.http.messages import Headers, Request, Response
+from sassafraspin.settings import Address
+
+__all__ = [
+    "ClientTimeouts",
+    "ConnectFailed",
+    "ConnectionLost",
+    "HttpClient",
+    "OpenResponse",
+]
+
+_READ_BYTES = 65_536
+_IDLE_PER_ADDRESS = 16
+
+
+@dataclass(frozen=True)
+class ClientTimeouts:
+    """Time limits of one request, in seconds.
+
+    Parameters
+    ----------
+    connect : float
+        For opening a connection.
+    progress : float
+        For each read and each write to move at least one byte.
+    idle : float
+        Age since the last use after which an idle connection is not used again.
+    """
+
+    connect: float = 1.0
+    progress: float = 10.0
+    idle: float = 5.0
+
+
+class ConnectFailed(RemoteFailure):
+    """No byte of the request left: the server can't have received it."""
+
+
+class ConnectionLost(RemoteFailure):
+    """The connection failed after a part of the request may have left."""
+
+
+class OpenResponse:
+    """A response whose head has arrived and whose body is read in pieces."""
+
+    def __init__(self, status: int, headers: Headers, connection: "_Connection"):
+        self._connection = connection
+        self.status = status
+        self.headers = headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in pieces until its end.
+
+        Raises
+        ------
+        ConnectionLost
+            If the body is cut or no byte arrives within the progress timeout.
+        """
+        while True:
+            chunk = await self._connection.read_chunk()
+            if chunk is None:
+                return
+            yield chunk
+
+    async def read(self) -> bytes:
+        """Return the rest of the body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+
+class HttpClient:
+    """Sends requests over pooled connections.
+
+    Parameters
+    ----------
+    timeouts : ClientTimeouts
+        Limits for each request.
+    """
+
+    def __init__(self, timeouts: ClientTimeouts) -> None:
+        self._timeouts = timeouts
+        self._idle: dict[Address, list[_Connection]] = {}
+
+    @asynccontextmanager
+    async def open(
+        self, address: Address, request: Request
+    ) -> AsyncIterator[OpenResponse]:
+        """Send a request and give its response once the head has arrived.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection could be opened, so nothing was sent.
+        ConnectionLost
+            If the connection failed later.
+        """
+        connection = self._take_idle(address) or await self._connect(address)
+        try:
+            status, headers = await connection.exchange_heads(request)
+            yield OpenResponse(status, headers, connection)
+        finally:
+            self._give_back(address, connection)
+
+    async def send(self, address: Address, request: Request) -> Response:
+        """Send a request and return the whole response."""
+        async with self.open(address, request) as response:
+            return Response(response.status, response.headers, await response.read())
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+
+    async def _connect(self, address: Address) -> "_Connection":
+        with trio.move_on_after(self._timeouts.connect):
+            try:
+                stream = await trio.open_tcp_stream(address.host, address.port)
+            except OSError as error:
+                raise ConnectFailed(f"cannot connect: {error}") from error
+            return _Connection(stream, self._timeouts)
+        raise ConnectFailed("connect timed out")
+
+    def _take_idle(self, address: Address) -> "_Connection | None":
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            if connection.is_reusable():
+                return connection
+            connection.close()
+        return None
+
+    def _give_back(self, address: Address, connection: "_Connection") -> None:
+        idle = self._idle.setdefault(address, [])
+        if connection.finish_cycle() and len(idle) < _IDLE_PER_ADDRESS:
+            idle.append(connection)
+            return
+        connection.close()
+
+
+class _Connection:
+    """One HTTP/1.1 connection to a server."""
+
+    def __init__(self, stream: trio.SocketStream, timeouts: ClientTimeouts) -> None:
+        self._stream = stream
+        self._timeouts = timeouts
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._last_used = trio.current_time()
+
+    def is_reusable(self) -> bool:
+        """Return whether the connection is fresh and still open."""
+        if trio.current_time() - self._last_used > self._timeouts.idle:
+            return False
+        return not _is_readable(self._stream)
+
+    def finish_cycle(self) -> bool:
+        """Make the connection ready for another request, if it can be."""
+        self._last_used = trio.current_time()
+        try:
+            self._protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+        self._stream.socket.close()
+
+    async def exchange_heads(self, request: Request) -> tuple[int, Headers]:
+        """Send the request and return the status and headers of the response."""
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=_headers_with_length(request),
+        )
+        data = self._protocol.send(head)
+        if request.body:
+            data += self._protocol.send(h11.Data(data=request.body))
+        data += self._protocol.send(h11.EndOfMessage())
+        await self._write(data)
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionLost("the server closed before its answer")
+        return event.status_code, _decode_headers(event)
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next piece of the body, or ``None`` at its end."""
+        event = await self._next_event()
+        match event:
+            case h11.Data():
+                return bytes(event.data)
+            case h11.EndOfMessage():
+                return None
+            case _:
+                raise ConnectionLost("the server closed inside its answer")
+
+    async def _write(self, data: bytes) -> None:
+        with trio.move_on_after(self._timeouts.progress):
+            try:
+                await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLost("the server closed the connection") from error
+            return
+        raise ConnectionLost("the server does not read")
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLost(f"broken answer: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        with trio.move_on_after(self._timeouts.progress):
+            try:
+                return await self._stream.receive_some(_READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLost("the connection was reset") from error
+        raise ConnectionLost("the server made no progress")
+
+
+def _is_readable(stream: trio.SocketStream) -> bool:
+    """Return whether an idle connection has a close or stray bytes pending."""
+    return stream.socket.is_readable()
+
+
+def _headers_with_length(request: Request) -> list[tuple[str, str]]:
+    headers = list(request.headers.items)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append(("content-length", str(len(request.body))))
+    return headers
+
+
+def _decode_headers(event: h11.Response) -> Headers:
+    return Headers(
+        tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in event.headers
+        )
+    )
--- /dev/null
+++ b/src/sassafraspin/http/problems.py
@@ -0,0 +1,185 @@
+"""Problem documents (RFC 9457) and the typed errors behind them."""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from sassafraspin.errors import SassafraspinError
+from sassafraspin.http.messages import Headers, Response
+
+__all__ = [
+    "BadRequest",
+    "BodyTooLarge",
+    "Execution",
+    "InvalidField",
+    "NotFound",
+    "ProblemDocument",
+    "RequestProblem",
+    "RequestTimeout",
+    "TooManyConnections",
+    "Unauthorized",
+    "problem_response",
+]
+
+_MEDIA_TYPE = "application/problem+json"
+_TYPE_PREFIX = "urn:sassafraspin:problem:"
+_MS_PER_SECOND = 1000
+
+
+class Execution(StrEnum):
+    """Whether a refused request ran."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+
+
+@dataclass(frozen=True)
+class ProblemDocument:
+    """Body of a refusal.
+
+    Parameters
+    ----------
+    type : str
+        URN that names whether the request ran and the reason.
+    title : str
+        Reason in words.
+    status : int
+        HTTP status code.
+    detail : str
+        What the caller can do.
+    execution : Execution
+        Whether the request ran.
+    retry_after_ms : int or None
+        Milliseconds after which a retry may succeed.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    execution: Execution
+    retry_after_ms: int | None = None
+
+
+class RequestProblem(SassafraspinError):
+    """Base of the errors that are sent to a caller as a problem document."""
+
+    status = 400
+    reason = "bad-request"
+    title = "Bad request"
+    execution = Execution.NOT_RUN
+    retry_after_ms: int | None = None
+
+    def document(self) -> ProblemDocument:
+        """Return the body that tells the caller about this error."""
+        return ProblemDocument(
+            f"{_TYPE_PREFIX}{self.execution}:{self.reason}",
+            self.title,
+            self.status,
+            str(self),
+            self.execution,
+            self.retry_after_ms,
+        )
+
+
+class BadRequest(RequestProblem):
+    """The peer broke HTTP/1.1 or sent an invalid document."""
+
+
+class InvalidField(BadRequest):
+    """A field of the request is wrong.
+
+    Parameters
+    ----------
+    field : str
+        JSON path, header or parameter.
+    message : str
+        What would be accepted.
+    """
+
+    status = 422
+    reason = "invalid-field"
+    title = "Invalid field"
+
+    def __init__(self, field: str, message: str) -> None:
+        super().__init__(f"{field}: {message}")
+
+
+class NotFound(RequestProblem):
+    """The named thing does not exist."""
+
+    status = 404
+    reason = "not-found"
+    title = "Not found"
+
+
+class Unauthorized(RequestProblem):
+    """The token is missing or wrong."""
+
+    status = 401
+    reason = "unauthorized"
+    title = "Unauthorized"
+
+    def __init__(self) -> None:
+        super().__init__("send a valid token as 'Authorization: Bearer TOKEN'")
+
+
+class BodyTooLarge(RequestProblem):
+    """The body is longer than the settings allow."""
+
+    status = 413
+    reason = "body-too-large"
+    title = "Body too large"
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(f"the body may have at most {limit_bytes} bytes")
+
+
+class RequestTimeout(RequestProblem):
+    """The peer took too long to send its request."""
+
+    status = 408
+    reason = "request-timeout"
+    title = "Request timeout"
+
+    def __init__(self, part: str) -> None:
+        super().__init__(f"the {part} of the request did not arrive in time")
+
+
+class TooManyConnections(RequestProblem):
+    """The server holds as many connections as its settings allow."""
+
+    status = 503
+    reason = "too-many-connections"
+    title = "Too many connections"
+    retry_after_ms = 1000
+
+    def __init__(self) -> None:
+        super().__init__("use another connection or come back later")
+
+
+def problem_response(problem: RequestProblem) -> Response:
+    """Return the HTTP response for a typed error.
+
+    Parameters
+    ----------
+    problem : RequestProblem
+        Error to report.
+
+    Returns
+    -------
+    Response
+        Problem document, with ``Retry-After`` in whole seconds where it is known.
+        Errors that are not ``not-run`` ask clients not to repeat the request.
+    """
+    document = problem.document()
+    headers = Headers((("content-type", _MEDIA_TYPE),))
+    if document.retry_after_ms is not None:
+        seconds = math.ceil(document.retry_after_ms / _MS_PER_SECOND)
+        headers = headers.adding("retry-after", str(seconds))
+    if problem.execution is not Execution.NOT_RUN:
+        headers = headers.adding("x-should-retry", "false")
+    return Response(document.status, headers, msgspec.json.encode(document))
--- /dev/null
+++ b/src/sassafraspin/ledger/ledger.py
@@ -0,0 +1,412 @@
+"""Aggregate of one member's request records: as home, as backup and while syncing.
+
+A home answers a claim only after enough members of the same view hold the record.
+A backup refuses copies of an older view, and a new home answers only after every
+member of its view has sent what it holds, so two homes never grant the same key.
+"""
+
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from sassafraspin.ledger.messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimDecision,
+    CloseClaim,
+    CopyAck,
+    CopyRecords,
+    LedgerMessage,
+    SyncReply,
+    SyncRequest,
+)
+from sassafraspin.ledger.placement import Placement
+from sassafraspin.ledger.record import RecordKey, RecordState, RequestRecord
+from sassafraspin.ledger.sync import SyncProgress
+from sassafraspin.membership import MemberIdentity, View
+from sassafraspin.settings import LedgerSettings
+
+__all__ = ["Ledger", "SendToMember"]
+
+_LEAST_COPIES = 2
+_FULL_COPY_SECONDS = 0.25
+_SYNC_RETRY_SECONDS = 0.3
+_MAX_SYNC_RETRY_SECONDS = 5.0
+_SYNC_PART_RECORDS = 200
+_CLOSE_BATCH_RECORDS = 200
+
+
+@dataclass(frozen=True)
+class SendToMember:
+    """Effect: send a message to another member."""
+
+    name: str
+    message: LedgerMessage
+
+
+@dataclass
+class _Held:
+    record: RequestRecord
+    updated_at: float
+
+
+@dataclass
+class _PendingClaim:
+    record: RequestRecord
+    copy_id: int
+    waiting_for: set[str]
+    acknowledged: int
+    full_until: float
+    asked_by: str
+
+
+class Ledger:
+    """Request records that this member holds.
+
+    Parameters
+    ----------
+    own : MemberIdentity
+        This run of this instance.
+    settings : LedgerSettings
+        Number of copies, window and bounds.
+    """
+
+    def __init__(self, own: MemberIdentity, settings: LedgerSettings) -> None:
+        self._own = own
+        self._settings = settings
+        self._placement = Placement(own, settings.backup_copies + 1)
+        self._records: OrderedDict[RecordKey, _Held] = OrderedDict()
+        self._pending: dict[int, _PendingClaim] = {}
+        self._copy_ids = itertools.count(1)
+        self._sync: SyncProgress | None = None
+        self._next_sync_at = 0.0
+        self._waiting_syncs: dict[str, SyncRequest] = {}
+        self._closed: dict[str, list[RequestRecord]] = {}
+        self._effects: list[SendToMember] = []
+
+    @property
+    def synced_view(self) -> int:
+        """Return the newest view in which every record was copied to this member."""
+        return self._placement.synced_view
+
+    @property
+    def record_count(self) -> int:
+        """Return the number of records held."""
+        return len(self._records)
+
+    def record(self, key: RecordKey) -> RequestRecord | None:
+        """Return the record held for a key."""
+        held = self._records.get(key)
+        return None if held is None else held.record
+
+    def install_views(self, views: tuple[View, ...], now: float) -> list[SendToMember]:
+        """Take over a newer view; claims that are being copied must be asked again."""
+        if views[-1].number <= self._placement.view.number:
+            return []
+        for pending in list(self._pending.values()):
+            self._end_claim(pending, ClaimDecision.NOT_READY)
+        self._placement.install(views)
+        self._start_sync(now)
+        for name, request in list(self._waiting_syncs.items()):
+            self._answer_sync(name, request)
+        return self._take_effects()
+
+    def tick(self, lease_held: bool, now: float) -> list[SendToMember]:
+        """Let time pass: repeat sync requests, send closes, expire records."""
+        if self._sync is not None and now >= self._next_sync_at:
+            self._ask_for_sync(now)
+        for pending in list(self._pending.values()):
+            self._grant_if_copied(pending, lease_held, now)
+        self._send_closed()
+        self._expire(now)
+        return self._take_effects()
+
+    def receive(
+        self, source: MemberIdentity, message: LedgerMessage, lease: bool, now: float
+    ) -> list[SendToMember]:
+        """Handle a message.
+
+        Parameters
+        ----------
+        source : MemberIdentity
+            Sender.
+        message : LedgerMessage
+            What it sent.
+        lease : bool
+            Whether this member holds its lease now.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of SendToMember
+            Messages to send.
+        """
+        match message:
+            case Claim():
+                self._on_claim(source, message, lease, now)
+            case CloseClaim():
+                self._on_close(message, now)
+            case CopyRecords():
+                self._on_copy(source, message, now)
+            case CopyAck():
+                self._on_copy_ack(source, message, lease, now)
+            case SyncRequest():
+                self._answer_sync(source.name, message)
+            case SyncReply():
+                self._on_sync_reply(source, message, now)
+            case ClaimAnswer():
+                pass
+        return self._take_effects()
+
+    # Claims
+
+    def _on_claim(
+        self, source: MemberIdentity, claim: Claim, lease: bool, now: float
+    ) -> None:
+        key = claim.key
+        is_ready = lease and self._placement.is_home(key)
+        if not is_ready or not self._placement.knows_all(key):
+            self._answer(source.name, claim.request_id, ClaimDecision.NOT_READY)
+            return
+        record = self.record(key)
+        if record is None and self._placement.may_be_lost(key, _LEAST_COPIES):
+            record = self._new_record(source, claim, 1, RecordState.UNKNOWN)
+            self._store(record, now)
+        if record is None:
+            self._start_claim(source, claim, 1, now)
+        elif record.digest != claim.digest:
+            self._answer(source.name, claim.request_id, ClaimDecision.KEY_REUSED)
+        elif record.state is RecordState.NOT_RUN:
+            self._start_claim(source, claim, record.attempt + 1, now)
+        else:
+            self._answer_known(source, claim, record, now)
+
+    def _answer_known(
+        self, source: MemberIdentity, claim: Claim, record: RequestRecord, now: float
+    ) -> None:
+        match record.state:
+            case RecordState.ANSWERED:
+                decision = ClaimDecision.ANSWERED
+            case RecordState.UNKNOWN:
+                decision = ClaimDecision.UNKNOWN
+            case _:
+                decision = self._decide_claimed(source, claim, record)
+        if decision is None:
+            return
+        if decision is ClaimDecision.UNKNOWN and record.state is RecordState.CLAIMED:
+            self._change_state(record, RecordState.UNKNOWN, now)
+        self._answer(source.name, claim.request_id, decision)
+
+    def _decide_claimed(
+        self, source: MemberIdentity, claim: Claim, record: RequestRecord
+    ) -> ClaimDecision | None:
+        """Decide on a claim whose key is claimed; ``None`` while it is copied."""
+        owner = MemberIdentity(record.entry, record.entry_incarnation)
+        if claim.request_id == record.request_id and source == owner:
+            if any(item.record == record for item in self._pending.values()):
+                return None
+            return ClaimDecision.GRANTED
+        if self._placement.view.contains(owner):
+            return ClaimDecision.IN_FLIGHT
+        return ClaimDecision.UNKNOWN
+
+    def _start_claim(
+        self, source: MemberIdentity, claim: Claim, attempt: int, now: float
+    ) -> None:
+        if len(self._records) >= self._settings.records:
+            self._answer(source.name, claim.request_id, ClaimDecision.FULL)
+            return
+        record = self._new_record(source, claim, attempt, RecordState.CLAIMED)
+        self._store(record, now)
+        backups = self._backups(record.key)
+        pending = _PendingClaim(
+            record,
+            next(self._copy_ids),
+            set(backups),
+            0,
+            now + _FULL_COPY_SECONDS,
+            source.name,
+        )
+        self._pending[pending.copy_id] = pending
+        copy = CopyRecords(self._placement.view.number, pending.copy_id, (record,))
+        for name in backups:
+            self._send(name, copy)
+        self._grant_if_copied(pending, True, now)
+
+    def _on_copy(self, source: MemberIdentity, copy: CopyRecords, now: float) -> None:
+        """Hold copies of this view; an older home must not get them acknowledged."""
+        if copy.view_number != self._placement.view.number:
+            return
+        for record in copy.records:
+            self._merge(record, now)
+        self._send(source.name, CopyAck(copy.view_number, copy.copy_id))
+
+    def _on_copy_ack(
+        self, source: MemberIdentity, ack: CopyAck, lease: bool, now: float
+    ) -> None:
+        pending = self._pending.get(ack.copy_id)
+        if pending is None or ack.view_number != self._placement.view.number:
+            return
+        if source.name in pending.waiting_for:
+            pending.waiting_for.discard(source.name)
+            pending.acknowledged += 1
+        self._grant_if_copied(pending, lease, now)
+
+    def _grant_if_copied(self, pending: _PendingClaim, lease: bool, now: float) -> None:
+        """Grant once all copies are held, or after a while if enough are."""
+        if not lease:
+            return
+        is_enough = pending.acknowledged + 1 >= _LEAST_COPIES
+        if not pending.waiting_for or (is_enough and now >= pending.full_until):
+            self._end_claim(pending, ClaimDecision.GRANTED)
+
+    def _end_claim(self, pending: _PendingClaim, decision: ClaimDecision) -> None:
+        del self._pending[pending.copy_id]
+        self._answer(pending.asked_by, pending.record.request_id, decision)
+
+    def _on_close(self, close: CloseClaim, now: float) -> None:
+        record = self.record(close.key)
+        if record is None or record.request_id != close.request_id:
+            return
+        if record.state is not RecordState.CLAIMED:
+            return
+        for pending in list(self._pending.values()):
+            if pending.record == record:
+                del self._pending[pending.copy_id]
+        self._change_state(record, close.state, now)
+
+    def _change_state(
+        self, record: RequestRecord, state: RecordState, now: float
+    ) -> None:
+        closed = replace(record, state=state)
+        self._store(closed, now)
+        for name in self._backups(record.key):
+            self._closed.setdefault(name, []).append(closed)
+
+    def _send_closed(self) -> None:
+        """Tell backups of closed records; a lost one only makes answers cautious."""
+        for name, records in self._closed.items():
+            for batch in _batches(records, _CLOSE_BATCH_RECORDS):
+                self._send(name, CopyRecords(self._placement.view.number, 0, batch))
+        self._closed.clear()
+
+    # Syncing after a view change
+
+    def _start_sync(self, now: float) -> None:
+        view = self._placement.view
+        self._sync = None
+        if not view.contains(self._own):
+            return
+        others = frozenset(
+            member.name for member in view.members if member.name != self._own.name
+        )
+        if not others:
+            self._placement.note_synced()
+            return
+        self._sync = SyncProgress(view.number, others)
+        self._ask_for_sync(now)
+
+    def _ask_for_sync(self, now: float) -> None:
+        assert self._sync is not None
+        attempt = self._sync.start_attempt()
+        pause = _SYNC_RETRY_SECONDS * 2 ** (attempt - 1)
+        self._next_sync_at = now + min(pause, _MAX_SYNC_RETRY_SECONDS)
+        for name in sorted(self._sync.missing):
+            self._send(name, SyncRequest(self._sync.view_number, attempt))
+
+    def _answer_sync(self, name: str, request: SyncRequest) -> None:
+        """Send a member its records; wait if this member is behind it."""
+        view = self._placement.view
+        if request.view_number > view.number:
+            self._waiting_syncs[name] = request
+            return
+        self._waiting_syncs.pop(name, None)
+        if request.view_number < view.number:
+            return
+        wanted = tuple(self._records_for(name))
+        batches = list(_batches(wanted, _SYNC_PART_RECORDS)) or [()]
+        for part, batch in enumerate(batches):
+            is_last = part == len(batches) - 1
+            reply = SyncReply(
+                request.view_number, request.attempt, part, is_last, batch
+            )
+            self._send(name, reply)
+
+    def _records_for(self, name: str) -> Iterator[RequestRecord]:
+        for held in self._records.values():
+            holders = self._placement.holders(held.record.key)
+            if any(member.name == name for member in holders):
+                yield held.record
+
+    def _on_sync_reply(
+        self, source: MemberIdentity, reply: SyncReply, now: float
+    ) -> None:
+        for record in reply.records:
+            self._merge(record, now)
+        if self._sync is None or reply.view_number != self._sync.view_number:
+            return
+        self._sync.note_part(source.name, reply.attempt, reply.part, reply.last)
+        if self._sync.is_done:
+            self._sync = None
+            self._placement.note_synced()
+
+    # Records
+
+    def _new_record(
+        self, source: MemberIdentity, claim: Claim, attempt: int, state: RecordState
+    ) -> RequestRecord:
+        return RequestRecord(
+            claim.key,
+            claim.digest,
+            attempt,
+            claim.request_id,
+            source.name,
+            source.incarnation,
+            state,
+        )
+
+    def _merge(self, record: RequestRecord, now: float) -> None:
+        if record.supersedes(self.record(record.key)):
+            self._store(record, now)
+
+    def _store(self, record: RequestRecord, now: float) -> None:
+        self._records[record.key] = _Held(record, now)
+        self._records.move_to_end(record.key)
+
+    def _expire(self, now: float) -> None:
+        """Forget records older than the window; those in flight become unknown."""
+        window = self._settings.record_window_ms / 1000
+        while self._records:
+            key, held = next(iter(self._records.items()))
+            if now - held.updated_at < window:
+                return
+            record = held.record
+            owner = MemberIdentity(record.entry, record.entry_incarnation)
+            in_flight = record.state is RecordState.CLAIMED
+            if in_flight and self._placement.view.contains(owner):
+                self._store(replace(record, state=RecordState.UNKNOWN), now)
+            else:
+                del self._records[key]
+
+    def _backups(self, key: RecordKey) -> list[str]:
+        holders = self._placement.holders(key)
+        return [member.name for member in holders if member.name != self._own.name]
+
+    def _answer(self, entry: str, request_id: str, decision: ClaimDecision) -> None:
+        self._send(entry, ClaimAnswer(request_id, decision))
+
+    def _send(self, name: str, message: LedgerMessage) -> None:
+        self._effects.append(SendToMember(name, message))
+
+    def _take_effects(self) -> list[SendToMember]:
+        effects, self._effects = self._effects, []
+        return effects
+
+
+def _batches(
+    records: "list[RequestRecord] | tuple[RequestRecord, ...]", size: int
+) -> Iterator[tuple[RequestRecord, ...]]:
+    for start in range(0, len(records), size):
+        yield tuple(records[start : start + size])
--- /dev/null
+++ b/src/sassafraspin/ledger/placement.py
@@ -0,0 +1,84 @@
+"""Where records belong, and for which keys a member knows every record."""
+
+from sassafraspin.ledger.record import RecordKey
+from sassafraspin.membership import Member, MemberIdentity, View
+
+__all__ = ["Placement"]
+
+
+class Placement:
+    """Homes and backup copies by the views since the newest settled one.
+
+    Parameters
+    ----------
+    own : MemberIdentity
+        This run of this instance.
+    copies : int
+        Members that hold each record, the home included.
+    """
+
+    def __init__(self, own: MemberIdentity, copies: int) -> None:
+        self._own = own
+        self._copies = copies
+        self._views: tuple[View, ...] = (View(),)
+        self._synced: set[int] = set()
+
+    @property
+    def view(self) -> View:
+        """Return the view in force."""
+        return self._views[-1]
+
+    @property
+    def synced_view(self) -> int:
+        """Return the newest view in which every record was copied to this member."""
+        return max(self._synced, default=0)
+
+    def install(self, views: tuple[View, ...]) -> None:
+        """Take over the views since the newest settled one, oldest first."""
+        self._views = views
+        oldest = views[0].number
+        self._synced = {number for number in self._synced if number >= oldest}
+
+    def note_synced(self) -> None:
+        """Record that every record of the view in force was copied here."""
+        self._synced.add(self.view.number)
+
+    def holders(self, key: RecordKey) -> tuple[Member, ...]:
+        """Return the members that hold a record, the home first."""
+        return self.view.ranked(key.placement, self._copies)
+
+    def is_home(self, key: RecordKey) -> bool:
+        """Return whether this member is the home of a key."""
+        return _home_identity(self.view, key) == self._own
+
+    def knows_all(self, key: RecordKey) -> bool:
+        """Return whether this member holds every record that exists for a key.
+
+        That is so once it has synced in the view in force, or if it has been the
+        key's home in each view since one in which it had, or since the start.
+        """
+        for view in reversed(self._views):
+            if view.number in self._synced or not view.members:
+                return True
+            if _home_identity(view, key) != self._own:
+                return False
+        return False
+
+    def may_be_lost(self, key: RecordKey, least_copies: int) -> bool:
+        """Return whether every copy of a record may have vanished.
+
+        A record is acknowledged once ``least_copies`` members hold it. It may be
+        lost if that many of a view's holders have gone since, before the members
+        had settled.
+        """
+        for view in self._views[:-1]:
+            holders = view.ranked(key.placement, self._copies)
+            gone = [item for item in holders if not self.view.contains(item.identity)]
+            if holders and len(gone) >= min(least_copies, len(holders)):
+                return True
+        return False
+
+
+def _home_identity(view: View, key: RecordKey) -> MemberIdentity | None:
+    ranked = view.ranked(key.placement, 1)
+    return ranked[0].identity if ranked else None
--- /dev/null
+++ b/src/sassafraspin/membership/lease.py
@@ -0,0 +1,111 @@
+"""A member's side: heartbeats, its lease and the freshness of its configuration."""
+
+from dataclasses import dataclass
+
+from sassafraspin.membership.messages import HeartbeatReply, MemberHeartbeat
+from sassafraspin.membership.table import MemberTimings
+from sassafraspin.membership.view import Member
+
+__all__ = ["HeartbeatTo", "MemberLease"]
+
+_REPLY_TIMEOUT_HEARTBEATS = 2
+
+
+@dataclass(frozen=True)
+class HeartbeatTo:
+    """Effect: send a heartbeat to a control instance."""
+
+    name: str
+    heartbeat: MemberHeartbeat
+
+
+class MemberLease:
+    """Keeps one instance's lease alive with the control leader.
+
+    Parameters
+    ----------
+    member : Member
+        This instance.
+    control_names : tuple of str
+        Names of the control instances.
+    interval : float
+        Time between heartbeats, in seconds.
+    timings : MemberTimings
+        Length of the lease and the clock drift.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        control_names: tuple[str, ...],
+        interval: float,
+        timings: MemberTimings,
+    ) -> None:
+        self._member = member
+        self._control_names = control_names
+        self._interval = interval
+        self._timings = timings
+        self._target = control_names[0]
+        self._next_at = float("-inf")
+        self._lease_until = float("-inf")
+        self._confirmed_at = float("-inf")
+        self._answered_at = float("-inf")
+        self._leader: str | None = None
+        self._leaving = False
+
+    @property
+    def leader(self) -> str | None:
+        """Return the control leader as last heard of."""
+        return self._leader
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the instance has asked to be removed."""
+        return self._leaving
+
+    def is_held(self, now: float) -> bool:
+        """Return whether the lease holds, so that this member may act in a view."""
+        return not self._leaving and now < self._lease_until
+
+    def confirmed_age(self, now: float) -> float:
+        """Return the seconds since the configuration was last known to be current."""
+        return now - self._confirmed_at
+
+    def leave(self) -> None:
+        """Give the lease up and ask for removal with the next heartbeat."""
+        self._leaving = True
+        self._lease_until = float("-inf")
+        self._next_at = float("-inf")
+
+    def tick(
+        self, config_index: int, synced_view: int, now: float
+    ) -> HeartbeatTo | None:
+        """Return the heartbeat that is due, if any."""
+        if now < self._next_at:
+            return None
+        self._next_at = now + self._interval
+        if now - self._answered_at > _REPLY_TIMEOUT_HEARTBEATS * self._interval:
+            self._try_next_target()
+        heartbeat = MemberHeartbeat(
+            self._member, config_index, synced_view, self._leaving, now
+        )
+        return HeartbeatTo(self._target, heartbeat)
+
+    def on_reply(self, reply: HeartbeatReply, config_index: int, now: float) -> None:
+        """Take in a reply, after its configuration update was applied."""
+        self._answered_at = now
+        if reply.lease_ms > 0 and not self._leaving:
+            usable = reply.lease_ms / 1000 * (1 - self._timings.clock_drift)
+            self._lease_until = max(self._lease_until, reply.sent_at + usable)
+        if reply.leader is None:
+            return
+        self._leader = reply.leader
+        if reply.leader == self._target:
+            if config_index >= reply.commit_index:
+                self._confirmed_at = max(self._confirmed_at, reply.sent_at)
+        elif reply.leader in self._control_names:
+            self._target = reply.leader
+
+    def _try_next_target(self) -> None:
+        position = self._control_names.index(self._target)
+        self._target = self._control_names[(position + 1) % len(self._control_names)]
--- /dev/null
+++ b/src/sassafraspin/profiles/__init__.py
@@ -0,0 +1,22 @@
+"""Profiles and the rule by which operators change them."""
+
+from sassafraspin.profiles.profile import LOWEST_TIER, Profile
+from sassafraspin.profiles.store import (
+    ProfileChange,
+    ProfileConflict,
+    ProfileDecision,
+    ProfileStore,
+    ProfileUnchanged,
+    ProfileUpdated,
+)
+
+__all__ = [
+    "LOWEST_TIER",
+    "Profile",
+    "ProfileChange",
+    "ProfileConflict",
+    "ProfileDecision",
+    "ProfileStore",
+    "ProfileUnchanged",
+    "ProfileUpdated",
+]
--- /dev/null
+++ b/src/sassafraspin/routing/__init__.py
@@ -0,0 +1,9 @@
+"""Choice among unlike backend servers."""
+
+from sassafraspin.routing.choice import (
+    BackendChoice,
+    choose_backend,
+    uncached_tokens,
+)
+
+__all__ = ["BackendChoice", "choose_backend", "uncached_tokens"]
--- /dev/null
+++ b/src/sassafraspin/routing/choice.py
@@ -0,0 +1,69 @@
+"""Choice of a backend server for one request."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sassafraspin.backends import PREFIX_BLOCK_BYTES, Backend
+from sassafraspin.dispatch.messages import SlotRequest
+
+__all__ = ["BackendChoice", "choose_backend", "uncached_tokens"]
+
+_MAX_CANDIDATES = 24
+_BYTES_PER_TOKEN = 4
+_TOKENS_PER_BLOCK = PREFIX_BLOCK_BYTES // _BYTES_PER_TOKEN
+_CROWDING_WEIGHT = 0.5
+
+
+@dataclass(frozen=True)
+class BackendChoice:
+    """A backend server with the time it is expected to need, in seconds."""
+
+    backend: Backend
+    expected_seconds: float
+
+
+def uncached_tokens(backend: Backend, request: SlotRequest) -> int:
+    """Return the prompt tokens that the server has to compute."""
+    cached = backend.cache.matching_blocks(request.prefixes) * _TOKENS_PER_BLOCK
+    return max(request.prompt_tokens - cached, 1)
+
+
+def expected_seconds(backend: Backend, request: SlotRequest) -> float:
+    """Return the time until the whole answer if the request started now.
+
+    A crowded server decodes more slowly, so its share of busy slots counts as
+    extra time.
+    """
+    prefill_tokens = uncached_tokens(backend, request)
+    alone = backend.speed.seconds(prefill_tokens, request.answer_tokens)
+    crowding = backend.busy_slots / backend.announcement.slots
+    return alone * (1 + _CROWDING_WEIGHT * crowding)
+
+
+def choose_backend(
+    candidates: Sequence[Backend], request: SlotRequest, generator: random.Random
+) -> BackendChoice | None:
+    """Return the server that is expected to answer first.
+
+    Parameters
+    ----------
+    candidates : sequence of Backend
+        Servers that accept the request and have room for it.
+    request : SlotRequest
+        The request.
+    generator : random.Random
+        Draws the servers to compare when there are many.
+
+    Returns
+    -------
+    BackendChoice or None
+        ``None`` if there is no candidate.
+    """
+    if not candidates:
+        return None
+    compared = candidates
+    if len(candidates) > _MAX_CANDIDATES:
+        compared = generator.sample(candidates, _MAX_CANDIDATES)
+    best = min(compared, key=lambda backend: expected_seconds(backend, request))
+    return BackendChoice(best, expected_seconds(best, request))
--- /dev/null
+++ b/src/sassafraspin/rpc/__init__.py
@@ -0,0 +1,15 @@
+"""Message exchange between the system's own instances."""
+
+from sassafraspin.rpc.frames import Acknowledgement, Frame, MessageCodec
+from sassafraspin.rpc.link import LinkTimeouts, PeerLink
+from sassafraspin.rpc.network import MessageHandler, PeerNetwork
+
+__all__ = [
+    "Acknowledgement",
+    "Frame",
+    "LinkTimeouts",
+    "MessageCodec",
+    "MessageHandler",
+    "PeerLink",
+    "PeerNetwork",
+]
--- /dev/null
+++ b/src/sassafraspin/rpc/frames.py
@@ -0,0 +1,75 @@
+"""Frames that carry messages between instances, and their encoding."""
+
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+__all__ = ["Acknowledgement", "Frame", "MessageCodec", "RawCodec"]
+
+M = TypeVar("M")
+
+
+class Frame(msgspec.Struct, Generic[M], frozen=True, array_like=True):
+    """Messages from one instance to another.
+
+    Parameters
+    ----------
+    source : str
+        Name of the sending instance.
+    incarnation : int
+        Number that grows with each start of the sending process.
+    messages : list
+        Messages in the order they were sent.
+    """
+
+    source: str
+    incarnation: int
+    messages: list[M]
+
+
+class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
+    """Number of frames received on this stream so far."""
+
+    frames: int
+
+
+class MessageCodec(Generic[M]):
+    """Encodes frames of one message union as MessagePack.
+
+    Parameters
+    ----------
+    message_type : type
+        Union of tagged message structs.
+    """
+
+    def __init__(self, message_type: Any) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Frame[message_type])
+        self._ack_decoder = msgspec.msgpack.Decoder(Acknowledgement)
+
+    def encode(self, value: "Frame[M] | Acknowledgement") -> bytes:
+        """Return the bytes of a frame or an acknowledgement."""
+        return self._encoder.encode(value)
+
+    def decode_frame(self, data: bytes) -> Frame[M]:
+        """Return the frame in ``data``; raises ``msgspec.DecodeError``."""
+        return self._decoder.decode(data)
+
+    def decode_acknowledgement(self, data: bytes) -> Acknowledgement:
+        """Return the acknowledgement in ``data``."""
+        return self._ack_decoder.decode(data)
+
+
+class RawCodec(CodecBase):
+    """Passes bytes through, so that frames are encoded once by their owner."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: bytes, message_type: type) -> bytes:
+        """Return ``message`` as it is."""
+        return message
+
+    def decode(self, data: bytes, message_type: type) -> bytes:
+        """Return ``data`` as it is."""
+        return data
--- /dev/null
+++ b/src/sassafraspin/rpc/network.py
@@ -0,0 +1,188 @@
+"""Message exchange between instances over grpclib inside a trio program."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+import trio
+import trio_asyncio
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from sassafraspin.rpc.frames import Acknowledgement, MessageCodec, RawCodec
+from sassafraspin.rpc.link import EXCHANGE_PATH, LinkTimeouts, PeerLink
+from sassafraspin.settings import Address, NamedAddress
+from sassafraspin.telemetry import part_logger
+
+__all__ = ["MessageHandler", "PeerNetwork"]
+
+MessageHandler = Callable[[str, int, Any], None]
+"""Called with the source's name, its incarnation and the message."""
+
+_ACKNOWLEDGE_INTERVAL_SECONDS = 0.25
+
+_log = part_logger("rpc")
+
+
+class PeerNetwork:
+    """Sends messages to peers by name and hands received ones to a handler.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    incarnation : int
+        Number that grows with each start of this process.
+    address : Address
+        Address to listen on.
+    message_type : type
+        Union of tagged message structs.
+    handler : MessageHandler
+        Plain function called for each received message.
+    timeouts : LinkTimeouts
+        Time limits of outgoing links.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        address: Address,
+        message_type: Any,
+        handler: MessageHandler,
+        timeouts: LinkTimeouts | None = None,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._codec: MessageCodec[Any] = MessageCodec(message_type)
+        self._handler = handler
+        self._timeouts = timeouts or LinkTimeouts()
+        self._directory: dict[str, NamedAddress] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    def learn_address(self, address: NamedAddress) -> None:
+        """Set the address of a peer; a changed one replaces its link."""
+        if self._directory.get(address.name) == address:
+            return
+        self._directory[address.name] = address
+        self._drop_link(address.name)
+
+    def send(self, peer: str, message: Any) -> None:
+        """Queue a message for a peer; unknown peers get nothing."""
+        if peer == self._name:
+            self._deliver_later(message)
+            return
+        link = self._links.get(peer) or self._open_link(peer)
+        if link is not None:
+            link.send(message)
+
+    async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listen for peers until cancelled."""
+        async with trio_asyncio.open_loop() as loop:
+            self._loop = loop
+            server = Server([self], codec=RawCodec())
+            await trio_asyncio.aio_as_trio(server.start)(
+                self._address.host, self._address.port
+            )
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._loop = None
+                for name in list(self._links):
+                    self._drop_link(name)
+                server.close()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the grpclib methods of this service."""
+        handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
+        return {EXCHANGE_PATH: handler}
+
+    def _open_link(self, peer: str) -> PeerLink | None:
+        address = self._directory.get(peer)
+        if address is None or self._loop is None:
+            return None
+        link = PeerLink(
+            address, self._name, self._incarnation, self._codec, self._timeouts
+        )
+        self._links[peer] = link
+        self._tasks[peer] = self._loop.create_task(link.run())
+        return link
+
+    def _drop_link(self, peer: str) -> None:
+        self._links.pop(peer, None)
+        task = self._tasks.pop(peer, None)
+        if task is not None:
+            task.cancel()
+
+    def _deliver_later(self, message: Any) -> None:
+        if self._loop is not None:
+            self._loop.call_soon(self._handle, self._name, self._incarnation, message)
+
+    async def _receive_stream(self, stream: Stream[bytes, bytes]) -> None:
+        progress = _ReceiveProgress()
+        acknowledger = asyncio.ensure_future(
+            self._send_acknowledgements(stream, progress)
+        )
+        try:
+            async for data in stream:
+                self._receive_frame(data)
+                progress.note_frame()
+        except StreamTerminatedError:
+            _log.debug("A peer's stream ended.")
+        finally:
+            acknowledger.cancel()
+            with suppress(asyncio.CancelledError, StreamTerminatedError):
+                await acknowledger
+
+    def _receive_frame(self, data: bytes) -> None:
+        try:
+            frame = self._codec.decode_frame(data)
+        except msgspec.DecodeError as error:
+            _log.warning("Dropped a frame that cannot be decoded: {}.", error)
+            return
+        for message in frame.messages:
+            self._handle(frame.source, frame.incarnation, message)
+
+    def _handle(self, source: str, incarnation: int, message: Any) -> None:
+        try:
+            self._handler(source, incarnation, message)
+        except Exception:  # noqa: BLE001
+            _log.exception("A message from {} failed.", source)
+
+    async def _send_acknowledgements(
+        self, stream: Stream[bytes, bytes], progress: "_ReceiveProgress"
+    ) -> None:
+        sent = 0
+        while True:
+            await progress.wait()
+            if progress.frames != sent:
+                sent = progress.frames
+                await stream.send_message(self._codec.encode(Acknowledgement(sent)))
+            await asyncio.sleep(_ACKNOWLEDGE_INTERVAL_SECONDS)
+
+
+class _ReceiveProgress:
+    """Counts the frames of one incoming stream."""
+
+    def __init__(self) -> None:
+        self._frames = 0
+        self._event = asyncio.Event()
+
+    @property
+    def frames(self) -> int:
+        return self._frames
+
+    def note_frame(self) -> None:
+        self._frames += 1
+        self._event.set()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+        self._event.clear()
--- /dev/null
+++ b/src/sassafraspin/settings/__init__.py
@@ -0,0 +1,47 @@
+"""Settings of a daemon, checked whole before it starts."""
+
+from sassafraspin.settings.check import load_settings
+from sassafraspin.settings.document import (
+    check_document,
+    parse_document,
+    read_document,
+)
+from sassafraspin.settings.model import (
+    AccessSettings,
+    Address,
+    ClientAccountSettings,
+    ControlSettings,
+    DaemonSettings,
+    DispatchSettings,
+    HttpLimits,
+    InstanceSettings,
+    LedgerSettings,
+    ListenSettings,
+    Name,
+    NamedAddress,
+    OperatorSettings,
+    ServiceSettings,
+    TelemetrySettings,
+)
+
+__all__ = [
+    "AccessSettings",
+    "Address",
+    "ClientAccountSettings",
+    "ControlSettings",
+    "DaemonSettings",
+    "DispatchSettings",
+    "HttpLimits",
+    "InstanceSettings",
+    "LedgerSettings",
+    "ListenSettings",
+    "Name",
+    "NamedAddress",
+    "OperatorSettings",
+    "ServiceSettings",
+    "TelemetrySettings",
+    "check_document",
+    "load_settings",
+    "parse_document",
+    "read_document",
+]
--- /dev/null
+++ b/src/sassafraspin/settings/model.py
@@ -0,0 +1,226 @@
+"""Data classes of the daemon's settings, with their constraints."""
+
+import ipaddress
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, ConfigDict, Field
+
+__all__ = [
+    "AccessSettings",
+    "Address",
+    "ClientAccountSettings",
+    "ControlSettings",
+    "DaemonSettings",
+    "DispatchSettings",
+    "HttpLimits",
+    "InstanceSettings",
+    "LedgerSettings",
+    "ListenSettings",
+    "Name",
+    "NamedAddress",
+    "OperatorSettings",
+    "ServiceSettings",
+    "TelemetrySettings",
+]
+
+_STRICT = ConfigDict(extra="forbid")
+
+
+def _check_ip_number(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+Name = Annotated[
+    str, Field(min_length=1, max_length=63, pattern=r"^[a-z0-9][a-z0-9._-]*$")
+]
+_IpNumber = Annotated[str, AfterValidator(_check_ip_number)]
+_Port = Annotated[int, Field(ge=1, le=65535)]
+_Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+_Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+_Count = Annotated[int, Field(ge=1, le=1_000_000_000)]
+
+
+@dataclass(frozen=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    __pydantic_config__ = _STRICT
+
+    host: _IpNumber
+    port: _Port
+
+
+@dataclass(frozen=True)
+class NamedAddress:
+    """The peer address of a named instance."""
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    host: _IpNumber
+    port: _Port
+
+
+@dataclass(frozen=True)
+class InstanceSettings:
+    """Identity and place of one instance."""
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    region: Name
+    availability_zone: Name
+
+
+@dataclass(frozen=True)
+class ListenSettings:
+    """Addresses that a daemon listens on."""
+
+    __pydantic_config__ = _STRICT
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """The control quorum, and how often instances talk to it."""
+
+    __pydantic_config__ = _STRICT
+
+    instances: Annotated[tuple[NamedAddress, ...], Field(min_length=1, max_length=7)]
+    data_folder: str | None = None
+    heartbeat_interval_ms: _Milliseconds = 500
+    member_lease_ms: _Milliseconds = 3000
+    election_timeout_ms: _Milliseconds = 1000
+    snapshot_after_entries: _Count = 1000
+
+
+@dataclass(frozen=True)
+class ClientAccountSettings:
+    """A client account, its token and its limits over all instances."""
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    token_sha256: _Sha256
+    default_profile: Name
+    requests_per_second: Annotated[float, Field(gt=0, le=1e6)] = 1000.0
+    tokens_in_flight: _Count = 10_000_000
+
+
+@dataclass(frozen=True)
+class OperatorSettings:
+    """An operator and the hash of the operator's token."""
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    token_sha256: _Sha256
+
+
+@dataclass(frozen=True)
+class AccessSettings:
+    """Who may call, operate and announce backend servers."""
+
+    __pydantic_config__ = _STRICT
+
+    client_accounts: tuple[ClientAccountSettings, ...]
+    operators: tuple[OperatorSettings, ...]
+    backend_server_token_sha256: _Sha256
+
+
+@dataclass(frozen=True)
+class ServiceSettings:
+    """A service: a group of backend servers that serve the same kind of call.
+
+    ``path_prefix`` belongs to plain services: a call whose path starts with it
+    is routed to this service.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    kind: Literal["model", "plain"]
+    path_prefix: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._/-]*$")] | None = None
+    initial_version: Name = "v1"
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on what one HTTP peer may send or hold."""
+
+    __pydantic_config__ = _STRICT
+
+    header_bytes: Annotated[int, Field(ge=1024, le=1_048_576)] = 16_384
+    body_bytes: Annotated[int, Field(ge=1024, le=268_435_456)] = 8_388_608
+    connections: _Count = 1024
+    header_timeout_ms: _Milliseconds = 5_000
+    body_timeout_ms: _Milliseconds = 30_000
+    idle_timeout_ms: _Milliseconds = 60_000
+    write_timeout_ms: _Milliseconds = 20_000
+
+
+@dataclass(frozen=True)
+class LedgerSettings:
+    """How long and how widely request records are kept."""
+
+    __pydantic_config__ = _STRICT
+
+    backup_copies: Annotated[int, Field(ge=0, le=3)] = 2
+    record_window_ms: _Milliseconds = 600_000
+    claim_timeout_ms: _Milliseconds = 1_500
+    records: _Count = 200_000
+
+
+@dataclass(frozen=True)
+class DispatchSettings:
+    """Timeouts between an entry instance, a dispatcher and backend servers."""
+
+    __pydantic_config__ = _STRICT
+
+    slot_timeout_ms: _Milliseconds = 2_000
+    grant_use_within_ms: _Milliseconds = 1_000
+    connect_timeout_ms: _Milliseconds = 1_000
+    progress_timeout_ms: _Milliseconds = 10_000
+    waiting_requests: _Count = 10_000
+
+
+@dataclass(frozen=True)
+class TelemetrySettings:
+    """Log level and format, and where metrics go."""
+
+    __pydantic_config__ = _STRICT
+
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    log_format: Literal["text", "json"] = "text"
+    statsd: Address | None = None
+
+
+@dataclass(frozen=True)
+class DaemonSettings:
+    """All settings of one daemon."""
+
+    __pydantic_config__ = _STRICT
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    control: ControlSettings
+    access: AccessSettings
+    services: Annotated[tuple[ServiceSettings, ...], Field(min_length=1)]
+    http: HttpLimits = field(default_factory=HttpLimits)
+    ledger: LedgerSettings = field(default_factory=LedgerSettings)
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
+    telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
+    drain_timeout_ms: _Milliseconds = 30_000
+    readiness_grace_ms: Annotated[int, Field(ge=0, le=600_000)] = 2_000
+
+    @property
+    def has_control_duty(self) -> bool:
+        """Return whether this instance is listed as a control instance."""
+        names = (address.name for address in self.control.instances)
+        return self.instance.name in names
--- /dev/null
+++ b/src/sassafraspin/standins/__init__.py
@@ -0,0 +1,21 @@
+"""Stand-ins for model engines and plain services."""
+
+from sassafraspin.standins.engine import EngineServer
+from sassafraspin.standins.engine_core import EngineCore
+from sassafraspin.standins.model import (
+    AnnouncerSettings,
+    EngineSettings,
+    FaultSettings,
+    ServiceSettings,
+)
+from sassafraspin.standins.service import PlainServer
+
+__all__ = [
+    "AnnouncerSettings",
+    "EngineCore",
+    "EngineServer",
+    "EngineSettings",
+    "FaultSettings",
+    "PlainServer",
+    "ServiceSettings",
+]
--- /dev/null
+++ b/src/sassafraspin/standins/engine.py
@@ -0,0 +1,299 @@
+"""HTTP server of a stand-in model engine."""
+
+import random
+import time
+from dataclasses import replace
+
+import msgspec
+import trio
+
+from sassafraspin.backends import Announcement
+from sassafraspin.http import (
+    Headers,
+    HttpServer,
+    InvalidField,
+    NotFound,
+    Request,
+    RequestProblem,
+    Responder,
+    Response,
+    ServerSentEvent,
+    format_event,
+    problem_response,
+)
+from sassafraspin.settings import HttpLimits, check_document, parse_document
+from sassafraspin.standins.announcer import Announcer
+from sassafraspin.standins.answers import answer_word, chunk_document, whole_document
+from sassafraspin.standins.engine_core import EngineCore, count_tokens
+from sassafraspin.standins.executions import ExecutionCounter
+from sassafraspin.standins.jobs import Job, JobState, JobTable
+from sassafraspin.standins.model import EngineSettings
+from sassafraspin.standins.orders import FencingGuard, Order
+
+__all__ = ["EngineServer"]
+
+_JSON = Headers((("content-type", "application/json"),))
+_DEFAULT_ANSWER_TOKENS = 16
+_DONE = "[DONE]"
+
+
+class EngineServer:
+    """Serves completions as a continuous-batching engine would.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Speeds, sizes and faults.
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self._settings = settings
+        self._core = EngineCore(settings)
+        self._executions = ExecutionCounter()
+        self._jobs = JobTable()
+        self._guard = FencingGuard(settings.checks_fencing)
+        self._versions = settings.versions
+        self._leaving = False
+        self._incarnation = time.time_ns() // 1_000
+        self._slots = trio.Semaphore(settings.slots)
+        self._generator = random.Random(settings.seed)
+        self._announcer = Announcer(
+            settings.announcer, self._announcement, self._generator
+        )
+        self._server = HttpServer(settings.listen, HttpLimits(), self._handle)
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def core(self) -> EngineCore:
+        """Return the engine's state."""
+        return self._core
+
+    @property
+    def executions(self) -> ExecutionCounter:
+        """Return how often each request was executed."""
+        return self._executions
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve and announce until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._server.serve)
+            nursery.start_soon(self._announcer.run)
+            task_status.started()
+
+    def leave(self) -> None:
+        """Announce that no new work is wanted."""
+        self._leaving = True
+        self._announcer.announce_soon()
+
+    def _announcement(self) -> Announcement:
+        settings = self._settings
+        report = self._core.cache_report()
+        if self._generator.random() < settings.announcer.cache_report_loss:
+            report = replace(self._core.cache_report(), added=(), removed=())
+        return Announcement(
+            id=settings.id,
+            incarnation=self._incarnation,
+            service=settings.service,
+            address=settings.listen,
+            availability_zone=settings.availability_zone,
+            hardware=settings.hardware,
+            versions=self._versions,
+            ttl_ms=settings.announcer.ttl_ms,
+            slots=settings.slots,
+            kv_tokens=settings.kv_tokens,
+            prefill_tokens_per_second=settings.prefill_tokens_per_second,
+            decode_tokens_per_second=settings.decode_tokens_per_second,
+            leaving=self._leaving,
+            load=self._core.load_report(trio.current_time()),
+            cache=report,
+        )
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        try:
+            await self._route(request, responder)
+        except RequestProblem as problem:
+            if not responder.has_started:
+                await responder.send(problem_response(problem))
+
+    async def _route(self, request: Request, responder: Responder) -> None:
+        parts = [part for part in request.path.split("/") if part]
+        match (request.method, *parts):
+            case ("POST", "v1", "chat", "completions") | ("POST", "v1", "completions"):
+                await self._complete(request, responder)
+            case ("GET", "v1", "streams", request_id):
+                await self._resume(request, request_id, responder)
+            case ("DELETE", "v1", "streams", request_id):
+                await responder.send(self._cancel(request_id))
+            case ("POST", "v1", "orders"):
+                await responder.send(await self._carry_out(request))
+            case ("POST", "v1", "leave"):
+                self.leave()
+                await responder.send(Response(202))
+            case ("GET", "executions"):
+                body = msgspec.json.encode(self._executions.count())
+                await responder.send(Response(200, _JSON, body))
+            case ("GET", "totals"):
+                body = msgspec.json.encode(self._core.totals)
+                await responder.send(Response(200, _JSON, body))
+            case _:
+                raise NotFound(f"{request.method} {request.path} is not served")
+
+    async def _complete(self, request: Request, responder: Responder) -> None:
+        document = msgspec.json.decode(request.body)
+        chat = request.path == "/v1/chat/completions"
+        prompt = (
+            msgspec.json.encode(document["messages"])
+            if chat
+            else (document["prompt"].encode())
+        )
+        job = Job(
+            request.headers.get("x-request-id") or "direct",
+            chat,
+            document.get("model", ""),
+            _answer_tokens(document),
+        )
+        self._check_version(job)
+        self._jobs.add(job)
+        self._executions.note(request.headers.get("idempotency-key"))
+        assert self._nursery is not None
+        self._nursery.start_soon(self._generate, job, prompt, request.path)
+        if document.get("stream", False):
+            await self._stream(job, 0, responder)
+        else:
+            await self._answer_whole(job, prompt, responder)
+
+    def _check_version(self, job: Job) -> None:
+        version = _version(job)
+        if version not in self._versions:
+            raise InvalidField("$.model", f"version {version!r} is not loaded")
+
+    async def _generate(self, job: Job, prompt: bytes, route: str) -> None:
+        """Compute one answer; goes on when the connection is lost."""
+        with job.scope:
+            self._core.note_waiting(1)
+            try:
+                await self._slots.acquire()
+            finally:
+                self._core.note_waiting(-1)
+            try:
+                await self._compute(job, prompt, route)
+            finally:
+                self._slots.release()
+        if job.state is JobState.RUNNING:
+            job.end(JobState.CANCELLED)
+
+    async def _compute(self, job: Job, prompt: bytes, route: str) -> None:
+        effect = self._core.start(prompt, _version(job), route)
+        generated = 0
+        prefill_tokens = self._core.prefill(prompt)
+        try:
+            prefill = self._core.prefill_seconds(prefill_tokens)
+            await trio.sleep(prefill * effect.slowdown)
+            if effect.fails:
+                return
+            for number in range(job.answer_tokens):
+                await trio.sleep(self._core.token_seconds() * effect.slowdown)
+                self._core.note_token()
+                generated += 1
+                is_last = number == job.answer_tokens - 1
+                word = answer_word(job, number)
+                reason = "stop" if is_last else None
+                job.add_event(chunk_document(job, word, reason))
+            job.add_event(_DONE)
+            job.end(JobState.FINISHED)
+        finally:
+            if job.state is not JobState.FINISHED:
+                self._core.note_cancelled(prefill_tokens)
+            self._core.finish(prompt, generated)
+
+    async def _stream(self, job: Job, position: int, responder: Responder) -> None:
+        await job.wait_past(position)
+        if job.state is JobState.CANCELLED and not job.events:
+            await responder.send(_failed(job))
+            return
+        headers = Headers(
+            (
+                ("content-type", "text/event-stream"),
+                ("x-request-id", job.request_id),
+            )
+        )
+        await responder.start(200, headers)
+        while True:
+            await job.wait_past(position)
+            if position >= len(job.events):
+                break
+            event = ServerSentEvent(job.events[position], str(position))
+            await responder.write(format_event(event))
+            position += 1
+        if job.state is JobState.FINISHED:
+            await responder.finish()
+
+    async def _answer_whole(
+        self, job: Job, prompt: bytes, responder: Responder
+    ) -> None:
+        while job.state is JobState.RUNNING:
+            await job.wait_past(len(job.events))
+        if job.state is not JobState.FINISHED:
+            await responder.send(_failed(job))
+            return
+        words = [answer_word(job, number) for number in range(job.answer_tokens)]
+        body = whole_document(job, "".join(words), count_tokens(prompt))
+        headers = _JSON.adding("x-request-id", job.request_id)
+        await responder.send(Response(200, headers, body))
+
+    async def _resume(
+        self, request: Request, request_id: str, responder: Responder
+    ) -> None:
+        job = self._jobs.get(request_id)
+        if job is None:
+            raise NotFound(f"stream {request_id!r} is not known")
+        after = request.query.removeprefix("after=")
+        if not after.lstrip("-").isdigit():
+            raise InvalidField("after", "must be a whole number")
+        await self._stream(job, int(after) + 1, responder)
+
+    def _cancel(self, request_id: str) -> Response:
+        job = self._jobs.get(request_id)
+        if job is None:
+            raise NotFound(f"stream {request_id!r} is not known")
+        job.scope.cancel()
+        return Response(200, _JSON, msgspec.json.encode({"state": job.state}))
+
+    async def _carry_out(self, request: Request) -> Response:
+        checked = parse_document(request.body, "body").bind(
+            lambda value: check_document(Order, value, "body")
+        )
+        if checked.is_error():
+            problem = checked.error.problems[0]
+            raise InvalidField(problem.path, problem.message)
+        order = checked.ok
+        if not self._guard.admits(order):
+            message = f"a newer number than {order.fencing} was seen"
+            raise InvalidField("$.fencing", message)
+        await trio.sleep(self._settings.load_ms / 1000)
+        self._apply(order)
+        self._announcer.announce_soon()
+        return Response(200)
+
+    def _apply(self, order: Order) -> None:
+        others = tuple(name for name in self._versions if name != order.version)
+        if order.kind == "load":
+            kept = others[-(self._settings.max_versions - 1) :]
+            self._versions = (*kept, order.version)
+        elif others:
+            self._versions = others
+
+
+def _version(job: Job) -> str:
+    return job.model.partition(":")[2] or "v1"
+
+
+def _answer_tokens(document: dict) -> int:
+    limit = document.get("max_completion_tokens") or document.get("max_tokens")
+    return limit or _DEFAULT_ANSWER_TOKENS
+
+
+def _failed(job: Job) -> Response:
+    body = msgspec.json.encode({"error": {"message": "the engine failed"}})
+    return Response(500, _JSON.adding("x-request-id", job.request_id), body)
