Run moves end to end, with a load tool and a one-process demo

Cause: profiles decided on requests, but declared moves went nowhere, and nothing showed the main job at one command.

Change: the dispatcher of a service holds the version gate (exposure bound, local stop, hold-out in the soak) and the evidence, compared by route and, for times, by hardware generation, with a Shiryaev-Roberts test that stays valid at every look; the control leader turns reports into transitions on the log; load orders carry the view number as fencing number. `sassafraspin load` and `sassafraspin demo`.

Ruled out, by runs of the demo: comparing times over all hardware generations (a good version was taken back for slowness: 24 of 81 slow, because nominal speeds miss the fixed cost of a token by different factors); a threshold of 200,000 (3 failures of 9 gave no verdict; now 50,000); 30 requests in every ramp step (the good move missed its 12 s deadline at 25%); a stand-in that evicts the version in use when a third one is loaded (466 requests too late).

--- /dev/null
+++ b/src/sassafraspin/cli/load.py
@@ -0,0 +1,94 @@
+"""Command that sends a load and prints its figures."""
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+import msgspec
+import trio
+
+from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.cli.output import echo_json, echo_table, json_option
+from sassafraspin.settings import check_document, read_document
+
+if TYPE_CHECKING:
+    from sassafraspin.load import LoadReport
+
+__all__ = ["echo_load_report", "load"]
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+@click.option(
+    "--write",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="Also write the figures as JSON to this file.",
+)
+@json_option
+@reporting_errors
+def load(file: Path, write: Path | None, as_json: bool) -> None:
+    """Send the load that FILE describes; print goodput, latency and refusals."""
+    from sassafraspin.load import LoadRecorder, LoadRunner, LoadSettings
+
+    checked = read_document(file).bind(
+        lambda value: check_document(LoadSettings, value, str(file))
+    )
+    if checked.is_error():
+        fail(checked.error)
+
+    def show_progress(recorder: LoadRecorder) -> None:
+        click.echo(f"{recorder.ended} ended, {recorder.good} good", err=True)
+
+    report = trio.run(LoadRunner(checked.ok, show_progress).run)
+    if write is not None:
+        write.write_bytes(msgspec.json.encode(report))
+    if as_json:
+        echo_json(report)
+    else:
+        echo_load_report(report)
+
+
+def echo_load_report(report: "LoadReport") -> None:
+    """Print the figures of a run as tables."""
+    echo_table(
+        (
+            "TIER",
+            "SENT",
+            "GOOD",
+            "GOODPUT",
+            "P50_MS",
+            "P95_MS",
+            "P99_MS",
+            "FIRST_TOKEN_P95_MS",
+        ),
+        [
+            (
+                item.tier,
+                item.sent,
+                item.good,
+                f"{item.goodput:.1%}",
+                item.p50_ms,
+                item.p95_ms,
+                item.p99_ms,
+                item.first_token_p95_ms,
+            )
+            for item in report.tiers
+        ],
+    )
+    click.echo()
+    echo_table(("RESULT", "COUNT"), list(report.results.items()))
+    if report.refusals:
+        click.echo()
+        echo_table(("REASON", "COUNT"), list(report.refusals.items()))
+    if report.prefill is not None:
+        work = report.prefill
+        click.echo(
+            f"\nprefill: {work.prefill_tokens} tokens computed, {work.wasted_tokens} "
+            f"wasted, of them {work.cancelled_tokens} cancelled"
+        )
+    if report.executions is not None:
+        count = report.executions
+        click.echo(
+            f"executions: {count.executions}, keys {count.keys}, "
+            f"repeated keys {len(count.repeated)}"
+        )
--- a/src/sassafraspin/cli/main.py
+++ b/src/sassafraspin/cli/main.py
@@ -3,6 +3,8 @@
 import click
 
 from sassafraspin.cli.daemon import check_settings, entry
+from sassafraspin.cli.demo import demo
+from sassafraspin.cli.load import load
 from sassafraspin.cli.move import move
 from sassafraspin.cli.profile import profile
 from sassafraspin.cli.standin import stand_in
@@ -28,3 +30,5 @@
 main.add_command(move)
 main.add_command(status)
 main.add_command(stand_in)
+main.add_command(load)
+main.add_command(demo)
--- a/src/sassafraspin/control/__init__.py
+++ b/src/sassafraspin/control/__init__.py
@@ -14,6 +14,7 @@
 from sassafraspin.control.disk import ReplicaDisk
 from sassafraspin.control.duty import ControlDuty, ControlDutySettings, ProposalEnd
 from sassafraspin.control.messages import ReplicaMessage, Voter
+from sassafraspin.control.move_duty import MoveDuty
 from sassafraspin.control.replica import (
     ControlReplica,
     ReplicaImage,
@@ -33,6 +34,7 @@
     "ControlReplica",
     "ControlState",
     "DeclareMove",
+    "MoveDuty",
     "OutcomeKind",
     "ProposalEnd",
     "PutProfile",
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -11,6 +11,8 @@
     Configuration,
     ControlDuty,
     ControlDutySettings,
+    MoveDuty,
+    ProposalEnd,
     ReplicaDisk,
     ReplicaTimings,
 )
@@ -22,6 +24,7 @@
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.operations import OperationsApi
+from sassafraspin.daemon.orders import OrderSender
 from sassafraspin.daemon.proposals import ProposalClient, with_time
 from sassafraspin.daemon.relay import BackendRelay
 from sassafraspin.daemon.slots import SlotClient
@@ -62,6 +65,7 @@
     MemberLease,
     MemberTimings,
 )
+from sassafraspin.moves import DirectorSettings, MoveEvidence, MovePhase
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import DaemonSettings
 from sassafraspin.storage import DataFolder
@@ -75,6 +79,7 @@
 _LEAVE_SECONDS = 2.0
 
 _log = part_logger("daemon")
+_moves_log = part_logger("moves")
 
 
 class Daemon:
@@ -116,8 +121,12 @@
         self._claims = ClaimClient(self._node)
         self._slots = SlotClient(self._node)
         self._proposals = ProposalClient(self._node)
-        self._dispatch = DispatchDuty(self._node, self._generator)
         self._backend_client = HttpClient(_client_timeouts(settings))
+        self._orders = OrderSender(self._backend_client)
+        self._dispatch = DispatchDuty(
+            self._node, self._generator, self._orders.send_soon
+        )
+        self._moves = MoveDuty(DirectorSettings())
         access = AccessControl(settings.access)
         self._entry = EntryService(
             self._node,
@@ -198,6 +207,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._network.serve)
             nursery.start_soon(self._tick_forever)
+            nursery.start_soon(self._orders.run)
             await nursery.start(self._operators.serve)
             await nursery.start(self._callers.serve)
             _log.info("Instance {} is listening.", self._node.name)
@@ -315,6 +325,7 @@
         if self._control is not None:
             self._control.tick(now)
             self._push_new_view(now)
+            self._direct_moves(now)
         heartbeat = node.lease.tick(
             node.configuration.index, self._ledger.synced_view, now
         )
@@ -348,6 +359,16 @@
                 self._network.learn_address(member.address)
                 self._node.send(member.name, reply)
 
+    def _direct_moves(self, now: float) -> None:
+        control = self._control
+        if control is None or not control.leads(now):
+            return
+        self._moves.tick(
+            self._node.configuration.state,
+            wall_clock_ms(),
+            lambda command: control.propose(command, _log_move, now),
+        )
+
     def _send_ledger(self, effects: list) -> None:
         for effect in effects:
             self._node.send(effect.name, effect.message)
@@ -371,6 +392,8 @@
                 self._dispatch.receive(source, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(message)
+            case MoveEvidence():
+                self._moves.receive(message)
             case Propose():
                 self._on_propose(source, message, now)
             case ProposeReply():
@@ -421,6 +444,23 @@
             self._control.receive(source, message, now)
 
 
+def _log_move(end: ProposalEnd) -> None:
+    """Tell operators plainly when a move is done or taken back."""
+    if end.outcome is None or end.outcome.move is None:
+        return
+    move = end.outcome.move
+    name = move.spec.name
+    match move.phase:
+        case MovePhase.DONE:
+            _moves_log.info("Move {} is done: {}.", name, move.detail)
+        case MovePhase.TAKEN_BACK:
+            _moves_log.warning(
+                "Move {} is taken back ({}): {}.", name, move.reason, move.detail
+            )
+        case _:
+            _moves_log.info("Move {} is {}: {}.", name, move.phase, move.detail)
+
+
 def _own_member(settings: DaemonSettings) -> Member:
     peers = settings.listen.peers
     return Member(
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -1,6 +1,7 @@
 """The dispatch duty: pools of the services that this instance dispatches for."""
 
 import random
+from collections.abc import Callable
 
 from sassafraspin.backends import Backend
 from sassafraspin.daemon.node import Node
@@ -13,14 +14,18 @@
     SlotRequest,
     SlotWithdraw,
 )
+from sassafraspin.dispatch.loading import LoadOrder, LoadPlanner
 from sassafraspin.dispatch.pool import Pool, PoolStatus, SendToEntry
 from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.membership import MemberTimings
+from sassafraspin.moves import DirectorSettings
 from sassafraspin.settings import ServiceSettings
 from sassafraspin.telemetry import part_logger
 
 __all__ = ["DispatchDuty"]
 
 _WRONG_DISPATCHER_RETRY_MS = 200
+_REPORT_SECONDS = 0.2
 
 _log = part_logger("dispatch")
 
@@ -34,12 +39,22 @@
         Shared handles of the daemon.
     generator : random.Random
         Source of random choices.
+    order : callable
+        Gives an order to a backend server and calls back when it has ended.
     """
 
-    def __init__(self, node: Node, generator: random.Random) -> None:
+    def __init__(
+        self,
+        node: Node,
+        generator: random.Random,
+        order: Callable[[LoadOrder, Callable[[], None]], None],
+    ) -> None:
         self._node = node
         self._generator = generator
+        self._order = order
         self._pools: dict[str, Pool] = {}
+        self._planners: dict[str, LoadPlanner] = {}
+        self._next_report_at = 0.0
         self._view_number = 0
 
     def pool_statuses(self) -> tuple[PoolStatus, ...]:
@@ -64,12 +79,16 @@
             if is_own and service.name not in self._pools:
                 self._open_pool(service)
             if not is_own and service.name in self._pools:
-                self._pools.pop(service.name)
+                del self._pools[service.name]
+                del self._planners[service.name]
                 _log.info("Service {} is dispatched elsewhere now.", service.name)
         self._drop_gone_entries()
         now = self._node.now()
-        for pool in self._pools.values():
+        for service, pool in self._pools.items():
+            self._follow_move(service, pool)
             self._run(pool.tick(now))
+            self._order_load(service, pool, now)
+        self._report_moves(now)
 
     def receive(
         self,
@@ -103,8 +122,7 @@
         return self._pools.get(service) if self._node.acts_in_view() else None
 
     def _open_pool(self, service: ServiceSettings) -> None:
-        versions = self._node.configuration.state.moves.versions
-        gate = VersionGate(versions.get(service.name, service.initial_version))
+        gate = VersionGate(service.initial_version, self._generator)
         settings = self._node.settings
         member = self._node.member
         term = f"{member.name}-{member.incarnation}-{self._node.view.number}"
@@ -116,8 +134,54 @@
             self._generator,
             term,
         )
+        self._planners[service.name] = self._make_planner(service)
         _log.info("This instance dispatches for service {}.", service.name)
 
+    def _make_planner(self, service: ServiceSettings) -> LoadPlanner:
+        """Return the planner of load orders.
+
+        Backend servers that ignore fencing numbers get orders only once every
+        older dispatcher's lease has ended.
+        """
+        allowed_from = self._node.now()
+        if not service.checks_fencing:
+            lease_ms = self._node.settings.control.member_lease_ms
+            allowed_from += MemberTimings(lease_ms / 1000).lease_outlived
+        return LoadPlanner(
+            self._node.view.number,
+            allowed_from,
+            service.weight_load_interval_ms / 1000,
+            DirectorSettings(),
+        )
+
+    def _follow_move(self, service: str, pool: Pool) -> None:
+        moves = self._node.configuration.state.moves
+        version = moves.versions.get(service, self._initial_version(service))
+        pool.gate.follow(version, moves.running(service))
+
+    def _initial_version(self, service: str) -> str:
+        for item in self._node.settings.services:
+            if item.name == service:
+                return item.initial_version
+        raise KeyError(service)
+
+    def _order_load(self, service: str, pool: Pool, now: float) -> None:
+        planner = self._planners[service]
+        order = planner.plan(pool.gate.move, pool.backends, now)
+        if order is not None:
+            _log.info("{} is to load {}.", order.backend_id, order.version)
+            self._order(order, lambda: planner.note_ended(self._node.now()))
+
+    def _report_moves(self, now: float) -> None:
+        leader = self._node.lease.leader
+        if now < self._next_report_at or leader is None:
+            return
+        self._next_report_at = now + _REPORT_SECONDS
+        for pool in self._pools.values():
+            evidence = pool.gate.report(pool.server_counts(now))
+            if evidence is not None:
+                self._node.send(leader, evidence)
+
     def _drop_gone_entries(self) -> None:
         view = self._node.view
         if view.number == self._view_number:
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -7,6 +7,7 @@
 from sassafraspin.dispatch import DispatchMessage
 from sassafraspin.ledger import LedgerMessage
 from sassafraspin.membership import MembershipMessage
+from sassafraspin.moves import MoveMessage
 
 __all__ = ["PeerMessage", "Propose", "ProposeReply"]
 
@@ -29,6 +30,7 @@
     | DispatchMessage
     | ReplicaMessage
     | LedgerMessage
+    | MoveMessage
     | Propose
     | ProposeReply
 )
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -25,9 +25,9 @@
     SlotRevoke,
     SlotWithdraw,
 )
-from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.profiles import LOWEST_TIER
-from sassafraspin.routing import choose_backend
+from sassafraspin.routing import choose_backend, nominal_seconds
 from sassafraspin.settings import ClientAccountSettings, DispatchSettings
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
@@ -201,6 +201,19 @@
         self._refuse_late(now)
         return self._pump(now)
 
+    def server_counts(self, now: float) -> ServerCounts:
+        """Return how many servers accept work, in all and with the new version."""
+        accepting = [item for item in self.backends if item.accepts_work(now)]
+        move = self._gate.move
+        if move is None:
+            return ServerCounts(len(accepting), 0)
+        with_new = [
+            item
+            for item in accepting
+            if move.spec.to_version in item.announcement.versions
+        ]
+        return ServerCounts(len(accepting), len(with_new))
+
     # Admission
 
     def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
@@ -298,10 +311,11 @@
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
         request = waiting.request
         tokens = request.prompt_tokens + request.answer_tokens
-        version = self._gate.choose_version(request, now)
+        version = self._gate.choose_version()
         candidates = self._candidates(request, version, tokens, now)
-        if not candidates and version != self._gate.current_version:
-            version = self._gate.current_version
+        other = self._gate.other_version(version)
+        if not candidates and other is not None:
+            version = other
             candidates = self._candidates(request, version, tokens, now)
         choice = choose_backend(candidates, request, self._generator)
         if choice is None:
@@ -328,21 +342,24 @@
             waiting.entry, request, message, now, lapses_at
         )
         self._grant_of_request[request.request_id] = message.grant_id
-        self._gate.note_start(version, request, now)
+        self._gate.note_start(version)
         self._send(waiting.entry, message)
         return True
 
     def _candidates(
         self, request: SlotRequest, version: str, tokens: int, now: float
     ) -> list[Backend]:
-        return [
+        able = [
             backend
             for backend in self._backends.values()
             if version in backend.announcement.versions
             and backend.accepts_work(now)
-            and backend.has_room(tokens)
             and backend.announcement.id not in request.avoid
         ]
+        limit = self._gate.server_limit(version, len(self._backends))
+        if limit is not None:
+            able = sorted(able, key=lambda item: item.announcement.id)[:limit]
+        return [backend for backend in able if backend.has_room(tokens)]
 
     def _end_grant(self, grant_id: str) -> _Grant | None:
         grant = self._grants.pop(grant_id, None)
@@ -350,6 +367,7 @@
             return None
         self._grant_of_request.pop(grant.request.request_id, None)
         self._give_back_limits(grant.request)
+        self._gate.note_end(grant.message.version)
         backend = self._backends.get(grant.message.backend_id)
         reservation = None if backend is None else backend.release(grant_id)
         if reservation is not None:
@@ -359,8 +377,13 @@
         return grant
 
     def _learn(self, grant: _Grant, release: SlotRelease, now: float) -> None:
-        self._gate.note_end(grant.message.version, grant.request, release, now)
         backend = self._backends.get(grant.message.backend_id)
+        server = None
+        if backend is not None:
+            nominal = nominal_seconds(backend, grant.request, release.answer_tokens)
+            server = ServerTime(backend.announcement.hardware, nominal)
+        version = grant.message.version
+        self._gate.note_outcome(version, grant.request, release, server)
         if backend is None:
             return
         match release.result:
--- /dev/null
+++ b/src/sassafraspin/load/report.py
@@ -0,0 +1,182 @@
+"""Figures of a load run."""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+
+from hdrh.histogram import HdrHistogram
+
+from sassafraspin.load.schedule import PlannedRequest
+from sassafraspin.standins.executions import ExecutionCount
+
+__all__ = [
+    "EngineWork",
+    "LoadReport",
+    "LoadResult",
+    "LoadRecorder",
+    "ResultKind",
+    "TierReport",
+]
+
+_HIGHEST_MS = 3_600_000
+_DIGITS = 3
+
+
+class ResultKind(StrEnum):
+    """How a request of the load ended."""
+
+    GOOD = "good"
+    LATE = "late"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+    CUT = "cut"
+    WRONG = "wrong"
+
+
+@dataclass(frozen=True)
+class LoadResult:
+    """One ended request.
+
+    Parameters
+    ----------
+    kind : ResultKind
+        How it ended.
+    reason : str
+        Type of the refusal, empty for answers.
+    total_ms, first_token_ms : float
+        Times from the first try.
+    tokens : int
+        Answer tokens received.
+    tries : int
+        How often it was sent.
+    """
+
+    kind: ResultKind
+    reason: str
+    total_ms: float
+    first_token_ms: float
+    tokens: int
+    tries: int
+
+
+@dataclass(frozen=True)
+class TierReport:
+    """Figures of one tier; goodput is the share answered whole in time."""
+
+    tier: int
+    sent: int
+    good: int
+    goodput: float
+    p50_ms: int
+    p95_ms: int
+    p99_ms: int
+    first_token_p95_ms: int
+
+
+@dataclass(frozen=True)
+class EngineWork:
+    """Prefill of all engines, in tokens.
+
+    ``wasted`` is what was computed beyond one computation of each different prompt
+    block, or for an answer that nobody got.
+    """
+
+    prefill_tokens: int
+    cached_tokens: int
+    cancelled_tokens: int
+    least_tokens: int
+    wasted_tokens: int
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Figures of a whole run."""
+
+    seconds: float
+    sent: int
+    tiers: tuple[TierReport, ...]
+    results: dict[str, int]
+    refusals: dict[str, int]
+    retries: int
+    prefill: EngineWork | None
+    executions: ExecutionCount | None
+
+
+class _TierRecorder:
+    def __init__(self) -> None:
+        self.sent = 0
+        self.good = 0
+        self.total = HdrHistogram(1, _HIGHEST_MS, _DIGITS)
+        self.first_token = HdrHistogram(1, _HIGHEST_MS, _DIGITS)
+
+
+class LoadRecorder:
+    """Collects results while a run goes on."""
+
+    def __init__(self) -> None:
+        self._tiers: dict[int, _TierRecorder] = {}
+        self._results: Counter[str] = Counter()
+        self._refusals: Counter[str] = Counter()
+        self._retries = 0
+
+    @property
+    def ended(self) -> int:
+        """Return how many requests have ended."""
+        return self._results.total()
+
+    @property
+    def good(self) -> int:
+        """Return how many were answered whole in time."""
+        return self._results[ResultKind.GOOD]
+
+    def add(self, planned: PlannedRequest, result: LoadResult) -> None:
+        """Take in an ended request."""
+        tier = self._tiers.setdefault(planned.request_class.tier, _TierRecorder())
+        tier.sent += 1
+        self._results[result.kind] += 1
+        self._retries += result.tries - 1
+        if result.reason:
+            self._refusals[result.reason] += 1
+        if result.kind is ResultKind.GOOD:
+            tier.good += 1
+        if result.kind in (ResultKind.GOOD, ResultKind.LATE):
+            tier.total.record_value(max(1, int(result.total_ms)))
+            tier.first_token.record_value(max(1, int(result.first_token_ms)))
+
+    def report(
+        self,
+        seconds: float,
+        prefill: EngineWork | None,
+        executions: ExecutionCount | None,
+    ) -> LoadReport:
+        """Return the figures of the run."""
+        tiers = tuple(
+            _tier_report(tier, recorder)
+            for tier, recorder in sorted(self._tiers.items())
+        )
+        return LoadReport(
+            round(seconds, 3),
+            self.ended,
+            tiers,
+            dict(sorted(self._results.items())),
+            dict(sorted(self._refusals.items())),
+            self._retries,
+            prefill,
+            executions,
+        )
+
+
+def _tier_report(tier: int, recorder: _TierRecorder) -> TierReport:
+    total = recorder.total
+    return TierReport(
+        tier,
+        recorder.sent,
+        recorder.good,
+        round(recorder.good / recorder.sent, 4),
+        total.get_value_at_percentile(50),
+        total.get_value_at_percentile(95),
+        total.get_value_at_percentile(99),
+        recorder.first_token.get_value_at_percentile(95),
+    )
--- a/src/sassafraspin/routing/__init__.py
+++ b/src/sassafraspin/routing/__init__.py
@@ -3,7 +3,8 @@
 from sassafraspin.routing.choice import (
     BackendChoice,
     choose_backend,
+    nominal_seconds,
     uncached_tokens,
 )
 
-__all__ = ["BackendChoice", "choose_backend", "uncached_tokens"]
+__all__ = ["BackendChoice", "choose_backend", "nominal_seconds", "uncached_tokens"]
--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -7,7 +7,7 @@
 from sassafraspin.backends import PREFIX_BLOCK_BYTES, Backend
 from sassafraspin.dispatch.messages import SlotRequest
 
-__all__ = ["BackendChoice", "choose_backend", "uncached_tokens"]
+__all__ = ["BackendChoice", "choose_backend", "nominal_seconds", "uncached_tokens"]
 
 _MAX_CANDIDATES = 24
 _BYTES_PER_TOKEN = 4
@@ -29,6 +29,16 @@
     return max(request.prompt_tokens - cached, 1)
 
 
+def nominal_seconds(
+    backend: Backend, request: SlotRequest, answer_tokens: int
+) -> float:
+    """Return the time that the announced speed predicts for an ended request."""
+    announcement = backend.announcement
+    prefill = request.prompt_tokens / announcement.prefill_tokens_per_second
+    tokens = answer_tokens or request.answer_tokens
+    return prefill + tokens / announcement.decode_tokens_per_second
+
+
 def expected_seconds(backend: Backend, request: SlotRequest) -> float:
     """Return the time until the whole answer if the request started now.
 
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -148,6 +148,7 @@
     path_prefix: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._/-]*$")] | None = None
     initial_version: Name = "v1"
     checks_fencing: bool = False
+    weight_load_interval_ms: _Milliseconds = 500
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/standins/engine.py
+++ b/src/sassafraspin/standins/engine.py
@@ -53,6 +53,7 @@
         self._jobs = JobTable()
         self._guard = FencingGuard(settings.checks_fencing)
         self._versions = settings.versions
+        self._used: dict[str, float] = {}
         self._leaving = False
         self._incarnation = time.time_ns() // 1_000
         self._slots = trio.Semaphore(settings.slots)
@@ -167,6 +168,7 @@
         version = _version(job)
         if version not in self._versions:
             raise InvalidField("$.model", f"version {version!r} is not loaded")
+        self._used[version] = trio.current_time()
 
     async def _generate(self, job: Job, prompt: bytes, route: str) -> None:
         """Compute one answer; goes on when the connection is lost."""
@@ -279,7 +281,8 @@
     def _apply(self, order: Order) -> None:
         others = tuple(name for name in self._versions if name != order.version)
         if order.kind == "load":
-            kept = others[-(self._settings.max_versions - 1) :]
+            newest = sorted(others, key=lambda name: self._used.get(name, 0.0))
+            kept = newest[len(newest) - (self._settings.max_versions - 1) :]
             self._versions = (*kept, order.version)
         elif others:
             self._versions = others
