Count only members of the view when syncing and copying records

Replayed with a trace: all three holders of the key were restarted at once; the new process of one of them, not yet a member, answered the home's sync request under its old name with nothing, so the home held itself for complete and granted the key again. Its acknowledgement of a copy counted as well.

Ruled out: a fault of the leases (none overlapped in the trace) and of the order of views (each was installed once, in order).

Change: sync replies and copy acknowledgements count only from the incarnation that the view lists; regression test with one restarted member. A holder that was only cut off and is a member again no longer makes fresh keys unknown (liveness, same fuzz). Handing over dispatch: entry instances tell a new dispatcher of running grants, and it waits two seconds for announcements before it refuses for want of backend servers.

Conclusion: names are not identities; every count of members must use incarnations.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -30,6 +30,7 @@
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.daemon.status import ControlStatus, InstanceStatus
 from sassafraspin.dispatch import (
+    ActiveGrant,
     AnnounceBackend,
     SlotGrant,
     SlotRefusal,
@@ -339,6 +340,7 @@
             node.send(heartbeat.name, heartbeat.heartbeat)
         self._follow_view()
         self._send_ledger(self._ledger.tick(node.acts_in_view(), now))
+        self._slots.follow_dispatchers()
         self._dispatch.tick()
 
     def _follow_view(self) -> None:
@@ -394,7 +396,9 @@
                 self._on_ledger(MemberIdentity(source, incarnation), message, now)
             case ClaimAnswer():
                 self._claims.receive(message)
-            case SlotRequest() | SlotRelease() | SlotWithdraw() | AnnounceBackend():
+            case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
+                self._dispatch.receive(source, message)
+            case AnnounceBackend():
                 self._dispatch.receive(source, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(message)
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -7,6 +7,7 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.status import BackendStatus
 from sassafraspin.dispatch import (
+    ActiveGrant,
     AnnounceBackend,
     RefusalReason,
     SlotRefusal,
@@ -27,6 +28,11 @@
 _WRONG_DISPATCHER_RETRY_MS = 200
 _REPORT_SECONDS = 0.2
 
+DispatcherMessage = (
+    SlotRequest | ActiveGrant | SlotRelease | SlotWithdraw | AnnounceBackend
+)
+"""Messages that a dispatcher gets."""
+
 _log = part_logger("dispatch")
 
 
@@ -93,29 +99,27 @@
     def receive(
         self,
         source: str,
-        message: SlotRequest | SlotRelease | SlotWithdraw | AnnounceBackend,
+        message: DispatcherMessage,
     ) -> None:
         """Handle a message of an entry instance."""
+        service = _service_of(message)
+        pool = self._active_pool(service)
         now = self._node.now()
+        if pool is None:
+            if isinstance(message, SlotRequest):
+                self._refuse(source, message)
+            return
         match message:
-            case AnnounceBackend(announcement):
-                pool = self._active_pool(announcement.service)
-                if pool is not None:
-                    self._run(pool.announce(announcement, now))
+            case AnnounceBackend():
+                self._run(pool.announce(message.announcement, now))
             case SlotRequest():
-                pool = self._active_pool(message.service)
-                if pool is None:
-                    self._refuse(source, message)
-                else:
-                    self._run(pool.request(source, message, now))
+                self._run(pool.request(source, message, now))
+            case ActiveGrant():
+                self._run(pool.adopt(source, message, now))
             case SlotRelease():
-                pool = self._active_pool(message.service)
-                if pool is not None:
-                    self._run(pool.release(message, now))
+                self._run(pool.release(message, now))
             case SlotWithdraw():
-                pool = self._active_pool(message.service)
-                if pool is not None:
-                    self._run(pool.withdraw(message, now))
+                self._run(pool.withdraw(message, now))
 
     def _active_pool(self, service: str) -> Pool | None:
         """Return the pool if this instance may dispatch for the service now."""
@@ -133,6 +137,7 @@
             gate,
             self._generator,
             term,
+            self._node.now(),
         )
         self._planners[service.name] = self._make_planner(service)
         _log.info("This instance dispatches for service {}.", service.name)
@@ -206,6 +211,16 @@
             self._node.send(effect.entry, effect.message)
 
 
+def _service_of(message: DispatcherMessage) -> str:
+    match message:
+        case AnnounceBackend():
+            return message.announcement.service
+        case ActiveGrant():
+            return message.request.service
+        case _:
+            return message.service
+
+
 def _backend_status(backend: Backend, now: float) -> BackendStatus:
     announcement = backend.announcement
     return BackendStatus(
--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -222,13 +222,11 @@
     async def _exchange(self, grant: SlotGrant, timing: Timing) -> ReleaseResult:
         """Send the call and relay its answer within the deadline."""
         with trio.move_on_after(self._seconds_left()) as scope:
-            self._slots.note_active(grant, scope)
-            try:
-                self._state = RecordState.UNKNOWN
-                async with self._relay.open(self._call, grant) as response:
-                    return await self._answer(grant, response, timing)
-            finally:
-                revoked = self._slots.note_inactive(grant)
+            self._slots.allow_revocation(grant, scope)
+            self._state = RecordState.UNKNOWN
+            async with self._relay.open(self._call, grant) as response:
+                return await self._answer(grant, response, timing)
+        revoked = self._slots.is_revoked(grant)
         reason = "it made room for a higher tier" if revoked else "its deadline passed"
         raise _sent_without_answer(reason)
 
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -7,6 +7,7 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.replies import ReplyTable
 from sassafraspin.dispatch import (
+    ActiveGrant,
     RefusalReason,
     SlotGrant,
     SlotRefusal,
@@ -23,8 +24,10 @@
 
 
 @dataclass
-class _ActiveGrant:
-    scope: trio.CancelScope
+class _Active:
+    request: SlotRequest
+    grant: SlotGrant
+    scope: trio.CancelScope | None = None
     revoked: bool = False
 
 
@@ -40,7 +43,8 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._replies = ReplyTable()
-        self._active: dict[str, _ActiveGrant] = {}
+        self._active: dict[str, _Active] = {}
+        self._dispatchers: dict[str, str | None] = {}
 
     async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
         """Return a slot or a refusal, at the latest when the deadline has passed.
@@ -51,7 +55,10 @@
         receive = self._replies.open(request.request_id)
         try:
             with trio.move_on_after(request.deadline_ms / 1000):
-                return await self._ask(request, receive)
+                answer = await self._ask(request, receive)
+                if isinstance(answer, SlotGrant):
+                    self._active[answer.grant_id] = _Active(request, answer)
+                return answer
         finally:
             self._replies.close(request.request_id)
         self.withdraw(request)
@@ -64,17 +71,35 @@
 
     def release(self, release: SlotRelease) -> None:
         """Give a slot back."""
+        self._active.pop(release.grant_id, None)
         self._send_to_dispatcher(release.service, release)
 
-    def note_active(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
+    def allow_revocation(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
         """Let a revocation of the grant cancel ``scope``."""
-        self._active[grant.grant_id] = _ActiveGrant(scope)
+        active = self._active.get(grant.grant_id)
+        if active is not None:
+            active.scope = scope
 
-    def note_inactive(self, grant: SlotGrant) -> bool:
-        """Forget a grant; return whether it was revoked."""
-        active = self._active.pop(grant.grant_id, None)
+    def is_revoked(self, grant: SlotGrant) -> bool:
+        """Return whether the grant was revoked."""
+        active = self._active.get(grant.grant_id)
         return active is not None and active.revoked
 
+    def follow_dispatchers(self) -> None:
+        """Tell a new dispatcher of the slots that an older one granted."""
+        for service in {item.request.service for item in self._active.values()}:
+            dispatcher = self._node.dispatcher_of(service)
+            if self._dispatchers.get(service, dispatcher) != dispatcher:
+                self._hand_over(service)
+        for item in self._node.settings.services:
+            self._dispatchers[item.name] = self._node.dispatcher_of(item.name)
+
+    def _hand_over(self, service: str) -> None:
+        for active in self._active.values():
+            if active.request.service == service:
+                message = ActiveGrant(active.request, active.grant)
+                self._send_to_dispatcher(service, message)
+
     def receive(self, message: SlotGrant | SlotRefusal | SlotRevoke) -> None:
         """Handle a message of a dispatcher."""
         match message:
@@ -85,7 +110,7 @@
                 self._replies.deliver(message.request_id, message)
             case SlotRevoke():
                 active = self._active.get(message.grant_id)
-                if active is not None:
+                if active is not None and active.scope is not None:
                     active.revoked = True
                     active.scope.cancel()
 
--- a/src/sassafraspin/dispatch/__init__.py
+++ b/src/sassafraspin/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Dispatch: slots of backend servers, granted in one place for each service."""
 
 from sassafraspin.dispatch.messages import (
+    ActiveGrant,
     AnnounceBackend,
     DispatchMessage,
     RefusalReason,
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "ActiveGrant",
     "AnnounceBackend",
     "DispatchMessage",
     "RefusalReason",
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -7,6 +7,7 @@
 from sassafraspin.backends import Announcement
 
 __all__ = [
+    "ActiveGrant",
     "AnnounceBackend",
     "DispatchMessage",
     "RefusalReason",
@@ -97,6 +98,16 @@
     retry_after_ms: int
 
 
+class ActiveGrant(msgspec.Struct, frozen=True, tag=True):
+    """Tells a new dispatcher of a slot that an older one granted.
+
+    ``deadline_ms`` in ``request`` is the time that was left when it was granted.
+    """
+
+    request: SlotRequest
+    grant: SlotGrant
+
+
 class SlotRelease(msgspec.Struct, frozen=True, tag=True):
     """A granted request has ended; times are 0 where they are not known."""
 
@@ -134,6 +145,7 @@
     SlotRequest
     | SlotGrant
     | SlotRefusal
+    | ActiveGrant
     | SlotRelease
     | SlotWithdraw
     | SlotRevoke
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -15,6 +15,7 @@
 )
 from sassafraspin.backends import Announcement, Backend, Reservation
 from sassafraspin.dispatch.messages import (
+    ActiveGrant,
     DispatchMessage,
     RefusalReason,
     ReleaseResult,
@@ -27,7 +28,7 @@
 )
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.profiles import LOWEST_TIER
-from sassafraspin.routing import choose_backend, nominal_seconds
+from sassafraspin.routing import choose_backend, expected_seconds, nominal_seconds
 from sassafraspin.settings import ClientAccountSettings, DispatchSettings
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
@@ -36,6 +37,10 @@
 _MAX_RETRY_MS = 30_000
 _GRANT_SLACK_SECONDS = 2.0
 _LATE_SCAN_SECONDS = 0.05
+_NO_BACKEND_RETRY = 1.0
+
+_WARM_UP_SECONDS = 2.0
+"""Time in which a new dispatcher waits for backend servers to announce themselves."""
 
 
 @dataclass(frozen=True)
@@ -85,6 +90,8 @@
         Source of random choices.
     term : str
         Prefix of grant identities; differs between dispatchers over time.
+    now : float
+        Monotonic time in seconds.
     """
 
     def __init__(
@@ -95,7 +102,9 @@
         gate: VersionGate,
         generator: random.Random,
         term: str,
+        now: float,
     ) -> None:
+        self._warm_at = now + _WARM_UP_SECONDS
         self._service = service
         self._settings = settings
         self._limits = AccountLimits(accounts)
@@ -144,6 +153,7 @@
         backend = self._backends.get(announcement.id)
         if backend is None:
             self._backends[announcement.id] = Backend(announcement, now)
+            self._reserve_adopted(announcement.id, now)
         else:
             backend.take_announcement(announcement, now)
         return self._pump(now)
@@ -161,6 +171,20 @@
         self._admit(entry, request, now)
         return self._pump(now)
 
+    def adopt(self, entry: str, active: ActiveGrant, now: float) -> list[SendToEntry]:
+        """Take over a slot that an older dispatcher granted."""
+        grant_id = active.grant.grant_id
+        if grant_id in self._grants:
+            return []
+        lapses_at = now + active.request.deadline_ms / 1000 + _GRANT_SLACK_SECONDS
+        self._grants[grant_id] = _Grant(
+            entry, active.request, active.grant, now, lapses_at
+        )
+        self._grant_of_request[active.request.request_id] = grant_id
+        self._gate.note_start(active.grant.version)
+        self._reserve_adopted(active.grant.backend_id, now)
+        return []
+
     def withdraw(self, message: SlotWithdraw, now: float) -> list[SendToEntry]:
         """Forget a request that no longer waits, or give back its unused slot."""
         waiting = self._queue.remove(message.request_id)
@@ -217,8 +241,8 @@
     # Admission
 
     def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
-        if not any(backend.accepts_work(now) for backend in self.backends):
-            self._refuse(entry, request, RefusalReason.NO_BACKEND, 1.0)
+        if not self._accepts_work(now) and now >= self._warm_at:
+            self._refuse(entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY)
             return
         tokens = request.prompt_tokens + request.answer_tokens
         decision = self._limits.admit(request.client_account, tokens, now)
@@ -240,15 +264,21 @@
 
     def _typical_seconds(self, request: SlotRequest, now: float) -> float:
         """Return the expected time at the fastest server that accepts work."""
-        return min(
+        times = (
             backend.speed.seconds(request.prompt_tokens, request.answer_tokens)
             for backend in self.backends
             if backend.accepts_work(now)
         )
+        return min(times, default=0.0)
+
+    def _accepts_work(self, now: float) -> bool:
+        return any(backend.accepts_work(now) for backend in self.backends)
 
     def _expected_wait(self, tier: int, now: float) -> float:
         """Return how long a new request of a tier would wait for a slot."""
         slots = self._open_slots(now)
+        if slots == 0 and now < self._warm_at:
+            return 0.0
         free = slots - len(self._grants)
         if free > len(self._queue):
             return 0.0
@@ -274,8 +304,11 @@
         if now < self._next_late_scan:
             return
         self._next_late_scan = now + _LATE_SCAN_SECONDS
+        is_served = self._accepts_work(now) or now < self._warm_at
         for waiting in self._queue:
-            if now > waiting.latest_start:
+            if not is_served:
+                self._shed(waiting, RefusalReason.NO_BACKEND, now)
+            elif now > waiting.latest_start:
                 self._shed(waiting, RefusalReason.TOO_LATE, now)
 
     def _shed(self, waiting: WaitingRequest, reason: RefusalReason, now: float) -> None:
@@ -332,15 +365,11 @@
             version,
             self._settings.grant_use_within_ms,
         )
-        expected_end = now + choice.expected_seconds
-        reservation = Reservation(message.grant_id, request.tier, tokens, expected_end)
-        choice.backend.reserve(reservation)
-        choice.backend.cache.note_sent(request.prefixes)
-        self._expected_end_sum += expected_end
         lapses_at = waiting.deadline + _GRANT_SLACK_SECONDS
-        self._grants[message.grant_id] = _Grant(
-            waiting.entry, request, message, now, lapses_at
-        )
+        grant = _Grant(waiting.entry, request, message, now, lapses_at)
+        self._reserve(choice.backend, grant, now + choice.expected_seconds)
+        choice.backend.cache.note_sent(request.prefixes)
+        self._grants[message.grant_id] = grant
         self._grant_of_request[request.request_id] = message.grant_id
         self._gate.note_start(version)
         self._send(waiting.entry, message)
@@ -361,6 +390,25 @@
             able = sorted(able, key=lambda item: item.announcement.id)[:limit]
         return [backend for backend in able if backend.has_room(tokens)]
 
+    def _reserve_adopted(self, backend_id: str, now: float) -> None:
+        """Take room for adopted grants once their backend server is known."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return
+        reserved = {item.grant_id for item in backend.reservations}
+        for grant_id, grant in self._grants.items():
+            if grant.message.backend_id == backend_id and grant_id not in reserved:
+                seconds = expected_seconds(backend, grant.request)
+                self._reserve(backend, grant, now + seconds)
+
+    def _reserve(self, backend: Backend, grant: _Grant, expected_end: float) -> None:
+        request = grant.request
+        tokens = request.prompt_tokens + request.answer_tokens
+        backend.reserve(
+            Reservation(grant.message.grant_id, request.tier, tokens, expected_end)
+        )
+        self._expected_end_sum += expected_end
+
     def _end_grant(self, grant_id: str) -> _Grant | None:
         grant = self._grants.pop(grant_id, None)
         if grant is None:
--- a/src/sassafraspin/ledger/ledger.py
+++ b/src/sassafraspin/ledger/ledger.py
@@ -246,9 +246,15 @@
     def _on_copy_ack(
         self, source: MemberIdentity, ack: CopyAck, lease: bool, now: float
     ) -> None:
+        """Count a copy, unless a restarted process acknowledges it.
+
+        Such a one is not yet a member, and not what the view counts on.
+        """
         pending = self._pending.get(ack.copy_id)
         if pending is None or ack.view_number != self._placement.view.number:
             return
+        if not self._placement.view.contains(source):
+            return
         if source.name in pending.waiting_for:
             pending.waiting_for.discard(source.name)
             pending.acknowledged += 1
@@ -347,6 +353,8 @@
             self._merge(record, now)
         if self._sync is None or reply.view_number != self._sync.view_number:
             return
+        if not self._placement.view.contains(source):
+            return
         self._sync.note_part(source.name, reply.attempt, reply.part, reply.last)
         if self._sync.is_done:
             self._sync = None
--- a/src/sassafraspin/ledger/placement.py
+++ b/src/sassafraspin/ledger/placement.py
@@ -71,11 +71,17 @@
 
         A record is acknowledged once ``least_copies`` members hold it. One that was
         made in a view lives on if a holder of that view is still a member in the
-        next settled view, when every member has copied what the others held.
+        next settled view, when every member has copied what the others held, or if
+        one was only cut off and is a member again.
         """
         for view, settled in self._unsafe_pairs(least_copies):
             holders = view.ranked(key.placement, self._copies)
-            gone = [item for item in holders if not settled.contains(item.identity)]
+            gone = [
+                item
+                for item in holders
+                if not settled.contains(item.identity)
+                and not self.view.contains(item.identity)
+            ]
             if holders and len(gone) >= min(least_copies, len(holders)):
                 return True
         return False
--- a/src/sassafraspin/routing/__init__.py
+++ b/src/sassafraspin/routing/__init__.py
@@ -3,8 +3,15 @@
 from sassafraspin.routing.choice import (
     BackendChoice,
     choose_backend,
+    expected_seconds,
     nominal_seconds,
     uncached_tokens,
 )
 
-__all__ = ["BackendChoice", "choose_backend", "nominal_seconds", "uncached_tokens"]
+__all__ = [
+    "BackendChoice",
+    "choose_backend",
+    "expected_seconds",
+    "nominal_seconds",
+    "uncached_tokens",
+]
--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -7,7 +7,13 @@
 from sassafraspin.backends import PREFIX_BLOCK_BYTES, Backend
 from sassafraspin.dispatch.messages import SlotRequest
 
-__all__ = ["BackendChoice", "choose_backend", "nominal_seconds", "uncached_tokens"]
+__all__ = [
+    "BackendChoice",
+    "choose_backend",
+    "expected_seconds",
+    "nominal_seconds",
+    "uncached_tokens",
+]
 
 _MAX_CANDIDATES = 24
 _BYTES_PER_TOKEN = 4
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,10 +14,11 @@
     run_state_machine_as_test,
 )
 
-from sassafraspin.ledger import ClaimDecision, Ledger, RecordState
+from sassafraspin.ledger import ClaimDecision, Ledger, RecordState, SyncReply
 from sassafraspin.ledger.placement import Placement
-from sassafraspin.membership import MemberLease
+from sassafraspin.membership import Member, MemberIdentity, MemberLease, View
 from sassafraspin.membership.table import MemberTable
+from sassafraspin.settings import LedgerSettings
 from tests.ledger_model import LedgerModel
 from tests.simulation import Weather
 
@@ -25,7 +26,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=40,
     phases=[Phase.generate],
     report_multiple_bugs=False,
@@ -162,6 +163,19 @@
         ):
             self.assert_caught()
 
+    def test_restarted_member_does_not_count_as_synced(self):
+        """A restarted process under an old name has nothing to tell."""
+        own = Member("entry-0", 1, "r", "zone-0", "127.0.0.1", 1)
+        other = Member("entry-1", 2, "r", "zone-1", "127.0.0.1", 2)
+        ledger = Ledger(own.identity, LedgerSettings())
+        ledger.install_views((View(), View(1, 0, (own, other))), 0.0)
+        reply = SyncReply(1, 1, 0, True, ())
+        restarted = MemberIdentity("entry-1", 3)
+        ledger.receive(restarted, reply, True, 0.1)
+        self.assertEqual(ledger.synced_view, 0)
+        ledger.receive(other.identity, reply, True, 0.1)
+        self.assertEqual(ledger.synced_view, 1)
+
     def test_repeated_key_gets_the_state(self):
         model = LedgerModel()
         model.run(3.0)
