--- a/src/sassafraspin/daemon/calls.py
+++ b/src/sassafraspin/daemon/calls.py
@@ -13,12 +13,13 @@
 from sassafraspin.profiles import Profile, ProfileStore
 from sassafraspin.settings import ClientAccountSettings, ServiceSettings
 
-__all__ = ["Call", "CallReader", "ModelCall", "PlainCall"]
+__all__ = ["MODELS_PATH", "Call", "CallReader", "ModelCall", "PlainCall"]
 
 PROFILE_HEADER = "sassafraspin-profile"
 DEADLINE_HEADER = "sassafraspin-deadline-ms"
 KEY_HEADER = "idempotency-key"
 
+MODELS_PATH = "/v1/models"
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 
 _MAX_KEY_LENGTH = 255
--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -4,7 +4,7 @@
 import trio
 
 from sassafraspin.daemon.access import AccessControl
-from sassafraspin.daemon.calls import Call, CallReader
+from sassafraspin.daemon.calls import MODELS_PATH, Call, CallReader
 from sassafraspin.daemon.claims import ClaimClient
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.problems import (
@@ -35,10 +35,12 @@
 from sassafraspin.http import (
     ConnectFailed,
     ConnectionLost,
+    Headers,
     OpenResponse,
     Request,
     RequestProblem,
     Responder,
+    Response,
     ServerSentEvent,
     format_event,
     problem_response,
@@ -115,6 +117,9 @@
         if self._draining:
             raise Draining
         account = self._access.client_account(request)
+        if (request.method, request.path) == ("GET", MODELS_PATH):
+            await responder.send(self._list_models())
+            return
         profiles = self._node.configuration.state.profiles
         call = self._reader.read(request, account, profiles)
         exchange = _CallExchange(
@@ -122,6 +127,16 @@
         )
         await exchange.run()
 
+    def _list_models(self) -> Response:
+        """Return the model services in the format of the OpenAI-compatible API."""
+        models = [
+            {"id": service.name, "object": "model", "created": 0, "owned_by": "club"}
+            for service in self._node.settings.services
+            if service.kind == "model"
+        ]
+        body = msgspec.json.encode({"object": "list", "data": models})
+        return Response(200, Headers((("content-type", "application/json"),)), body)
+
     async def _refuse(self, problem: RequestProblem, responder: Responder) -> None:
         """Send the problem; inside a stream as its last event, before the cut."""
         self._node.metrics.count(f"refused.{problem.execution}.{problem.reason}")
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -69,10 +69,15 @@
             self._address.port, host=self._address.host
         )
         task_status.started()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._accept, nursery)
-            await self._idle.wait()
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                for listener in self._listeners:
+                    nursery.start_soon(self._accept_from, listener, nursery)
+                await self._idle.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            for listener in self._listeners:
+                listener.socket.close()
 
     async def drain(self) -> None:
         """Stop accepting, finish requests in flight, then stop serving."""
@@ -84,10 +89,6 @@
         self._check_idle()
         await self._idle.wait()
 
-    async def _accept(self, nursery: trio.Nursery) -> None:
-        for listener in self._listeners:
-            nursery.start_soon(self._accept_from, listener, nursery)
-
     async def _accept_from(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -5,7 +5,14 @@
 import unittest
 from pathlib import Path
 
-from tests.deployment import Deployment, call
+import openai
+
+from tests.deployment import (
+    CALLER_TOKEN,
+    SECOND_OPERATOR_TOKEN,
+    Deployment,
+    call,
+)
 
 
 class TestThinPath(unittest.TestCase):
@@ -71,6 +78,75 @@
         self.assertEqual(status, 200)
         self.assertTrue(json.loads(body)["executed"])
 
+    def test_openai_client_works_unchanged(self):
+        with openai.OpenAI(api_key=CALLER_TOKEN, base_url=self.url("/v1")) as client:
+            messages = [{"role": "user", "content": "stock of lot 8?"}]
+            whole = client.chat.completions.create(
+                model="sorter-model", messages=messages, max_tokens=5
+            )
+            stream = client.chat.completions.create(
+                model="sorter-model", messages=messages, max_tokens=5, stream=True
+            )
+            pieces = [chunk.choices[0].delta.content for chunk in stream]
+            text = client.completions.create(
+                model="sorter-model", prompt="one line", max_tokens=4
+            )
+            names = [model.id for model in client.models.list()]
+        self.assertEqual(len(whole.choices[0].message.content.split()), 5)
+        self.assertEqual(whole.usage.completion_tokens, 5)
+        self.assertEqual(len("".join(pieces).split()), 5)
+        self.assertEqual(len(text.choices[0].text.split()), 4)
+        self.assertEqual(names, ["sorter-model"])
+
+    def test_openai_client_gets_typed_refusals(self):
+        with openai.OpenAI(api_key="wrong", base_url=self.url("/v1")) as client:
+            with self.assertRaises(openai.AuthenticationError):
+                client.completions.create(model="sorter-model", prompt="x")
+
+    def test_resend_of_a_change_gets_the_first_answer(self):
+        file = Path(self._folder.name) / "resent.json"
+        document = {
+            "name": "resent",
+            "version": 1,
+            "service": "sorter-model",
+            "tier": 2,
+            "deadline_ms": 1000,
+        }
+        file.write_text(json.dumps(document))
+        command = ("profile", "put", str(file), "--change-id", "resent-1", "--json")
+        first = self.deployment.command(*command)
+        again = self.deployment.command(*command, token=SECOND_OPERATOR_TOKEN)
+        self.assertEqual(first.returncode, 0, first.stderr)
+        self.assertEqual(json.loads(again.stdout), json.loads(first.stdout))
+
+    def test_bad_input_names_the_field(self):
+        file = Path(self._folder.name) / "bad.json"
+        file.write_text('{"name": "bad", "version": 1, "service": "sorter-model"}')
+        put = self.deployment.command("profile", "put", str(file))
+        self.assertEqual(put.returncode, 2)
+        self.assertIn("$.tier", put.stderr)
+        status, body = self.ask(messages="text")
+        self.assertEqual(status, 422)
+        self.assertIn("$.messages", json.loads(body)["detail"])
+
+    def test_unknown_profile_is_not_run(self):
+        status, body = self.ask({"Sassafraspin-Profile": "missing"})
+        self.assertEqual(status, 404)
+        self.assertEqual(json.loads(body)["execution"], "not-run")
+
+    def test_short_deadline_is_refused_at_once(self):
+        headers = {"Sassafraspin-Deadline-Ms": "1"}
+        status, body = self.ask(headers, max_tokens=16)
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(body)["execution"], "not-run")
+        self.assertIsNotNone(json.loads(body)["retry_after_ms"])
+
+    def test_status_shows_what_is_in_force(self):
+        shown = self.deployment.command("status", on=1)
+        self.assertEqual(shown.returncode, 0, shown.stderr)
+        for text in ("view", "entry-2", "quick-question", "fresh"):
+            self.assertIn(text, shown.stdout)
+
     def test_wrong_token_is_a_problem_document(self):
         url = self.url("/v1/chat/completions")
         status, body = call("POST", url, {}, token="wrong")
--- /dev/null
+++ b/tests/test_http_bounds.py
@@ -0,0 +1,135 @@
+"""Hostile and broken peers of the HTTP server."""
+
+import socket
+import unittest
+
+import trio
+import trio.testing
+
+from sassafraspin.http import HttpServer, Response, answering
+from sassafraspin.settings import Address, HttpLimits
+from tests.deployment import free_ports
+
+LIMITS = HttpLimits(
+    header_bytes=1024,
+    body_bytes=2048,
+    connections=4,
+    header_timeout_ms=300,
+    body_timeout_ms=300,
+    idle_timeout_ms=300,
+)
+
+
+async def _echo(request):
+    return Response(200, body=request.body)
+
+
+class TestHttpBounds(unittest.TestCase):
+    """Each breach gets a typed answer or a close, never a traceback."""
+
+    def exchange(self, *pieces: bytes, pause: float = 0.0) -> bytes:
+        """Send pieces over one connection and return all that comes back."""
+        [port] = free_ports(1)
+
+        async def run() -> bytes:
+            address = Address("127.0.0.1", port)
+            server = HttpServer(address, LIMITS, answering(_echo))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                received = b""
+                for piece in pieces:
+                    await stream.send_all(piece)
+                    await trio.sleep(pause)
+                with trio.move_on_after(5):
+                    while data := await stream.receive_some(65536):
+                        received += data
+                await stream.aclose()
+                nursery.cancel_scope.cancel()
+            return received
+
+        return trio.run(run)
+
+    def test_garbage(self):
+        self.assertIn(b"400", self.exchange(b"\x00\x01garbage\r\n\r\n"))
+
+    def test_long_header(self):
+        header = b"X: " + b"a" * 5000
+        self.assertIn(b"400", self.exchange(b"GET / HTTP/1.1\r\n" + header))
+
+    def test_long_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n"
+        answer = self.exchange(head)
+        self.assertIn(b"413", answer)
+        self.assertIn(b"urn:sassafraspin:problem:not-run:body-too-large", answer)
+
+    def test_long_chunked_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        answer = self.exchange(head + b"1000\r\n" + b"a" * 4096 + b"\r\n0\r\n\r\n")
+        self.assertIn(b"413", answer)
+
+    def test_slow_header(self):
+        self.assertIn(b"408", self.exchange(b"GET / HT"))
+
+    def test_slow_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12"
+        self.assertIn(b"408", self.exchange(head))
+
+    def test_silent_connection_is_closed(self):
+        self.assertEqual(self.exchange(), b"")
+
+    def test_conflicting_lengths(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+        self.assertIn(b"400", self.exchange(head + b"Content-Length: 2\r\n\r\nab"))
+
+    def test_pipelined_requests_are_both_answered(self):
+        one = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+        two = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz"
+        answer = self.exchange(one + two)
+        self.assertIn(b"abc", answer)
+        self.assertIn(b"xyz", answer)
+
+    def test_too_many_connections(self):
+        [port] = free_ports(1)
+
+        async def run() -> bytes:
+            address = Address("127.0.0.1", port)
+            server = HttpServer(address, LIMITS, answering(_echo))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                held = [
+                    await trio.open_tcp_stream("127.0.0.1", port)
+                    for _ in range(LIMITS.connections)
+                ]
+                await trio.testing.wait_all_tasks_blocked()
+                extra = await trio.open_tcp_stream("127.0.0.1", port)
+                answer = await extra.receive_some(65536)
+                for stream in (*held, extra):
+                    await stream.aclose()
+                nursery.cancel_scope.cancel()
+            return answer
+
+        self.assertIn(b"503", trio.run(run))
+
+    def test_reset_connection_leaves_the_server_running(self):
+        [port] = free_ports(1)
+
+        async def run() -> bytes:
+            address = Address("127.0.0.1", port)
+            server = HttpServer(address, LIMITS, answering(_echo))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                broken = await trio.open_tcp_stream("127.0.0.1", port)
+                await broken.send_all(b"POST / HTTP/1.1\r\n")
+                broken.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0"
+                )
+                broken.socket.close()
+                good = await trio.open_tcp_stream("127.0.0.1", port)
+                await good.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                answer = await good.receive_some(65536)
+                await good.aclose()
+                nursery.cancel_scope.cancel()
+            return answer
+
+        self.assertIn(b"200", trio.run(run))
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,86 @@
+"""Checks of settings files."""
+
+import copy
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from sassafraspin.cli import main
+from sassafraspin.settings import load_settings
+from tests.deployment import Deployment
+
+
+class TestSettings(unittest.TestCase):
+    """Every fault is reported at once, each with its JSON path."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        deployment = Deployment.create(self.folder)
+        self.file = deployment.instances[0].file
+        self.document = json.loads(self.file.read_text())
+
+    def paths(self, document: dict) -> list[str]:
+        self.file.write_text(json.dumps(document))
+        checked = load_settings(self.file)
+        self.assertTrue(checked.is_error())
+        return [problem.path for problem in checked.error.problems]
+
+    def test_valid(self):
+        self.assertTrue(load_settings(self.file).is_ok())
+
+    def test_comments_are_dropped(self):
+        self.document["$comment"] = "north hall"
+        self.document["listen"]["$comment"] = "loopback"
+        self.file.write_text(json.dumps(self.document))
+        self.assertTrue(load_settings(self.file).is_ok())
+
+    def test_all_faults_are_reported_together(self):
+        document = copy.deepcopy(self.document)
+        document["unknown"] = 1
+        document["instance"]["name"] = 5
+        document["http"] = {"header_bytes": 1}
+        document["listen"]["operators"] = document["listen"]["callers"]
+        document["services"][1].pop("path_prefix")
+        document["control"]["data_folder"] = "missing/data"
+        paths = self.paths(document)
+        for path in (
+            "$.unknown",
+            "$.instance.name",
+            "$.http.header_bytes",
+            "$.listen.operators.port",
+            "$.services[1].path_prefix",
+        ):
+            self.assertIn(path, paths)
+
+    def test_missing_folder(self):
+        self.document["control"]["data_folder"] = "missing/data"
+        self.assertEqual(self.paths(self.document), ["$.control.data_folder"])
+
+    def test_even_quorum(self):
+        more = dict(self.document["control"]["instances"][0], name="entry-9")
+        self.document["control"]["instances"].append(more)
+        self.assertIn("$.control.instances", self.paths(self.document))
+
+    def test_repeated_member(self):
+        self.file.write_text('{"instance": 1, "instance": 2}')
+        error = load_settings(self.file).error
+        self.assertIn("given twice", str(error))
+
+    def test_not_json(self):
+        for content in (b"", b"{", b"\xff\xfe", b"[" * 100_000):
+            self.file.write_bytes(content)
+            self.assertTrue(load_settings(self.file).is_error())
+
+    def test_command_exit_status(self):
+        runner = CliRunner()
+        good = runner.invoke(main, ["check-settings", str(self.file)])
+        self.assertEqual(good.exit_code, 0)
+        self.file.write_text("{}")
+        bad = runner.invoke(main, ["check-settings", str(self.file)])
+        self.assertEqual(bad.exit_code, 2)
+        self.assertIn("$.instance", bad.output)
