--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a command."""
--- /dev/null
+++ b/benchmarks/state_transfer.py
@@ -0,0 +1,130 @@
+"""Bytes and time to bring an instance up to date, by three ways.
+
+Log tail, whole snapshot, and page hashes as in "State Transfer with Merkle Trees"
+(the changed pages of the encoded state, found by their hashes). Run as
+``python -m benchmarks.state_transfer``.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import click
+import xxhash
+
+from sassafraspin.control import Configuration, ControlState, PutProfile
+from sassafraspin.control.commands import decode_command, encode_command
+from sassafraspin.profiles import Profile
+
+_PAGE_BYTES = 1024
+_HASH_BYTES = 8
+_PROFILES = 300
+_BEHIND = (1, 100, 1_000)
+_REPEATS = 5
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Bytes on the wire in both directions, and time at both ends together."""
+
+    bytes: int
+    seconds: float
+
+
+@click.command()
+def main() -> None:
+    """Print a row for each way and distance."""
+    commands = _commands(_PROFILES + max(_BEHIND))
+    click.echo(f"{_PROFILES} profiles, each with up to 50 kept versions")
+    click.echo(f"{'behind':>6} {'way':12} {'bytes':>9} {'ms':>8}")
+    for behind in _BEHIND:
+        base = commands[: len(commands) - behind]
+        tail = commands[len(commands) - behind :]
+        for name, way in _WAYS.items():
+            cost = _best(lambda way=way, base=base, tail=tail: way(base, tail))
+            click.echo(
+                f"{behind:6} {name:12} {cost.bytes:9} {cost.seconds * 1000:8.2f}"
+            )
+
+
+def _best(run: Callable[[], Cost]) -> Cost:
+    return min((run() for _ in range(_REPEATS)), key=lambda cost: cost.seconds)
+
+
+def _commands(count: int) -> list[bytes]:
+    generator = random.Random(1)
+    versions = [0] * _PROFILES
+    commands = []
+    for number in range(count):
+        which = number if number < _PROFILES else generator.randrange(_PROFILES)
+        versions[which] += 1
+        profile = Profile(
+            f"profile-{which:03}",
+            versions[which],
+            "sorter-model",
+            number % 4,
+            1000 + number,
+        )
+        command = PutProfile(f"change-{number:06}", "ayse", number, profile)
+        commands.append(encode_command(command))
+    return commands
+
+
+def _state(commands: list[bytes]) -> Configuration:
+    configuration = Configuration()
+    for index, data in enumerate(commands, start=1):
+        configuration.apply(index, data)
+    return configuration
+
+
+def _by_tail(base: list[bytes], tail: list[bytes]) -> Cost:
+    receiver = _state(base).state
+    started_at = time.perf_counter()
+    for offset, data in enumerate(tail):
+        receiver.apply(len(base) + 1 + offset, decode_command(data))
+    seconds = time.perf_counter() - started_at
+    return Cost(sum(map(len, tail)), seconds)
+
+
+def _by_snapshot(base: list[bytes], tail: list[bytes]) -> Cost:
+    sender = _state([*base, *tail]).state
+    started_at = time.perf_counter()
+    image = sender.to_bytes()
+    ControlState.from_bytes(sender.index, image)
+    return Cost(len(image), time.perf_counter() - started_at)
+
+
+def _by_pages(base: list[bytes], tail: list[bytes]) -> Cost:
+    sender = _state([*base, *tail]).state
+    receiver = _state(base).state
+    started_at = time.perf_counter()
+    new_pages = _pages(sender.to_bytes())
+    old_pages = _pages(receiver.to_bytes())
+    new_hashes = [xxhash.xxh3_64_intdigest(page) for page in new_pages]
+    old_hashes = {xxhash.xxh3_64_intdigest(page) for page in old_pages}
+    missing = [
+        page
+        for page, value in zip(new_pages, new_hashes, strict=True)
+        if value not in old_hashes
+    ]
+    ControlState.from_bytes(sender.index, b"".join(new_pages))
+    seconds = time.perf_counter() - started_at
+    request = _HASH_BYTES * len(missing)
+    return Cost(
+        _HASH_BYTES * len(new_hashes) + request + sum(map(len, missing)), seconds
+    )
+
+
+def _pages(image: bytes) -> list[bytes]:
+    return [
+        image[start : start + _PAGE_BYTES]
+        for start in range(0, len(image), _PAGE_BYTES)
+    ]
+
+
+_WAYS = {"log tail": _by_tail, "snapshot": _by_snapshot, "page hashes": _by_pages}
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -23,7 +23,7 @@
 ]
 
 
-class PutProfile(msgspec.Struct, frozen=True, tag=True):
+class PutProfile(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Put the next version of a profile."""
 
     change_id: str
@@ -32,7 +32,7 @@
     profile: Profile
 
 
-class DeclareMove(msgspec.Struct, frozen=True, tag=True):
+class DeclareMove(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Declare a move."""
 
     change_id: str
@@ -41,7 +41,7 @@
     spec: MoveSpec
 
 
-class UndoMove(msgspec.Struct, frozen=True, tag=True):
+class UndoMove(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Take back a running move."""
 
     change_id: str
@@ -50,7 +50,7 @@
     name: str
 
 
-class AdvanceMove(msgspec.Struct, frozen=True, tag=True):
+class AdvanceMove(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Apply a transition that the control leader decided."""
 
     change_id: str
@@ -58,7 +58,7 @@
     step: MoveStep
 
 
-class ChangeView(msgspec.Struct, frozen=True, tag=True):
+class ChangeView(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Install the next view."""
 
     change_id: str
--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -10,9 +10,6 @@
 
 _KEPT_COMMANDS = 1_000
 
-_SHORT_TAIL = 20
-"""Number of commands up to which the tail is sent without weighing a snapshot."""
-
 
 class Configuration:
     """Applied state of the control log on one instance, never going back.
@@ -53,18 +50,13 @@
     def update_since(self, index: int) -> ConfigUpdate | None:
         """Return what an instance at ``index`` lacks, ``None`` if nothing.
 
-        The log tail is sent as far as it is kept and smaller than a snapshot.
+        The log tail is sent as far back as it is kept, else a snapshot.
         """
         missing = self._state.index - index
         if missing <= 0:
             return None
         if missing <= len(self._recent):
-            commands = tuple(self._recent)[-missing:]
-            tail_bytes = sum(len(data) for data in commands if data is not None)
-            image = self._state.to_bytes() if missing > _SHORT_TAIL else None
-            if image is None or tail_bytes <= len(image):
-                return ConfigTail(index + 1, commands)
-            return ConfigImage(self._state.index, image)
+            return ConfigTail(index + 1, tuple(self._recent)[-missing:])
         return ConfigImage(self._state.index, self._state.to_bytes())
 
     def take_update(self, update: ConfigUpdate) -> None:
--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -34,20 +34,20 @@
     disk_id: str
 
 
-class NoopEntry(msgspec.Struct, frozen=True, tag="noop"):
+class NoopEntry(msgspec.Struct, frozen=True, tag="noop", array_like=True):
     """First entry of a leader's term."""
 
     term: int
 
 
-class CommandEntry(msgspec.Struct, frozen=True, tag="command"):
+class CommandEntry(msgspec.Struct, frozen=True, tag="command", array_like=True):
     """An encoded command for the state machine."""
 
     term: int
     data: bytes
 
 
-class VotersEntry(msgspec.Struct, frozen=True, tag="voters"):
+class VotersEntry(msgspec.Struct, frozen=True, tag="voters", array_like=True):
     """The voters from this entry on; differs by one from those before."""
 
     term: int
@@ -57,7 +57,7 @@
 Entry = NoopEntry | CommandEntry | VotersEntry
 
 
-class Snapshot(msgspec.Struct, frozen=True):
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
     """State after the entry at ``index``, with the voters at that point."""
 
     index: int
@@ -66,7 +66,7 @@
     data: bytes
 
 
-class VoteRequest(msgspec.Struct, frozen=True, tag=True):
+class VoteRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks for a vote, or with ``pre`` whether a vote would be given."""
 
     term: int
@@ -75,7 +75,7 @@
     last_term: int
 
 
-class VoteReply(msgspec.Struct, frozen=True, tag=True):
+class VoteReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Answer to a vote request; ``term`` is the one that was asked about."""
 
     term: int
@@ -85,7 +85,7 @@
     current_term: int
 
 
-class AppendRequest(msgspec.Struct, frozen=True, tag=True):
+class AppendRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Entries after ``previous_index``, also a heartbeat of the leader.
 
     ``sent_at`` is the leader's clock and comes back in the reply; it carries the
@@ -100,7 +100,7 @@
     sent_at: float
 
 
-class InstallSnapshot(msgspec.Struct, frozen=True, tag=True):
+class InstallSnapshot(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A whole snapshot for a replica that is far behind."""
 
     term: int
@@ -108,7 +108,7 @@
     sent_at: float
 
 
-class AppendReply(msgspec.Struct, frozen=True, tag=True):
+class AppendReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Answer to an append or a snapshot.
 
     ``match_index`` is the last index known to agree on success, else the index to
@@ -122,13 +122,13 @@
     sent_at: float
 
 
-class Hello(msgspec.Struct, frozen=True, tag=True):
+class Hello(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """An empty replica tells its disk identity."""
 
     disk_id: str
 
 
-class Welcome(msgspec.Struct, frozen=True, tag=True):
+class Welcome(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Answer to an empty replica: the first voters, if the quorum has formed."""
 
     voters: tuple[Voter, ...]
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -74,10 +74,11 @@
 
 __all__ = ["Daemon"]
 
-_TICK_SECONDS = 0.05
+_TICK_SECONDS = 0.1
 _FRESH_HEARTBEATS = 4
 _MS_PER_SECOND = 1000
 _LEAVE_SECONDS = 2.0
+_HEARTBEATS_PER_TIMEOUT = 4
 
 _log = part_logger("daemon")
 _moves_log = part_logger("moves")
@@ -104,6 +105,7 @@
         self._drained = trio.Event()
         self._draining = False
         self._sent_view = 0
+        self._followed_view = 0
         self._storage_failure: StorageError | None = None
         member = _own_member(settings)
         self._network = PeerNetwork(
@@ -185,7 +187,7 @@
         duty_settings = ControlDutySettings(
             settings.instance.name,
             tuple(address.name for address in settings.control.instances),
-            ReplicaTimings(settings.control.election_timeout_ms / _MS_PER_SECOND),
+            _replica_timings(settings),
             _member_timings(settings),
             settings.control.snapshot_after_entries,
         )
@@ -259,6 +261,8 @@
             configuration_index=state.index,
             configuration_age_ms=age_ms,
             fresh=age_ms is not None and age_ms <= limit,
+            peer_bytes_sent=self._network.sent_bytes,
+            peer_bytes_received=self._network.received_bytes,
             synced_view=self._ledger.synced_view,
             records=self._ledger.record_count,
             view=state.view,
@@ -345,6 +349,9 @@
 
     def _follow_view(self) -> None:
         state = self._node.configuration.state
+        if state.view.number == self._followed_view:
+            return
+        self._followed_view = state.view.number
         for member in state.view.members:
             if member.name != self._node.name:
                 self._network.learn_address(member.address)
@@ -487,6 +494,11 @@
     return MemberTimings(settings.control.member_lease_ms / _MS_PER_SECOND)
 
 
+def _replica_timings(settings: DaemonSettings) -> ReplicaTimings:
+    election_timeout = settings.control.election_timeout_ms / _MS_PER_SECOND
+    return ReplicaTimings(election_timeout, election_timeout / _HEARTBEATS_PER_TIMEOUT)
+
+
 def _client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
     dispatch = settings.dispatch
     return ClientTimeouts(
--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -263,8 +263,8 @@
     ) -> None:
         await self._responder.start(response.status, passed_on(response.headers))
         events = self._relay.events(self._call, grant, response, timing)
-        async for event in events:
-            await self._responder.write(format_event(event))
+        async for batch in events:
+            await self._responder.write(b"".join(map(format_event, batch)))
         self._state = RecordState.ANSWERED
         await self._responder.finish()
 
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -12,13 +12,13 @@
 __all__ = ["PeerMessage", "Propose", "ProposeReply"]
 
 
-class Propose(msgspec.Struct, frozen=True, tag=True):
+class Propose(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks the control leader to commit a command."""
 
     command: Command
 
 
-class ProposeReply(msgspec.Struct, frozen=True, tag=True):
+class ProposeReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What came of a proposed command; ``None`` from one that does not lead."""
 
     change_id: str
--- a/src/sassafraspin/daemon/node.py
+++ b/src/sassafraspin/daemon/node.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sassafraspin.control import Configuration
 from sassafraspin.membership import Member, MemberLease, View
@@ -32,6 +32,8 @@
         Returns the monotonic time in seconds.
     send : callable
         Sends a message to an instance by name, also to this one.
+    dispatchers : dict
+        Dispatchers by view number and service, as far as they were looked up.
     """
 
     settings: DaemonSettings
@@ -41,6 +43,7 @@
     metrics: Metrics
     clock: Callable[[], float]
     send: Callable[[str, object], None]
+    dispatchers: dict[tuple[int, str], str | None] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -63,8 +66,17 @@
 
     def dispatcher_of(self, service: str) -> str | None:
         """Return the name of the instance that dispatches for a service."""
-        ranked = self.view.ranked(f"service\0{service}", 1)
-        return ranked[0].name if ranked else None
+        place = (self.view.number, service)
+        if place not in self.dispatchers:
+            ranked = self.view.ranked(f"service\0{service}", 1)
+            self._forget_older_views()
+            self.dispatchers[place] = ranked[0].name if ranked else None
+        return self.dispatchers[place]
+
+    def _forget_older_views(self) -> None:
+        for place in list(self.dispatchers):
+            if place[0] != self.view.number:
+                del self.dispatchers[place]
 
 
 def wall_clock_ms() -> int:
--- a/src/sassafraspin/daemon/relay.py
+++ b/src/sassafraspin/daemon/relay.py
@@ -78,8 +78,8 @@
 
     async def events(
         self, call: Call, grant: SlotGrant, response: OpenResponse, timing: Timing
-    ) -> AsyncIterator[ServerSentEvent]:
-        """Yield the events of a streamed answer, each once and in order.
+    ) -> AsyncIterator[list[ServerSentEvent]]:
+        """Yield the events of a streamed answer as they arrive, each once, in order.
 
         A lost connection is replaced by one that resumes after the last event.
 
@@ -90,8 +90,8 @@
         """
         follower = _StreamFollower(timing)
         try:
-            async for event in follower.follow(response):
-                yield event
+            async for batch in follower.follow(response):
+                yield batch
         except ConnectionLost as error:
             _log.info("Stream of {} lost: {}.", call.request_id, error)
         for _ in range(_RESUME_ATTEMPTS):
@@ -104,8 +104,8 @@
                 ) as resumed:
                     if resumed.status != 200:
                         break
-                    async for event in follower.follow(resumed):
-                        yield event
+                    async for batch in follower.follow(resumed):
+                        yield batch
             except ConnectionLost as error:
                 _log.info("Resumed stream of {} lost: {}.", call.request_id, error)
         if not follower.done:
@@ -149,17 +149,21 @@
         """Return whether the final event was passed on."""
         return self._done
 
-    async def follow(self, response: OpenResponse) -> AsyncIterator[ServerSentEvent]:
+    async def follow(
+        self, response: OpenResponse
+    ) -> AsyncIterator[list[ServerSentEvent]]:
         """Yield the events that are next in order; drop repeated ones."""
         parser = EventParser()
         async for chunk in response.chunks():
-            for event in parser.feed(chunk):
-                if self._is_next(event):
-                    yield event
-                if self._done:
-                    return
+            batch = [event for event in parser.feed(chunk) if self._is_next(event)]
+            if batch:
+                yield batch
+            if self._done:
+                return
 
     def _is_next(self, event: ServerSentEvent) -> bool:
+        if self._done:
+            return False
         if event.id is not None and event.id.isdigit():
             sequence = int(event.id)
             if sequence <= self._last_sequence:
--- a/src/sassafraspin/daemon/status.py
+++ b/src/sassafraspin/daemon/status.py
@@ -58,6 +58,8 @@
     configuration_index: int
     configuration_age_ms: int | None
     fresh: bool
+    peer_bytes_sent: int
+    peer_bytes_received: int
     synced_view: int
     records: int
     view: View
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -40,7 +40,7 @@
     CANCELLED = "cancelled"
 
 
-class SlotRequest(msgspec.Struct, frozen=True, tag=True):
+class SlotRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks the dispatcher of a service for a slot at one of its backend servers.
 
     Parameters
@@ -78,7 +78,7 @@
     avoid: tuple[str, ...] = ()
 
 
-class SlotGrant(msgspec.Struct, frozen=True, tag=True):
+class SlotGrant(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A slot; it lapses unless the request is sent within ``use_within_ms``."""
 
     request_id: str
@@ -90,7 +90,7 @@
     use_within_ms: int
 
 
-class SlotRefusal(msgspec.Struct, frozen=True, tag=True):
+class SlotRefusal(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """No slot: the request was not run and may come back after some time."""
 
     request_id: str
@@ -98,7 +98,7 @@
     retry_after_ms: int
 
 
-class ActiveGrant(msgspec.Struct, frozen=True, tag=True):
+class ActiveGrant(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Tells a new dispatcher of a slot that an older one granted.
 
     ``deadline_ms`` in ``request`` is the time that was left when it was granted.
@@ -108,7 +108,7 @@
     grant: SlotGrant
 
 
-class SlotRelease(msgspec.Struct, frozen=True, tag=True):
+class SlotRelease(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A granted request has ended; times are 0 where they are not known."""
 
     service: str
@@ -121,21 +121,21 @@
     answer_tokens: int = 0
 
 
-class SlotWithdraw(msgspec.Struct, frozen=True, tag=True):
+class SlotWithdraw(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The request is no longer waiting for a slot."""
 
     service: str
     request_id: str
 
 
-class SlotRevoke(msgspec.Struct, frozen=True, tag=True):
+class SlotRevoke(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Cancel the running request to make room for a higher tier."""
 
     request_id: str
     grant_id: str
 
 
-class AnnounceBackend(msgspec.Struct, frozen=True, tag=True):
+class AnnounceBackend(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """An announcement passed on to the dispatcher of the service."""
 
     announcement: Announcement
--- a/src/sassafraspin/ledger/messages.py
+++ b/src/sassafraspin/ledger/messages.py
@@ -31,7 +31,7 @@
     FULL = "full"
 
 
-class Claim(msgspec.Struct, frozen=True, tag=True):
+class Claim(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """An entry instance asks whether it may dispatch a request."""
 
     key: RecordKey
@@ -40,14 +40,14 @@
     view_number: int
 
 
-class ClaimAnswer(msgspec.Struct, frozen=True, tag=True):
+class ClaimAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A home's decision; only ``GRANTED`` allows a dispatch."""
 
     request_id: str
     decision: ClaimDecision
 
 
-class CloseClaim(msgspec.Struct, frozen=True, tag=True):
+class CloseClaim(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """An entry instance tells how a claimed request ended."""
 
     key: RecordKey
@@ -55,7 +55,7 @@
     state: RecordState
 
 
-class CopyRecords(msgspec.Struct, frozen=True, tag=True):
+class CopyRecords(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A home sends records to a member that is ranked for them."""
 
     view_number: int
@@ -63,21 +63,21 @@
     records: tuple[RequestRecord, ...]
 
 
-class CopyAck(msgspec.Struct, frozen=True, tag=True):
+class CopyAck(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The records of a copy are held by the sender, in this view."""
 
     view_number: int
     copy_id: int
 
 
-class SyncRequest(msgspec.Struct, frozen=True, tag=True):
+class SyncRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A member asks another for the records that it is ranked for in a view."""
 
     view_number: int
     attempt: int
 
 
-class SyncReply(msgspec.Struct, frozen=True, tag=True):
+class SyncReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """All records that the sender holds and the receiver is ranked for.
 
     ``part`` counts from 0 within the ``attempt`` that is answered; ``last`` marks
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -14,7 +14,7 @@
 ]
 
 
-class MemberHeartbeat(msgspec.Struct, frozen=True, tag=True):
+class MemberHeartbeat(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A member asks for its lease and for changes of the configuration.
 
     Parameters
@@ -38,14 +38,14 @@
     sent_at: float
 
 
-class ConfigTail(msgspec.Struct, frozen=True, tag=True):
+class ConfigTail(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Commands after the receiver's index; ``None`` stands for other entries."""
 
     first_index: int
     commands: tuple[bytes | None, ...]
 
 
-class ConfigImage(msgspec.Struct, frozen=True, tag=True):
+class ConfigImage(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A whole snapshot of the configuration."""
 
     index: int
@@ -55,7 +55,7 @@
 ConfigUpdate = ConfigTail | ConfigImage
 
 
-class HeartbeatReply(msgspec.Struct, frozen=True, tag=True):
+class HeartbeatReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Answer of a control instance.
 
     Parameters
--- a/src/sassafraspin/membership/view.py
+++ b/src/sassafraspin/membership/view.py
@@ -1,6 +1,7 @@
 """Numbered views: which instances share the work, and in which order for a key."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 import xxhash
 
@@ -88,7 +89,11 @@
         tuple of Member
             ``count`` members, or all of them if there are fewer.
         """
-        order = sorted(self.members, key=lambda member: _weight(member.name, key))
+        data = key.encode()
+        order = sorted(
+            self.members,
+            key=lambda member: xxhash.xxh64_intdigest(data, _seed(member.name)),
+        )
         chosen: list[Member] = []
         zones: set[str] = set()
         for member in order:
@@ -105,5 +110,6 @@
         return tuple(chosen)
 
 
-def _weight(name: str, key: str) -> int:
-    return xxhash.xxh64_intdigest(f"{name}\0{key}".encode())
+@lru_cache(maxsize=4096)
+def _seed(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
--- a/src/sassafraspin/moves/messages.py
+++ b/src/sassafraspin/moves/messages.py
@@ -7,7 +7,7 @@
 __all__ = ["MoveEvidence", "MoveMessage"]
 
 
-class MoveEvidence(msgspec.Struct, frozen=True, tag=True):
+class MoveEvidence(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What the dispatcher of a service has seen of a move.
 
     Parameters
--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -102,8 +101,9 @@
         self._queued = asyncio.Event()
         self._sent_frames = 0
         self._acknowledged_frames = 0
-        self._oldest_unacknowledged_at = 0.0
+        self._last_progress_at = 0.0
         self._dropped_messages = 0
+        self._sent_bytes = 0
 
     @property
     def address(self) -> NamedAddress:
@@ -115,6 +115,11 @@
         """Return how many messages were dropped at a full queue or a break."""
         return self._dropped_messages
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of all frames sent, without transport headers."""
+        return self._sent_bytes
+
     def send(self, message: Any) -> None:
         """Queue a message; drop the oldest one when the queue is full."""
         if len(self._queue) >= _MAX_QUEUED_MESSAGES:
@@ -156,59 +161,64 @@
             channel.close()
 
     async def _pump(self, stream: Stream[bytes, bytes]) -> None:
+        """Send queued frames until the stream breaks, goes silent or idle.
+
+        Time limits are kept by one watching task, because a timeout for each
+        message would cost more than the message.
+        """
         self._sent_frames = 0
         self._acknowledged_frames = 0
-        reader = asyncio.ensure_future(self._read_acknowledgements(stream))
+        self._last_progress_at = asyncio.get_running_loop().time()
+        tasks = [
+            asyncio.ensure_future(work)
+            for work in (
+                self._send_frames(stream),
+                self._read_acknowledgements(stream),
+                self._watch(),
+            )
+        ]
         try:
-            while True:
-                await self._wait_for_messages(reader)
-                await asyncio.wait_for(
-                    stream.send_message(self._next_frame()),
-                    timeout=self._timeouts.acknowledge,
-                )
-                self._note_sent(asyncio.get_running_loop().time())
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
         finally:
-            reader.cancel()
-            with suppress(asyncio.CancelledError, *_STREAM_ERRORS):
-                await reader
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _wait_for_messages(self, reader: asyncio.Future[None]) -> None:
+    async def _send_frames(self, stream: Stream[bytes, bytes]) -> None:
         loop = asyncio.get_running_loop()
-        idle_until = loop.time() + self._timeouts.idle
-        while not self._queue:
-            if reader.done():
-                reader.result()
-            self._check_progress(loop.time(), idle_until)
-            self._queued.clear()
-            with suppress(asyncio.TimeoutError):
-                await asyncio.wait_for(
-                    self._queued.wait(), timeout=self._timeouts.acknowledge
-                )
-        self._check_progress(loop.time(), idle_until)
-
-    def _check_progress(self, now: float, idle_until: float) -> None:
-        waiting = self._acknowledged_frames < self._sent_frames
-        if waiting and now - self._oldest_unacknowledged_at > (
-            self._timeouts.acknowledge
-        ):
-            raise _Silent
-        if not waiting and not self._queue and now > idle_until:
-            raise _Idle
+        while True:
+            while not self._queue:
+                self._queued.clear()
+                await self._queued.wait()
+            frame = self._next_frame()
+            if self._acknowledged_frames == self._sent_frames:
+                self._last_progress_at = loop.time()
+            self._sent_frames += 1
+            await stream.send_message(frame)
+            self._sent_bytes += len(frame)
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._timeouts.acknowledge / 2)
+            silent_for = loop.time() - self._last_progress_at
+            if self._acknowledged_frames < self._sent_frames:
+                if silent_for > self._timeouts.acknowledge:
+                    raise _Silent
+            elif silent_for > self._timeouts.idle and not self._queue:
+                raise _Idle
 
     def _next_frame(self) -> bytes:
         count = min(len(self._queue), _MAX_FRAME_MESSAGES)
         messages = [self._queue.popleft() for _ in range(count)]
         return self._codec.encode(Frame(self._source, self._incarnation, messages))
 
-    def _note_sent(self, now: float) -> None:
-        if self._acknowledged_frames == self._sent_frames:
-            self._oldest_unacknowledged_at = now
-        self._sent_frames += 1
-
     async def _read_acknowledgements(self, stream: Stream[bytes, bytes]) -> None:
         while True:
             data = await stream.recv_message()
             if data is None:
                 raise _Silent
             self._acknowledged_frames = self._codec.decode_acknowledgement(data).frames
-            self._oldest_unacknowledged_at = asyncio.get_running_loop().time()
+            self._last_progress_at = asyncio.get_running_loop().time()
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -65,6 +65,20 @@
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._received_bytes = 0
+        self._closed_links_bytes = 0
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of frames sent to peers, without transport headers."""
+        return self._closed_links_bytes + sum(
+            link.sent_bytes for link in self._links.values()
+        )
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of frames received, without transport headers."""
+        return self._received_bytes
 
     def learn_address(self, address: NamedAddress) -> None:
         """Set the address of a peer; a changed one replaces its link."""
@@ -116,7 +130,9 @@
         return link
 
     def _drop_link(self, peer: str) -> None:
-        self._links.pop(peer, None)
+        link = self._links.pop(peer, None)
+        if link is not None:
+            self._closed_links_bytes += link.sent_bytes
         task = self._tasks.pop(peer, None)
         if task is not None:
             task.cancel()
@@ -132,6 +148,7 @@
         )
         try:
             async for data in stream:
+                self._received_bytes += len(data)
                 self._receive_frame(data)
                 progress.note_frame()
         except StreamTerminatedError:
--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -1,12 +1,14 @@
 """A control quorum on a simulated network, with the checks that must always hold."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sassafraspin.control import (
     Configuration,
     ControlDuty,
     ControlDutySettings,
+    OutcomeKind,
     ProposalEnd,
     PutProfile,
     ReplicaDisk,
@@ -68,9 +70,11 @@
             for name in self._names
         }
         self.acknowledged: dict[str, int] = {}
+        self.winners: dict[str, str] = {}
         self._applied: dict[int, bytes | None] = {}
         self._applied_upto: dict[str, int] = {}
         self._counter = 0
+        self._later: list[tuple[float, Callable[[], None]]] = []
         for name in self._names:
             self.restart(name)
 
@@ -141,6 +145,23 @@
             lambda: node.duty.propose(command, self._on_end, node.clock.now()),
         )
 
+    def propose_same(self, name: str) -> None:
+        """Let another operator put the same version with another content."""
+        node = self.nodes[name]
+        if node.duty is None or node.frozen:
+            return
+        profile = Profile(f"p{self._counter}", 1, "s", 3, 1000)
+        change_id = f"change-{self._counter}-by-{name}"
+        command = PutProfile(change_id, name, 0, profile)
+        self._guard(
+            node,
+            lambda: node.duty.propose(command, self._on_end, node.clock.now()),
+        )
+
+    def run_later(self, seconds: float, action: Callable[[], None]) -> None:
+        """Call something at a later time."""
+        self._later.append((self.network.now + seconds, action))
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         self.network.run(seconds, self._tick, TICK_SECONDS)
@@ -205,10 +226,17 @@
         return node.duty._configuration.state
 
     def _on_end(self, end: ProposalEnd) -> None:
-        if end.outcome is not None:
+        if end.outcome is not None and end.outcome.kind is OutcomeKind.ACCEPTED:
             self.acknowledged[end.change_id] = 1
+            name = end.outcome.profile.profile.name
+            self.winners.setdefault(name, end.change_id)
+            assert self.winners[name] == end.change_id, f"two winners for {name}"
 
     def _tick(self) -> None:
+        due = [item for item in self._later if item[0] <= self.network.now]
+        for item in due:
+            self._later.remove(item)
+            item[1]()
         for node in self.nodes.values():
             if node.duty is not None and not node.frozen:
                 self._guard(node, lambda node=node: node.duty.tick(node.clock.now()))
--- /dev/null
+++ b/tests/test_fault_matrix.py
@@ -0,0 +1,22 @@
+"""Every cell of the fault matrix holds, and a missing mechanism fails one."""
+
+import unittest
+from unittest import mock
+
+from sassafraspin.ledger import Ledger
+from tests.fault_matrix import rows, run_cell, run_matrix
+
+
+class TestFaultMatrix(unittest.TestCase):
+    """Every fault at every step."""
+
+    def test_every_cell_holds(self):
+        for cell in run_matrix():
+            with self.subTest(row=cell.row, column=cell.column):
+                self.assertFalse(cell.verdict.startswith("FAILS"), cell.verdict)
+
+    def test_missing_copies_are_caught(self):
+        cells = dict(rows())
+        with mock.patch.object(Ledger, "_backups", lambda ledger, key: []):
+            verdict = run_cell(cells["request: claim answered"], "process death")
+        self.assertIn("dispatched more than once", verdict)
