Send small peer messages as datagrams

A profile showed 8 trio task steps and 25 asyncio callbacks for each message of a grpclib stream inside trio-asyncio.

Ruled out: fewer timeouts on the stream alone (689 to 344 us a message, both ends); batching by delay (adds latency to every request); unary calls (1,374 us).

Every protocol here already repeats what it needs and bears loss, doubling and reordering (fuzzed). Entry instances report the slots they hold once a second, so that a lost release costs a slot for 2 s and not until its deadline.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -32,6 +32,7 @@
 from sassafraspin.dispatch import (
     ActiveGrant,
     AnnounceBackend,
+    HeldGrants,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -344,7 +345,7 @@
             node.send(heartbeat.name, heartbeat.heartbeat)
         self._follow_view()
         self._send_ledger(self._ledger.tick(node.acts_in_view(), now))
-        self._slots.follow_dispatchers()
+        self._slots.tick()
         self._dispatch.tick()
 
     def _follow_view(self) -> None:
@@ -405,7 +406,7 @@
                 self._claims.receive(message)
             case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
                 self._dispatch.receive(source, message)
-            case AnnounceBackend():
+            case HeldGrants() | AnnounceBackend():
                 self._dispatch.receive(source, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(message)
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -9,6 +9,7 @@
 from sassafraspin.dispatch import (
     ActiveGrant,
     AnnounceBackend,
+    HeldGrants,
     RefusalReason,
     SlotRefusal,
     SlotRelease,
@@ -29,7 +30,12 @@
 _REPORT_SECONDS = 0.2
 
 DispatcherMessage = (
-    SlotRequest | ActiveGrant | SlotRelease | SlotWithdraw | AnnounceBackend
+    SlotRequest
+    | ActiveGrant
+    | SlotRelease
+    | HeldGrants
+    | SlotWithdraw
+    | AnnounceBackend
 )
 """Messages that a dispatcher gets."""
 
@@ -118,6 +124,8 @@
                 self._run(pool.adopt(source, message, now))
             case SlotRelease():
                 self._run(pool.release(message, now))
+            case HeldGrants():
+                self._run(pool.reconcile(source, message, now))
             case SlotWithdraw():
                 self._run(pool.withdraw(message, now))
 
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -8,6 +8,7 @@
 from sassafraspin.daemon.replies import ReplyTable
 from sassafraspin.dispatch import (
     ActiveGrant,
+    HeldGrants,
     RefusalReason,
     SlotGrant,
     SlotRefusal,
@@ -21,6 +22,7 @@
 
 _REPEAT_SECONDS = 0.25
 _RETRY_AFTER_MS = 1_000
+_REPORT_SECONDS = 1.0
 
 
 @dataclass
@@ -45,6 +47,8 @@
         self._replies = ReplyTable()
         self._active: dict[str, _Active] = {}
         self._dispatchers: dict[str, str | None] = {}
+        self._used_services: set[str] = set()
+        self._next_report_at = 0.0
 
     async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
         """Return a slot or a refusal, at the latest when the deadline has passed.
@@ -71,6 +75,7 @@
 
     def release(self, release: SlotRelease) -> None:
         """Give a slot back."""
+        self._used_services.add(release.service)
         self._active.pop(release.grant_id, None)
         self._send_to_dispatcher(release.service, release)
 
@@ -85,8 +90,23 @@
         active = self._active.get(grant.grant_id)
         return active is not None and active.revoked
 
-    def follow_dispatchers(self) -> None:
-        """Tell a new dispatcher of the slots that an older one granted."""
+    def tick(self) -> None:
+        """Tell dispatchers of the slots in use, now and then and after a change."""
+        self._follow_dispatchers()
+        now = self._node.now()
+        if now < self._next_report_at:
+            return
+        self._next_report_at = now + _REPORT_SECONDS
+        for service in self._used_services:
+            grant_ids = tuple(
+                grant_id
+                for grant_id, active in self._active.items()
+                if active.request.service == service
+            )
+            self._send_to_dispatcher(service, HeldGrants(service, grant_ids))
+        self._used_services = {item.request.service for item in self._active.values()}
+
+    def _follow_dispatchers(self) -> None:
         for service in {item.request.service for item in self._active.values()}:
             dispatcher = self._node.dispatcher_of(service)
             if self._dispatchers.get(service, dispatcher) != dispatcher:
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -10,6 +10,7 @@
     "ActiveGrant",
     "AnnounceBackend",
     "DispatchMessage",
+    "HeldGrants",
     "RefusalReason",
     "ReleaseResult",
     "SlotGrant",
@@ -121,6 +122,13 @@
     answer_tokens: int = 0
 
 
+class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Every slot that an entry instance uses now, so that lost releases are found."""
+
+    service: str
+    grant_ids: tuple[str, ...]
+
+
 class SlotWithdraw(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The request is no longer waiting for a slot."""
 
@@ -147,6 +155,7 @@
     | SlotRefusal
     | ActiveGrant
     | SlotRelease
+    | HeldGrants
     | SlotWithdraw
     | SlotRevoke
     | AnnounceBackend
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -17,6 +17,7 @@
 from sassafraspin.dispatch.messages import (
     ActiveGrant,
     DispatchMessage,
+    HeldGrants,
     RefusalReason,
     ReleaseResult,
     SlotGrant,
@@ -37,6 +38,7 @@
 _MAX_RETRY_MS = 30_000
 _GRANT_SLACK_SECONDS = 2.0
 _LATE_SCAN_SECONDS = 0.05
+_RECONCILE_AFTER_SECONDS = 2.0
 _NO_BACKEND_RETRY = 1.0
 
 _WARM_UP_SECONDS = 2.0
@@ -203,6 +205,15 @@
         self._learn(grant, release, now)
         return self._pump(now)
 
+    def reconcile(self, entry: str, held: HeldGrants, now: float) -> list[SendToEntry]:
+        """End the grants whose release was lost on the way."""
+        known = frozenset(held.grant_ids)
+        for grant_id, grant in list(self._grants.items()):
+            is_old = now - grant.granted_at > _RECONCILE_AFTER_SECONDS
+            if grant.entry == entry and is_old and grant_id not in known:
+                self._end_grant(grant_id)
+        return self._pump(now)
+
     def drop_entry(self, entry: str, now: float) -> list[SendToEntry]:
         """Forget what an entry instance that has left was waiting for."""
         for waiting in self._queue:
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -1,4 +1,4 @@
-"""Message exchange between instances over grpclib inside a trio program."""
+"""Message exchange between instances: datagrams, and grpclib for what is large."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,7 +12,8 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server, Stream
 
-from sassafraspin.rpc.frames import Acknowledgement, MessageCodec, RawCodec
+from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES, DatagramPort
+from sassafraspin.rpc.frames import Acknowledgement, Frame, MessageCodec, RawCodec
 from sassafraspin.rpc.link import EXCHANGE_PATH, LinkTimeouts, PeerLink
 from sassafraspin.settings import Address, NamedAddress
 from sassafraspin.telemetry import part_logger
@@ -66,14 +67,13 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
         self._received_bytes = 0
-        self._closed_links_bytes = 0
+        self._datagrams = DatagramPort(address, self._receive_frame)
+        self._sent_bytes = 0
 
     @property
     def sent_bytes(self) -> int:
         """Return the bytes of frames sent to peers, without transport headers."""
-        return self._closed_links_bytes + sum(
-            link.sent_bytes for link in self._links.values()
-        )
+        return self._sent_bytes + sum(link.sent_bytes for link in self._links.values())
 
     @property
     def received_bytes(self) -> int:
@@ -88,11 +88,22 @@
         self._drop_link(address.name)
 
     def send(self, peer: str, message: Any) -> None:
-        """Queue a message for a peer; unknown peers get nothing."""
+        """Send a message to a peer; unknown peers get nothing.
+
+        A small message goes as a datagram, a large one over a long stream.
+        """
         if peer == self._name:
             self._deliver_later(message)
             return
-        link = self._links.get(peer) or self._open_link(peer)
+        address = self._directory.get(peer)
+        if address is None:
+            return
+        data = self._codec.encode(Frame(self._name, self._incarnation, [message]))
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            self._sent_bytes += len(data)
+            self._datagrams.send(address.host, address.port, data)
+            return
+        link = self._links.get(peer) or self._open_link(address)
         if link is not None:
             link.send(message)
 
@@ -104,10 +115,12 @@
             await trio_asyncio.aio_as_trio(server.start)(
                 self._address.host, self._address.port
             )
+            self._datagrams.open()
             task_status.started()
             try:
-                await trio.sleep_forever()
+                await self._datagrams.receive_forever()
             finally:
+                self._datagrams.close()
                 self._loop = None
                 for name in list(self._links):
                     self._drop_link(name)
@@ -118,21 +131,20 @@
         handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
         return {EXCHANGE_PATH: handler}
 
-    def _open_link(self, peer: str) -> PeerLink | None:
-        address = self._directory.get(peer)
-        if address is None or self._loop is None:
+    def _open_link(self, address: NamedAddress) -> PeerLink | None:
+        if self._loop is None:
             return None
         link = PeerLink(
             address, self._name, self._incarnation, self._codec, self._timeouts
         )
-        self._links[peer] = link
-        self._tasks[peer] = self._loop.create_task(link.run())
+        self._links[address.name] = link
+        self._tasks[address.name] = self._loop.create_task(link.run())
         return link
 
     def _drop_link(self, peer: str) -> None:
         link = self._links.pop(peer, None)
         if link is not None:
-            self._closed_links_bytes += link.sent_bytes
+            self._sent_bytes += link.sent_bytes
         task = self._tasks.pop(peer, None)
         if task is not None:
             task.cancel()
@@ -148,7 +160,6 @@
         )
         try:
             async for data in stream:
-                self._received_bytes += len(data)
                 self._receive_frame(data)
                 progress.note_frame()
         except StreamTerminatedError:
@@ -159,6 +170,7 @@
                 await acknowledger
 
     def _receive_frame(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         try:
             frame = self._codec.decode_frame(data)
         except msgspec.DecodeError as error:
