Keep the tier rule also at a full queue, by cancelling lower tiers first

Change: at a full queue a running cancellable request of a lower tier is cancelled before a waiting one is shed, and each slot being made free lets one more wait; room is made for every waiting request that would be late, in the order of the queue, not for the first one only.

Conclusion: the rule holds in the one dispatcher of a service; it is not yet proved over a change of dispatcher, where queued requests are asked for again.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -108,10 +108,19 @@
         self._account_time[tier].clear()
         return None
 
-    def last_of_lowest_tier(self, above: int) -> WaitingRequest | None:
-        """Return the request that is shed first to make room for tier ``above``."""
-        for tier in range(LOWEST_TIER, above, -1):
-            live = [item for item in self._heaps[tier] if item[2] in self._waiting]
+    def in_order(self, limit: int) -> list[WaitingRequest]:
+        """Return the first ``limit`` requests in the order they are served."""
+        ordered: list[WaitingRequest] = []
+        for heap in self._heaps:
+            live = (item for item in heap if item[2] in self._waiting)
+            first = heapq.nsmallest(limit - len(ordered), live)
+            ordered.extend(self._waiting[item[2]] for item in first)
+        return ordered
+
+    def last_of_lowest_tier(self) -> WaitingRequest | None:
+        """Return the request that is shed first."""
+        for heap in reversed(self._heaps):
+            live = [item for item in heap if item[2] in self._waiting]
             if live:
                 return self._waiting[max(live)[2]]
         return None
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -382,9 +382,26 @@
         self._moves.tick(
             self._node.configuration.state,
             wall_clock_ms(),
-            lambda command: control.propose(command, _log_move, now),
+            lambda command: control.propose(command, self._note_move, now),
         )
 
+    def _note_move(self, end: ProposalEnd) -> None:
+        """Tell operators plainly when a move is done or taken back."""
+        if end.outcome is None or end.outcome.move is None:
+            return
+        move = end.outcome.move
+        name = move.spec.name
+        self._node.metrics.count(f"move.{move.phase}")
+        match move.phase:
+            case MovePhase.DONE:
+                _moves_log.info("Move {} is done: {}.", name, move.detail)
+            case MovePhase.TAKEN_BACK:
+                _moves_log.warning(
+                    "Move {} is taken back ({}): {}.", name, move.reason, move.detail
+                )
+            case _:
+                _moves_log.info("Move {} is {}: {}.", name, move.phase, move.detail)
+
     def _send_ledger(self, effects: list) -> None:
         for effect in effects:
             self._node.send(effect.name, effect.message)
@@ -462,23 +479,6 @@
             self._control.receive(source, message, now)
 
 
-def _log_move(end: ProposalEnd) -> None:
-    """Tell operators plainly when a move is done or taken back."""
-    if end.outcome is None or end.outcome.move is None:
-        return
-    move = end.outcome.move
-    name = move.spec.name
-    match move.phase:
-        case MovePhase.DONE:
-            _moves_log.info("Move {} is done: {}.", name, move.detail)
-        case MovePhase.TAKEN_BACK:
-            _moves_log.warning(
-                "Move {} is taken back ({}): {}.", name, move.reason, move.detail
-            )
-        case _:
-            _moves_log.info("Move {} is {}: {}.", name, move.phase, move.detail)
-
-
 def _own_member(settings: DaemonSettings) -> Member:
     peers = settings.listen.peers
     return Member(
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -39,6 +39,7 @@
 _GRANT_SLACK_SECONDS = 2.0
 _LATE_SCAN_SECONDS = 0.05
 _RECONCILE_AFTER_SECONDS = 2.0
+_ROOM_SCAN_REQUESTS = 64
 _NO_BACKEND_RETRY = 1.0
 
 _WARM_UP_SECONDS = 2.0
@@ -74,6 +75,11 @@
     lapses_at: float
     revoked: bool = False
 
+    @property
+    def is_cancellable(self) -> bool:
+        """Return whether the request may be cancelled and is not yet."""
+        return self.request.cancellable and not self.revoked
+
 
 class Pool:
     """Grants slots of a service's backend servers to waiting requests.
@@ -265,7 +271,8 @@
         deadline = now + request.deadline_ms / 1000
         waiting = WaitingRequest(entry, request, seconds, deadline)
         wait = self._expected_wait(request.tier, now)
-        if now + wait > waiting.latest_start and not self._can_preempt(request, now):
+        is_late = now + wait > waiting.latest_start
+        if is_late and (now > waiting.latest_start or not self._victim(request.tier)):
             self._give_back_limits(request)
             late_by = now + wait - waiting.latest_start
             self._refuse(entry, request, RefusalReason.TOO_LATE, late_by)
@@ -304,11 +311,22 @@
         )
 
     def _bound_queue(self, now: float) -> None:
-        """Shed the last request of the lowest tier when too many wait."""
-        while len(self._queue) > self._settings.waiting_requests:
-            shed = self._queue.last_of_lowest_tier(above=-1)
-            assert shed is not None
-            self._shed(shed, RefusalReason.OVERLOADED, now)
+        """Shed the last requests of the lowest tiers when too many wait.
+
+        While running work of a still lower tier can be cancelled instead, that is
+        done; a slot that is being made free lets one more request wait.
+        """
+        while len(self._queue) > self._settings.waiting_requests + self._revoked():
+            last = self._queue.last_of_lowest_tier()
+            assert last is not None
+            victim = self._victim(last.request.tier)
+            if victim is None:
+                self._shed(last, RefusalReason.OVERLOADED, now)
+            else:
+                self._revoke(victim)
+
+    def _revoked(self) -> int:
+        return sum(grant.revoked for grant in self._grants.values())
 
     def _refuse_late(self, now: float) -> None:
         """Refuse waiting requests that can no longer be answered in time."""
@@ -348,7 +366,7 @@
                 if now > waiting.latest_start:
                     self._shed(waiting, RefusalReason.TOO_LATE, now)
                 elif not self._try_grant(waiting, now):
-                    self._make_room(waiting, now)
+                    self._make_room(now)
                     return self._take_effects()
         return self._take_effects()
 
@@ -461,33 +479,44 @@
 
     # Making room for higher tiers
 
-    def _can_preempt(self, request: SlotRequest, now: float) -> bool:
-        return self._victim(request.tier) is not None
-
-    def _make_room(self, waiting: WaitingRequest, now: float) -> None:
-        """Cancel running work of a lower tier if the request would be late."""
-        if any(grant.revoked for grant in self._grants.values()):
-            return
-        free_at = min(
-            (item.expected_end for b in self.backends for item in b.reservations),
-            default=now,
-        )
-        if max(free_at, now) <= waiting.latest_start:
+    def _make_room(self, now: float) -> None:
+        """Cancel running work of lower tiers for requests that would be late."""
+        if not self._has_cancellable():
             return
-        victim = self._victim(waiting.request.tier)
-        if victim is not None:
-            victim.revoked = True
-            message = SlotRevoke(victim.request.request_id, victim.message.grant_id)
-            self._send(victim.entry, message)
+        free_at = self._slot_times(now)
+        for item in self._queue.in_order(_ROOM_SCAN_REQUESTS):
+            if free_at and free_at[0] <= item.latest_start:
+                free_at.pop(0)
+                continue
+            victim = self._victim(item.request.tier)
+            if victim is not None:
+                self._revoke(victim)
+
+    def _slot_times(self, now: float) -> list[float]:
+        """Return when each running request is expected to end, soonest first."""
+        times = []
+        for backend in self.backends:
+            for reservation in backend.reservations:
+                grant = self._grants.get(reservation.grant_id)
+                is_ending = grant is not None and grant.revoked
+                end = now if is_ending else max(reservation.expected_end, now)
+                times.append(end)
+        return sorted(times)
+
+    def _revoke(self, grant: _Grant) -> None:
+        grant.revoked = True
+        message = SlotRevoke(grant.request.request_id, grant.message.grant_id)
+        self._send(grant.entry, message)
+
+    def _has_cancellable(self) -> bool:
+        return any(grant.is_cancellable for grant in self._grants.values())
 
     def _victim(self, tier: int) -> _Grant | None:
         """Return the cancellable grant of the lowest tier below ``tier``."""
         lower = [
             grant
             for grant in self._grants.values()
-            if grant.request.cancellable
-            and grant.request.tier > tier
-            and not grant.revoked
+            if grant.is_cancellable and grant.request.tier > tier
         ]
         return max(
             lower,
--- /dev/null
+++ b/tests/pool_model.py
@@ -0,0 +1,205 @@
+"""A pool with simulated backend servers, and the oracle of the tier rule."""
+
+import random
+from dataclasses import dataclass
+
+from sassafraspin.backends import Announcement
+from sassafraspin.dispatch import (
+    RefusalReason,
+    ReleaseResult,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+)
+from sassafraspin.dispatch.pool import Pool
+from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.settings import Address, ClientAccountSettings, DispatchSettings
+
+SERVICE = "model"
+DECODE_RATE = 100.0
+PREFILL_RATE = 10_000.0
+
+
+@dataclass
+class Running:
+    """A granted request at a simulated server."""
+
+    request: SlotRequest
+    grant: SlotGrant
+    ends_at: float
+    revoked: bool = False
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A refusal with what was running and waiting at that moment."""
+
+    request: SlotRequest
+    reason: RefusalReason
+    at: float
+
+
+def announcement(number: int, **fields) -> Announcement:
+    """Return the announcement of a simulated server."""
+    return Announcement(
+        **{
+            "id": f"runner-{number}",
+            "incarnation": 1,
+            "service": SERVICE,
+            "address": Address("127.0.0.1", 1 + number),
+            "availability_zone": "z",
+            "hardware": "gen1",
+            "versions": ("v1",),
+            "ttl_ms": 60_000,
+            "slots": 2,
+            "prefill_tokens_per_second": PREFILL_RATE,
+            "decode_tokens_per_second": DECODE_RATE,
+            **fields,
+        }
+    )
+
+
+class PoolModel:
+    """Feeds a pool and checks each refusal.
+
+    Parameters
+    ----------
+    servers : int
+        Number of simulated servers.
+    waiting_requests : int
+        Bound on the queue.
+    accounts : tuple of ClientAccountSettings
+        Limited accounts.
+    """
+
+    def __init__(
+        self,
+        servers: int = 2,
+        waiting_requests: int = 8,
+        accounts: tuple[ClientAccountSettings, ...] = (),
+    ) -> None:
+        self.now = 10.0
+        self.pool = Pool(
+            SERVICE,
+            DispatchSettings(waiting_requests=waiting_requests),
+            accounts,
+            VersionGate("v1", random.Random(1)),
+            random.Random(1),
+            "term",
+            0.0,
+        )
+        self.waiting: dict[str, SlotRequest] = {}
+        self.running: dict[str, Running] = {}
+        self.refused: list[Refused] = []
+        self.granted: list[str] = []
+        self._counter = 0
+        for number in range(servers):
+            self.announce(number)
+
+    def announce(self, number: int, **fields) -> None:
+        """Let a server announce itself."""
+        self._run(self.pool.announce(announcement(number, **fields), self.now))
+
+    def ask(
+        self,
+        tier: int,
+        answer_tokens: int = 100,
+        deadline_ms: int = 5_000,
+        cancellable: bool = False,
+        account: str = "a",
+    ) -> SlotRequest:
+        """Ask for a slot."""
+        self._counter += 1
+        request = SlotRequest(
+            f"r{self._counter}",
+            SERVICE,
+            account,
+            "profile",
+            "/v1/completions",
+            tier,
+            10,
+            answer_tokens,
+            deadline_ms,
+            cancellable,
+        )
+        self.waiting[request.request_id] = request
+        self._run(self.pool.request("entry-1", request, self.now))
+        return request
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; running requests end when they are due."""
+        end = self.now + seconds
+        while self.running:
+            first = min(self.running.values(), key=lambda item: item.ends_at)
+            if first.ends_at > end:
+                break
+            self.now = max(self.now, first.ends_at)
+            self._release(first, ReleaseResult.ANSWERED)
+        self.now = end
+        self._run(self.pool.tick(self.now))
+
+    def end_revoked(self) -> None:
+        """Let the entry instance cancel what was revoked."""
+        for item in list(self.running.values()):
+            if item.revoked:
+                self._release(item, ReleaseResult.CANCELLED)
+
+    def _release(self, item: Running, result: ReleaseResult) -> None:
+        del self.running[item.request.request_id]
+        release = SlotRelease(
+            SERVICE,
+            item.request.request_id,
+            item.grant.grant_id,
+            item.grant.backend_id,
+            result,
+            1,
+            int(item.request.answer_tokens * 1000 / DECODE_RATE),
+            item.request.answer_tokens,
+        )
+        self._run(self.pool.release(release, self.now))
+
+    def _run(self, effects: list) -> None:
+        for effect in effects:
+            message = effect.message
+            match message:
+                case SlotGrant():
+                    self._on_grant(message)
+                case SlotRefusal():
+                    self._on_refusal(message)
+                case SlotRevoke():
+                    self.running[message.request_id].revoked = True
+
+    def _on_grant(self, grant: SlotGrant) -> None:
+        request = self.waiting.pop(grant.request_id)
+        self.granted.append(grant.request_id)
+        seconds = 10 / PREFILL_RATE + request.answer_tokens / DECODE_RATE
+        self.running[grant.request_id] = Running(request, grant, self.now + seconds)
+
+    def _on_refusal(self, refusal: SlotRefusal) -> None:
+        request = self.waiting.pop(refusal.request_id)
+        self.refused.append(Refused(request, refusal.reason, self.now))
+        self._check_refusal(request, refusal.reason)
+
+    def _check_refusal(self, request: SlotRequest, reason: RefusalReason) -> None:
+        """Check that no lower-tier work could have made room."""
+        if reason not in (RefusalReason.OVERLOADED, RefusalReason.TOO_LATE):
+            return
+        alone = request.answer_tokens / DECODE_RATE
+        if request.deadline_ms / 1000 < alone * 1.2:
+            return
+        if reason is RefusalReason.OVERLOADED:
+            lower = [item for item in self.waiting.values() if item.tier > request.tier]
+            assert not lower, f"tier {request.tier} shed while {lower[0]} waits"
+        cancellable = [
+            item
+            for item in self.running.values()
+            if item.request.cancellable
+            and item.request.tier > request.tier
+            and not item.revoked
+        ]
+        assert not cancellable, (
+            f"tier {request.tier} refused as {reason} while a request of tier "
+            f"{cancellable[0].request.tier} could be cancelled"
+        )
