Route by cached prefixes while there is time, and skip servers that would be late

Change: while the expected time is under half of the time left, the prompt tokens to compute decide, then the time; a server that is not expected to answer in time is no candidate, and a request without one leaves the room to the next ones.

--- /dev/null
+++ b/benchmarks/simulation.py
@@ -0,0 +1,533 @@
+"""Engines and policies on a virtual clock, for comparisons on equal seeds."""
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+
+from sassafraspin.backends import Announcement, CacheReport, prefix_hashes
+from sassafraspin.dispatch import (
+    ReleaseResult,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+)
+from sassafraspin.dispatch.pool import Pool
+from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.settings import Address, ClientAccountSettings, DispatchSettings
+
+__all__ = [
+    "POLICIES",
+    "EngineSpec",
+    "Outcome",
+    "RequestKind",
+    "Scenario",
+    "simulate",
+]
+
+_BYTES_PER_TOKEN = 4
+_BLOCK_TOKENS = 64
+_TICK_SECONDS = 0.1
+_PREFILL_PER_DECODE = 100
+_SERVICE = "model"
+
+
+@dataclass(frozen=True)
+class RequestKind:
+    """One kind of request: lengths are medians in tokens."""
+
+    tier: int
+    weight: float
+    prompt_tokens: int
+    answer_tokens: int
+    deadline: float
+    cancellable: bool = False
+    account: str = "a"
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """One engine; ``true_factor`` is how much slower it is than it announces."""
+
+    prefill_rate: float
+    decode_rate: float
+    slots: int = 4
+    crowding: float = 0.05
+    cache_blocks: int = 400
+    true_factor: float = 1.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """What is offered to which engines.
+
+    Parameters
+    ----------
+    load : float
+        Offered work as a multiple of the engines' capacity.
+    burst : float
+        Factor on the first account's rate in the middle third of the run.
+    prefixes : int
+        Number of shared prefixes, 0 for none; ``prefix_tokens`` long each.
+    cache_loss : float
+        Share of cache reports that are lost.
+    report_lag : float
+        Age of cache reports when they arrive, in seconds.
+    """
+
+    name: str
+    kinds: tuple[RequestKind, ...]
+    engines: tuple[EngineSpec, ...]
+    load: float
+    sigma: float = 0.5
+    seconds: float = 30.0
+    burst: float = 1.0
+    prefixes: int = 0
+    prefix_tokens: int = 0
+    cache_loss: float = 0.0
+    report_lag: float = 0.5
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Counts of one run; work is in answer tokens."""
+
+    sent: dict[int, int]
+    good: dict[int, int]
+    good_by_account: dict[str, int]
+    sent_by_account: dict[str, int]
+    good_work: float
+    capacity: float
+    prefill_tokens: int
+    wasted_tokens: int
+    decisions: int
+
+
+@dataclass
+class _Request:
+    number: int
+    at: float
+    kind: RequestKind
+    prompt_tokens: int
+    answer_tokens: int
+    hashes: tuple[int, ...]
+    ended: bool = False
+
+
+@dataclass
+class _Engine:
+    spec: EngineSpec
+    running: dict[int, _Request] = field(default_factory=dict)
+    queue: list[_Request] = field(default_factory=list)
+    cache: OrderedDict = field(default_factory=OrderedDict)
+    added: list[int] = field(default_factory=list)
+    removed: list[int] = field(default_factory=list)
+    sequence: int = 0
+
+    def uncached(self, request: _Request) -> int:
+        """Return the prompt tokens to compute, and cache the prompt."""
+        cached = 0
+        for value in request.hashes:
+            if value not in self.cache:
+                break
+            cached += 1
+        for value in request.hashes:
+            if value not in self.cache:
+                self.added.append(value)
+            self.cache[value] = None
+            self.cache.move_to_end(value)
+        while len(self.cache) > self.spec.cache_blocks:
+            self.removed.append(self.cache.popitem(last=False)[0])
+        return max(1, request.prompt_tokens - cached * _BLOCK_TOKENS)
+
+    def seconds(self, tokens: int, answer_tokens: int) -> float:
+        """Return the time of a request that starts now."""
+        crowd = 1 + self.spec.crowding * len(self.running)
+        alone = tokens / self.spec.prefill_rate + answer_tokens / self.spec.decode_rate
+        return alone * crowd * self.spec.true_factor
+
+
+class _Simulation:
+    """Event loop, engines and books; a policy decides where requests go."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.generator = random.Random(seed)
+        self.engines = [_Engine(spec) for spec in scenario.engines]
+        self.now = 0.0
+        self._events: list = []
+        self._counter = itertools.count()
+        self.sent: Counter = Counter()
+        self.good: Counter = Counter()
+        self.sent_by_account: Counter = Counter()
+        self.good_by_account: Counter = Counter()
+        self.good_work = 0.0
+        self.prefill_tokens = 0
+        self.cancelled_tokens = 0
+        self.blocks: set[int] = set()
+        self.unshared_tokens = 0
+        self.decisions = 0
+        self.policy: _Policy | None = None
+
+    def at(self, when: float, action) -> None:
+        heapq.heappush(self._events, (when, next(self._counter), action))
+
+    def run(self, policy: "_Policy") -> Outcome:
+        self.policy = policy
+        for request in self._arrivals():
+            self.at(request.at, lambda request=request: self._arrive(request))
+        policy.start()
+        end = self.scenario.seconds + 40.0
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        least = _BLOCK_TOKENS * len(self.blocks) + self.unshared_tokens
+        return Outcome(
+            dict(self.sent),
+            dict(self.good),
+            dict(self.good_by_account),
+            dict(self.sent_by_account),
+            self.good_work,
+            _capacity_work(self.scenario) * self.scenario.seconds,
+            self.prefill_tokens,
+            max(0, self.prefill_tokens - least),
+            self.decisions,
+        )
+
+    def start(self, engine: _Engine, request: _Request, on_end) -> None:
+        """Run a request on an engine, or let it wait in the engine's queue."""
+        if len(engine.running) >= engine.spec.slots:
+            engine.queue.append((request, on_end))
+            return
+        tokens = engine.uncached(request)
+        self.prefill_tokens += tokens
+        seconds = engine.seconds(tokens, request.answer_tokens)
+        engine.running[request.number] = request
+        first = tokens / engine.spec.prefill_rate * engine.spec.true_factor
+        started_at = self.now
+
+        def finish() -> None:
+            if engine.running.pop(request.number, None) is None:
+                return
+            self._book(request)
+            self._next(engine)
+            on_end(first, self.now - started_at)
+
+        self.at(self.now + seconds, finish)
+
+    def cancel(self, engine: _Engine, request: _Request) -> None:
+        """Stop a running request."""
+        if engine.running.pop(request.number, None) is not None:
+            self.cancelled_tokens += request.prompt_tokens
+            self._next(engine)
+
+    def _next(self, engine: _Engine) -> None:
+        if engine.queue:
+            request, on_end = engine.queue.pop(0)
+            self.start(engine, request, on_end)
+
+    def _book(self, request: _Request) -> None:
+        self.blocks.update(request.hashes)
+        self.unshared_tokens += max(
+            1, request.prompt_tokens - _BLOCK_TOKENS * len(request.hashes)
+        )
+        if self.now - request.at <= request.kind.deadline:
+            self.good[request.kind.tier] += 1
+            self.good_by_account[request.kind.account] += 1
+            if self.now <= self.scenario.seconds:
+                work = _work(request.prompt_tokens, request.answer_tokens)
+                self.good_work += work
+
+    def _arrive(self, request: _Request) -> None:
+        self.sent[request.kind.tier] += 1
+        self.sent_by_account[request.kind.account] += 1
+        self.decisions += 1
+        assert self.policy is not None
+        self.policy.arrive(request)
+
+    def _arrivals(self):
+        scenario = self.scenario
+        weights = [kind.weight for kind in scenario.kinds]
+        rate = scenario.load * _capacity_rate(scenario)
+        first = scenario.kinds[0].account
+        at = 0.0
+        for number in itertools.count():
+            at += self.generator.expovariate(rate * scenario.burst)
+            if at >= scenario.seconds:
+                return
+            [kind] = self.generator.choices(scenario.kinds, weights)
+            in_burst = scenario.seconds / 3 <= at < 2 * scenario.seconds / 3
+            is_extra = self.generator.random() >= 1 / scenario.burst
+            if is_extra and not (in_burst and kind.account == first):
+                continue
+            prompt = self._length(kind.prompt_tokens)
+            hashes: tuple[int, ...] = ()
+            if scenario.prefixes:
+                which = self.generator.randrange(scenario.prefixes)
+                text = f"prefix {which} ".encode() * (scenario.prefix_tokens)
+                hashes = prefix_hashes(text[: scenario.prefix_tokens * 4])
+                prompt += scenario.prefix_tokens
+            answer = self._length(kind.answer_tokens)
+            yield _Request(number, at, kind, prompt, answer, hashes)
+
+    def _length(self, median: int) -> int:
+        spread = math.exp(self.scenario.sigma * self.generator.gauss(0, 1))
+        return max(1, min(int(median * spread), 20 * median))
+
+
+def _work(prompt_tokens: float, answer_tokens: float) -> float:
+    """Return work in answer tokens; every engine prefills 100 times as fast."""
+    return prompt_tokens / _PREFILL_PER_DECODE + answer_tokens
+
+
+def _capacity_work(scenario: Scenario) -> float:
+    """Return the work a second of all engines with every slot busy."""
+    return sum(
+        spec.slots * spec.decode_rate / (1 + spec.crowding * (spec.slots - 1))
+        for spec in scenario.engines
+    )
+
+
+def _capacity_rate(scenario: Scenario) -> float:
+    """Return the requests a second that keep every slot busy."""
+    total = sum(kind.weight for kind in scenario.kinds)
+    spread = math.exp(scenario.sigma**2 / 2)
+    mean = sum(
+        kind.weight
+        / total
+        * _work(
+            kind.prompt_tokens * spread + scenario.prefix_tokens,
+            kind.answer_tokens * spread,
+        )
+        for kind in scenario.kinds
+    )
+    return _capacity_work(scenario) / mean
+
+
+class _Policy:
+    def __init__(self, simulation: _Simulation) -> None:
+        self.simulation = simulation
+        self.outstanding = [0] * len(simulation.engines)
+
+    def start(self) -> None:
+        """Prepare; called once before the first request."""
+
+    def arrive(self, request: _Request) -> None:
+        """Send the request somewhere at once."""
+        position = self.choose(request)
+        self.outstanding[position] += 1
+
+        def ended(first: float, total: float) -> None:
+            self.outstanding[position] -= 1
+
+        engine = self.simulation.engines[position]
+        self.simulation.start(engine, request, ended)
+
+    def choose(self, request: _Request) -> int:
+        raise NotImplementedError
+
+
+class _Random(_Policy):
+    def choose(self, request: _Request) -> int:
+        return self.simulation.generator.randrange(len(self.outstanding))
+
+
+class _RoundRobin(_Policy):
+    _next = 0
+
+    def choose(self, request: _Request) -> int:
+        self._next = (self._next + 1) % len(self.outstanding)
+        return self._next
+
+
+class _LeastOutstanding(_Policy):
+    def choose(self, request: _Request) -> int:
+        least = min(self.outstanding)
+        best = [i for i, value in enumerate(self.outstanding) if value == least]
+        return self.simulation.generator.choice(best)
+
+
+class _FirstComeFirstServed(_Policy):
+    """A central queue in the order of arrival, without tiers or deadlines."""
+
+    def __init__(self, simulation: _Simulation) -> None:
+        super().__init__(simulation)
+        self._queue: list[_Request] = []
+
+    def arrive(self, request: _Request) -> None:
+        self._queue.append(request)
+        self._pump()
+
+    def _pump(self) -> None:
+        engines = self.simulation.engines
+        while self._queue:
+            free = [
+                i
+                for i, engine in enumerate(engines)
+                if self.outstanding[i] < engine.spec.slots
+            ]
+            if not free:
+                return
+            position = max(free, key=lambda i: engines[i].spec.decode_rate)
+            self.outstanding[position] += 1
+            request = self._queue.pop(0)
+
+            def ended(first: float, total: float, position=position) -> None:
+                self.outstanding[position] -= 1
+                self._pump()
+
+            self.simulation.start(engines[position], request, ended)
+
+
+class _OwnPool(_Policy):
+    """The project's pool."""
+
+    def __init__(self, simulation: _Simulation) -> None:
+        super().__init__(simulation)
+        self._pool = Pool(
+            _SERVICE,
+            DispatchSettings(),
+            (ClientAccountSettings("a", "0" * 64, "p", 1e6, 1_000_000_000),),
+            VersionGate("v1", random.Random(1)),
+            random.Random(1),
+            "t",
+            0.0,
+        )
+        self._requests: dict[str, _Request] = {}
+        self._running: dict[str, tuple[SlotGrant, int]] = {}
+
+    def start(self) -> None:
+        self._announce()
+        self._tick()
+
+    def arrive(self, request: _Request) -> None:
+        kind = request.kind
+        message = SlotRequest(
+            str(request.number),
+            _SERVICE,
+            kind.account,
+            "p",
+            "/v1/completions",
+            kind.tier,
+            request.prompt_tokens,
+            kind.answer_tokens,
+            int(kind.deadline * 1000),
+            kind.cancellable,
+            request.hashes,
+        )
+        self._requests[message.request_id] = request
+        self._run(self._pool.request("entry", message, self.simulation.now))
+
+    def _tick(self) -> None:
+        now = self.simulation.now
+        self._run(self._pool.tick(now))
+        self.simulation.at(now + _TICK_SECONDS, self._tick)
+
+    def _announce(self) -> None:
+        scenario = self.simulation.scenario
+        now = self.simulation.now
+        for number, engine in enumerate(self.simulation.engines):
+            engine.sequence += 1
+            report = CacheReport(
+                engine.sequence, tuple(engine.added), tuple(engine.removed)
+            )
+            engine.added.clear()
+            engine.removed.clear()
+            if self.simulation.generator.random() < scenario.cache_loss and now > 0:
+                continue
+            announcement = Announcement(
+                id=f"engine-{number}",
+                incarnation=1,
+                service=_SERVICE,
+                address=Address("127.0.0.1", 1),
+                availability_zone="z",
+                hardware=f"gen{number % 3}",
+                versions=("v1",),
+                ttl_ms=60_000,
+                slots=engine.spec.slots,
+                prefill_tokens_per_second=engine.spec.prefill_rate,
+                decode_tokens_per_second=engine.spec.decode_rate,
+                cache=report,
+            )
+            lag = scenario.report_lag if now > 0 else 0.0
+            self.simulation.at(
+                now + lag,
+                lambda item=announcement: self._run(
+                    self._pool.announce(item, self.simulation.now)
+                ),
+            )
+        self.simulation.at(now + 0.5, self._announce)
+
+    def _run(self, effects: list) -> None:
+        for effect in effects:
+            match effect.message:
+                case SlotGrant():
+                    self._send(effect.message)
+                case SlotRevoke():
+                    self._cancel(effect.message)
+                case SlotRefusal():
+                    self._requests.pop(effect.message.request_id)
+
+    def _send(self, grant: SlotGrant) -> None:
+        request = self._requests[grant.request_id]
+        position = int(grant.backend_id.partition("-")[2])
+        self._running[grant.request_id] = (grant, position)
+
+        def ended(first: float, total: float) -> None:
+            self._running.pop(grant.request_id, None)
+            release = self._release(grant, ReleaseResult.ANSWERED)
+            release = replace_times(release, first, total, request.answer_tokens)
+            self._run(self._pool.release(release, self.simulation.now))
+
+        self.simulation.start(self.simulation.engines[position], request, ended)
+
+    def _cancel(self, revoke: SlotRevoke) -> None:
+        running = self._running.pop(revoke.request_id, None)
+        if running is None:
+            return
+        grant, position = running
+        engine = self.simulation.engines[position]
+        self.simulation.cancel(engine, self._requests[revoke.request_id])
+        release = self._release(grant, ReleaseResult.CANCELLED)
+        now = self.simulation.now
+        self.simulation.at(now, lambda: self._run(self._pool.release(release, now)))
+
+    def _release(self, grant: SlotGrant, result: ReleaseResult) -> SlotRelease:
+        return SlotRelease(
+            _SERVICE, grant.request_id, grant.grant_id, grant.backend_id, result
+        )
+
+
+def replace_times(
+    release: SlotRelease, first: float, total: float, tokens: int
+) -> SlotRelease:
+    """Return the release with its measured times."""
+    return SlotRelease(
+        release.service,
+        release.request_id,
+        release.grant_id,
+        release.backend_id,
+        release.result,
+        int(first * 1000),
+        int(total * 1000),
+        tokens,
+    )
+
+
+POLICIES = {
+    "pool": _OwnPool,
+    "random": _Random,
+    "round robin": _RoundRobin,
+    "least outstanding": _LeastOutstanding,
+    "first come first served": _FirstComeFirstServed,
+}
+
+
+def simulate(scenario: Scenario, policy: str, seed: int) -> Outcome:
+    """Run one scenario under one policy."""
+    simulation = _Simulation(scenario, seed)
+    return simulation.run(POLICIES[policy](simulation))
--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -47,6 +47,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[str, WaitingRequest] = {}
+        self._starts: dict[str, float] = {}
         self._heaps: list[list[tuple[float, int, str]]] = [
             [] for _ in range(LOWEST_TIER + 1)
         ]
@@ -81,6 +82,7 @@
         self._counter += 1
         heapq.heappush(self._heaps[tier], (start, self._counter, request.request_id))
         self._waiting[request.request_id] = waiting
+        self._starts[request.request_id] = start
         self._seconds[tier] += waiting.seconds
 
     def remove(self, request_id: str) -> WaitingRequest | None:
@@ -88,33 +90,35 @@
         waiting = self._waiting.pop(request_id, None)
         if waiting is None:
             return None
+        del self._starts[request_id]
         tier = waiting.request.tier
         self._seconds[tier] = max(0.0, self._seconds[tier] - waiting.seconds)
-        if not self._heaps[tier]:
-            self._seconds[tier] = 0.0
         return waiting
 
-    def head(self, tier: int) -> WaitingRequest | None:
-        """Return the first request of a tier without removing it."""
-        heap = self._heaps[tier]
-        while heap:
-            start, _, request_id = heap[0]
-            waiting = self._waiting.get(request_id)
-            if waiting is not None:
-                self._virtual_time[tier] = max(self._virtual_time[tier], start)
-                return waiting
-            heapq.heappop(heap)
-        self._seconds[tier] = 0.0
-        self._account_time[tier].clear()
-        return None
+    def serve(self, request_id: str) -> None:
+        """Remove a request that gets its slot; its account's turn has passed."""
+        waiting = self._waiting[request_id]
+        tier = waiting.request.tier
+        start = self._starts[request_id]
+        self._virtual_time[tier] = max(self._virtual_time[tier], start)
+        self.remove(request_id)
 
     def in_order(self, limit: int) -> list[WaitingRequest]:
         """Return the first ``limit`` requests in the order they are served."""
         ordered: list[WaitingRequest] = []
-        for heap in self._heaps:
-            live = (item for item in heap if item[2] in self._waiting)
-            first = heapq.nsmallest(limit - len(ordered), live)
-            ordered.extend(self._waiting[item[2]] for item in first)
+        for tier, heap in enumerate(self._heaps):
+            taken = []
+            while heap and len(ordered) < limit:
+                item = heapq.heappop(heap)
+                waiting = self._waiting.get(item[2])
+                if waiting is not None:
+                    taken.append(item)
+                    ordered.append(waiting)
+            for item in taken:
+                heapq.heappush(heap, item)
+            if not heap:
+                self._seconds[tier] = 0.0
+                self._account_time[tier].clear()
         return ordered
 
     def last_of_lowest_tier(self) -> WaitingRequest | None:
--- a/src/sassafraspin/backends/prefixes.py
+++ b/src/sassafraspin/backends/prefixes.py
@@ -38,11 +38,13 @@
         self._sequence = 0
 
     def take_report(self, report: CacheReport) -> None:
-        """Apply a report; after a gap, removals may have been lost, so start anew."""
+        """Apply a report; older ones are passed over.
+
+        Removals lost in a gap leave hashes that only mislead until the server
+        evicts; forgetting everything would cost more.
+        """
         if report.sequence <= self._sequence:
             return
-        if report.sequence != self._sequence + 1:
-            self._hashes.clear()
         self._sequence = report.sequence
         for value in report.removed:
             self._hashes.pop(value, None)
--- a/src/sassafraspin/control/duty.py
+++ b/src/sassafraspin/control/duty.py
@@ -27,6 +27,7 @@
 from sassafraspin.membership import (
     HeartbeatReply,
     MemberHeartbeat,
+    MemberIdentity,
     MemberTable,
     MemberTimings,
     View,
@@ -152,13 +153,15 @@
         if self._failure is None:
             self._run(self._replica.receive(source, message, now))
 
-    def heartbeat(self, heartbeat: MemberHeartbeat, now: float) -> HeartbeatReply:
+    def heartbeat(
+        self, identity: MemberIdentity, heartbeat: MemberHeartbeat, now: float
+    ) -> HeartbeatReply:
         """Answer a member's heartbeat, with a lease if this instance leads."""
         lease = 0.0
         leader = self._replica.leader
         if self._table is not None and self.leads(now):
             view = self._configuration.state.view
-            lease = self._table.grant(heartbeat, view, now)
+            lease = self._table.grant(identity, heartbeat, view, now)
         elif leader == self._settings.name:
             leader = None
         return HeartbeatReply(
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -339,7 +339,7 @@
             self._push_new_view(now)
             self._direct_moves(now)
         heartbeat = node.lease.tick(
-            node.configuration.index, self._ledger.synced_view, now
+            node.configuration.index, self._ledger.synced_view, node.view, now
         )
         if heartbeat is not None:
             node.send(heartbeat.name, heartbeat.heartbeat)
@@ -412,7 +412,7 @@
         now = self._node.now()
         match message:
             case MemberHeartbeat():
-                self._on_heartbeat(source, message, now)
+                self._on_heartbeat(MemberIdentity(source, incarnation), message, now)
             case HeartbeatReply():
                 self._on_heartbeat_reply(message, now)
             case Claim() | CloseClaim() | CopyRecords() | CopyAck():
@@ -437,13 +437,14 @@
                 self._on_replica_message(source, message, now)
 
     def _on_heartbeat(
-        self, source: str, heartbeat: MemberHeartbeat, now: float
+        self, source: MemberIdentity, heartbeat: MemberHeartbeat, now: float
     ) -> None:
         if self._control is None:
             return
-        if source != self._node.name:
+        if heartbeat.member is not None and source.name != self._node.name:
             self._network.learn_address(heartbeat.member.address)
-        self._node.send(source, self._control.heartbeat(heartbeat, now))
+        reply = self._control.heartbeat(source, heartbeat, now)
+        self._node.send(source.name, reply)
 
     def _on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
         configuration = self._node.configuration
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -28,8 +28,12 @@
     SlotWithdraw,
 )
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
-from sassafraspin.profiles import LOWEST_TIER
-from sassafraspin.routing import choose_backend, expected_seconds, nominal_seconds
+from sassafraspin.routing import (
+    BackendChoice,
+    choose_backend,
+    expected_seconds,
+    nominal_seconds,
+)
 from sassafraspin.settings import ClientAccountSettings, DispatchSettings
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
@@ -40,6 +44,7 @@
 _LATE_SCAN_SECONDS = 0.05
 _RECONCILE_AFTER_SECONDS = 2.0
 _ROOM_SCAN_REQUESTS = 64
+_GRANT_SCAN_REQUESTS = 16
 _NO_BACKEND_RETRY = 1.0
 
 _WARM_UP_SECONDS = 2.0
@@ -360,29 +365,63 @@
     # Granting
 
     def _pump(self, now: float) -> list[SendToEntry]:
-        """Grant slots in the order of the queue until none fits."""
-        for tier in range(LOWEST_TIER + 1):
-            while (waiting := self._queue.head(tier)) is not None:
+        """Grant slots in the order of the queue.
+
+        A request that no server with room can answer in time leaves the room to
+        the next ones and goes on waiting for a faster server.
+        """
+        while self._has_free_slot(now):
+            granted = False
+            for waiting in self._queue.in_order(_GRANT_SCAN_REQUESTS):
                 if now > waiting.latest_start:
                     self._shed(waiting, RefusalReason.TOO_LATE, now)
-                elif not self._try_grant(waiting, now):
-                    self._make_room(now)
-                    return self._take_effects()
+                    granted = True
+                elif self._try_grant(waiting, now):
+                    granted = True
+                    break
+            if not granted:
+                break
+        self._make_room(now)
         return self._take_effects()
 
+    def _has_free_slot(self, now: float) -> bool:
+        return len(self._queue) > 0 and any(
+            backend.busy_slots < backend.announcement.slots
+            and backend.accepts_work(now)
+            for backend in self._backends.values()
+        )
+
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
         request = waiting.request
-        tokens = request.prompt_tokens + request.answer_tokens
         version = self._gate.choose_version()
-        candidates = self._candidates(request, version, tokens, now)
+        choice = self._choose(waiting, version, now)
         other = self._gate.other_version(version)
-        if not candidates and other is not None:
+        if choice is None and other is not None:
             version = other
-            candidates = self._candidates(request, version, tokens, now)
-        choice = choose_backend(candidates, request, self._generator)
+            choice = self._choose(waiting, version, now)
         if choice is None:
             return False
-        self._queue.remove(request.request_id)
+        self._queue.serve(request.request_id)
+        self._grant(waiting, choice, version, now)
+        return True
+
+    def _choose(
+        self, waiting: WaitingRequest, version: str, now: float
+    ) -> BackendChoice | None:
+        """Return a server that has room and is expected to answer in time."""
+        request = waiting.request
+        tokens = request.prompt_tokens + request.answer_tokens
+        candidates = [
+            backend
+            for backend in self._candidates(request, version, tokens, now)
+            if now + expected_seconds(backend, request) <= waiting.deadline
+        ]
+        return choose_backend(candidates, request, self._generator)
+
+    def _grant(
+        self, waiting: WaitingRequest, choice: BackendChoice, version: str, now: float
+    ) -> None:
+        request = waiting.request
         self._grant_counter += 1
         announcement = choice.backend.announcement
         message = SlotGrant(
@@ -402,7 +441,6 @@
         self._grant_of_request[request.request_id] = message.grant_id
         self._gate.note_start(version)
         self._send(waiting.entry, message)
-        return True
 
     def _candidates(
         self, request: SlotRequest, version: str, tokens: int, now: float
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -4,7 +4,7 @@
 
 from sassafraspin.membership.messages import HeartbeatReply, MemberHeartbeat
 from sassafraspin.membership.table import MemberTimings
-from sassafraspin.membership.view import Member
+from sassafraspin.membership.view import Member, View
 
 __all__ = ["HeartbeatTo", "MemberLease"]
 
@@ -78,7 +78,7 @@
         self._next_at = float("-inf")
 
     def tick(
-        self, config_index: int, synced_view: int, now: float
+        self, config_index: int, synced_view: int, view: View, now: float
     ) -> HeartbeatTo | None:
         """Return the heartbeat that is due, if any."""
         if now < self._next_at:
@@ -86,8 +86,9 @@
         self._next_at = now + self._interval
         if now - self._answered_at > _REPLY_TIMEOUT_HEARTBEATS * self._interval:
             self._try_next_target()
+        member = None if view.contains(self._member.identity) else self._member
         heartbeat = MemberHeartbeat(
-            self._member, config_index, synced_view, self._leaving, now
+            member, config_index, synced_view, self._leaving, now
         )
         return HeartbeatTo(self._target, heartbeat)
 
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -19,8 +19,9 @@
 
     Parameters
     ----------
-    member : Member
-        The sender, also when it is not yet in the view.
+    member : Member or None
+        The sender, as long as it is not in the view; later its identity, which
+        comes with every message, is enough.
     config_index : int
         Log index up to which the sender's configuration reaches.
     synced_view : int
@@ -31,7 +32,7 @@
         The sender's clock; comes back in the reply.
     """
 
-    member: Member
+    member: Member | None
     config_index: int
     synced_view: int
     leaving: bool
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -61,12 +61,17 @@
         self._last_view_at = float("-inf")
         self._heartbeats: dict[MemberIdentity, _LastHeartbeat] = {}
 
-    def grant(self, heartbeat: MemberHeartbeat, view: View, now: float) -> float:
+    def grant(
+        self,
+        identity: MemberIdentity,
+        heartbeat: MemberHeartbeat,
+        view: View,
+        now: float,
+    ) -> float:
         """Note a heartbeat and return the lease it gets, in seconds.
 
         A member that is leaving, or not in the view, gets none.
         """
-        identity = heartbeat.member.identity
         self._heartbeats[identity] = _LastHeartbeat(heartbeat, now)
         if heartbeat.leaving or not view.contains(identity):
             return 0.0
@@ -102,7 +107,7 @@
         for last in self._heartbeats.values():
             member = last.heartbeat.member
             is_live = now - last.at <= self._timings.lease
-            if last.heartbeat.leaving or not is_live:
+            if member is None or last.heartbeat.leaving or not is_live:
                 continue
             known = newest.get(member.name)
             if known is None or known.incarnation < member.incarnation:
--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -19,6 +19,7 @@
 _BYTES_PER_TOKEN = 4
 _TOKENS_PER_BLOCK = PREFIX_BLOCK_BYTES // _BYTES_PER_TOKEN
 _CROWDING_WEIGHT = 0.5
+_AMPLE_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -57,6 +58,18 @@
     return alone * (1 + _CROWDING_WEIGHT * crowding)
 
 
+def _order(backend: Backend, request: SlotRequest) -> tuple[int, float]:
+    """Return what servers are compared by, least first.
+
+    While there is ample time, the prompt tokens to compute come first; else the
+    expected time alone decides.
+    """
+    seconds = expected_seconds(backend, request)
+    if seconds > _AMPLE_SHARE * request.deadline_ms / 1000:
+        return request.prompt_tokens, seconds
+    return uncached_tokens(backend, request), seconds
+
+
 def choose_backend(
     candidates: Sequence[Backend], request: SlotRequest, generator: random.Random
 ) -> BackendChoice | None:
@@ -81,5 +94,5 @@
     compared = candidates
     if len(candidates) > _MAX_CANDIDATES:
         compared = generator.sample(candidates, _MAX_CANDIDATES)
-    best = min(compared, key=lambda backend: expected_seconds(backend, request))
+    best = min(compared, key=lambda backend: _order(backend, request))
     return BackendChoice(best, expected_seconds(best, request))
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -210,7 +210,9 @@
 
     def _tick_node(self, node: LedgerNode) -> None:
         now = self._now(node)
-        heartbeat = node.lease.tick(node.views[-1].number, node.ledger.synced_view, now)
+        heartbeat = node.lease.tick(
+            node.views[-1].number, node.ledger.synced_view, node.views[-1], now
+        )
         if heartbeat is not None:
             self._send(node, CONTROL, heartbeat.heartbeat)
         self._run_effects(node, node.ledger.install_views(node.views, now))
@@ -260,7 +262,7 @@
 
     def _on_heartbeat(self, source: MemberIdentity, message: MemberHeartbeat) -> None:
         now = self._clocks[CONTROL].now()
-        lease = self._table.grant(message, self._views[-1], now)
+        lease = self._table.grant(source, message, self._views[-1], now)
         reply = HeartbeatReply(
             CONTROL,
             int(lease * 1000),
