Index backend servers and grants, so that a decision costs the same at 600 servers

Ruled out: sampling in the choice alone (the scans before it remain).

Change: a table of servers keeps those that accept work, those with a free slot, the best rates and who got a prefix last; a table of grants keeps the cancellable ones by tier. Above 16 servers, 10 drawn at random and up to 2 holders of the prefix are compared.

That sampling costs no goodput at 100 and more engines is not measured.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -21,18 +21,12 @@
     ----------
     grant_id : str
         Identity of the grant.
-    tier : int
-        Tier of the request.
     tokens : int
         KV memory reserved, in tokens.
-    expected_end : float
-        Monotonic time at which the answer is expected to be whole, in seconds.
     """
 
     grant_id: str
-    tier: int
     tokens: int
-    expected_end: float
 
 
 class Backend:
@@ -50,6 +44,7 @@
         self._announcement = announcement
         self._expires_at = now + announcement.ttl_ms / 1000
         self._reservations: dict[str, Reservation] = {}
+        self._reserved_tokens = 0
         self._cache = PrefixCacheView()
         self._cache.take_report(announcement.cache)
         self._speed = SpeedEstimate(
@@ -88,7 +83,7 @@
     @property
     def reserved_tokens(self) -> int:
         """Return the KV memory taken by granted requests, in tokens."""
-        return sum(item.tokens for item in self._reservations.values())
+        return self._reserved_tokens
 
     def take_announcement(self, announcement: Announcement, now: float) -> None:
         """Take in a newer announcement; one of an older incarnation is dropped."""
@@ -126,10 +121,14 @@
     def reserve(self, reservation: Reservation) -> None:
         """Take room for a granted request."""
         self._reservations[reservation.grant_id] = reservation
+        self._reserved_tokens += reservation.tokens
 
     def release(self, grant_id: str) -> Reservation | None:
         """Give the room of a request back."""
-        return self._reservations.pop(grant_id, None)
+        reservation = self._reservations.pop(grant_id, None)
+        if reservation is not None:
+            self._reserved_tokens -= reservation.tokens
+        return reservation
 
     def note_success(self) -> None:
         """Record that a request was answered."""
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -191,7 +191,7 @@
             return
         self._next_report_at = now + _REPORT_SECONDS
         for pool in self._pools.values():
-            evidence = pool.gate.report(pool.server_counts(now))
+            evidence = pool.gate.report(pool.server_counts())
             if evidence is not None:
                 self._node.send(leader, evidence)
 
--- /dev/null
+++ b/src/sassafraspin/dispatch/grants.py
@@ -0,0 +1,126 @@
+"""Aggregate of the slots that are granted and not yet given back."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sassafraspin.dispatch.messages import SlotGrant, SlotRequest
+from sassafraspin.profiles import LOWEST_TIER
+
+__all__ = ["Grant", "GrantTable"]
+
+
+@dataclass
+class Grant:
+    """A slot that an entry instance uses.
+
+    Parameters
+    ----------
+    entry : str
+        Entry instance.
+    request : SlotRequest
+        What it asked for.
+    message : SlotGrant
+        What it was given.
+    granted_at : float
+        Monotonic time of the grant, in seconds.
+    lapses_at : float
+        Time after which the slot counts as given back.
+    expected_end : float
+        Time at which the answer is expected to be whole.
+    revoked : bool
+        Whether the request is being cancelled for a higher tier.
+    """
+
+    entry: str
+    request: SlotRequest
+    message: SlotGrant
+    granted_at: float
+    lapses_at: float
+    expected_end: float
+    revoked: bool = False
+
+    @property
+    def grant_id(self) -> str:
+        """Return the identity of the grant."""
+        return self.message.grant_id
+
+
+class GrantTable:
+    """Grants by identity, with what the tier rule asks of them kept up to date."""
+
+    def __init__(self) -> None:
+        self._grants: dict[str, Grant] = {}
+        self._by_request: dict[str, Grant] = {}
+        self._cancellable: list[dict[str, Grant]] = [{} for _ in range(LOWEST_TIER + 1)]
+        self._revoked = 0
+        self._expected_end_sum = 0.0
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    def __iter__(self) -> Iterator[Grant]:
+        return iter(list(self._grants.values()))
+
+    @property
+    def revoked(self) -> int:
+        """Return how many requests are being cancelled."""
+        return self._revoked
+
+    @property
+    def has_cancellable(self) -> bool:
+        """Return whether any running request could be cancelled."""
+        return any(self._cancellable)
+
+    def get(self, grant_id: str) -> Grant | None:
+        """Return a grant."""
+        return self._grants.get(grant_id)
+
+    def of_request(self, request_id: str) -> Grant | None:
+        """Return the grant of a request."""
+        return self._by_request.get(request_id)
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the expected work that is left of all granted requests."""
+        return max(0.0, self._expected_end_sum - now * len(self._grants))
+
+    def slot_times(self, now: float) -> list[float]:
+        """Return when each slot is expected to be free again, soonest first."""
+        return sorted(
+            now if grant.revoked else max(grant.expected_end, now)
+            for grant in self._grants.values()
+        )
+
+    def victim(self, tier: int) -> Grant | None:
+        """Return the newest cancellable grant of the lowest tier below ``tier``."""
+        for lower in range(LOWEST_TIER, tier, -1):
+            grants = self._cancellable[lower]
+            if grants:
+                return grants[next(reversed(grants))]
+        return None
+
+    def add(self, grant: Grant) -> None:
+        """Take in a grant."""
+        self._grants[grant.grant_id] = grant
+        self._by_request[grant.request.request_id] = grant
+        self._expected_end_sum += grant.expected_end
+        if grant.request.cancellable:
+            self._cancellable[grant.request.tier][grant.grant_id] = grant
+
+    def revoke(self, grant: Grant) -> None:
+        """Note that a request is being cancelled."""
+        grant.revoked = True
+        self._revoked += 1
+        self._cancellable[grant.request.tier].pop(grant.grant_id, None)
+
+    def remove(self, grant_id: str) -> Grant | None:
+        """Take out a grant."""
+        grant = self._grants.pop(grant_id, None)
+        if grant is None:
+            return None
+        self._by_request.pop(grant.request.request_id, None)
+        self._cancellable[grant.request.tier].pop(grant_id, None)
+        self._revoked -= grant.revoked
+        self._expected_end_sum -= grant.expected_end
+        if not self._grants:
+            self._expected_end_sum = 0.0
+        return grant
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections import deque
 from dataclasses import dataclass
 
 from sassafraspin.admission import (
@@ -14,6 +15,7 @@
     WaitingRequest,
 )
 from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.messages import (
     ActiveGrant,
     DispatchMessage,
@@ -27,6 +29,7 @@
     SlotRevoke,
     SlotWithdraw,
 )
+from sassafraspin.dispatch.servers import ServerTable
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.routing import (
     BackendChoice,
@@ -71,21 +74,6 @@
     waiting: int
 
 
-@dataclass
-class _Grant:
-    entry: str
-    request: SlotRequest
-    message: SlotGrant
-    granted_at: float
-    lapses_at: float
-    revoked: bool = False
-
-    @property
-    def is_cancellable(self) -> bool:
-        """Return whether the request may be cancelled and is not yet."""
-        return self.request.cancellable and not self.revoked
-
-
 class Pool:
     """Grants slots of a service's backend servers to waiting requests.
 
@@ -122,14 +110,11 @@
         self._settings = settings
         self._limits = AccountLimits(accounts)
         self._gate = gate
-        self._generator = generator
         self._term = term
-        self._backends: dict[str, Backend] = {}
+        self._servers = ServerTable(generator)
         self._queue = WaitingQueue()
-        self._grants: dict[str, _Grant] = {}
-        self._grant_of_request: dict[str, str] = {}
+        self._grants = GrantTable()
         self._grant_counter = 0
-        self._expected_end_sum = 0.0
         self._next_late_scan = 0.0
         self._effects: list[SendToEntry] = []
 
@@ -141,43 +126,38 @@
     @property
     def backends(self) -> tuple[Backend, ...]:
         """Return the known backend servers."""
-        return tuple(self._backends.values())
+        return self._servers.all
 
     def entries(self) -> frozenset[str]:
         """Return the entry instances with waiting or granted requests."""
         waiting = (item.entry for item in self._queue)
-        granted = (grant.entry for grant in self._grants.values())
+        granted = (grant.entry for grant in self._grants)
         return frozenset((*waiting, *granted))
 
     def status(self, now: float) -> PoolStatus:
         """Return figures for operators."""
-        accepting = [item for item in self.backends if item.accepts_work(now)]
         return PoolStatus(
             self._service,
-            len(self._backends),
-            len(accepting),
-            sum(item.announcement.slots for item in accepting),
+            len(self._servers.all),
+            len(self._servers.accepting),
+            self._servers.open_slots,
             len(self._grants),
             len(self._queue),
         )
 
     def announce(self, announcement: Announcement, now: float) -> list[SendToEntry]:
         """Take in an announcement of a backend server."""
-        backend = self._backends.get(announcement.id)
-        if backend is None:
-            self._backends[announcement.id] = Backend(announcement, now)
+        if self._servers.announce(announcement, now):
             self._reserve_adopted(announcement.id, now)
-        else:
-            backend.take_announcement(announcement, now)
         return self._pump(now)
 
     def request(
         self, entry: str, request: SlotRequest, now: float
     ) -> list[SendToEntry]:
         """Grant a slot, let the request wait, or refuse it."""
-        granted = self._grant_of_request.get(request.request_id)
+        granted = self._grants.of_request(request.request_id)
         if granted is not None:
-            self._send(entry, self._grants[granted].message)
+            self._send(entry, granted.message)
             return self._take_effects()
         if request.request_id in self._queue:
             return []
@@ -186,14 +166,18 @@
 
     def adopt(self, entry: str, active: ActiveGrant, now: float) -> list[SendToEntry]:
         """Take over a slot that an older dispatcher granted."""
-        grant_id = active.grant.grant_id
-        if grant_id in self._grants:
+        if self._grants.get(active.grant.grant_id) is not None:
             return []
-        lapses_at = now + active.request.deadline_ms / 1000 + _GRANT_SLACK_SECONDS
-        self._grants[grant_id] = _Grant(
-            entry, active.request, active.grant, now, lapses_at
+        ends_by = now + active.request.deadline_ms / 1000
+        grant = Grant(
+            entry,
+            active.request,
+            active.grant,
+            now,
+            ends_by + _GRANT_SLACK_SECONDS,
+            ends_by,
         )
-        self._grant_of_request[active.request.request_id] = grant_id
+        self._grants.add(grant)
         self._gate.note_start(active.grant.version)
         self._reserve_adopted(active.grant.backend_id, now)
         return []
@@ -203,14 +187,14 @@
         waiting = self._queue.remove(message.request_id)
         if waiting is not None:
             self._give_back_limits(waiting.request)
-        grant_id = self._grant_of_request.get(message.request_id)
-        if grant_id is not None:
-            self._end_grant(grant_id)
+        grant = self._grants.of_request(message.request_id)
+        if grant is not None:
+            self._end_grant(grant.grant_id, now)
         return self._pump(now)
 
     def release(self, release: SlotRelease, now: float) -> list[SendToEntry]:
         """Give back the slot of a request that has ended, and learn from it."""
-        grant = self._end_grant(release.grant_id)
+        grant = self._end_grant(release.grant_id, now)
         if grant is None:
             return []
         self._learn(grant, release, now)
@@ -219,10 +203,10 @@
     def reconcile(self, entry: str, held: HeldGrants, now: float) -> list[SendToEntry]:
         """End the grants whose release was lost on the way."""
         known = frozenset(held.grant_ids)
-        for grant_id, grant in list(self._grants.items()):
+        for grant in self._grants:
             is_old = now - grant.granted_at > _RECONCILE_AFTER_SECONDS
-            if grant.entry == entry and is_old and grant_id not in known:
-                self._end_grant(grant_id)
+            if grant.entry == entry and is_old and grant.grant_id not in known:
+                self._end_grant(grant.grant_id, now)
         return self._pump(now)
 
     def drop_entry(self, entry: str, now: float) -> list[SendToEntry]:
@@ -231,25 +215,23 @@
             if waiting.entry == entry:
                 self._queue.remove(waiting.request.request_id)
                 self._give_back_limits(waiting.request)
-        for grant_id, grant in list(self._grants.items()):
+        for grant in self._grants:
             if grant.entry == entry:
-                self._end_grant(grant_id)
+                self._end_grant(grant.grant_id, now)
         return self._pump(now)
 
     def tick(self, now: float) -> list[SendToEntry]:
         """Let time pass: expire backend servers, grants and late requests."""
-        for grant_id, grant in list(self._grants.items()):
+        for grant in self._grants:
             if now >= grant.lapses_at:
-                self._end_grant(grant_id)
-        for backend_id, backend in list(self._backends.items()):
-            if backend.is_expired(now) and not backend.busy_slots:
-                del self._backends[backend_id]
+                self._end_grant(grant.grant_id, now)
+        self._servers.refresh(now)
         self._refuse_late(now)
         return self._pump(now)
 
-    def server_counts(self, now: float) -> ServerCounts:
+    def server_counts(self) -> ServerCounts:
         """Return how many servers accept work, in all and with the new version."""
-        accepting = [item for item in self.backends if item.accepts_work(now)]
+        accepting = self._servers.accepting
         move = self._gate.move
         if move is None:
             return ServerCounts(len(accepting), 0)
@@ -263,7 +245,7 @@
     # Admission
 
     def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
-        if not self._accepts_work(now) and now >= self._warm_at:
+        if not self._servers.accepts_work and now >= self._warm_at:
             self._refuse(entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY)
             return
         tokens = request.prompt_tokens + request.answer_tokens
@@ -272,12 +254,14 @@
             reason = RefusalReason.ACCOUNT_LIMIT
             self._refuse(entry, request, reason, decision.retry_after)
             return
-        seconds = self._typical_seconds(request, now)
+        seconds = self._servers.fastest_seconds(request)
         deadline = now + request.deadline_ms / 1000
         waiting = WaitingRequest(entry, request, seconds, deadline)
         wait = self._expected_wait(request.tier, now)
         is_late = now + wait > waiting.latest_start
-        if is_late and (now > waiting.latest_start or not self._victim(request.tier)):
+        if is_late and (
+            now > waiting.latest_start or not self._grants.victim(request.tier)
+        ):
             self._give_back_limits(request)
             late_by = now + wait - waiting.latest_start
             self._refuse(entry, request, RefusalReason.TOO_LATE, late_by)
@@ -285,60 +269,38 @@
         self._queue.add(waiting)
         self._bound_queue(now)
 
-    def _typical_seconds(self, request: SlotRequest, now: float) -> float:
-        """Return the expected time at the fastest server that accepts work."""
-        times = (
-            backend.speed.seconds(request.prompt_tokens, request.answer_tokens)
-            for backend in self.backends
-            if backend.accepts_work(now)
-        )
-        return min(times, default=0.0)
-
-    def _accepts_work(self, now: float) -> bool:
-        return any(backend.accepts_work(now) for backend in self.backends)
-
     def _expected_wait(self, tier: int, now: float) -> float:
         """Return how long a new request of a tier would wait for a slot."""
-        slots = self._open_slots(now)
+        slots = self._servers.open_slots
         if slots == 0 and now < self._warm_at:
             return 0.0
         free = slots - len(self._grants)
         if free > len(self._queue):
             return 0.0
-        running = max(0.0, self._expected_end_sum - now * len(self._grants))
+        running = self._grants.remaining_seconds(now)
         return (self._queue.seconds_ahead(tier) + running) / max(slots, 1)
 
-    def _open_slots(self, now: float) -> int:
-        return sum(
-            backend.announcement.slots
-            for backend in self.backends
-            if backend.accepts_work(now)
-        )
-
     def _bound_queue(self, now: float) -> None:
         """Shed the last requests of the lowest tiers when too many wait.
 
         While running work of a still lower tier can be cancelled instead, that is
         done; a slot that is being made free lets one more request wait.
         """
-        while len(self._queue) > self._settings.waiting_requests + self._revoked():
+        while len(self._queue) > self._settings.waiting_requests + self._grants.revoked:
             last = self._queue.last_of_lowest_tier()
             assert last is not None
-            victim = self._victim(last.request.tier)
+            victim = self._grants.victim(last.request.tier)
             if victim is None:
                 self._shed(last, RefusalReason.OVERLOADED, now)
             else:
                 self._revoke(victim)
 
-    def _revoked(self) -> int:
-        return sum(grant.revoked for grant in self._grants.values())
-
     def _refuse_late(self, now: float) -> None:
         """Refuse waiting requests that can no longer be answered in time."""
         if now < self._next_late_scan:
             return
         self._next_late_scan = now + _LATE_SCAN_SECONDS
-        is_served = self._accepts_work(now) or now < self._warm_at
+        is_served = self._servers.accepts_work or now < self._warm_at
         for waiting in self._queue:
             if not is_served:
                 self._shed(waiting, RefusalReason.NO_BACKEND, now)
@@ -370,7 +332,7 @@
         A request that no server with room can answer in time leaves the room to
         the next ones and goes on waiting for a faster server.
         """
-        while self._has_free_slot(now):
+        while len(self._queue) > 0 and self._servers.has_free_slot:
             granted = False
             for waiting in self._queue.in_order(_GRANT_SCAN_REQUESTS):
                 if now > waiting.latest_start:
@@ -384,13 +346,6 @@
         self._make_room(now)
         return self._take_effects()
 
-    def _has_free_slot(self, now: float) -> bool:
-        return len(self._queue) > 0 and any(
-            backend.busy_slots < backend.announcement.slots
-            and backend.accepts_work(now)
-            for backend in self._backends.values()
-        )
-
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
         request = waiting.request
         version = self._gate.choose_version()
@@ -410,13 +365,13 @@
     ) -> BackendChoice | None:
         """Return a server that has room and is expected to answer in time."""
         request = waiting.request
-        tokens = request.prompt_tokens + request.answer_tokens
+        limit = self._gate.server_limit(version, len(self._servers.accepting))
         candidates = [
             backend
-            for backend in self._candidates(request, version, tokens, now)
+            for backend in self._servers.candidates(request, version, limit, now)
             if now + expected_seconds(backend, request) <= waiting.deadline
         ]
-        return choose_backend(candidates, request, self._generator)
+        return choose_backend(candidates, request)
 
     def _grant(
         self, waiting: WaitingRequest, choice: BackendChoice, version: str, now: float
@@ -433,66 +388,47 @@
             version,
             self._settings.grant_use_within_ms,
         )
-        lapses_at = waiting.deadline + _GRANT_SLACK_SECONDS
-        grant = _Grant(waiting.entry, request, message, now, lapses_at)
-        self._reserve(choice.backend, grant, now + choice.expected_seconds)
-        choice.backend.cache.note_sent(request.prefixes)
-        self._grants[message.grant_id] = grant
-        self._grant_of_request[request.request_id] = message.grant_id
+        grant = Grant(
+            waiting.entry,
+            request,
+            message,
+            now,
+            waiting.deadline + _GRANT_SLACK_SECONDS,
+            now + choice.expected_seconds,
+        )
+        self._grants.add(grant)
+        self._reserve(choice.backend, grant)
+        self._servers.note_prefixes(choice.backend, request)
         self._gate.note_start(version)
         self._send(waiting.entry, message)
 
-    def _candidates(
-        self, request: SlotRequest, version: str, tokens: int, now: float
-    ) -> list[Backend]:
-        able = [
-            backend
-            for backend in self._backends.values()
-            if version in backend.announcement.versions
-            and backend.accepts_work(now)
-            and backend.announcement.id not in request.avoid
-        ]
-        limit = self._gate.server_limit(version, len(self._backends))
-        if limit is not None:
-            able = sorted(able, key=lambda item: item.announcement.id)[:limit]
-        return [backend for backend in able if backend.has_room(tokens)]
-
     def _reserve_adopted(self, backend_id: str, now: float) -> None:
         """Take room for adopted grants once their backend server is known."""
-        backend = self._backends.get(backend_id)
+        backend = self._servers.get(backend_id)
         if backend is None:
             return
         reserved = {item.grant_id for item in backend.reservations}
-        for grant_id, grant in self._grants.items():
-            if grant.message.backend_id == backend_id and grant_id not in reserved:
-                seconds = expected_seconds(backend, grant.request)
-                self._reserve(backend, grant, now + seconds)
+        for grant in self._grants:
+            is_here = grant.message.backend_id == backend_id
+            if is_here and grant.grant_id not in reserved:
+                self._reserve(backend, grant)
 
-    def _reserve(self, backend: Backend, grant: _Grant, expected_end: float) -> None:
+    def _reserve(self, backend: Backend, grant: Grant) -> None:
         request = grant.request
         tokens = request.prompt_tokens + request.answer_tokens
-        backend.reserve(
-            Reservation(grant.message.grant_id, request.tier, tokens, expected_end)
-        )
-        self._expected_end_sum += expected_end
+        self._servers.reserve(backend, Reservation(grant.grant_id, tokens))
 
-    def _end_grant(self, grant_id: str) -> _Grant | None:
-        grant = self._grants.pop(grant_id, None)
+    def _end_grant(self, grant_id: str, now: float) -> Grant | None:
+        grant = self._grants.remove(grant_id)
         if grant is None:
             return None
-        self._grant_of_request.pop(grant.request.request_id, None)
         self._give_back_limits(grant.request)
         self._gate.note_end(grant.message.version)
-        backend = self._backends.get(grant.message.backend_id)
-        reservation = None if backend is None else backend.release(grant_id)
-        if reservation is not None:
-            self._expected_end_sum -= reservation.expected_end
-        if not self._grants:
-            self._expected_end_sum = 0.0
+        self._servers.release(grant.message.backend_id, grant_id, now)
         return grant
 
-    def _learn(self, grant: _Grant, release: SlotRelease, now: float) -> None:
-        backend = self._backends.get(grant.message.backend_id)
+    def _learn(self, grant: Grant, release: SlotRelease, now: float) -> None:
+        backend = self._servers.get(grant.message.backend_id)
         server = None
         if backend is not None:
             nominal = nominal_seconds(backend, grant.request, release.answer_tokens)
@@ -511,7 +447,7 @@
                     (release.total_ms - release.first_token_ms) / 1000,
                 )
             case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
-                backend.note_failure(now)
+                self._servers.note_failure(backend, now)
             case ReleaseResult.CANCELLED:
                 pass
 
@@ -519,49 +455,22 @@
 
     def _make_room(self, now: float) -> None:
         """Cancel running work of lower tiers for requests that would be late."""
-        if not self._has_cancellable():
+        if not self._grants.has_cancellable or len(self._queue) == 0:
             return
-        free_at = self._slot_times(now)
+        free_at = deque(self._grants.slot_times(now))
         for item in self._queue.in_order(_ROOM_SCAN_REQUESTS):
             if free_at and free_at[0] <= item.latest_start:
-                free_at.pop(0)
+                free_at.popleft()
                 continue
-            victim = self._victim(item.request.tier)
+            victim = self._grants.victim(item.request.tier)
             if victim is not None:
                 self._revoke(victim)
 
-    def _slot_times(self, now: float) -> list[float]:
-        """Return when each running request is expected to end, soonest first."""
-        times = []
-        for backend in self.backends:
-            for reservation in backend.reservations:
-                grant = self._grants.get(reservation.grant_id)
-                is_ending = grant is not None and grant.revoked
-                end = now if is_ending else max(reservation.expected_end, now)
-                times.append(end)
-        return sorted(times)
-
-    def _revoke(self, grant: _Grant) -> None:
-        grant.revoked = True
-        message = SlotRevoke(grant.request.request_id, grant.message.grant_id)
+    def _revoke(self, grant: Grant) -> None:
+        self._grants.revoke(grant)
+        message = SlotRevoke(grant.request.request_id, grant.grant_id)
         self._send(grant.entry, message)
 
-    def _has_cancellable(self) -> bool:
-        return any(grant.is_cancellable for grant in self._grants.values())
-
-    def _victim(self, tier: int) -> _Grant | None:
-        """Return the cancellable grant of the lowest tier below ``tier``."""
-        lower = [
-            grant
-            for grant in self._grants.values()
-            if grant.is_cancellable and grant.request.tier > tier
-        ]
-        return max(
-            lower,
-            key=lambda grant: (grant.request.tier, grant.granted_at),
-            default=None,
-        )
-
     def _send(self, entry: str, message: DispatchMessage) -> None:
         self._effects.append(SendToEntry(entry, message))
 
--- /dev/null
+++ b/src/sassafraspin/dispatch/servers.py
@@ -0,0 +1,236 @@
+"""Aggregate of a service's backend servers, indexed for quick decisions."""
+
+import random
+from collections import OrderedDict
+
+from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.dispatch.messages import SlotRequest
+
+__all__ = ["ServerTable"]
+
+_SCAN_ALL_SERVERS = 16
+_SAMPLED_SERVERS = 10
+_PREFIX_HOLDERS = 2
+_KEPT_PREFIXES = 100_000
+
+
+class _RandomSet:
+    """Names that can be added, removed and drawn in constant time."""
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._positions: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._names)
+
+    def set(self, name: str, member: bool) -> None:
+        """Add or remove a name."""
+        if member == (name in self._positions):
+            return
+        if member:
+            self._positions[name] = len(self._names)
+            self._names.append(name)
+            return
+        position = self._positions.pop(name)
+        last = self._names.pop()
+        if last != name:
+            self._names[position] = last
+            self._positions[last] = position
+
+    def draw(self, count: int, generator: random.Random) -> list[str]:
+        """Return ``count`` different names, or all of them if there are fewer."""
+        if count >= len(self._names):
+            return list(self._names)
+        return generator.sample(self._names, count)
+
+
+class ServerTable:
+    """Backend servers by name, those that accept work and those with a free slot.
+
+    What depends on time (expiry, rest after failures) is brought up to date by
+    ``refresh`` and checked again for each server that is about to be chosen.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Draws the servers that are compared when there are many.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._backends: dict[str, Backend] = {}
+        self._accepting: list[Backend] = []
+        self._free = _RandomSet()
+        self._open_slots = 0
+        self._best_prefill_rate = 1.0
+        self._best_decode_rate = 1.0
+        self._prefix_holders: OrderedDict[int, str] = OrderedDict()
+
+    @property
+    def all(self) -> tuple[Backend, ...]:
+        """Return every known backend server."""
+        return tuple(self._backends.values())
+
+    @property
+    def accepting(self) -> tuple[Backend, ...]:
+        """Return the servers that accepted work at the last refresh, by name."""
+        return tuple(self._accepting)
+
+    @property
+    def open_slots(self) -> int:
+        """Return the slots of the servers that accept work."""
+        return self._open_slots
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether any server accepts work."""
+        return bool(self._accepting)
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Return whether a server that accepts work has a free slot."""
+        return len(self._free) > 0
+
+    def get(self, backend_id: str) -> Backend | None:
+        """Return a backend server."""
+        return self._backends.get(backend_id)
+
+    def fastest_seconds(self, request: SlotRequest) -> float:
+        """Return the least time that any server would need for a request."""
+        if not self._accepting:
+            return 0.0
+        prefill = request.prompt_tokens / self._best_prefill_rate
+        return prefill + request.answer_tokens / self._best_decode_rate
+
+    def announce(self, announcement: Announcement, now: float) -> bool:
+        """Take in an announcement; return whether the server is a new one."""
+        backend = self._backends.get(announcement.id)
+        if backend is not None:
+            before = backend.announcement
+            backend.take_announcement(announcement, now)
+            if not _is_same_offer(before, announcement):
+                self.refresh(now)
+            return False
+        self._backends[announcement.id] = Backend(announcement, now)
+        self.refresh(now)
+        return True
+
+    def refresh(self, now: float) -> None:
+        """Drop servers that are gone and see again which ones accept work."""
+        for backend_id, backend in list(self._backends.items()):
+            if backend.is_expired(now) and not backend.busy_slots:
+                del self._backends[backend_id]
+                self._free.set(backend_id, False)
+        self._accepting = sorted(
+            (item for item in self._backends.values() if item.accepts_work(now)),
+            key=lambda item: item.announcement.id,
+        )
+        self._open_slots = sum(item.announcement.slots for item in self._accepting)
+        speeds = [item.speed for item in self._accepting]
+        self._best_prefill_rate = max((s.prefill_rate for s in speeds), default=1.0)
+        self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
+        accepting = {item.announcement.id for item in self._accepting}
+        for backend_id, backend in self._backends.items():
+            self._free.set(backend_id, backend_id in accepting and _has_slot(backend))
+
+    def reserve(self, backend: Backend, reservation: Reservation) -> None:
+        """Take room at a server."""
+        backend.reserve(reservation)
+        if not _has_slot(backend):
+            self._free.set(backend.announcement.id, False)
+
+    def release(self, backend_id: str, grant_id: str, now: float) -> None:
+        """Give room at a server back."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return
+        backend.release(grant_id)
+        if backend.accepts_work(now):
+            self._free.set(backend_id, _has_slot(backend))
+
+    def note_failure(self, backend: Backend, now: float) -> None:
+        """Record a failed request; a server that fails too often rests."""
+        if backend.note_failure(now):
+            self.refresh(now)
+
+    def note_prefixes(self, backend: Backend, request: SlotRequest) -> None:
+        """Remember that a prompt's prefixes were sent to a server."""
+        backend.cache.note_sent(request.prefixes)
+        for value in request.prefixes:
+            self._prefix_holders[value] = backend.announcement.id
+            self._prefix_holders.move_to_end(value)
+        while len(self._prefix_holders) > _KEPT_PREFIXES:
+            self._prefix_holders.popitem(last=False)
+
+    def candidates(
+        self, request: SlotRequest, version: str, limit: int | None, now: float
+    ) -> list[Backend]:
+        """Return servers with the version and room to compare for a request.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            The request.
+        version : str
+            Version that it is shown.
+        limit : int or None
+            Only the first servers that have the version may carry it.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of Backend
+            All that fit if there are few servers; else some drawn at random and
+            the ones that got the same prefixes last.
+        """
+        if limit is not None:
+            able = [item for item in self._accepting if _has_version(item, version)]
+            compared = able[:limit]
+        elif len(self._accepting) <= _SCAN_ALL_SERVERS:
+            compared = self._accepting
+        else:
+            compared = self._some(request)
+        fitting = [item for item in compared if _fits(item, request, version, now)]
+        if fitting or limit is not None or len(compared) == len(self._accepting):
+            return fitting
+        return [item for item in self._accepting if _fits(item, request, version, now)]
+
+    def _some(self, request: SlotRequest) -> list[Backend]:
+        names = self._free.draw(_SAMPLED_SERVERS, self._generator)
+        for value in request.prefixes[::-1]:
+            holder = self._prefix_holders.get(value)
+            if holder is None or holder in names:
+                continue
+            names.append(holder)
+            if len(names) >= _SAMPLED_SERVERS + _PREFIX_HOLDERS:
+                break
+        return [self._backends[name] for name in names if name in self._backends]
+
+
+def _fits(backend: Backend, request: SlotRequest, version: str, now: float) -> bool:
+    return (
+        _has_version(backend, version)
+        and backend.has_room(request.prompt_tokens + request.answer_tokens)
+        and backend.announcement.id not in request.avoid
+        and backend.accepts_work(now)
+    )
+
+
+def _has_version(backend: Backend, version: str) -> bool:
+    return version in backend.announcement.versions
+
+
+def _has_slot(backend: Backend) -> bool:
+    return backend.busy_slots < backend.announcement.slots
+
+
+def _is_same_offer(before: Announcement, after: Announcement) -> bool:
+    """Return whether an announcement changes nothing that the indexes depend on."""
+    return (
+        before.incarnation == after.incarnation
+        and before.versions == after.versions
+        and before.slots == after.slots
+        and before.leaving == after.leaving
+    )
--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -1,6 +1,5 @@
 """Choice of a backend server for one request."""
 
-import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -15,7 +14,6 @@
     "uncached_tokens",
 ]
 
-_MAX_CANDIDATES = 24
 _BYTES_PER_TOKEN = 4
 _TOKENS_PER_BLOCK = PREFIX_BLOCK_BYTES // _BYTES_PER_TOKEN
 _CROWDING_WEIGHT = 0.5
@@ -71,9 +69,9 @@
 
 
 def choose_backend(
-    candidates: Sequence[Backend], request: SlotRequest, generator: random.Random
+    candidates: Sequence[Backend], request: SlotRequest
 ) -> BackendChoice | None:
-    """Return the server that is expected to answer first.
+    """Return the server that has cached most while there is time, else the fastest.
 
     Parameters
     ----------
@@ -81,8 +79,6 @@
         Servers that accept the request and have room for it.
     request : SlotRequest
         The request.
-    generator : random.Random
-        Draws the servers to compare when there are many.
 
     Returns
     -------
@@ -91,8 +87,5 @@
     """
     if not candidates:
         return None
-    compared = candidates
-    if len(candidates) > _MAX_CANDIDATES:
-        compared = generator.sample(candidates, _MAX_CANDIDATES)
-    best = min(compared, key=lambda backend: _order(backend, request))
+    best = min(candidates, key=lambda backend: _order(backend, request))
     return BackendChoice(best, expected_seconds(best, request))
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
 from sassafraspin.dispatch import ActiveGrant, HeldGrants, RefusalReason
+from sassafraspin.dispatch.grants import GrantTable
 from sassafraspin.dispatch.pool import Pool
 from sassafraspin.settings import ClientAccountSettings
 from tests.pool_model import PoolModel
@@ -77,7 +78,7 @@
                 run_state_machine_as_test(PoolMachine, settings=FUZZ_SETTINGS)
 
     def test_no_preemption_is_caught(self):
-        with mock.patch.object(Pool, "_victim", lambda pool, tier: None):
+        with mock.patch.object(GrantTable, "victim", lambda table, tier: None):
             with self.assertRaisesRegex(AssertionError, "could be cancelled"):
                 run_state_machine_as_test(PoolMachine, settings=FUZZ_SETTINGS)
 
