Let idle streams between instances end soon, and shorten records

Cause: benchmarks.control_cost on 25 and 50 instances: the leader spent 27 and 65 ms of CPU a second, growing with instances and not with heartbeats. A profile of a leader of 25 showed the watching tasks of idle grpclib streams, opened for the first large views.

Ruled out: planning views (147 us at 50 members, ten times a second) and answering heartbeats (3 us each).

Change: an idle stream ends after 4 s instead of 30 s and is watched every 2 s; request records are encoded by position; copies of closed records are not acknowledged. benchmarks.failover for the ledger's cost and the time after a loss.

--- /dev/null
+++ b/benchmarks/failover.py
@@ -0,0 +1,91 @@
+"""What the ledger costs a request, and how long keys wait when an instance is lost.
+
+Run as ``python -m benchmarks.failover``; virtual clock, leases as in the settings'
+defaults.
+"""
+
+import random
+import statistics
+
+import click
+from tests.ledger_model import LedgerModel
+
+from sassafraspin.daemon.messages import PeerMessage
+from sassafraspin.ledger import ClaimDecision, LedgerMessage, RecordKey, RecordState
+from sassafraspin.membership import MemberTimings
+from sassafraspin.rpc import Frame, MessageCodec
+
+_SIZE = 11
+_LEASE = MemberTimings(lease=3.0, clock_drift=0.04)
+_FRESH_KEYS = 150
+_SEEDS = range(1, 11)
+
+
+@click.command()
+def main() -> None:
+    """Print messages and bytes a request, and waiting times after a loss."""
+    _echo_cost()
+    _echo_loss()
+
+
+def _echo_cost() -> None:
+    model = LedgerModel(_SIZE, seed=1)
+    model.run(5.0)
+    codec = MessageCodec(PeerMessage)
+    sizes: dict[str, list[int]] = {}
+    send = model.network.send
+
+    def count(source: str, target: str, envelope: tuple) -> None:
+        identity, message = envelope
+        if isinstance(message, LedgerMessage) and source != target:
+            data = codec.encode(Frame(identity.name, identity.incarnation, [message]))
+            sizes.setdefault(type(message).__name__, []).append(len(data))
+        send(source, target, envelope)
+
+    model.network.send = count
+    home = model.holders(1, {0})[0]
+    entry = next(
+        name for name in model.names if name not in model.holders(1, {0, 1, 2})
+    )
+    model.call(entry, 1)
+    model.run(0.5)
+    model.end_call(entry, RecordState.ANSWERED)
+    model.run(0.5)
+    total = sum(map(sum, sizes.values()))
+    messages = sum(map(len, sizes.values()))
+    click.echo(f"one keyed request, home {home}: {messages} messages, {total} bytes")
+    for name, values in sizes.items():
+        click.echo(f"  {name}: {len(values)} of {statistics.mean(values):.0f} bytes")
+
+
+def _echo_loss() -> None:
+    waits = sorted(wait for seed in _SEEDS for wait in _lose_one(seed))
+    click.echo(f"{_SIZE} instances, lease {_LEASE.lease:.0f} s, one lost:")
+    for limit in (0.1, 0.5, 3.0):
+        delayed = sum(wait > limit for wait in waits) / len(waits)
+        click.echo(f"  {delayed:.0%} of fresh keys wait longer than {limit} s")
+    click.echo(f"  the slowest is granted after {waits[-1]:.1f} s")
+
+
+def _lose_one(seed: int) -> list[float]:
+    """Return how long fresh keys, claimed at the moment of the loss, wait."""
+    model = LedgerModel(_SIZE, seed=seed, timings=_LEASE)
+    model.network.generator = random.Random(seed)
+    model.run(5.0)
+    lost = model.names[seed % _SIZE]
+    survivors = [name for name in model.names if name != lost]
+    model.kill(lost)
+    started_at = model.network.now
+    granted_at: dict[RecordKey, float] = {}
+    for number in range(_FRESH_KEYS):
+        model.call(survivors[number % len(survivors)], 10_000 + number)
+    while len(granted_at) < _FRESH_KEYS and model.network.now < started_at + 30:
+        model.run(0.05)
+        for key in model.dispatched:
+            granted_at.setdefault(key, model.network.now - started_at)
+    assert model.decisions[ClaimDecision.GRANTED] == _FRESH_KEYS
+    return list(granted_at.values())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sassafraspin/ledger/ledger.py
+++ b/src/sassafraspin/ledger/ledger.py
@@ -8,7 +8,9 @@
 import itertools
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+from msgspec.structs import replace
 
 from sassafraspin.ledger.messages import (
     Claim,
@@ -36,6 +38,9 @@
 _SYNC_PART_RECORDS = 200
 _CLOSE_BATCH_RECORDS = 200
 
+_NO_ACK = 0
+"""Identity of copies that nobody waits for."""
+
 
 @dataclass(frozen=True)
 class SendToMember:
@@ -241,7 +246,8 @@
             return
         for record in copy.records:
             self._merge(record, now)
-        self._send(source.name, CopyAck(copy.view_number, copy.copy_id))
+        if copy.copy_id != _NO_ACK:
+            self._send(source.name, CopyAck(copy.view_number, copy.copy_id))
 
     def _on_copy_ack(
         self, source: MemberIdentity, ack: CopyAck, lease: bool, now: float
@@ -295,7 +301,9 @@
         """Tell backups of closed records; a lost one only makes answers cautious."""
         for name, records in self._closed.items():
             for batch in _batches(records, _CLOSE_BATCH_RECORDS):
-                self._send(name, CopyRecords(self._placement.view.number, 0, batch))
+                self._send(
+                    name, CopyRecords(self._placement.view.number, _NO_ACK, batch)
+                )
         self._closed.clear()
 
     # Syncing after a view change
--- a/src/sassafraspin/ledger/record.py
+++ b/src/sassafraspin/ledger/record.py
@@ -1,8 +1,9 @@
 """The record that decides whether a request may be dispatched."""
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+import msgspec
+
 __all__ = ["RecordKey", "RecordState", "RequestRecord"]
 
 
@@ -19,8 +20,7 @@
     ANSWERED = 4
 
 
-@dataclass(frozen=True, order=True)
-class RecordKey:
+class RecordKey(msgspec.Struct, frozen=True, array_like=True):
     """A client account and the idempotency key that it chose."""
 
     client_account: str
@@ -32,8 +32,7 @@
         return f"{self.client_account}\0{self.key}"
 
 
-@dataclass(frozen=True)
-class RequestRecord:
+class RequestRecord(msgspec.Struct, frozen=True, array_like=True):
     """Newest attempt of a request.
 
     Parameters
--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -41,7 +41,7 @@
 
     connect: float = 1.0
     acknowledge: float = 1.0
-    idle: float = 30.0
+    idle: float = 4.0
     retry: float = 0.1
 
 
@@ -202,7 +202,9 @@
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(self._timeouts.acknowledge / 2)
+            is_waiting = self._acknowledged_frames < self._sent_frames
+            pause = self._timeouts.acknowledge if is_waiting else self._timeouts.idle
+            await asyncio.sleep(pause / 2)
             silent_for = loop.time() - self._last_progress_at
             if self._acknowledged_frames < self._sent_frames:
                 if silent_for > self._timeouts.acknowledge:
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -75,9 +75,17 @@
         Backup copies of each record.
     seed : int
         Seed of clocks and choices.
+    timings : MemberTimings
+        Length of the leases.
     """
 
-    def __init__(self, size: int = 5, backup_copies: int = 2, seed: int = 0) -> None:
+    def __init__(
+        self,
+        size: int = 5,
+        backup_copies: int = 2,
+        seed: int = 0,
+        timings: MemberTimings = TIMINGS,
+    ) -> None:
         self.network = SimulatedNetwork(self._deliver)
         self._generator = random.Random(seed)
         self._settings = LedgerSettings(backup_copies=backup_copies)
@@ -88,7 +96,8 @@
         }
         self._incarnation = 0
         self._counter = 0
-        self._table = MemberTable(TIMINGS, self._clocks[CONTROL].now())
+        self._timings = timings
+        self._table = MemberTable(timings, self._clocks[CONTROL].now())
         self._views: tuple[View, ...] = (View(),)
         self.nodes: dict[str, LedgerNode] = {}
         self.dispatched: Counter[RecordKey] = Counter()
@@ -117,7 +126,7 @@
         self._incarnation += 1
         zone = f"zone-{self._names.index(name) % 3}"
         member = Member(name, self._incarnation, "r", zone, "127.0.0.1", 1)
-        lease = MemberLease(member, (CONTROL,), HEARTBEAT_SECONDS, TIMINGS)
+        lease = MemberLease(member, (CONTROL,), HEARTBEAT_SECONDS, self._timings)
         ledger = Ledger(member.identity, self._settings)
         self.nodes[name] = LedgerNode(member, lease, ledger)
 
