Count only the work that fair queueing puts ahead when judging lateness

Ruled out: the order of the queue itself (a unit test shows the steady account served next).

Change: the work ahead is that of higher tiers, of the account itself, and of each other account only as far as its turn comes first.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -9,6 +9,8 @@
 
 __all__ = ["WaitingQueue", "WaitingRequest"]
 
+_NEGLIGIBLE_SECONDS = 1e-6
+
 
 @dataclass(frozen=True)
 class WaitingRequest:
@@ -55,7 +57,7 @@
         self._account_time: list[dict[str, float]] = [
             {} for _ in range(LOWEST_TIER + 1)
         ]
-        self._seconds = [0.0] * (LOWEST_TIER + 1)
+        self._work: list[dict[str, float]] = [{} for _ in range(LOWEST_TIER + 1)]
         self._counter = 0
 
     def __len__(self) -> int:
@@ -67,9 +69,32 @@
     def __iter__(self) -> Iterator[WaitingRequest]:
         return iter(list(self._waiting.values()))
 
-    def seconds_ahead(self, tier: int) -> float:
-        """Return the expected work that goes before a new request of a tier."""
-        return sum(self._seconds[: tier + 1])
+    def seconds_ahead(self, tier: int, account: str, seconds: float) -> float:
+        """Return the expected work that goes before a new request.
+
+        Parameters
+        ----------
+        tier : int
+            Tier of the request.
+        account : str
+            Client account that sends it.
+        seconds : float
+            Its expected time.
+
+        Returns
+        -------
+        float
+            Work of higher tiers, of the account itself, and of each other account
+            in the tier as far as its turn comes first.
+        """
+        higher = sum(sum(work.values()) for work in self._work[:tier])
+        own = self._work[tier].get(account, 0.0)
+        others = sum(
+            min(work, own + seconds)
+            for name, work in self._work[tier].items()
+            if name != account
+        )
+        return higher + own + others
 
     def add(self, waiting: WaitingRequest) -> None:
         """Add a request."""
@@ -83,7 +108,8 @@
         heapq.heappush(self._heaps[tier], (start, self._counter, request.request_id))
         self._waiting[request.request_id] = waiting
         self._starts[request.request_id] = start
-        self._seconds[tier] += waiting.seconds
+        work = self._work[tier]
+        work[account] = work.get(account, 0.0) + waiting.seconds
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Remove a request wherever it stands."""
@@ -91,8 +117,7 @@
         if waiting is None:
             return None
         del self._starts[request_id]
-        tier = waiting.request.tier
-        self._seconds[tier] = max(0.0, self._seconds[tier] - waiting.seconds)
+        self._forget_work(waiting)
         return waiting
 
     def serve(self, request_id: str) -> None:
@@ -117,7 +142,7 @@
             for item in taken:
                 heapq.heappush(heap, item)
             if not heap:
-                self._seconds[tier] = 0.0
+                self._work[tier].clear()
                 self._account_time[tier].clear()
         return ordered
 
@@ -128,3 +153,12 @@
             if live:
                 return self._waiting[max(live)[2]]
         return None
+
+    def _forget_work(self, waiting: WaitingRequest) -> None:
+        work = self._work[waiting.request.tier]
+        account = waiting.request.client_account
+        left = work.get(account, 0.0) - waiting.seconds
+        if left > _NEGLIGIBLE_SECONDS:
+            work[account] = left
+        else:
+            work.pop(account, None)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -257,7 +257,7 @@
         seconds = self._servers.fastest_seconds(request)
         deadline = now + request.deadline_ms / 1000
         waiting = WaitingRequest(entry, request, seconds, deadline)
-        wait = self._expected_wait(request.tier, now)
+        wait = self._expected_wait(request, now)
         is_late = now + wait > waiting.latest_start
         if is_late and (
             now > waiting.latest_start or not self._grants.victim(request.tier)
@@ -269,8 +269,8 @@
         self._queue.add(waiting)
         self._bound_queue(now)
 
-    def _expected_wait(self, tier: int, now: float) -> float:
-        """Return how long a new request of a tier would wait for a slot."""
+    def _expected_wait(self, request: SlotRequest, now: float) -> float:
+        """Return how long a new request would wait for a slot."""
         slots = self._servers.open_slots
         if slots == 0 and now < self._warm_at:
             return 0.0
@@ -278,7 +278,9 @@
         if free > len(self._queue):
             return 0.0
         running = self._grants.remaining_seconds(now)
-        return (self._queue.seconds_ahead(tier) + running) / max(slots, 1)
+        seconds = self._servers.fastest_seconds(request)
+        ahead = self._queue.seconds_ahead(request.tier, request.client_account, seconds)
+        return (ahead + running) / max(slots, 1)
 
     def _bound_queue(self, now: float) -> None:
         """Shed the last requests of the lowest tiers when too many wait.
@@ -311,7 +313,7 @@
         request = waiting.request
         self._queue.remove(request.request_id)
         self._give_back_limits(request)
-        wait = self._expected_wait(request.tier, now)
+        wait = self._expected_wait(request, now)
         self._refuse(waiting.entry, request, reason, wait)
 
     def _refuse(
