--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -15,6 +15,7 @@
     ) -> None:
         self._snapshot = snapshot
         self._entries = list(entries)
+        self._find_voters()
 
     @property
     def snapshot(self) -> Snapshot:
@@ -36,20 +37,12 @@
     @property
     def voters(self) -> tuple[Voter, ...]:
         """Return the newest voters in the log, committed or not."""
-        index = self.voters_index
-        if index == self._snapshot.index:
-            return self._snapshot.voters
-        entry = self.entry(index)
-        assert isinstance(entry, VotersEntry)
-        return entry.voters
+        return self._voters
 
     @property
     def voters_index(self) -> int:
         """Return the index that the newest voters stand at."""
-        for offset in range(len(self._entries) - 1, -1, -1):
-            if isinstance(self._entries[offset], VotersEntry):
-                return self._snapshot.index + 1 + offset
-        return self._snapshot.index
+        return self._voters_index
 
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, ``None`` if it is not held."""
@@ -73,6 +66,7 @@
         """Replace everything from ``first_index`` on by ``entries``."""
         del self._entries[first_index - self._snapshot.index - 1 :]
         self._entries.extend(entries)
+        self._find_voters()
 
     def compact(self, snapshot: Snapshot) -> None:
         """Replace the entries up to the snapshot's index by the snapshot."""
@@ -81,6 +75,7 @@
             kept = self.entries_from(snapshot.index + 1)
         self._snapshot = snapshot
         self._entries = list(kept)
+        self._find_voters()
 
     def voters_at(self, index: int) -> tuple[Voter, ...]:
         """Return the voters that the log names up to ``index``."""
@@ -89,3 +84,14 @@
             if isinstance(entry, VotersEntry):
                 return entry.voters
         return self._snapshot.voters
+
+    def _find_voters(self) -> None:
+        """Look the newest voters up again after the log has changed."""
+        self._voters = self._snapshot.voters
+        self._voters_index = self._snapshot.index
+        for offset in range(len(self._entries) - 1, -1, -1):
+            entry = self._entries[offset]
+            if isinstance(entry, VotersEntry):
+                self._voters = entry.voters
+                self._voters_index = self._snapshot.index + 1 + offset
+                return
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -19,7 +19,7 @@
     clock_drift : float
         Largest relative difference between two clocks' rates.
     view_interval : float
-        Least time between two views, so that changes are taken together.
+        Time between two looks at the members, so that changes are taken together.
     """
 
     lease: float = 3.0
@@ -58,7 +58,7 @@
     def __init__(self, timings: MemberTimings, now: float) -> None:
         self._timings = timings
         self._since = now
-        self._last_view_at = float("-inf")
+        self._next_plan_at = float("-inf")
         self._heartbeats: dict[MemberIdentity, _LastHeartbeat] = {}
 
     def grant(
@@ -83,15 +83,15 @@
         A member is removed once its lease has surely ended or it has given the
         lease up; a restarted one takes its place only then.
         """
-        if now - self._last_view_at < self._timings.view_interval:
+        if now < self._next_plan_at:
             return None
+        self._next_plan_at = now + self._timings.view_interval
         kept = [member for member in view.members if not self._is_gone(member, now)]
         names = {member.name for member in kept}
         joining = [member for member in self._joining(now) if member.name not in names]
         members = tuple(sorted((*kept, *joining), key=lambda member: member.name))
         if members == view.members:
             return None
-        self._last_view_at = now
         self._forget_old(members, now)
         return View(view.number + 1, self._settled(view), members)
 
--- a/src/sassafraspin/standins/engine.py
+++ b/src/sassafraspin/standins/engine.py
@@ -54,6 +54,7 @@
         self._guard = FencingGuard(settings.checks_fencing)
         self._versions = settings.versions
         self._used: dict[str, float] = {}
+        self._role = "both"
         self._leaving = False
         self._incarnation = time.time_ns() // 1_000
         self._slots = trio.Semaphore(settings.slots)
@@ -131,6 +132,9 @@
             case ("POST", "v1", "leave"):
                 self.leave()
                 await responder.send(Response(202))
+            case ("GET", "role"):
+                body = msgspec.json.encode({"role": self._role})
+                await responder.send(Response(200, _JSON, body))
             case ("GET", "executions"):
                 body = msgspec.json.encode(self._executions.count())
                 await responder.send(Response(200, _JSON, body))
@@ -279,13 +283,23 @@
         return Response(200)
 
     def _apply(self, order: Order) -> None:
-        others = tuple(name for name in self._versions if name != order.version)
-        if order.kind == "load":
-            newest = sorted(others, key=lambda name: self._used.get(name, 0.0))
-            kept = newest[len(newest) - (self._settings.max_versions - 1) :]
-            self._versions = (*kept, order.version)
-        elif others:
-            self._versions = others
+        match order:
+            case Order(kind="role", role=str(role)):
+                self._role = role
+            case Order(kind="load", version=str(version)):
+                self._load(version)
+            case Order(kind="unload", version=str(version)):
+                others = tuple(name for name in self._versions if name != version)
+                self._versions = others or self._versions
+            case _:
+                raise InvalidField("$", "the order lacks its version or role")
+
+    def _load(self, version: str) -> None:
+        """Load a version in place of the one that was used least recently."""
+        others = [name for name in self._versions if name != version]
+        others.sort(key=lambda name: self._used.get(name, 0.0))
+        kept = others[len(others) - (self._settings.max_versions - 1) :]
+        self._versions = (*kept, version)
 
 
 def _version(job: Job) -> str:
--- a/src/sassafraspin/standins/orders.py
+++ b/src/sassafraspin/standins/orders.py
@@ -1,4 +1,4 @@
-"""Orders to a stand-in engine: loading and unloading of versions."""
+"""Orders to a stand-in engine: loading and unloading of versions, and its role."""
 
 from dataclasses import dataclass
 from typing import Annotated, Literal
@@ -12,13 +12,18 @@
 
 @dataclass(frozen=True)
 class Order:
-    """An order with the fencing number of whoever gives it."""
+    """An order with the fencing number of whoever gives it.
+
+    ``version`` belongs to orders to load or unload, ``role`` to those that change
+    the role.
+    """
 
     __pydantic_config__ = ConfigDict(extra="forbid")
 
-    kind: Literal["load", "unload"]
-    version: Name
+    kind: Literal["load", "unload", "role"]
     fencing: Annotated[int, Field(ge=0)]
+    version: Name | None = None
+    role: Literal["prefill", "decode", "both"] | None = None
 
 
 class FencingGuard:
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,130 @@
+"""The stand-in engine: orders, fencing and bad versions."""
+
+import random
+import unittest
+
+import msgspec
+import trio
+
+from sassafraspin.http import ClientTimeouts, Headers, HttpClient, Request, Response
+from sassafraspin.settings import Address
+from sassafraspin.standins import (
+    AnnouncerSettings,
+    EngineServer,
+    EngineSettings,
+    FaultSettings,
+)
+from sassafraspin.standins.faults import FaultModel
+from tests.deployment import free_ports
+
+HOST = "127.0.0.1"
+
+
+class TestOrders(unittest.TestCase):
+    """Orders are carried out, refused with an old number, or named as invalid."""
+
+    def give(self, checks_fencing: bool, *orders: dict) -> list[Response]:
+        """Give orders to an engine and return its answers."""
+
+        async def run() -> list[Response]:
+            [port, nowhere] = free_ports(2)
+            announcer = AnnouncerSettings((Address(HOST, nowhere),), "token")
+            self.engine = EngineServer(
+                EngineSettings(
+                    "runner-1",
+                    "model",
+                    Address(HOST, port),
+                    "zone",
+                    announcer,
+                    load_ms=1,
+                    checks_fencing=checks_fencing,
+                )
+            )
+            client = HttpClient(ClientTimeouts())
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.engine.run)
+                answers = [
+                    await client.send(
+                        Address(HOST, port),
+                        Request(
+                            "POST",
+                            "/v1/orders",
+                            Headers((("host", "test"),)),
+                            msgspec.json.encode(order),
+                        ),
+                    )
+                    for order in orders
+                ]
+                nursery.cancel_scope.cancel()
+            client.close()
+            return answers
+
+        return trio.run(run)
+
+    def test_load_keeps_the_newest_versions(self):
+        answers = self.give(
+            True,
+            {"kind": "load", "version": "v2", "fencing": 1},
+            {"kind": "load", "version": "v3", "fencing": 1},
+        )
+        self.assertEqual([answer.status for answer in answers], [200, 200])
+        self.assertEqual(len(self.engine._versions), 2)
+        self.assertIn("v3", self.engine._versions)
+
+    def test_older_number_is_refused(self):
+        answers = self.give(
+            True,
+            {"kind": "load", "version": "v2", "fencing": 5},
+            {"kind": "load", "version": "v3", "fencing": 4},
+        )
+        self.assertEqual([answer.status for answer in answers], [200, 422])
+
+    def test_engine_that_ignores_numbers(self):
+        answers = self.give(
+            False,
+            {"kind": "load", "version": "v2", "fencing": 5},
+            {"kind": "load", "version": "v3", "fencing": 4},
+        )
+        self.assertEqual([answer.status for answer in answers], [200, 200])
+
+    def test_role(self):
+        [answer] = self.give(True, {"kind": "role", "role": "prefill", "fencing": 1})
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.engine._role, "prefill")
+
+    def test_invalid_order(self):
+        answers = self.give(
+            True, {"kind": "load", "fencing": 1}, {"kind": "sing", "fencing": 1}
+        )
+        self.assertEqual([answer.status for answer in answers], [422, 422])
+
+
+class TestFaults(unittest.TestCase):
+    """A version can be bad in each of the ways."""
+
+    def model(self, **fields) -> FaultModel:
+        fault = FaultSettings(**{"version": "v2", "kind": "fail", **fields})
+        return FaultModel((fault,), random.Random(1))
+
+    def test_only_its_version(self):
+        self.assertFalse(self.model().effect("v1", "/r", 0).fails)
+        self.assertTrue(self.model().effect("v2", "/r", 0).fails)
+
+    def test_late(self):
+        model = self.model(after_requests=2)
+        fails = [model.effect("v2", "/r", 0).fails for _ in range(3)]
+        self.assertEqual(fails, [False, False, True])
+
+    def test_under_load(self):
+        model = self.model(running_from=3)
+        self.assertFalse(model.effect("v2", "/r", 2).fails)
+        self.assertTrue(model.effect("v2", "/r", 3).fails)
+
+    def test_on_one_route(self):
+        model = self.model(route="/r")
+        self.assertFalse(model.effect("v2", "/s", 0).fails)
+        self.assertTrue(model.effect("v2", "/r", 0).fails)
+
+    def test_slow(self):
+        effect = self.model(kind="slow", factor=3.0).effect("v2", "/r", 0)
+        self.assertEqual(effect.slowdown, 3.0)
