Let a new dispatcher act only once the older one has stopped

Ruled out: waiting out a lease at each change (3 s of refused requests for each join).

Change: a service is a key like any other: its dispatcher acts only if it owns the key, that is, once every member has answered in the new view, or if it was the dispatcher in each view before.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -124,7 +124,7 @@
         self._backend_client = HttpClient(_client_timeouts(settings))
         self._orders = OrderSender(self._backend_client)
         self._dispatch = DispatchDuty(
-            self._node, self._generator, self._orders.send_soon
+            self._node, self._generator, self._orders.send_soon, self._ledger
         )
         self._moves = MoveDuty(DirectorSettings())
         access = AccessControl(settings.access)
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from sassafraspin.backends import Backend
-from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.node import Node, dispatch_key
 from sassafraspin.daemon.status import BackendStatus
 from sassafraspin.dispatch import (
     ActiveGrant,
@@ -19,6 +19,7 @@
 from sassafraspin.dispatch.loading import LoadOrder, LoadPlanner
 from sassafraspin.dispatch.pool import Pool, PoolStatus, SendToEntry
 from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.ledger import Ledger
 from sassafraspin.membership import MemberTimings
 from sassafraspin.moves import DirectorSettings
 from sassafraspin.settings import ServiceSettings
@@ -53,6 +54,8 @@
         Source of random choices.
     order : callable
         Gives an order to a backend server and calls back when it has ended.
+    ledger : Ledger
+        Knows which keys this instance alone decides on, services among them.
     """
 
     def __init__(
@@ -60,10 +63,14 @@
         node: Node,
         generator: random.Random,
         order: Callable[[LoadOrder, Callable[[], None]], None],
+        ledger: Ledger,
     ) -> None:
         self._node = node
         self._generator = generator
         self._order = order
+        self._ledger = ledger
+        self._seen = (-1, -1)
+        self._owned: frozenset[str] = frozenset()
         self._pools: dict[str, Pool] = {}
         self._planners: dict[str, LoadPlanner] = {}
         self._next_report_at = 0.0
@@ -85,9 +92,10 @@
 
     def tick(self) -> None:
         """Let time pass and follow the view."""
+        self._follow_view()
         acts = self._node.acts_in_view()
         for service in self._node.settings.services:
-            is_own = acts and self._node.dispatcher_of(service.name) == self._node.name
+            is_own = acts and service.name in self._owned
             if is_own and service.name not in self._pools:
                 self._open_pool(service)
             if not is_own and service.name in self._pools:
@@ -102,6 +110,18 @@
             self._order_load(service, pool, now)
         self._report_moves(now)
 
+    def _follow_view(self) -> None:
+        """See again which services are this instance's own after a change."""
+        place = (self._node.view.number, self._ledger.synced_view)
+        if place == self._seen:
+            return
+        self._seen = place
+        self._owned = frozenset(
+            service.name
+            for service in self._node.settings.services
+            if self._ledger.owns(dispatch_key(service.name))
+        )
+
     def receive(
         self,
         source: str,
@@ -131,7 +151,10 @@
 
     def _active_pool(self, service: str) -> Pool | None:
         """Return the pool if this instance may dispatch for the service now."""
-        return self._pools.get(service) if self._node.acts_in_view() else None
+        self._follow_view()
+        if service not in self._owned or not self._node.acts_in_view():
+            return None
+        return self._pools.get(service)
 
     def _open_pool(self, service: ServiceSettings) -> None:
         gate = VersionGate(service.initial_version, self._generator)
--- a/src/sassafraspin/daemon/node.py
+++ b/src/sassafraspin/daemon/node.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, field
 
 from sassafraspin.control import Configuration
+from sassafraspin.ledger import RecordKey
 from sassafraspin.membership import Member, MemberLease, View
 from sassafraspin.settings import DaemonSettings
 from sassafraspin.telemetry import Metrics
 
-__all__ = ["Node", "wall_clock_ms"]
+__all__ = ["Node", "dispatch_key", "wall_clock_ms"]
 
 
 @dataclass(frozen=True)
@@ -68,7 +69,7 @@
         """Return the name of the instance that dispatches for a service."""
         place = (self.view.number, service)
         if place not in self.dispatchers:
-            ranked = self.view.ranked(f"service\0{service}", 1)
+            ranked = self.view.ranked(dispatch_key(service).placement, 1)
             self._forget_older_views()
             self.dispatchers[place] = ranked[0].name if ranked else None
         return self.dispatchers[place]
@@ -79,6 +80,11 @@
                 del self.dispatchers[place]
 
 
+def dispatch_key(service: str) -> RecordKey:
+    """Return the key by which the dispatcher of a service is placed on members."""
+    return RecordKey("service", service)
+
+
 def wall_clock_ms() -> int:
     """Return the wall clock time in milliseconds since 1970."""
     return time.time_ns() // 1_000_000
--- a/src/sassafraspin/ledger/ledger.py
+++ b/src/sassafraspin/ledger/ledger.py
@@ -105,6 +105,15 @@
         held = self._records.get(key)
         return None if held is None else held.record
 
+    def owns(self, key: RecordKey) -> bool:
+        """Return whether this member alone decides on a key in the view in force.
+
+        Every other member has then moved to this view, or this member has decided
+        on the key in each view since one in which that was so. The lease is the
+        caller's to check.
+        """
+        return self._placement.is_home(key) and self._placement.knows_all(key)
+
     def install_views(self, views: tuple[View, ...], now: float) -> list[SendToMember]:
         """Take over a newer view; claims that are being copied must be asked again."""
         if views[-1].number <= self._placement.view.number:
@@ -171,8 +180,7 @@
         self, source: MemberIdentity, claim: Claim, lease: bool, now: float
     ) -> None:
         key = claim.key
-        is_ready = lease and self._placement.is_home(key)
-        if not is_ready or not self._placement.knows_all(key):
+        if not lease or not self.owns(key):
             self._answer(source.name, claim.request_id, ClaimDecision.NOT_READY)
             return
         record = self.record(key)
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -32,6 +32,8 @@
 HEARTBEAT_SECONDS = 0.2
 REPEAT_SECONDS = 0.2
 
+_SERVICE_KEY = RecordKey("service", "model")
+
 
 @dataclass
 class OpenCall:
@@ -178,7 +180,13 @@
         self.network.run(seconds, self._tick, TICK_SECONDS)
 
     def check(self) -> None:
-        """Check that no key was dispatched twice."""
+        """Check that no key was dispatched twice and that one member decides."""
+        owners = [
+            node.member.name
+            for node in self.nodes.values()
+            if self._acts(node) and node.ledger.owns(_SERVICE_KEY)
+        ]
+        assert len(owners) <= 1, f"two dispatchers: {owners}"
         repeated = {key.key: n for key, n in self.dispatched.items() if n > 1}
         assert not repeated, f"dispatched more than once: {repeated}"
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -138,8 +138,8 @@
     def test_fuzz(self):
         run_state_machine_as_test(LedgerMachine, settings=FUZZ_SETTINGS)
 
-    def assert_caught(self):
-        with self.assertRaisesRegex(AssertionError, "dispatched more than once"):
+    def assert_caught(self, message: str = "dispatched more than once"):
+        with self.assertRaisesRegex(AssertionError, message):
             run_state_machine_as_test(LedgerMachine, settings=MUTANT_SETTINGS)
 
     def test_no_backup_copy_is_caught(self):
@@ -148,14 +148,14 @@
 
     def test_no_sync_after_view_change_is_caught(self):
         with mock.patch.object(Placement, "knows_all", lambda placement, key: True):
-            self.assert_caught()
+            self.assert_caught("dispatched more than once|two dispatchers")
 
     def test_no_lease_check_is_caught(self):
         with (
             mock.patch.object(MemberLease, "is_held", lambda lease, now: True),
             mock.patch.object(MemberTable, "_is_gone", _gone_at_first_silence),
         ):
-            self.assert_caught()
+            self.assert_caught("dispatched more than once|two dispatchers")
 
     def test_lost_copies_treated_as_new_are_caught(self):
         with mock.patch.object(
@@ -176,6 +176,15 @@
         ledger.receive(other.identity, reply, True, 0.1)
         self.assertEqual(ledger.synced_view, 1)
 
+    def test_dispatcher_that_does_not_wait_is_caught(self):
+        """A new dispatcher must not act before the older one has stopped."""
+
+        def owns(ledger, key):
+            return ledger._placement.is_home(key)
+
+        with mock.patch.object(Ledger, "owns", owns):
+            self.assert_caught("dispatched more than once|two dispatchers")
+
     def test_repeated_key_gets_the_state(self):
         model = LedgerModel()
         model.run(3.0)
