--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,103 @@
+"""Bringing the configuration of an instance up to date."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafraspin.control import Configuration, PutProfile
+from sassafraspin.control.commands import encode_command
+from sassafraspin.membership import ConfigTail
+from sassafraspin.profiles import Profile, ProfileChange, ProfileConflict, ProfileStore
+
+CHANGES = 60
+
+
+def _commands() -> list[bytes]:
+    """Return commands that raise the versions of three profiles in turn."""
+    return [
+        encode_command(
+            PutProfile(
+                f"c{number}",
+                "ayse",
+                number,
+                Profile(f"p{number % 3}", number // 3 + 1, "s", 0, 1000 + number),
+            )
+        )
+        for number in range(CHANGES)
+    ]
+
+
+class TestConfiguration(unittest.TestCase):
+    """Updates late, lost, doubled and reordered never take a version back."""
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=200)
+    @given(
+        steps=st.lists(
+            st.tuples(st.integers(0, CHANGES), st.integers(0, CHANGES)), max_size=30
+        )
+    )
+    def test_never_goes_back(self, steps):
+        """Apply updates that senders at some index made for receivers at another."""
+        commands = _commands()
+        senders = [Configuration()]
+        for index, data in enumerate(commands, start=1):
+            sender = Configuration()
+            sender.restore(index - 1, senders[-1].state.to_bytes())
+            sender.apply(index, data)
+            senders.append(sender)
+        receiver = Configuration()
+        for sender_index, told_index in steps:
+            before = receiver.index
+            update = senders[sender_index].update_since(told_index)
+            if update is not None:
+                receiver.take_update(update)
+            self.assertGreaterEqual(receiver.index, before)
+            expected = senders[receiver.index].state.to_bytes()
+            self.assertEqual(receiver.state.to_bytes(), expected)
+
+    def test_tail_that_leaves_a_gap_is_dropped(self):
+        receiver = Configuration()
+        receiver.take_update(ConfigTail(2, (_commands()[1],)))
+        self.assertEqual(receiver.index, 0)
+
+    def test_far_behind_gets_a_snapshot_or_the_tail(self):
+        sender = Configuration()
+        for index, data in enumerate(_commands(), start=1):
+            sender.apply(index, data)
+        for told in (0, 1, 30, CHANGES - 1):
+            receiver = Configuration()
+            for index, data in enumerate(_commands()[:told], start=1):
+                receiver.apply(index, data)
+            receiver.take_update(sender.update_since(told))
+            self.assertEqual(receiver.state.to_bytes(), sender.state.to_bytes())
+
+
+class TestProfileStore(unittest.TestCase):
+    """Compare-and-set by version against a plain dictionary."""
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @given(
+        puts=st.lists(
+            st.tuples(
+                st.sampled_from(["a", "b"]), st.integers(1, 5), st.integers(0, 3)
+            ),
+            max_size=40,
+        )
+    )
+    def test_against_a_dictionary(self, puts):
+        store = ProfileStore()
+        oracle: dict[str, Profile] = {}
+        for number, (name, version, tier) in enumerate(puts):
+            profile = Profile(name, version, "s", tier, 1000)
+            decision = store.put(ProfileChange(profile, "op", f"c{number}", number))
+            current = oracle.get(name)
+            next_version = 1 if current is None else current.version + 1
+            if current != profile and version != next_version:
+                self.assertIsInstance(decision, ProfileConflict)
+                kept = decision.current
+                self.assertEqual(None if kept is None else kept.profile, current)
+            else:
+                oracle[name] = profile
+            in_force = store.current(name)
+            self.assertEqual(in_force and in_force.profile, oracle.get(name))
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -9,7 +9,7 @@
 import unittest
 from pathlib import Path
 
-from tests.deployment import CALLER_TOKEN, Deployment, wait_until
+from tests.deployment import CALLER_TOKEN, Deployment, call, wait_until
 
 
 class TestProcessFaults(unittest.TestCase):
@@ -115,6 +115,15 @@
         for result in ("cut", "unknown", "failed"):
             self.assertNotIn(result, report["results"], report)
 
+    def test_leaving_engine_gets_no_new_work(self):
+        leaving = f"http://127.0.0.1:{self.engines[0]}"
+        self.assertEqual(call("POST", f"{leaving}/v1/leave")[0], 202)
+        time.sleep(2)
+        before = call("GET", f"{leaving}/executions")[1]
+        report = self.finish(self.start_load(3))
+        self.assertEqual(call("GET", f"{leaving}/executions")[1], before)
+        self.assertEqual(report["results"], {"good": report["sent"]})
+
     def test_acknowledged_profile_survives_the_loss_of_the_leader(self):
         leader = next(
             item
