Split the HTTP server and the ledger by job

Change: http/connection.py and http/responder.py beside the server; ledger/book.py (records and their window) and ledger/sync.py (copying after a view change) beside the ledger. Behaviour is unchanged.

Measured: 22 tests of ledger, bounds and fault matrix pass.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -22,7 +22,8 @@
     Unauthorized,
     problem_response,
 )
-from sassafraspin.http.server import Handler, HttpServer, Responder, answering
+from sassafraspin.http.responder import Handler, Responder, answering
+from sassafraspin.http.server import HttpServer
 
 __all__ = [
     "BadRequest",
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -1,30 +1,15 @@
 """HTTP/1.1 server on trio and h11 with bounds on what a peer may hold."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-
 import h11
 import trio
 
-from sassafraspin.http.messages import Headers, Request, Response
-from sassafraspin.http.problems import (
-    BadRequest,
-    BodyTooLarge,
-    RequestProblem,
-    RequestTimeout,
-    TooManyConnections,
-    problem_response,
-)
+from sassafraspin.http.connection import ServerConnection
+from sassafraspin.http.problems import TooManyConnections
+from sassafraspin.http.responder import Handler
 from sassafraspin.settings import Address, HttpLimits
 from sassafraspin.telemetry import part_logger
 
-__all__ = ["Handler", "HttpServer", "Responder", "answering"]
-
-Handler = Callable[[Request, "Responder"], Awaitable[None]]
-"""Answers a request through the responder."""
-
-_READ_BYTES = 65_536
-_MS_PER_SECOND = 1000
+__all__ = ["HttpServer"]
 
 _CONNECTION_ERRORS = (
     trio.BrokenResourceError,
@@ -54,7 +39,7 @@
         self._limits = limits
         self._handler = handler
         self._listeners: list[trio.SocketListener] = []
-        self._connections: set[_Connection] = set()
+        self._connections: set[ServerConnection] = set()
         self._draining = False
         self._idle = trio.Event()
 
@@ -104,7 +89,7 @@
             nursery.start_soon(self._serve_connection, stream)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = _Connection(stream, self._limits, self._handler)
+        connection = ServerConnection(stream, self._limits, self._handler)
         self._connections.add(connection)
         try:
             if len(self._connections) > self._limits.connections:
@@ -123,235 +108,3 @@
     def _check_idle(self) -> None:
         if self._draining and not self._connections:
             self._idle.set()
-
-
-class Responder:
-    """Sends the response to one request, whole or in pieces.
-
-    Parameters
-    ----------
-    connection : _Connection
-        Connection that the request came on.
-    """
-
-    def __init__(self, connection: "_Connection") -> None:
-        self._connection = connection
-
-    @property
-    def has_started(self) -> bool:
-        """Return whether a part of the response was sent."""
-        return self._connection.has_started
-
-    async def send(self, response: Response) -> None:
-        """Send a whole response."""
-        await self._connection.send(response)
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in pieces."""
-        await self._connection.start(status, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a piece of the body."""
-        await self._connection.write(chunk)
-
-    async def finish(self) -> None:
-        """End the body."""
-        await self._connection.finish()
-
-
-def answering(function: Callable[[Request], Awaitable[Response]]) -> Handler:
-    """Return a handler that sends what ``function`` returns or raises.
-
-    Typed problems become problem documents.
-    """
-
-    async def handle(request: Request, responder: Responder) -> None:
-        try:
-            response = await function(request)
-        except RequestProblem as problem:
-            response = problem_response(problem)
-        await responder.send(response)
-
-    return handle
-
-
-@dataclass(frozen=True)
-class _End:
-    """The peer closed the connection, or it is to be closed."""
-
-
-class _Connection:
-    """One HTTP/1.1 connection from a peer."""
-
-    def __init__(
-        self, stream: trio.SocketStream, limits: HttpLimits, handler: Handler
-    ) -> None:
-        self._stream = stream
-        self._limits = limits
-        self._handler = handler
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
-        self._closing = False
-        self._waiting_scope: trio.CancelScope | None = None
-
-    def close_when_idle(self) -> None:
-        """Close at once when idle, else after the request in flight."""
-        self._closing = True
-        if self._waiting_scope is not None:
-            self._waiting_scope.cancel()
-
-    async def run(self) -> None:
-        """Serve requests until the peer or the server closes."""
-        while not self._closing:
-            try:
-                request = await self._read_request()
-            except RequestProblem as problem:
-                await self.refuse(problem)
-                return
-            if isinstance(request, _End):
-                return
-            await self._answer(request)
-            if self._protocol.our_state is not h11.DONE:
-                return
-            if self._protocol.their_state is not h11.DONE:
-                return
-            self._protocol.start_next_cycle()
-
-    async def _answer(self, request: Request) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_peer_leaves, nursery.cancel_scope)
-            await self._handler(request, Responder(self))
-            nursery.cancel_scope.cancel()
-
-    async def refuse(self, problem: RequestProblem) -> None:
-        """Send a problem document and give up on the connection."""
-        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        response = problem_response(problem)
-        headers = response.headers.adding("connection", "close")
-        await self.send(Response(response.status, headers, response.body))
-
-    async def send(self, response: Response) -> None:
-        """Send a whole response."""
-        length = ("content-length", str(len(response.body)))
-        data = self._head(response.status, response.headers.adding(*length))
-        if response.body:
-            data += self._protocol.send(h11.Data(data=response.body))
-        await self._write(data + self._protocol.send(h11.EndOfMessage()))
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in pieces."""
-        await self._write(self._head(status, headers))
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a piece of the body."""
-        await self._write(self._protocol.send(h11.Data(data=chunk)))
-
-    async def finish(self) -> None:
-        """End the body."""
-        await self._write(self._protocol.send(h11.EndOfMessage()))
-
-    @property
-    def has_started(self) -> bool:
-        """Return whether a part of the response was sent."""
-        return self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
-    def _head(self, status: int, headers: Headers) -> bytes:
-        fields = list(headers.items)
-        if self._closing:
-            fields.append(("connection", "close"))
-        return self._protocol.send(h11.Response(status_code=status, headers=fields))
-
-    async def _read_request(self) -> Request | _End:
-        head = await self._read_head()
-        if isinstance(head, _End):
-            return head
-        with trio.move_on_after(self._limits.body_timeout_ms / _MS_PER_SECOND):
-            body = await self._read_body(head)
-            return Request(
-                head.method.decode("ascii"),
-                head.target.decode("ascii", "replace"),
-                _decode_headers(head.headers),
-                body,
-            )
-        raise RequestTimeout("body")
-
-    async def _read_head(self) -> h11.Request | _End:
-        idle_seconds = self._limits.idle_timeout_ms / _MS_PER_SECOND
-        first = not self._protocol.trailing_data[0]
-        if first:
-            with trio.move_on_after(idle_seconds) as self._waiting_scope:
-                data = await self._stream.receive_some(_READ_BYTES)
-                self._waiting_scope = None
-                if not data:
-                    return _End()
-                self._protocol.receive_data(data)
-            if self._waiting_scope is not None:
-                self._waiting_scope = None
-                return _End()
-        with trio.move_on_after(self._limits.header_timeout_ms / _MS_PER_SECOND):
-            event = await self._next_event()
-            if isinstance(event, h11.Request):
-                return event
-            return _End()
-        raise RequestTimeout("header")
-
-    async def _read_body(self, head: h11.Request) -> bytes:
-        self._check_declared_length(head)
-        if self._protocol.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await self._stream.send_all(self._protocol.send(go_on))
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            match event:
-                case h11.Data():
-                    body += event.data
-                    if len(body) > self._limits.body_bytes:
-                        raise BodyTooLarge(self._limits.body_bytes)
-                case h11.EndOfMessage():
-                    return bytes(body)
-                case _:
-                    raise BadRequest("the connection closed inside the body")
-
-    def _check_declared_length(self, head: h11.Request) -> None:
-        for name, value in head.headers:
-            if name == b"content-length" and int(value) > self._limits.body_bytes:
-                raise BodyTooLarge(self._limits.body_bytes)
-
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BadRequest(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-            self._protocol.receive_data(await self._stream.receive_some(_READ_BYTES))
-
-    async def _cancel_when_peer_leaves(self, scope: trio.CancelScope) -> None:
-        """Cancel the request once the peer has closed its connection."""
-        try:
-            data = await self._stream.receive_some(_READ_BYTES)
-        except trio.BrokenResourceError:
-            data = b""
-        if data:
-            self._protocol.receive_data(data)
-            return
-        self._closing = True
-        scope.cancel()
-
-    async def _write(self, data: bytes) -> None:
-        with trio.move_on_after(self._limits.write_timeout_ms / _MS_PER_SECOND):
-            await self._stream.send_all(data)
-            return
-        raise trio.BrokenResourceError("the peer does not read")
-
-
-def _decode_headers(headers: h11._headers.Headers) -> Headers:
-    return Headers(
-        tuple(
-            (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
-        )
-    )
--- a/src/sassafraspin/ledger/__init__.py
+++ b/src/sassafraspin/ledger/__init__.py
@@ -1,6 +1,6 @@
 """At most one dispatch for each client account and idempotency key."""
 
-from sassafraspin.ledger.ledger import Ledger, SendToMember
+from sassafraspin.ledger.ledger import Ledger
 from sassafraspin.ledger.messages import (
     Claim,
     ClaimAnswer,
@@ -13,6 +13,7 @@
     SyncRequest,
 )
 from sassafraspin.ledger.record import RecordKey, RecordState, RequestRecord
+from sassafraspin.ledger.sync import SendToMember
 
 __all__ = [
     "Claim",
--- a/src/sassafraspin/ledger/ledger.py
+++ b/src/sassafraspin/ledger/ledger.py
@@ -6,12 +6,11 @@
 """
 
 import itertools
-from collections import OrderedDict
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from msgspec.structs import replace
 
+from sassafraspin.ledger.book import RecordBook
 from sassafraspin.ledger.messages import (
     Claim,
     ClaimAnswer,
@@ -25,7 +24,7 @@
 )
 from sassafraspin.ledger.placement import Placement
 from sassafraspin.ledger.record import RecordKey, RecordState, RequestRecord
-from sassafraspin.ledger.sync import SyncProgress
+from sassafraspin.ledger.sync import RecordSync, SendToMember, batches
 from sassafraspin.membership import MemberIdentity, View
 from sassafraspin.settings import LedgerSettings
 
@@ -33,29 +32,12 @@
 
 _LEAST_COPIES = 2
 _FULL_COPY_SECONDS = 0.25
-_SYNC_RETRY_SECONDS = 0.3
-_MAX_SYNC_RETRY_SECONDS = 5.0
-_SYNC_PART_RECORDS = 200
 _CLOSE_BATCH_RECORDS = 200
 
 _NO_ACK = 0
 """Identity of copies that nobody waits for."""
 
 
-@dataclass(frozen=True)
-class SendToMember:
-    """Effect: send a message to another member."""
-
-    name: str
-    message: LedgerMessage
-
-
-@dataclass
-class _Held:
-    record: RequestRecord
-    updated_at: float
-
-
 @dataclass
 class _PendingClaim:
     record: RequestRecord
@@ -81,12 +63,10 @@
         self._own = own
         self._settings = settings
         self._placement = Placement(own, settings.backup_copies + 1)
-        self._records: OrderedDict[RecordKey, _Held] = OrderedDict()
+        self._records = RecordBook(settings.record_window_ms / 1000)
         self._pending: dict[int, _PendingClaim] = {}
         self._copy_ids = itertools.count(1)
-        self._sync: SyncProgress | None = None
-        self._next_sync_at = 0.0
-        self._waiting_syncs: dict[str, SyncRequest] = {}
+        self._sync = RecordSync(own, self._placement, self._records)
         self._closed: dict[str, list[RequestRecord]] = {}
         self._effects: list[SendToMember] = []
 
@@ -102,8 +82,7 @@
 
     def record(self, key: RecordKey) -> RequestRecord | None:
         """Return the record held for a key."""
-        held = self._records.get(key)
-        return None if held is None else held.record
+        return self._records.get(key)
 
     def owns(self, key: RecordKey) -> bool:
         """Return whether this member alone decides on a key in the view in force.
@@ -121,19 +100,16 @@
         for pending in list(self._pending.values()):
             self._end_claim(pending, ClaimDecision.NOT_READY)
         self._placement.install(views)
-        self._start_sync(now)
-        for name, request in list(self._waiting_syncs.items()):
-            self._answer_sync(name, request)
+        self._effects += self._sync.start(now)
         return self._take_effects()
 
     def tick(self, lease_held: bool, now: float) -> list[SendToMember]:
         """Let time pass: repeat sync requests, send closes, expire records."""
-        if self._sync is not None and now >= self._next_sync_at:
-            self._ask_for_sync(now)
+        self._effects += self._sync.tick(now)
         for pending in list(self._pending.values()):
             self._grant_if_copied(pending, lease_held, now)
         self._send_closed()
-        self._expire(now)
+        self._records.expire(self._placement.view, now)
         return self._take_effects()
 
     def receive(
@@ -167,9 +143,9 @@
             case CopyAck():
                 self._on_copy_ack(source, message, lease, now)
             case SyncRequest():
-                self._answer_sync(source.name, message)
+                self._effects += self._sync.on_request(source.name, message)
             case SyncReply():
-                self._on_sync_reply(source, message, now)
+                self._sync.on_reply(source, message, now)
             case ClaimAnswer():
                 pass
         return self._take_effects()
@@ -183,10 +159,10 @@
         if not lease or not self.owns(key):
             self._answer(source.name, claim.request_id, ClaimDecision.NOT_READY)
             return
-        record = self.record(key)
+        record = self._records.get(key)
         if record is None and self._placement.may_be_lost(key, _LEAST_COPIES):
             record = self._new_record(source, claim, 1, RecordState.UNKNOWN)
-            self._store(record, now)
+            self._records.store(record, now)
         if record is None:
             self._start_claim(source, claim, 1, now)
         elif record.digest != claim.digest:
@@ -232,7 +208,7 @@
             self._answer(source.name, claim.request_id, ClaimDecision.FULL)
             return
         record = self._new_record(source, claim, attempt, RecordState.CLAIMED)
-        self._store(record, now)
+        self._records.store(record, now)
         backups = self._backups(record.key)
         pending = _PendingClaim(
             record,
@@ -253,7 +229,7 @@
         if copy.view_number != self._placement.view.number:
             return
         for record in copy.records:
-            self._merge(record, now)
+            self._records.merge(record, now)
         if copy.copy_id != _NO_ACK:
             self._send(source.name, CopyAck(copy.view_number, copy.copy_id))
 
@@ -287,7 +263,7 @@
         self._answer(pending.asked_by, pending.record.request_id, decision)
 
     def _on_close(self, close: CloseClaim, now: float) -> None:
-        record = self.record(close.key)
+        record = self._records.get(close.key)
         if record is None or record.request_id != close.request_id:
             return
         if record.state is not RecordState.CLAIMED:
@@ -301,81 +277,19 @@
         self, record: RequestRecord, state: RecordState, now: float
     ) -> None:
         closed = replace(record, state=state)
-        self._store(closed, now)
+        self._records.store(closed, now)
         for name in self._backups(record.key):
             self._closed.setdefault(name, []).append(closed)
 
     def _send_closed(self) -> None:
         """Tell backups of closed records; a lost one only makes answers cautious."""
         for name, records in self._closed.items():
-            for batch in _batches(records, _CLOSE_BATCH_RECORDS):
+            for batch in batches(records, _CLOSE_BATCH_RECORDS):
                 self._send(
                     name, CopyRecords(self._placement.view.number, _NO_ACK, batch)
                 )
         self._closed.clear()
 
-    # Syncing after a view change
-
-    def _start_sync(self, now: float) -> None:
-        view = self._placement.view
-        self._sync = None
-        if not view.contains(self._own):
-            return
-        others = frozenset(
-            member.name for member in view.members if member.name != self._own.name
-        )
-        if not others:
-            self._placement.note_synced()
-            return
-        self._sync = SyncProgress(view.number, others)
-        self._ask_for_sync(now)
-
-    def _ask_for_sync(self, now: float) -> None:
-        assert self._sync is not None
-        attempt = self._sync.start_attempt()
-        pause = _SYNC_RETRY_SECONDS * 2 ** (attempt - 1)
-        self._next_sync_at = now + min(pause, _MAX_SYNC_RETRY_SECONDS)
-        for name in sorted(self._sync.missing):
-            self._send(name, SyncRequest(self._sync.view_number, attempt))
-
-    def _answer_sync(self, name: str, request: SyncRequest) -> None:
-        """Send a member its records; wait if this member is behind it."""
-        view = self._placement.view
-        if request.view_number > view.number:
-            self._waiting_syncs[name] = request
-            return
-        self._waiting_syncs.pop(name, None)
-        if request.view_number < view.number:
-            return
-        wanted = tuple(self._records_for(name))
-        batches = list(_batches(wanted, _SYNC_PART_RECORDS)) or [()]
-        for part, batch in enumerate(batches):
-            is_last = part == len(batches) - 1
-            reply = SyncReply(
-                request.view_number, request.attempt, part, is_last, batch
-            )
-            self._send(name, reply)
-
-    def _records_for(self, name: str) -> Iterator[RequestRecord]:
-        for held in self._records.values():
-            holders = self._placement.holders(held.record.key)
-            if any(member.name == name for member in holders):
-                yield held.record
-
-    def _on_sync_reply(
-        self, source: MemberIdentity, reply: SyncReply, now: float
-    ) -> None:
-        for record in reply.records:
-            self._merge(record, now)
-        if self._sync is None or reply.view_number != self._sync.view_number:
-            return
-        if not self._placement.view.contains(source):
-            return
-        self._sync.note_part(source.name, reply.attempt, reply.part, reply.last)
-        if self._sync.is_done:
-            self._sync = None
-            self._placement.note_synced()
-
     # Records
 
     def _new_record(
@@ -391,29 +305,6 @@
             state,
         )
 
-    def _merge(self, record: RequestRecord, now: float) -> None:
-        if record.supersedes(self.record(record.key)):
-            self._store(record, now)
-
-    def _store(self, record: RequestRecord, now: float) -> None:
-        self._records[record.key] = _Held(record, now)
-        self._records.move_to_end(record.key)
-
-    def _expire(self, now: float) -> None:
-        """Forget records older than the window; those in flight become unknown."""
-        window = self._settings.record_window_ms / 1000
-        while self._records:
-            key, held = next(iter(self._records.items()))
-            if now - held.updated_at < window:
-                return
-            record = held.record
-            owner = MemberIdentity(record.entry, record.entry_incarnation)
-            in_flight = record.state is RecordState.CLAIMED
-            if in_flight and self._placement.view.contains(owner):
-                self._store(replace(record, state=RecordState.UNKNOWN), now)
-            else:
-                del self._records[key]
-
     def _backups(self, key: RecordKey) -> list[str]:
         holders = self._placement.holders(key)
         return [member.name for member in holders if member.name != self._own.name]
@@ -427,10 +318,3 @@
     def _take_effects(self) -> list[SendToMember]:
         effects, self._effects = self._effects, []
         return effects
-
-
-def _batches(
-    records: "list[RequestRecord] | tuple[RequestRecord, ...]", size: int
-) -> Iterator[tuple[RequestRecord, ...]]:
-    for start in range(0, len(records), size):
-        yield tuple(records[start : start + size])
