Make up for requests that found no room at the new version's servers

Cause: the first run of benchmarks.daemons (three instances, three engines, separate processes): a good move was taken back at its deadline of 120 s, "still sampling at 5%: 1 shown": while the share is small the new version is held to one server, the fastest one, which was full of old traffic nearly always when a request was drawn for it.

Ruled out: the dispatcher (load and grants were in order: 100% goodput at 0.3 to 2x).

Change: a request that goes to the old version for want of room is owed to the new one, up to 3, and raises its chance.

--- a/src/sassafraspin/dispatch/versions.py
+++ b/src/sassafraspin/dispatch/versions.py
@@ -19,6 +19,9 @@
 _SOAK_HOLD_OUT = 0.1
 _MAX_SAMPLING_SHARE = 0.5
 
+_MAX_CREDIT = 3.0
+"""Most requests that the new version is owed, so that it gets no burst."""
+
 
 @dataclass(frozen=True)
 class ServerCounts:
@@ -65,6 +68,7 @@
         self._evidence = Evidence(self._settings)
         self._shown = 0
         self._in_flight = 0
+        self._credit = 0.0
         self._ended_before_step = 0
 
     @property
@@ -91,6 +95,7 @@
             move is None or self._move is None or move.spec.name != self._move.spec.name
         )
         self._move = move
+        self._credit = 0.0
         self._ended_before_step = self._evidence.ended
         if is_other:
             self._evidence = Evidence(self._settings)
@@ -99,11 +104,15 @@
             self._ended_before_step = 0
 
     def choose_version(self) -> str:
-        """Return the version that a request is shown."""
+        """Return the version that a request should be shown.
+
+        Requests that went to the old version for want of room at the new one's
+        servers are owed to it: they raise its chance until it has its share again.
+        """
         move = self._move
         if move is None or not self._admits_new():
             return self._current_version
-        if self._generator.random() < self._share(move):
+        if self._generator.random() < self._credit + self._share(move):
             return move.spec.to_version
         return self._current_version
 
@@ -133,6 +142,9 @@
 
     def note_start(self, version: str) -> None:
         """Record that a request is sent to a version."""
+        if self._move is not None and self._admits_new():
+            owed = self._credit + self._share(self._move) - self._is_new(version)
+            self._credit = min(max(owed, -_MAX_CREDIT), _MAX_CREDIT)
         if self._is_new(version):
             self._shown += 1
             self._in_flight += 1
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -206,6 +206,27 @@
         self.assertEqual(refused.refusal, MoveRefusal.WRONG_VERSION)
 
 
+class TestVersionGate(unittest.TestCase):
+    """The share of the new version while its servers are often full."""
+
+    def test_requests_without_room_are_made_up_for(self):
+        store = MoveStore()
+        store.declare(spec(exposed_requests=1_000, exposed_share=0.2), "ayse", 0)
+        for phase in (MovePhase.LOADING, MovePhase.SAMPLING):
+            before = store.get("move").phase
+            step = MoveStep("move", before, phase, 0.2, TakeBackReason.NONE, "")
+            store.advance(step, 0)
+        gate = VersionGate("v1", random.Random(1))
+        gate.follow("v1", store.running("model"))
+        generator = random.Random(2)
+        for _ in range(1_000):
+            version = gate.choose_version()
+            has_room = generator.random() < 0.4
+            gate.note_start(version if has_room else "v1")
+        self.assertGreater(gate.shown, 170)
+        self.assertLess(gate.shown, 230)
+
+
 class TestEvidence(unittest.TestCase):
     """The sequential test."""
 
