Take the control duty's shell out of the daemon

Change: daemon/control_shell.py holds the duty, its disk, heartbeats, new views and moves; a command that is proposed already is not proposed again.

--- a/src/sassafraspin/control/duty.py
+++ b/src/sassafraspin/control/duty.py
@@ -172,6 +172,10 @@
             self._configuration.update_since(heartbeat.config_index),
         )
 
+    def is_proposed(self, change_id: str) -> bool:
+        """Return whether a command waits to be committed."""
+        return change_id in self._proposals
+
     def propose(self, command: Command, callback: ProposalCallback, now: float) -> None:
         """Commit a command; the callback is told its outcome.
 
--- /dev/null
+++ b/src/sassafraspin/daemon/control_shell.py
@@ -0,0 +1,210 @@
+"""The control duty of a daemon: its disk, heartbeats, new views and moves."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+from sassafraspin.control import (
+    AdvanceMove,
+    ControlDuty,
+    ControlDutySettings,
+    MoveDuty,
+    ProposalEnd,
+    ReplicaDisk,
+    ReplicaTimings,
+)
+from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.daemon.messages import Propose, ProposeReply
+from sassafraspin.daemon.node import Node, wall_clock_ms
+from sassafraspin.daemon.proposals import with_time
+from sassafraspin.daemon.status import ControlStatus
+from sassafraspin.membership import (
+    HeartbeatReply,
+    MemberHeartbeat,
+    MemberIdentity,
+    MemberTimings,
+)
+from sassafraspin.moves import DirectorSettings, MoveEvidence, MovePhase
+from sassafraspin.settings import DaemonSettings, NamedAddress
+from sassafraspin.storage import DataFolder, StorageError
+from sassafraspin.telemetry import part_logger
+
+__all__ = ["ControlShell"]
+
+_MS_PER_SECOND = 1000
+_HEARTBEATS_PER_TIMEOUT = 4
+
+_log = part_logger("control")
+_moves_log = part_logger("moves")
+
+
+class ControlShell:
+    """Runs the control duty on instances that have it, and nothing on others.
+
+    A disk that fails stops the duty; all else of the daemon goes on.
+
+    Parameters
+    ----------
+    node : Node
+        Shared handles of the daemon.
+    base_folder : Path
+        Folder that the data folder's path starts at.
+    generator : random.Random
+        Source of election delays.
+    learn_address : callable
+        Makes the address of an instance known.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        base_folder: Path,
+        generator: random.Random,
+        learn_address: Callable[[NamedAddress], None],
+    ) -> None:
+        self._node = node
+        self._learn_address = learn_address
+        self._moves = MoveDuty(DirectorSettings())
+        self._sent_view = 0
+        self._storage_failure: StorageError | None = None
+        self._duty = self._make_duty(base_folder, generator)
+
+    def status(self) -> ControlStatus | None:
+        """Return the state of the duty, ``None`` on instances without it."""
+        if self._storage_failure is not None:
+            failure = str(self._storage_failure)
+            return ControlStatus("stopped", 0, None, 0, (), False, failure)
+        if self._duty is None:
+            return None
+        replica = self._duty.replica
+        failure = self._duty.failure
+        return ControlStatus(
+            replica.role,
+            replica.term,
+            replica.leader,
+            replica.commit_index,
+            tuple(voter.name for voter in replica.log.voters),
+            replica.is_voter,
+            None if failure is None else str(failure),
+        )
+
+    def tick(self, now: float) -> None:
+        """Let time pass."""
+        duty = self._duty
+        if duty is None:
+            return
+        duty.tick(now)
+        if duty.leads(now):
+            self._push_new_view()
+            self._direct_moves(duty, now)
+
+    def on_heartbeat(
+        self, source: MemberIdentity, heartbeat: MemberHeartbeat, now: float
+    ) -> None:
+        """Answer a member's heartbeat."""
+        if self._duty is None:
+            return
+        if heartbeat.member is not None and source.name != self._node.name:
+            self._learn_address(heartbeat.member.address)
+        reply = self._duty.heartbeat(source, heartbeat, now)
+        self._node.send(source.name, reply)
+
+    def on_propose(self, source: str, message: Propose, now: float) -> None:
+        """Have a command committed and tell its sender what came of it."""
+        command = with_time(message.command, wall_clock_ms())
+        if self._duty is None:
+            self._node.send(source, ProposeReply(command.change_id, None))
+            return
+        self._duty.propose(
+            command,
+            lambda end: self._node.send(
+                source, ProposeReply(end.change_id, end.outcome)
+            ),
+            now,
+        )
+
+    def on_evidence(self, evidence: MoveEvidence) -> None:
+        """Take in a dispatcher's report on a move."""
+        self._moves.receive(evidence)
+
+    def on_replica_message(
+        self, source: str, message: ReplicaMessage, now: float
+    ) -> None:
+        """Handle a message of another control instance."""
+        if self._duty is not None:
+            self._duty.receive(source, message, now)
+
+    def _make_duty(
+        self, base_folder: Path, generator: random.Random
+    ) -> ControlDuty | None:
+        settings = self._node.settings
+        if not settings.has_control_duty:
+            return None
+        assert settings.control.data_folder is not None
+        try:
+            folder = DataFolder(base_folder / settings.control.data_folder)
+            disk = ReplicaDisk(folder)
+        except StorageError as error:
+            self._storage_failure = error
+            _log.error("The control duty cannot start: {}.", error)
+            return None
+        return ControlDuty(
+            _duty_settings(settings),
+            disk,
+            self._node.configuration,
+            self._node.send,
+            generator,
+            self._node.now(),
+            wall_clock_ms,
+        )
+
+    def _push_new_view(self) -> None:
+        """Send a new view to the members at once, ahead of their heartbeats."""
+        view = self._node.view
+        if view.number == self._sent_view:
+            return
+        self._sent_view = view.number
+        index = self._node.configuration.index
+        update = self._node.configuration.update_since(index - 1)
+        reply = HeartbeatReply(self._node.name, 0, index, 0.0, update)
+        for member in view.members:
+            if member.name != self._node.name:
+                self._learn_address(member.address)
+                self._node.send(member.name, reply)
+
+    def _direct_moves(self, duty: ControlDuty, now: float) -> None:
+        def propose(command: AdvanceMove) -> None:
+            if not duty.is_proposed(command.change_id):
+                duty.propose(command, self._note_move, now)
+
+        state = self._node.configuration.state
+        self._moves.tick(state, wall_clock_ms(), propose)
+
+    def _note_move(self, end: ProposalEnd) -> None:
+        """Tell operators plainly when a move is done or taken back."""
+        if end.outcome is None or end.outcome.move is None:
+            return
+        move = end.outcome.move
+        name = move.spec.name
+        self._node.metrics.count(f"move.{move.phase}")
+        match move.phase:
+            case MovePhase.DONE:
+                _moves_log.info("Move {} is done: {}.", name, move.detail)
+            case MovePhase.TAKEN_BACK:
+                _moves_log.warning(
+                    "Move {} is taken back ({}): {}.", name, move.reason, move.detail
+                )
+            case _:
+                _moves_log.info("Move {} is {}: {}.", name, move.phase, move.detail)
+
+
+def _duty_settings(settings: DaemonSettings) -> ControlDutySettings:
+    control = settings.control
+    election_timeout = control.election_timeout_ms / _MS_PER_SECOND
+    return ControlDutySettings(
+        settings.instance.name,
+        tuple(address.name for address in control.instances),
+        ReplicaTimings(election_timeout, election_timeout / _HEARTBEATS_PER_TIMEOUT),
+        MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
+        control.snapshot_after_entries,
+    )
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -7,28 +7,20 @@
 
 import trio
 
-from sassafraspin.control import (
-    Configuration,
-    ControlDuty,
-    ControlDutySettings,
-    MoveDuty,
-    ProposalEnd,
-    ReplicaDisk,
-    ReplicaTimings,
-)
-from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.control import Configuration
 from sassafraspin.daemon.access import AccessControl
 from sassafraspin.daemon.claims import ClaimClient
+from sassafraspin.daemon.control_shell import ControlShell
 from sassafraspin.daemon.dispatch_duty import DispatchDuty
 from sassafraspin.daemon.entry import EntryService
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
-from sassafraspin.daemon.node import Node, wall_clock_ms
+from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.operations import OperationsApi
 from sassafraspin.daemon.orders import OrderSender
-from sassafraspin.daemon.proposals import ProposalClient, with_time
+from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.daemon.relay import BackendRelay
 from sassafraspin.daemon.slots import SlotClient
-from sassafraspin.daemon.status import ControlStatus, InstanceStatus
+from sassafraspin.daemon.status import InstanceStatus
 from sassafraspin.dispatch import (
     ActiveGrant,
     AnnounceBackend,
@@ -67,10 +59,9 @@
     MemberLease,
     MemberTimings,
 )
-from sassafraspin.moves import DirectorSettings, MoveEvidence, MovePhase
+from sassafraspin.moves import MoveEvidence
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import DaemonSettings
-from sassafraspin.storage import DataFolder, StorageError
 from sassafraspin.telemetry import Metrics, part_logger
 
 __all__ = ["Daemon"]
@@ -79,10 +70,8 @@
 _FRESH_HEARTBEATS = 4
 _MS_PER_SECOND = 1000
 _LEAVE_SECONDS = 2.0
-_HEARTBEATS_PER_TIMEOUT = 4
 
 _log = part_logger("daemon")
-_moves_log = part_logger("moves")
 
 
 class Daemon:
@@ -105,9 +94,7 @@
         self._generator = random.Random(seed)
         self._drained = trio.Event()
         self._draining = False
-        self._sent_view = 0
         self._followed_view = 0
-        self._storage_failure: StorageError | None = None
         member = _own_member(settings)
         self._network = PeerNetwork(
             member.name,
@@ -126,7 +113,6 @@
         self._dispatch = DispatchDuty(
             self._node, self._generator, self._orders.send_soon, self._ledger
         )
-        self._moves = MoveDuty(DirectorSettings())
         access = AccessControl(settings.access)
         self._entry = EntryService(
             self._node,
@@ -146,7 +132,9 @@
             settings.http,
             answering(self._operations.handle),
         )
-        self._control = self._make_control(base_folder)
+        self._control = ControlShell(
+            self._node, base_folder, self._generator, self._network.learn_address
+        )
 
     def _make_node(self, member: Member) -> Node:
         settings = self._settings
@@ -173,35 +161,6 @@
             self._network.send,
         )
 
-    def _make_control(self, base_folder: Path) -> ControlDuty | None:
-        settings = self._settings
-        if not settings.has_control_duty:
-            return None
-        assert settings.control.data_folder is not None
-        try:
-            folder = DataFolder(base_folder / settings.control.data_folder)
-            disk = ReplicaDisk(folder)
-        except StorageError as error:
-            self._storage_failure = error
-            _log.error("The control duty cannot start: {}.", error)
-            return None
-        duty_settings = ControlDutySettings(
-            settings.instance.name,
-            tuple(address.name for address in settings.control.instances),
-            _replica_timings(settings),
-            _member_timings(settings),
-            settings.control.snapshot_after_entries,
-        )
-        return ControlDuty(
-            duty_settings,
-            disk,
-            self._node.configuration,
-            self._network.send,
-            self._generator,
-            trio.current_time(),
-            wall_clock_ms,
-        )
-
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -267,7 +226,7 @@
             synced_view=self._ledger.synced_view,
             records=self._ledger.record_count,
             view=state.view,
-            control=self._control_status(),
+            control=self._control.status(),
             pools=self._dispatch.pool_statuses(),
             backend_servers=self._dispatch.backend_statuses(),
             moves=state.moves.all_moves(),
@@ -280,24 +239,6 @@
         age = self._node.lease.confirmed_age(now)
         return None if age == float("inf") else int(age * _MS_PER_SECOND)
 
-    def _control_status(self) -> ControlStatus | None:
-        if self._storage_failure is not None:
-            failure = str(self._storage_failure)
-            return ControlStatus("stopped", 0, None, 0, (), False, failure)
-        if self._control is None:
-            return None
-        replica = self._control.replica
-        failure = self._control.failure
-        return ControlStatus(
-            replica.role,
-            replica.term,
-            replica.leader,
-            replica.commit_index,
-            tuple(voter.name for voter in replica.log.voters),
-            replica.is_voter,
-            None if failure is None else str(failure),
-        )
-
     async def _drain_on_signal(self, signals, scope: trio.CancelScope) -> None:
         async with trio.open_nursery() as nursery:
             async for _ in signals:
@@ -334,10 +275,7 @@
     def _tick(self) -> None:
         now = self._node.now()
         node = self._node
-        if self._control is not None:
-            self._control.tick(now)
-            self._push_new_view(now)
-            self._direct_moves(now)
+        self._control.tick(now)
         heartbeat = node.lease.tick(
             node.configuration.index, self._ledger.synced_view, node.view, now
         )
@@ -359,49 +297,6 @@
         now = self._node.now()
         self._send_ledger(self._ledger.install_views(state.views, now))
 
-    def _push_new_view(self, now: float) -> None:
-        """Send a new view to the members at once, ahead of their heartbeats."""
-        view = self._node.view
-        if view.number == self._sent_view or self._control is None:
-            return
-        if not self._control.leads(now):
-            return
-        self._sent_view = view.number
-        state = self._node.configuration.state
-        for member in view.members:
-            update = self._node.configuration.update_since(state.index - 1)
-            reply = HeartbeatReply(self._node.name, 0, state.index, 0.0, update)
-            if member.name != self._node.name:
-                self._network.learn_address(member.address)
-                self._node.send(member.name, reply)
-
-    def _direct_moves(self, now: float) -> None:
-        control = self._control
-        if control is None or not control.leads(now):
-            return
-        self._moves.tick(
-            self._node.configuration.state,
-            wall_clock_ms(),
-            lambda command: control.propose(command, self._note_move, now),
-        )
-
-    def _note_move(self, end: ProposalEnd) -> None:
-        """Tell operators plainly when a move is done or taken back."""
-        if end.outcome is None or end.outcome.move is None:
-            return
-        move = end.outcome.move
-        name = move.spec.name
-        self._node.metrics.count(f"move.{move.phase}")
-        match move.phase:
-            case MovePhase.DONE:
-                _moves_log.info("Move {} is done: {}.", name, move.detail)
-            case MovePhase.TAKEN_BACK:
-                _moves_log.warning(
-                    "Move {} is taken back ({}): {}.", name, move.reason, move.detail
-                )
-            case _:
-                _moves_log.info("Move {} is {}: {}.", name, move.phase, move.detail)
-
     def _send_ledger(self, effects: list) -> None:
         for effect in effects:
             self._node.send(effect.name, effect.message)
@@ -412,7 +307,9 @@
         now = self._node.now()
         match message:
             case MemberHeartbeat():
-                self._on_heartbeat(MemberIdentity(source, incarnation), message, now)
+                self._control.on_heartbeat(
+                    MemberIdentity(source, incarnation), message, now
+                )
             case HeartbeatReply():
                 self._on_heartbeat_reply(message, now)
             case Claim() | CloseClaim() | CopyRecords() | CopyAck():
@@ -428,23 +325,13 @@
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(message)
             case MoveEvidence():
-                self._moves.receive(message)
+                self._control.on_evidence(message)
             case Propose():
-                self._on_propose(source, message, now)
+                self._control.on_propose(source, message, now)
             case ProposeReply():
                 self._proposals.receive(message)
             case _:
-                self._on_replica_message(source, message, now)
-
-    def _on_heartbeat(
-        self, source: MemberIdentity, heartbeat: MemberHeartbeat, now: float
-    ) -> None:
-        if self._control is None:
-            return
-        if heartbeat.member is not None and source.name != self._node.name:
-            self._network.learn_address(heartbeat.member.address)
-        reply = self._control.heartbeat(source, heartbeat, now)
-        self._node.send(source.name, reply)
+                self._control.on_replica_message(source, message, now)
 
     def _on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
         configuration = self._node.configuration
@@ -460,25 +347,6 @@
         acts = self._node.acts_in_view()
         self._send_ledger(self._ledger.receive(source, message, acts, now))
 
-    def _on_propose(self, source: str, message: Propose, now: float) -> None:
-        command = with_time(message.command, wall_clock_ms())
-        if self._control is None:
-            self._node.send(source, ProposeReply(command.change_id, None))
-            return
-        self._control.propose(
-            command,
-            lambda end: self._node.send(
-                source, ProposeReply(end.change_id, end.outcome)
-            ),
-            now,
-        )
-
-    def _on_replica_message(
-        self, source: str, message: ReplicaMessage, now: float
-    ) -> None:
-        if self._control is not None:
-            self._control.receive(source, message, now)
-
 
 def _own_member(settings: DaemonSettings) -> Member:
     peers = settings.listen.peers
@@ -496,11 +364,6 @@
     return MemberTimings(settings.control.member_lease_ms / _MS_PER_SECOND)
 
 
-def _replica_timings(settings: DaemonSettings) -> ReplicaTimings:
-    election_timeout = settings.control.election_timeout_ms / _MS_PER_SECOND
-    return ReplicaTimings(election_timeout, election_timeout / _HEARTBEATS_PER_TIMEOUT)
-
-
 def _client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
     dispatch = settings.dispatch
     return ClientTimeouts(
