Split the pool and the control replica by job

Change: dispatch/shortage.py (refusing, shedding, cancelling), control/election.py (timer and votes), control/formation.py (the first quorum), and two steps of following moved into the log.

--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -68,6 +68,40 @@
         self._entries.extend(entries)
         self._find_voters()
 
+    def merge(self, previous_index: int, entries: tuple[Entry, ...]) -> int | None:
+        """Write a leader's entries from the first one that is not held yet.
+
+        Parameters
+        ----------
+        previous_index : int
+            Index before the first entry, at which both logs agree.
+        entries : tuple of Entry
+            The leader's entries.
+
+        Returns
+        -------
+        int or None
+            Index of the first entry written, ``None`` if all were held.
+        """
+        for offset, entry in enumerate(entries):
+            index = previous_index + 1 + offset
+            if index <= self._snapshot.index:
+                continue
+            if self.term_at(index) != entry.term:
+                self.write(index, entries[offset:])
+                return index
+        return None
+
+    def conflict_hint(self, previous_index: int, committed: int) -> int:
+        """Return where a leader should try next, a whole conflicting term back."""
+        hint = min(previous_index, self.last_index + 1)
+        conflicting = self.term_at(hint)
+        while hint > self._snapshot.index + 1 and (
+            self.term_at(hint - 1) == conflicting
+        ):
+            hint -= 1
+        return max(hint, committed + 1)
+
     def compact(self, snapshot: Snapshot) -> None:
         """Replace the entries up to the snapshot's index by the snapshot."""
         kept = ()
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -17,6 +17,8 @@
     SaveTerm,
     SendToReplica,
 )
+from sassafraspin.control.election import Election
+from sassafraspin.control.formation import QuorumFormation
 from sassafraspin.control.leadership import Leadership
 from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog
 from sassafraspin.control.messages import (
@@ -115,7 +117,8 @@
         self._configured = configured
         self._own = Voter(name, image.disk_id)
         self._timings = timings
-        self._generator = generator
+        self._election = Election(self._own, timings, generator, now)
+        self._formation = QuorumFormation(self._own, configured, timings.heartbeat, now)
         self._term = image.term
         self._voted_for = image.voted_for
         self._log = ReplicatedLog(image.snapshot, image.entries)
@@ -124,14 +127,7 @@
         self._role = Role.FOLLOWER
         self._leader: str | None = None
         self._leadership: Leadership | None = None
-        self._votes: set[Voter] = set()
-        self._asked_pre = False
-        self._empty_peers: dict[str, str] = {}
-        self._last_contact = now
-        self._election_at = 0.0
-        self._next_hello = now
         self._effects: list[Effect] = []
-        self._postpone_election(now)
 
     @property
     def role(self) -> Role:
@@ -200,7 +196,7 @@
         else:
             if not self.is_voter:
                 self._greet(now)
-            if now >= self._election_at:
+            if self._election.is_due(now):
                 self._start_pre_vote(now)
         return self._take_effects()
 
@@ -253,10 +249,9 @@
 
     def _greet(self, now: float) -> None:
         """Tell the other configured instances that this disk is not a voter."""
-        if now < self._next_hello:
+        if not self._formation.is_greeting_due(now):
             return
-        self._next_hello = now + self._timings.heartbeat
-        for name in self._others(self._configured):
+        for name in self._formation.others:
             self._send(name, Hello(self._own.disk_id))
         self._form_quorum(now)
 
@@ -268,7 +263,7 @@
             self._send(source, Welcome(self._first_voters(newcomer)))
             self._consider_newcomer(newcomer, now)
             return
-        self._empty_peers[source] = message.disk_id
+        self._formation.note_empty(source, message.disk_id)
         self._form_quorum(now)
 
     def _first_voters(self, newcomer: Voter) -> tuple[Voter, ...]:
@@ -282,12 +277,9 @@
 
     def _form_quorum(self, now: float) -> None:
         """Start the log once every configured instance is known to be empty."""
-        if self._log.voters:
-            return
-        if any(name not in self._empty_peers for name in self._others()):
-            return
-        peers = (Voter(name, disk) for name, disk in self._empty_peers.items())
-        self._install_first_voters(tuple(sorted([self._own, *peers])), now)
+        voters = self._formation.first_voters()
+        if voters is not None and not self._log.voters:
+            self._install_first_voters(voters, now)
 
     def _on_welcome(self, message: Welcome, now: float) -> None:
         if not self._log.voters and self._own in message.voters:
@@ -297,12 +289,12 @@
         snapshot = Snapshot(0, 0, voters, b"")
         self._log.compact(snapshot)
         self._effects.append(SaveSnapshot(snapshot, ()))
-        self._postpone_election(now)
+        self._election.postpone(now)
 
     # Elections
 
     def _start_pre_vote(self, now: float) -> None:
-        self._postpone_election(now)
+        self._election.postpone(now)
         if not self.is_voter:
             return
         self._become(Role.CANDIDATE)
@@ -311,12 +303,11 @@
 
     def _start_election(self, now: float) -> None:
         self._save_term(self._term + 1, self._name)
-        self._postpone_election(now)
+        self._election.postpone(now)
         self._ask_for_votes(pre=False, term=self._term, now=now)
 
     def _ask_for_votes(self, pre: bool, term: int, now: float) -> None:
-        self._asked_pre = pre
-        self._votes = {self._own}
+        self._election.start(pre)
         request = VoteRequest(term, pre, self._log.last_index, self._log.last_term)
         for voter in self._log.voters:
             if voter != self._own:
@@ -324,10 +315,9 @@
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
-        voters = self._log.voters
-        if 2 * len(self._votes & set(voters)) <= len(voters):
+        if not self._election.has_majority(self._log.voters):
             return
-        if self._asked_pre:
+        if self._election.asked_pre:
             self._start_election(now)
         else:
             self._lead(now)
@@ -353,14 +343,14 @@
             return False
         if self._voted_for is None:
             self._save_term(self._term, source)
-        self._postpone_election(now)
+        self._election.postpone(now)
         return True
 
     def _hears_leader(self, now: float) -> bool:
         """Return whether a leader was heard of so recently that its lease holds."""
         if self._role is Role.LEADER:
             return self.has_lease(now)
-        return now - self._last_contact < self._timings.election_timeout
+        return self._election.hears_leader(now)
 
     def _is_current(self, request: VoteRequest) -> bool:
         own = (self._log.last_term, self._log.last_index)
@@ -370,11 +360,14 @@
         if reply.current_term > self._term:
             self._follow(reply.current_term, None)
             return
-        if self._role is not Role.CANDIDATE or reply.pre is not self._asked_pre:
+        if (
+            self._role is not Role.CANDIDATE
+            or reply.pre is not self._election.asked_pre
+        ):
             return
-        asked_term = self._term + 1 if self._asked_pre else self._term
+        asked_term = self._term + 1 if reply.pre else self._term
         if reply.granted and reply.term == asked_term:
-            self._votes.add(Voter(source, reply.disk_id))
+            self._election.add_vote(Voter(source, reply.disk_id))
             self._count_votes(now)
 
     def _lead(self, now: float) -> None:
@@ -394,11 +387,6 @@
     def _become(self, role: Role) -> None:
         self._role = role
         self._leadership = None
-        self._votes = set()
-
-    def _postpone_election(self, now: float) -> None:
-        factor = 1 + self._generator.random()
-        self._election_at = now + factor * self._timings.election_timeout
 
     # Leading
 
@@ -408,7 +396,7 @@
         if leadership.has_lost_quorum(self._log.voters, now):
             self._become(Role.FOLLOWER)
             self._leader = None
-            self._postpone_election(now)
+            self._election.postpone(now)
             return
         if leadership.heartbeat_due(now):
             self._replicate(now)
@@ -540,32 +528,20 @@
         if term > self._term or self._role is not Role.FOLLOWER:
             self._follow(term, source)
         self._leader = source
-        self._last_contact = now
-        self._postpone_election(now)
+        self._election.note_contact(now)
         return True
 
     def _refuse_append(self, source: str, request: AppendRequest) -> None:
-        """Tell the leader where to try next, a whole conflicting term back."""
-        hint = min(request.previous_index, self._log.last_index + 1)
-        conflicting = self._log.term_at(hint)
-        while hint > self._log.snapshot.index + 1 and (
-            self._log.term_at(hint - 1) == conflicting
-        ):
-            hint -= 1
-        hint = max(hint, self._commit_index + 1)
+        """Tell the leader where to try next."""
+        hint = self._log.conflict_hint(request.previous_index, self._commit_index)
         reply = AppendReply(self._term, False, hint, self._own.disk_id, request.sent_at)
         self._send(source, reply)
 
     def _store_new_entries(self, request: AppendRequest) -> None:
-        for offset, entry in enumerate(request.entries):
-            index = request.previous_index + 1 + offset
-            if index <= self._log.snapshot.index:
-                continue
-            if self._log.term_at(index) != entry.term:
-                fresh = request.entries[offset:]
-                self._log.write(index, fresh)
-                self._effects.append(AppendToDisk(index, fresh))
-                return
+        first = self._log.merge(request.previous_index, request.entries)
+        if first is not None:
+            written = self._log.entries_from(first)
+            self._effects.append(AppendToDisk(first, written))
 
     def _on_snapshot(self, source: str, message: InstallSnapshot, now: float) -> None:
         if not self._accept_leader(source, message.term, message.sent_at, now):
@@ -598,9 +574,6 @@
         self._voted_for = voted_for
         self._effects.append(SaveTerm(term, voted_for))
 
-    def _others(self, names: tuple[str, ...] | None = None) -> list[str]:
-        return [name for name in names or self._configured if name != self._name]
-
     def _send(self, name: str, message: ReplicaMessage) -> None:
         self._effects.append(SendToReplica(name, message))
 
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from collections import deque
 from dataclasses import dataclass
 
 from sassafraspin.admission import (
@@ -23,13 +22,12 @@
     RefusalReason,
     ReleaseResult,
     SlotGrant,
-    SlotRefusal,
     SlotRelease,
     SlotRequest,
-    SlotRevoke,
     SlotWithdraw,
 )
 from sassafraspin.dispatch.servers import ServerTable
+from sassafraspin.dispatch.shortage import Shortage
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.routing import (
     BackendChoice,
@@ -41,18 +39,11 @@
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
 
-_MIN_RETRY_MS = 200
-_MAX_RETRY_MS = 30_000
 _GRANT_SLACK_SECONDS = 2.0
-_LATE_SCAN_SECONDS = 0.05
 _RECONCILE_AFTER_SECONDS = 2.0
-_ROOM_SCAN_REQUESTS = 64
 _GRANT_SCAN_REQUESTS = 16
 _NO_BACKEND_RETRY = 1.0
 
-_WARM_UP_SECONDS = 2.0
-"""Time in which a new dispatcher waits for backend servers to announce themselves."""
-
 
 @dataclass(frozen=True)
 class SendToEntry:
@@ -105,7 +96,6 @@
         term: str,
         now: float,
     ) -> None:
-        self._warm_at = now + _WARM_UP_SECONDS
         self._service = service
         self._settings = settings
         self._limits = AccountLimits(accounts)
@@ -115,8 +105,16 @@
         self._queue = WaitingQueue()
         self._grants = GrantTable()
         self._grant_counter = 0
-        self._next_late_scan = 0.0
         self._effects: list[SendToEntry] = []
+        self._shortage = Shortage(
+            settings,
+            self._limits,
+            self._queue,
+            self._grants,
+            self._servers,
+            self._send,
+            now,
+        )
 
     @property
     def gate(self) -> VersionGate:
@@ -186,7 +184,7 @@
         """Forget a request that no longer waits, or give back its unused slot."""
         waiting = self._queue.remove(message.request_id)
         if waiting is not None:
-            self._give_back_limits(waiting.request)
+            self._shortage.give_back_limits(waiting.request)
         grant = self._grants.of_request(message.request_id)
         if grant is not None:
             self._end_grant(grant.grant_id, now)
@@ -214,7 +212,7 @@
         for waiting in self._queue:
             if waiting.entry == entry:
                 self._queue.remove(waiting.request.request_id)
-                self._give_back_limits(waiting.request)
+                self._shortage.give_back_limits(waiting.request)
         for grant in self._grants:
             if grant.entry == entry:
                 self._end_grant(grant.grant_id, now)
@@ -226,7 +224,7 @@
             if now >= grant.lapses_at:
                 self._end_grant(grant.grant_id, now)
         self._servers.refresh(now)
-        self._refuse_late(now)
+        self._shortage.refuse_late(now)
         return self._pump(now)
 
     def server_counts(self) -> ServerCounts:
@@ -245,86 +243,31 @@
     # Admission
 
     def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
-        if not self._servers.accepts_work and now >= self._warm_at:
-            self._refuse(entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY)
+        if not self._shortage.is_served(now):
+            self._shortage.refuse(
+                entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY
+            )
             return
         tokens = request.prompt_tokens + request.answer_tokens
         decision = self._limits.admit(request.client_account, tokens, now)
         if isinstance(decision, LimitExceeded):
             reason = RefusalReason.ACCOUNT_LIMIT
-            self._refuse(entry, request, reason, decision.retry_after)
+            self._shortage.refuse(entry, request, reason, decision.retry_after)
             return
         seconds = self._servers.fastest_seconds(request)
         deadline = now + request.deadline_ms / 1000
         waiting = WaitingRequest(entry, request, seconds, deadline)
-        wait = self._expected_wait(request, now)
+        wait = self._shortage.expected_wait(request, now)
         is_late = now + wait > waiting.latest_start
         if is_late and (
             now > waiting.latest_start or not self._grants.victim(request.tier)
         ):
-            self._give_back_limits(request)
+            self._shortage.give_back_limits(request)
             late_by = now + wait - waiting.latest_start
-            self._refuse(entry, request, RefusalReason.TOO_LATE, late_by)
+            self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, late_by)
             return
         self._queue.add(waiting)
-        self._bound_queue(now)
-
-    def _expected_wait(self, request: SlotRequest, now: float) -> float:
-        """Return how long a new request would wait for a slot."""
-        slots = self._servers.open_slots
-        if slots == 0 and now < self._warm_at:
-            return 0.0
-        free = slots - len(self._grants)
-        if free > len(self._queue):
-            return 0.0
-        running = self._grants.remaining_seconds(now)
-        seconds = self._servers.fastest_seconds(request)
-        ahead = self._queue.seconds_ahead(request.tier, request.client_account, seconds)
-        return (ahead + running) / max(slots, 1)
-
-    def _bound_queue(self, now: float) -> None:
-        """Shed the last requests of the lowest tiers when too many wait.
-
-        While running work of a still lower tier can be cancelled instead, that is
-        done; a slot that is being made free lets one more request wait.
-        """
-        while len(self._queue) > self._settings.waiting_requests + self._grants.revoked:
-            last = self._queue.last_of_lowest_tier()
-            assert last is not None
-            victim = self._grants.victim(last.request.tier)
-            if victim is None:
-                self._shed(last, RefusalReason.OVERLOADED, now)
-            else:
-                self._revoke(victim)
-
-    def _refuse_late(self, now: float) -> None:
-        """Refuse waiting requests that can no longer be answered in time."""
-        if now < self._next_late_scan:
-            return
-        self._next_late_scan = now + _LATE_SCAN_SECONDS
-        is_served = self._servers.accepts_work or now < self._warm_at
-        for waiting in self._queue:
-            if not is_served:
-                self._shed(waiting, RefusalReason.NO_BACKEND, now)
-            elif now > waiting.latest_start:
-                self._shed(waiting, RefusalReason.TOO_LATE, now)
-
-    def _shed(self, waiting: WaitingRequest, reason: RefusalReason, now: float) -> None:
-        request = waiting.request
-        self._queue.remove(request.request_id)
-        self._give_back_limits(request)
-        wait = self._expected_wait(request, now)
-        self._refuse(waiting.entry, request, reason, wait)
-
-    def _refuse(
-        self, entry: str, request: SlotRequest, reason: RefusalReason, retry: float
-    ) -> None:
-        retry_ms = min(max(int(retry * 1000), _MIN_RETRY_MS), _MAX_RETRY_MS)
-        self._send(entry, SlotRefusal(request.request_id, reason, retry_ms))
-
-    def _give_back_limits(self, request: SlotRequest) -> None:
-        tokens = request.prompt_tokens + request.answer_tokens
-        self._limits.finish(request.client_account, tokens)
+        self._shortage.bound_queue(now)
 
     # Granting
 
@@ -338,14 +281,14 @@
             granted = False
             for waiting in self._queue.in_order(_GRANT_SCAN_REQUESTS):
                 if now > waiting.latest_start:
-                    self._shed(waiting, RefusalReason.TOO_LATE, now)
+                    self._shortage.shed(waiting, RefusalReason.TOO_LATE, now)
                     granted = True
                 elif self._try_grant(waiting, now):
                     granted = True
                     break
             if not granted:
                 break
-        self._make_room(now)
+        self._shortage.make_room(now)
         return self._take_effects()
 
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
@@ -424,7 +367,7 @@
         grant = self._grants.remove(grant_id)
         if grant is None:
             return None
-        self._give_back_limits(grant.request)
+        self._shortage.give_back_limits(grant.request)
         self._gate.note_end(grant.message.version)
         self._servers.release(grant.message.backend_id, grant_id, now)
         return grant
@@ -453,26 +396,6 @@
             case ReleaseResult.CANCELLED:
                 pass
 
-    # Making room for higher tiers
-
-    def _make_room(self, now: float) -> None:
-        """Cancel running work of lower tiers for requests that would be late."""
-        if not self._grants.has_cancellable or len(self._queue) == 0:
-            return
-        free_at = deque(self._grants.slot_times(now))
-        for item in self._queue.in_order(_ROOM_SCAN_REQUESTS):
-            if free_at and free_at[0] <= item.latest_start:
-                free_at.popleft()
-                continue
-            victim = self._grants.victim(item.request.tier)
-            if victim is not None:
-                self._revoke(victim)
-
-    def _revoke(self, grant: Grant) -> None:
-        self._grants.revoke(grant)
-        message = SlotRevoke(grant.request.request_id, grant.grant_id)
-        self._send(grant.entry, message)
-
     def _send(self, entry: str, message: DispatchMessage) -> None:
         self._effects.append(SendToEntry(entry, message))
 
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -9,7 +9,7 @@
 
 from sassafraspin.dispatch import ActiveGrant, HeldGrants, RefusalReason
 from sassafraspin.dispatch.grants import GrantTable
-from sassafraspin.dispatch.pool import Pool
+from sassafraspin.dispatch.shortage import Shortage
 from sassafraspin.settings import ClientAccountSettings
 from tests.pool_model import PoolModel
 
@@ -69,11 +69,12 @@
         run_state_machine_as_test(PoolMachine, settings=FUZZ_SETTINGS)
 
     def test_shedding_regardless_of_tier_is_caught(self):
-        def shed_newest(pool, now):
-            if len(pool._queue) > pool._settings.waiting_requests:
-                pool._shed(list(pool._queue)[-1], RefusalReason.OVERLOADED, now)
+        def shed_newest(shortage, now):
+            if len(shortage._queue) > shortage._settings.waiting_requests:
+                last = list(shortage._queue)[-1]
+                shortage.shed(last, RefusalReason.OVERLOADED, now)
 
-        with mock.patch.object(Pool, "_bound_queue", shed_newest):
+        with mock.patch.object(Shortage, "bound_queue", shed_newest):
             with self.assertRaisesRegex(AssertionError, "shed while"):
                 run_state_machine_as_test(PoolMachine, settings=FUZZ_SETTINGS)
 
