Trust an older sync only for keys whose home this member was then

Replayed with a trace: the home was frozen and removed; the next home had synced in the view before, where it was not the key's home, and took that for knowing every record of the key; the members that held the copy had not yet answered in the new view.

Ruled out: copies missing (two members held the record), a lease that overlapped (the frozen home granted nothing).

Change: a sync in an older view counts only if this member was the key's home in that view and in every one since. Regression test on the placement, failing before.

--- a/src/sassafraspin/ledger/placement.py
+++ b/src/sassafraspin/ledger/placement.py
@@ -59,11 +59,15 @@
         That is so once it has synced in the view in force, or if it has been the
         key's home in each view since one in which it had, or since the start.
         """
+        if self.view.number in self._synced:
+            return True
         for view in reversed(self._views):
-            if view.number in self._synced or not view.members:
+            if not view.members:
                 return True
             if _home_identity(view, key) != self._own:
                 return False
+            if view.number in self._synced:
+                return True
         return False
 
     def may_be_lost(self, key: RecordKey, least_copies: int) -> bool:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,7 +14,13 @@
     run_state_machine_as_test,
 )
 
-from sassafraspin.ledger import ClaimDecision, Ledger, RecordState, SyncReply
+from sassafraspin.ledger import (
+    ClaimDecision,
+    Ledger,
+    RecordKey,
+    RecordState,
+    SyncReply,
+)
 from sassafraspin.ledger.placement import Placement
 from sassafraspin.membership import Member, MemberIdentity, MemberLease, View
 from sassafraspin.membership.table import MemberTable
@@ -26,7 +32,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=100,
+    max_examples=150,
     stateful_step_count=40,
     phases=[Phase.generate],
     report_multiple_bugs=False,
@@ -185,6 +191,28 @@
         with mock.patch.object(Ledger, "owns", owns):
             self.assert_caught("dispatched more than once|two dispatchers")
 
+    def test_synced_in_an_older_view_as_another_ones_backup_is_not_enough(self):
+        """Claims made after an older sync, at another home, are not known."""
+        members = [
+            Member(f"entry-{number}", number, "r", f"z{number}", "127.0.0.1", 1)
+            for number in range(1, 4)
+        ]
+        first = View(1, 0, tuple(members))
+        for number in range(50):
+            key = RecordKey("account", f"key-{number}")
+            home, heir = first.ranked(key.placement, 2)
+            second = View(
+                2, 1, tuple(item for item in members if item.name != home.name)
+            )
+            placement = Placement(heir.identity, 3)
+            placement.install((View(), first))
+            placement.note_synced()
+            self.assertTrue(placement.knows_all(key))
+            placement.install((View(), first, second))
+            self.assertFalse(placement.knows_all(key))
+            placement.note_synced()
+            self.assertTrue(placement.knows_all(key))
+
     def test_repeated_key_gets_the_state(self):
         model = LedgerModel()
         model.run(3.0)
