Share the settings of the state machines and the server of the bounds tests

Cause: the same lines stood in four and three places.

Change: tests/fuzz.py; one context manager. The number of examples and steps is as before.

Measured: the tests of bounds, moves, pool and quorum pass.

--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -3,7 +3,6 @@
 import random
 import unittest
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -14,19 +13,11 @@
 )
 
 from sassafraspin.control import ControlReplica, ReplicaDisk
+from tests.fuzz import fuzz_settings
 from tests.quorum_model import QuorumModel
 from tests.simulation import MemoryFiles, Weather
 
-FUZZ_SETTINGS = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=40,
-    phases=[Phase.generate],
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
 
 NODES = st.sampled_from(["c0", "c1", "c2"])
 
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -3,7 +3,6 @@
 import unittest
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
@@ -11,18 +10,10 @@
 from sassafraspin.dispatch.grants import GrantTable
 from sassafraspin.dispatch.shortage import Shortage
 from sassafraspin.settings import ClientAccountSettings
+from tests.fuzz import fuzz_settings
 from tests.pool_model import PoolModel
 
-FUZZ_SETTINGS = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=200,
-    stateful_step_count=50,
-    phases=[Phase.generate],
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+FUZZ_SETTINGS = fuzz_settings(examples=200, steps=50)
 
 
 class PoolMachine(RuleBasedStateMachine):
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from contextlib import asynccontextmanager
 
 import trio
 import trio.testing
@@ -24,18 +25,25 @@
     return Response(200, body=request.body)
 
 
+@asynccontextmanager
+async def _serving():
+    """Run a server and give its port."""
+    [port] = free_ports(1)
+    server = HttpServer(Address("127.0.0.1", port), LIMITS, answering(_echo))
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve)
+        yield port
+        nursery.cancel_scope.cancel()
+
+
 class TestHttpBounds(unittest.TestCase):
     """Each breach gets a typed answer or a close, never a traceback."""
 
     def exchange(self, *pieces: bytes, pause: float = 0.0) -> bytes:
         """Send pieces over one connection and return all that comes back."""
-        [port] = free_ports(1)
 
         async def run() -> bytes:
-            address = Address("127.0.0.1", port)
-            server = HttpServer(address, LIMITS, answering(_echo))
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
+            async with _serving() as port:
                 stream = await trio.open_tcp_stream("127.0.0.1", port)
                 received = b""
                 for piece in pieces:
@@ -45,7 +53,6 @@
                     while data := await stream.receive_some(65536):
                         received += data
                 await stream.aclose()
-                nursery.cancel_scope.cancel()
             return received
 
         return trio.run(run)
@@ -90,13 +97,8 @@
         self.assertIn(b"xyz", answer)
 
     def test_too_many_connections(self):
-        [port] = free_ports(1)
-
         async def run() -> bytes:
-            address = Address("127.0.0.1", port)
-            server = HttpServer(address, LIMITS, answering(_echo))
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
+            async with _serving() as port:
                 held = [
                     await trio.open_tcp_stream("127.0.0.1", port)
                     for _ in range(LIMITS.connections)
@@ -106,19 +108,13 @@
                 answer = await extra.receive_some(65536)
                 for stream in (*held, extra):
                     await stream.aclose()
-                nursery.cancel_scope.cancel()
             return answer
 
         self.assertIn(b"503", trio.run(run))
 
     def test_reset_connection_leaves_the_server_running(self):
-        [port] = free_ports(1)
-
         async def run() -> bytes:
-            address = Address("127.0.0.1", port)
-            server = HttpServer(address, LIMITS, answering(_echo))
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
+            async with _serving() as port:
                 broken = await trio.open_tcp_stream("127.0.0.1", port)
                 await broken.send_all(b"POST / HTTP/1.1\r\n")
                 broken.setsockopt(
@@ -129,7 +125,6 @@
                 await good.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
                 answer = await good.receive_some(65536)
                 await good.aclose()
-                nursery.cancel_scope.cancel()
             return answer
 
         self.assertIn(b"200", trio.run(run))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -25,19 +25,11 @@
 from sassafraspin.membership import Member, MemberIdentity, MemberLease, View
 from sassafraspin.membership.table import MemberTable
 from sassafraspin.settings import LedgerSettings
+from tests.fuzz import fuzz_settings
 from tests.ledger_model import LedgerModel
 from tests.simulation import Weather
 
-FUZZ_SETTINGS = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=40,
-    phases=[Phase.generate],
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
 
 MUTANT_SETTINGS = settings(FUZZ_SETTINGS, max_examples=500)
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -4,7 +4,6 @@
 import unittest
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -29,17 +28,9 @@
     TakeBackReason,
     decide_step,
 )
+from tests.fuzz import fuzz_settings
 
-FUZZ_SETTINGS = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=60,
-    phases=[Phase.generate],
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+FUZZ_SETTINGS = fuzz_settings(examples=150, steps=60)
 
 SERVERS = 10
 
