Test the peer network, and remove what nothing used

Cause: large messages, a peer that comes back and a stream that goes silent had no test of their own; seven functions had no caller.

Change: tests/test_rpc.py; the draining refusal, counters and accessors without a caller are gone.

--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -12,7 +12,6 @@
 from sassafraspin.daemon.problems import (
     AlreadyAnswered,
     BackendUnreachable,
-    Draining,
     InternalFailure,
     KeyReused,
     LedgerUnavailable,
@@ -89,17 +88,12 @@
         self._relay = relay
         self._reader = CallReader(node.settings.services)
         self._in_flight = 0
-        self._draining = False
 
     @property
     def in_flight(self) -> int:
         """Return the number of calls that are being served."""
         return self._in_flight
 
-    def start_draining(self) -> None:
-        """Refuse calls from now on; those in flight go on."""
-        self._draining = True
-
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one HTTP request of a caller."""
         self._in_flight += 1
@@ -116,8 +110,6 @@
             self._in_flight -= 1
 
     async def _serve(self, request: Request, responder: Responder) -> None:
-        if self._draining:
-            raise Draining
         account = self._access.client_account(request)
         if (request.method, request.path) == ("GET", MODELS_PATH):
             await responder.send(self._list_models())
--- a/src/sassafraspin/daemon/problems.py
+++ b/src/sassafraspin/daemon/problems.py
@@ -7,7 +7,6 @@
     "AlreadyAnswered",
     "BackendUnreachable",
     "Conflict",
-    "Draining",
     "InternalFailure",
     "KeyReused",
     "LedgerUnavailable",
@@ -68,18 +67,6 @@
         )
 
 
-class Draining(RequestProblem):
-    """The instance is shutting down."""
-
-    status = 503
-    reason = "draining"
-    title = "Instance is shutting down"
-    retry_after_ms = _RETRY_SOON_MS
-
-    def __init__(self) -> None:
-        super().__init__("send the request again on a new connection")
-
-
 class SlotRefused(RequestProblem):
     """The dispatcher gave no slot."""
 
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -43,11 +43,6 @@
         self._draining = False
         self._idle = trio.Event()
 
-    @property
-    def connection_count(self) -> int:
-        """Return the number of open connections."""
-        return len(self._connections)
-
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen until the drain ends or the task is cancelled."""
         self._listeners = await trio.open_tcp_listeners(
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -31,11 +31,6 @@
         """Return the time after which a granted lease has surely ended."""
         return self.lease * (1 + self.clock_drift)
 
-    @property
-    def lease_usable(self) -> float:
-        """Return how long a member may act on a lease."""
-        return self.lease * (1 - self.clock_drift)
-
 
 @dataclass(frozen=True)
 class _LastHeartbeat:
--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -102,7 +102,6 @@
         self._sent_frames = 0
         self._acknowledged_frames = 0
         self._last_progress_at = 0.0
-        self._dropped_messages = 0
         self._sent_bytes = 0
 
     @property
@@ -110,11 +109,6 @@
         """Return the address of the peer."""
         return self._address
 
-    @property
-    def dropped_messages(self) -> int:
-        """Return how many messages were dropped at a full queue or a break."""
-        return self._dropped_messages
-
     @property
     def sent_bytes(self) -> int:
         """Return the bytes of all frames sent, without transport headers."""
@@ -124,7 +118,6 @@
         """Queue a message; drop the oldest one when the queue is full."""
         if len(self._queue) >= _MAX_QUEUED_MESSAGES:
             self._queue.popleft()
-            self._dropped_messages += 1
         self._queue.append(message)
         self._queued.set()
 
@@ -144,7 +137,6 @@
 
     def _drop_queue(self) -> None:
         """Forget what was queued for a peer that does not accept a connection."""
-        self._dropped_messages += len(self._queue)
         self._queue.clear()
         self._queued.clear()
 
--- a/src/sassafraspin/standins/engine.py
+++ b/src/sassafraspin/standins/engine.py
@@ -65,11 +65,6 @@
         self._server = HttpServer(settings.listen, HttpLimits(), self._handle)
         self._nursery: trio.Nursery | None = None
 
-    @property
-    def core(self) -> EngineCore:
-        """Return the engine's state."""
-        return self._core
-
     @property
     def executions(self) -> ExecutionCounter:
         """Return how often each request was executed."""
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,124 @@
+"""Messages between instances: datagrams, streams, and peers that go and come."""
+
+import socket
+import unittest
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from sassafraspin.rpc import LinkTimeouts, PeerNetwork
+from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES
+from sassafraspin.settings import Address, NamedAddress
+from tests.deployment import free_ports
+
+HOST = "127.0.0.1"
+LARGE = "x" * (40 * MAX_DATAGRAM_BYTES)
+TIMEOUTS = LinkTimeouts(connect=0.5, acknowledge=0.4, idle=0.4, retry=0.02)
+
+
+class Note(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A message of the tests."""
+
+    number: int
+    text: str = ""
+
+
+class TestPeerNetwork(unittest.TestCase):
+    """Two instances on loopback."""
+
+    def setUp(self):
+        self.ports = free_ports(2)
+        self.received: list[tuple[str, int, int]] = []
+        self.arrived = trio.Event()
+
+    def network(self, position: int, incarnation: int = 1) -> PeerNetwork:
+        """Return one of the two instances, which knows the other one."""
+        name, other = ("a", "b") if position == 0 else ("b", "a")
+
+        def note(source: str, incarnation: int, message: Note) -> None:
+            self.received.append((source, incarnation, message.number))
+            self.arrived.set()
+
+        address = Address(HOST, self.ports[position])
+        made = PeerNetwork(name, incarnation, address, Note, note, TIMEOUTS)
+        made.learn_address(NamedAddress(other, HOST, self.ports[1 - position]))
+        return made
+
+    @asynccontextmanager
+    async def serving(self, *networks: PeerNetwork):
+        """Run networks."""
+        async with trio.open_nursery() as nursery:
+            for item in networks:
+                await nursery.start(item.serve)
+            yield
+            nursery.cancel_scope.cancel()
+
+    async def send_until_arrived(self, sender: PeerNetwork, note: Note) -> None:
+        """Repeat a message as every sender does."""
+        self.arrived = trio.Event()
+        while not self.arrived.is_set():
+            sender.send("b", note)
+            with trio.move_on_after(0.2):
+                await self.arrived.wait()
+
+    def test_small_and_large_messages_arrive(self):
+        async def run():
+            first, second = self.network(0), self.network(1)
+            async with self.serving(first, second):
+                await self.send_until_arrived(first, Note(1))
+                await self.send_until_arrived(first, Note(2, LARGE))
+
+        trio.run(run)
+        self.assertEqual(set(self.received), {("a", 1, 1), ("a", 1, 2)})
+
+    def test_peer_that_comes_back_is_reached_again(self):
+        async def run():
+            first = self.network(0)
+            async with self.serving(first):
+                async with self.serving(self.network(1)):
+                    await self.send_until_arrived(first, Note(1, LARGE))
+                async with self.serving(self.network(1, incarnation=2)):
+                    await self.send_until_arrived(first, Note(2, LARGE))
+
+        trio.run(run)
+        self.assertIn(("a", 1, 2), self.received)
+
+    def test_silent_stream_is_replaced(self):
+        """A peer that accepts and never answers is given up for a new connection."""
+
+        async def run():
+            first = self.network(0)
+            async with self.serving(first):
+                listener = socket.create_server((HOST, self.ports[1]))
+                first.send("b", Note(1, LARGE))
+                silent, _ = await trio.to_thread.run_sync(listener.accept)
+                listener.close()
+                async with self.serving(self.network(1)):
+                    await self.send_until_arrived(first, Note(2, LARGE))
+                silent.close()
+
+        trio.run(run)
+        self.assertIn(("a", 1, 2), self.received)
+
+    def test_message_to_itself(self):
+        async def run():
+            first = self.network(0)
+            async with self.serving(first):
+                first.send("a", Note(7))
+                await self.arrived.wait()
+
+        trio.run(run)
+        self.assertEqual(self.received, [("a", 1, 7)])
+
+    def test_garbage_is_dropped(self):
+        async def run():
+            first, second = self.network(0), self.network(1)
+            async with self.serving(first, second):
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                    for garbage in (b"", b"\xff" * 100, b"\x93\xa1a\x01"):
+                        stranger.sendto(garbage, (HOST, self.ports[1]))
+                await self.send_until_arrived(first, Note(3))
+
+        trio.run(run)
+        self.assertEqual({item[2] for item in self.received}, {3})
