--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -109,6 +109,21 @@
         except (SimulatedCrash, StorageError):
             self.crash(name)
 
+    def replace(self, old: str, new: str) -> None:
+        """Put a new instance in place of one that is gone for good.
+
+        The others are restarted one after the other with the new settings.
+        """
+        self.crash(old)
+        del self.nodes[old]
+        self._names = tuple(new if name == old else name for name in self._names)
+        clock = DriftingClock(self.network, self._generator)
+        self.nodes[new] = QuorumNode(new, MemoryFiles(), clock)
+        for name in self._names:
+            self.crash(name)
+            self.restart(name)
+            self.run(5.0)
+
     def lose_disk(self, name: str) -> bool:
         """Lose a node's disk, if all others still have what they voted on."""
         leader = self.leader()
@@ -243,8 +258,8 @@
         self.check()
 
     def _deliver(self, source: str, target: str, message: object) -> None:
-        node = self.nodes[target]
-        if node.duty is None or node.frozen:
+        node = self.nodes.get(target)
+        if node is None or node.duty is None or node.frozen:
             return
         self._guard(node, lambda: node.duty.receive(source, message, node.clock.now()))
 
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -126,6 +126,20 @@
         model.run(5.0)
         model.check()
 
+    def test_instance_gone_for_good_is_replaced(self):
+        for gone in ("c0", "c1", "c2"):
+            with self.subTest(gone=gone):
+                model = QuorumModel(3)
+                model.run(5.0)
+                model.propose(model.leader().name)
+                model.run(1.0)
+                model.replace(gone, "c9")
+                model.run(20.0)
+                leader = model.leader()
+                voters = {voter.name for voter in leader.duty.replica.log.voters}
+                self.assertEqual(voters, set(model.nodes))
+                model.check_healed()
+
     def test_leader_cut_off_does_not_acknowledge(self):
         model = QuorumModel(3)
         model.run(5.0)
