Send an idempotent call to another server when its first one loses it

Cause: the profile's field `idempotent` had no effect.

Change: after a lost connection a call whose profile allows it to run more than once goes to another server, as long as the caller has got nothing. Its state stays unknown until it is answered, also if the next server can't be reached.

--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -180,6 +180,8 @@
                 self._observe()
                 return
             self._avoid = (*self._avoid, grant.backend_id)
+        if self._state is RecordState.UNKNOWN:
+            raise _sent_without_answer("every server that was tried lost it")
         raise BackendUnreachable
 
     async def _acquire(self, attempt: int) -> SlotGrant:
@@ -210,20 +212,27 @@
                 raise SlotRefused(answer.reason, answer.retry_after_ms)
 
     async def _try_send(self, grant: SlotGrant) -> bool:
-        """Send the call; return ``False`` if no byte of it left."""
+        """Send the call; return ``False`` if it may be sent to another server.
+
+        That is so if no byte of it left, or if its profile says that it may run more
+        than once and the caller has got nothing of an answer.
+        """
         timing = Timing(self._node.now())
         if not self._slots.is_usable(grant):
             self._release(grant, ReleaseResult.CANCELLED, timing)
             return False
         result = ReleaseResult.CANCELLED
+        state_before = self._state
         try:
             result = await self._exchange(grant, timing)
         except ConnectFailed:
             result = ReleaseResult.NOT_SENT
-            self._state = RecordState.NOT_RUN
+            self._state = state_before
         except ConnectionLost as error:
             result = ReleaseResult.FAILED
             await self._relay.cancel(self._call, grant)
+            if self._may_run_again():
+                return False
             raise _sent_without_answer(str(error)) from error
         finally:
             if result is ReleaseResult.CANCELLED:
@@ -231,6 +240,9 @@
             self._release(grant, result, timing)
         return result is not ReleaseResult.NOT_SENT
 
+    def _may_run_again(self) -> bool:
+        return self._call.profile.idempotent and not self._responder.has_started
+
     async def _exchange(self, grant: SlotGrant, timing: Timing) -> ReleaseResult:
         """Send the call and relay its answer within the deadline."""
         with trio.move_on_after(self._seconds_left()) as scope:
