--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -507,17 +507,28 @@
     def _on_append(self, source: str, request: AppendRequest, now: float) -> None:
         if not self._accept_leader(source, request.term, request.sent_at, now):
             return
-        if self._log.term_at(request.previous_index) != request.previous_term:
+        if not self._agrees_before(request):
             self._refuse_append(source, request)
             return
         self._store_new_entries(request)
-        match_index = request.previous_index + len(request.entries)
-        self._commit_to(min(request.commit_index, match_index))
+        end = request.previous_index + len(request.entries)
+        self._commit_to(min(request.commit_index, end))
+        match_index = max(end, self._commit_index)
         reply = AppendReply(
             self._term, True, match_index, self._own.disk_id, request.sent_at
         )
         self._send(source, reply)
 
+    def _agrees_before(self, request: AppendRequest) -> bool:
+        """Return whether both logs are the same before a request's entries.
+
+        What this replica has committed, every later leader has too, so nothing is
+        left to compare before its snapshot.
+        """
+        if request.previous_index < self._log.snapshot.index:
+            return True
+        return self._log.term_at(request.previous_index) == request.previous_term
+
     def _accept_leader(
         self, source: str, term: int, sent_at: float, now: float
     ) -> bool:
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -12,9 +12,16 @@
     run_state_machine_as_test,
 )
 
-from sassafraspin.control import ControlReplica, ReplicaDisk
+from sassafraspin.control import ControlReplica, ReplicaDisk, ReplicaImage, Voter
+from sassafraspin.control.effects import AppendToDisk, SendToReplica
+from sassafraspin.control.messages import (
+    AppendReply,
+    AppendRequest,
+    CommandEntry,
+    Snapshot,
+)
 from tests.fuzz import fuzz_settings
-from tests.quorum_model import QuorumModel
+from tests.quorum_model import TIMINGS, QuorumModel
 from tests.simulation import MemoryFiles, Weather
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
@@ -168,6 +175,43 @@
     model.run(10.0)
 
 
+class TestFollower(unittest.TestCase):
+    """A replica that gets entries it has partly put into a snapshot."""
+
+    def append(self, previous_index: int, count: int) -> list:
+        """Append entries of term 1 to a replica with a snapshot at index 10."""
+        voters = (Voter("c0", "d0"), Voter("c1", "d1"))
+        snapshot = Snapshot(10, 1, voters, b"state")
+        image = ReplicaImage("d1", 1, None, snapshot)
+        generator = random.Random(1)
+        replica = ControlReplica("c1", ("c0", "c1"), image, TIMINGS, generator, 0.0)
+        entries = tuple(CommandEntry(1, b"%d" % number) for number in range(count))
+        request = AppendRequest(
+            1, previous_index, 1, entries, previous_index + count, 0.5
+        )
+        return replica.receive("c0", request, 1.0)
+
+    def reply(self, effects: list) -> AppendReply:
+        [sent] = [item for item in effects if isinstance(item, SendToReplica)]
+        return sent.message
+
+    def test_entries_around_the_snapshot(self):
+        effects = self.append(4, 8)
+        self.assertEqual(self.reply(effects).match_index, 12)
+        self.assertTrue(self.reply(effects).success)
+        [stored] = [item for item in effects if isinstance(item, AppendToDisk)]
+        self.assertEqual((stored.first_index, len(stored.entries)), (11, 2))
+
+    def test_entries_before_the_snapshot(self):
+        effects = self.append(2, 3)
+        self.assertTrue(self.reply(effects).success)
+        self.assertEqual(self.reply(effects).match_index, 10)
+        self.assertFalse([item for item in effects if isinstance(item, AppendToDisk)])
+
+    def test_entries_after_a_gap_are_refused(self):
+        self.assertFalse(self.reply(self.append(12, 1)).success)
+
+
 class TestReplicaDisk(unittest.TestCase):
     """What a damaged disk brings back."""
 
