Test all routes together as well as each

Ruled out: a lower threshold (5 of 100 good versions taken back at a bound of 0.1).

Change: one more test on failures and one on slowness, over all routes.

--- a/src/sassafraspin/moves/evidence.py
+++ b/src/sassafraspin/moves/evidence.py
@@ -12,6 +12,9 @@
 _MAX_LOG = 200.0
 _MAX_BASELINE = 0.9
 
+_ALL_ROUTES = "all routes"
+"""Group of the test over all requests, which finds what is bad everywhere sooner."""
+
 
 @dataclass(frozen=True)
 class EvidenceSettings:
@@ -162,7 +165,7 @@
 
 
 class Evidence:
-    """Compares a new version with the old one, by route and over the same time.
+    """Compares a new version with the old one, by route and in all, at the same time.
 
     Parameters
     ----------
@@ -214,9 +217,10 @@
         route = observation.route
         reference = self._failures_of(observation)
         baseline = reference.rate() + self._settings.failure_margin
-        test = self._failure_tests.setdefault(route, ShiryaevRobertsTest())
-        test.observe(observation.failed, min(baseline, _MAX_BASELINE))
-        self._judge(test, TakeBackReason.FAILURES, route)
+        for group in (route, _ALL_ROUTES):
+            test = self._failure_tests.setdefault(group, ShiryaevRobertsTest())
+            test.observe(observation.failed, min(baseline, _MAX_BASELINE))
+            self._judge(test, TakeBackReason.FAILURES, group)
         if observation.relative_time is not None:
             self._test_time(observation, observation.relative_time)
 
@@ -228,10 +232,10 @@
         is_slow = value > reference.slow_limit(factor)
         self._new_slow += is_slow
         baseline = reference.slow_rate(factor) + self._settings.slow_margin
-        route = observation.route
-        test = self._slow_tests.setdefault(route, ShiryaevRobertsTest())
-        test.observe(is_slow, min(baseline, _MAX_BASELINE))
-        self._judge(test, TakeBackReason.SLOWNESS, route)
+        for group in (observation.route, _ALL_ROUTES):
+            test = self._slow_tests.setdefault(group, ShiryaevRobertsTest())
+            test.observe(is_slow, min(baseline, _MAX_BASELINE))
+            self._judge(test, TakeBackReason.SLOWNESS, group)
 
     def _judge(
         self, test: ShiryaevRobertsTest, reason: TakeBackReason, route: str
