Give the stand-in engine KV memory that requests wait for, and late cache reports

Change: a request waits until its prompt and answer fit the memory; cache changes are reported once they are as old as the reports' lag; the daemon closes its client always.

Measured: 35 tests of stand-ins, streams and end to end pass; the warning no longer shows in one run of the stream tests.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -170,17 +170,19 @@
         """Serve until a shutdown has drained everything."""
         for address in self._settings.control.instances:
             self._network.learn_address(address)
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._network.serve)
-            nursery.start_soon(self._tick_forever)
-            nursery.start_soon(self._orders.run)
-            await nursery.start(self._operators.serve)
-            await nursery.start(self._callers.serve)
-            _log.info("Instance {} is listening.", self._node.name)
-            task_status.started()
-            await self._drained.wait()
-            nursery.cancel_scope.cancel()
-        self._backend_client.close()
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._network.serve)
+                nursery.start_soon(self._tick_forever)
+                nursery.start_soon(self._orders.run)
+                await nursery.start(self._operators.serve)
+                await nursery.start(self._callers.serve)
+                _log.info("Instance {} is listening.", self._node.name)
+                task_status.started()
+                await self._drained.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._backend_client.close()
 
     async def run_until_signal(self) -> None:
         """Serve until SIGTERM or SIGINT; a second signal stops at once."""
--- a/src/sassafraspin/standins/engine.py
+++ b/src/sassafraspin/standins/engine.py
@@ -2,7 +2,6 @@
 
 import random
 import time
-from dataclasses import replace
 
 import msgspec
 import trio
@@ -58,6 +57,7 @@
         self._leaving = False
         self._incarnation = time.time_ns() // 1_000
         self._slots = trio.Semaphore(settings.slots)
+        self._memory_freed = trio.Event()
         self._generator = random.Random(settings.seed)
         self._announcer = Announcer(
             settings.announcer, self._announcement, self._generator
@@ -85,9 +85,10 @@
 
     def _announcement(self) -> Announcement:
         settings = self._settings
-        report = self._core.cache_report()
+        now = trio.current_time()
+        report = self._core.cache_report(now)
         if self._generator.random() < settings.announcer.cache_report_loss:
-            report = replace(self._core.cache_report(), added=(), removed=())
+            report = self._core.cache_report(now)
         return Announcement(
             id=settings.id,
             incarnation=self._incarnation,
@@ -102,7 +103,7 @@
             prefill_tokens_per_second=settings.prefill_tokens_per_second,
             decode_tokens_per_second=settings.decode_tokens_per_second,
             leaving=self._leaving,
-            load=self._core.load_report(trio.current_time()),
+            load=self._core.load_report(now),
             cache=report,
         )
 
@@ -173,21 +174,27 @@
         """Compute one answer; goes on when the connection is lost."""
         with job.scope:
             self._core.note_waiting(1)
+            is_waiting = True
             try:
-                await self._slots.acquire()
+                async with self._slots:
+                    await self._wait_for_memory(job, prompt)
+                    self._core.note_waiting(-1)
+                    is_waiting = False
+                    await self._compute(job, prompt, route)
             finally:
-                self._core.note_waiting(-1)
-            try:
-                await self._compute(job, prompt, route)
-            finally:
-                self._slots.release()
+                if is_waiting:
+                    self._core.note_waiting(-1)
         if job.state is JobState.RUNNING:
             job.end(JobState.CANCELLED)
 
+    async def _wait_for_memory(self, job: Job, prompt: bytes) -> None:
+        while not self._core.has_memory(prompt, job.answer_tokens):
+            await self._memory_freed.wait()
+
     async def _compute(self, job: Job, prompt: bytes, route: str) -> None:
-        effect = self._core.start(prompt, _version(job), route)
+        effect = self._core.start(prompt, job.answer_tokens, _version(job), route)
         generated = 0
-        prefill_tokens = self._core.prefill(prompt)
+        prefill_tokens = self._core.prefill(prompt, trio.current_time())
         try:
             prefill = self._core.prefill_seconds(prefill_tokens)
             await trio.sleep(prefill * effect.slowdown)
@@ -206,7 +213,9 @@
         finally:
             if job.state is not JobState.FINISHED:
                 self._core.note_cancelled(prefill_tokens)
-            self._core.finish(prompt, generated)
+            self._core.finish(prompt, job.answer_tokens, generated)
+            self._memory_freed.set()
+            self._memory_freed = trio.Event()
 
     async def _stream(self, job: Job, position: int, responder: Responder) -> None:
         await job.wait_past(position)
--- a/src/sassafraspin/standins/engine_core.py
+++ b/src/sassafraspin/standins/engine_core.py
@@ -34,6 +34,13 @@
     cancelled_prefill_tokens: int
 
 
+@dataclass(frozen=True)
+class _CacheChange:
+    at: float
+    value: int
+    is_added: bool
+
+
 class EngineCore:
     """State of one engine; the caller lets the returned times pass.
 
@@ -49,9 +56,9 @@
         self._running = 0
         self._waiting = 0
         self._kv_tokens_used = 0
+        self._kv_tokens_reserved = 0
         self._cache: OrderedDict[int, None] = OrderedDict()
-        self._added: list[int] = []
-        self._removed: list[int] = []
+        self._changes: deque[_CacheChange] = deque()
         self._cache_sequence = 0
         self._reports: deque[tuple[float, LoadReport]] = deque()
         self._prefill_tokens = 0
@@ -78,23 +85,27 @@
         """Record that a request begins or ends to wait for a slot."""
         self._waiting += change
 
-    def start(self, prompt: bytes, version: str, route: str) -> FaultEffect:
-        """Take a request into the batch."""
+    def start(
+        self, prompt: bytes, answer_tokens: int, version: str, route: str
+    ) -> FaultEffect:
+        """Take a request into the batch and reserve its KV memory."""
         effect = self._faults.effect(version, route, self._running)
         self._running += 1
+        self._kv_tokens_reserved += count_tokens(prompt) + answer_tokens
         self._kv_tokens_used += count_tokens(prompt)
         return effect
 
-    def finish(self, prompt: bytes, answer_tokens: int) -> None:
-        """Take a request out of the batch."""
+    def finish(self, prompt: bytes, answer_tokens: int, generated: int) -> None:
+        """Take a request out of the batch, of whose answer a part was generated."""
         self._running -= 1
-        self._kv_tokens_used -= count_tokens(prompt) + answer_tokens
+        self._kv_tokens_reserved -= count_tokens(prompt) + answer_tokens
+        self._kv_tokens_used -= count_tokens(prompt) + generated
 
     def note_cancelled(self, prefill_tokens: int) -> None:
         """Record prefill whose answer nobody got."""
         self._cancelled_prefill_tokens += prefill_tokens
 
-    def prefill(self, prompt: bytes) -> int:
+    def prefill(self, prompt: bytes, now: float) -> int:
         """Return the prompt tokens to compute, and cache the prompt's prefixes."""
         hashes = prefix_hashes(prompt)
         cached_blocks = 0
@@ -106,7 +117,7 @@
         tokens = max(count_tokens(prompt) - cached, 1)
         self._prefill_tokens += tokens
         self._cached_tokens += cached
-        self._remember(hashes)
+        self._remember(hashes, now)
         return tokens
 
     def prefill_seconds(self, tokens: int) -> float:
@@ -136,22 +147,35 @@
         age_ms = int((now - at) * 1000)
         return LoadReport(age_ms, report.running, report.waiting, report.kv_tokens_used)
 
-    def cache_report(self) -> CacheReport:
-        """Return the cache changes since the last report."""
+    def cache_report(self, now: float) -> CacheReport:
+        """Return the cache changes since the last report that are old enough."""
+        lag = self._settings.announcer.report_lag_ms / 1000
+        due: list[_CacheChange] = []
+        while self._changes and self._changes[0].at <= now - lag:
+            due.append(self._changes.popleft())
         self._cache_sequence += 1
-        report = CacheReport(
-            self._cache_sequence, tuple(self._added), tuple(self._removed)
+        return CacheReport(
+            self._cache_sequence,
+            tuple(change.value for change in due if change.is_added),
+            tuple(change.value for change in due if not change.is_added),
         )
-        self._added.clear()
-        self._removed.clear()
-        return report
 
-    def _remember(self, hashes: tuple[int, ...]) -> None:
+    def has_memory(self, prompt: bytes, answer_tokens: int) -> bool:
+        """Return whether the KV memory has room for a request and its answer.
+
+        A request that exceeds the memory alone is computed alone.
+        """
+        limit = self._settings.kv_tokens
+        if limit == 0 or self._running == 0:
+            return True
+        return self._kv_tokens_reserved + count_tokens(prompt) + answer_tokens <= limit
+
+    def _remember(self, hashes: tuple[int, ...], now: float) -> None:
         for value in hashes:
             if value not in self._cache:
-                self._added.append(value)
+                self._changes.append(_CacheChange(now, value, True))
             self._cache[value] = None
             self._cache.move_to_end(value)
         while len(self._cache) > self._settings.cache_blocks:
             removed, _ = self._cache.popitem(last=False)
-            self._removed.append(removed)
+            self._changes.append(_CacheChange(now, removed, False))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,6 +10,7 @@
 from sassafraspin.settings import Address
 from sassafraspin.standins import (
     AnnouncerSettings,
+    EngineCore,
     EngineServer,
     EngineSettings,
     FaultSettings,
@@ -99,6 +100,48 @@
         self.assertEqual([answer.status for answer in answers], [422, 422])
 
 
+class TestEngineCore(unittest.TestCase):
+    """Memory, prefix cache and reports."""
+
+    def core(self, **fields) -> EngineCore:
+        announcer = AnnouncerSettings((Address(HOST, 1),), "t", report_lag_ms=1_000)
+        return EngineCore(
+            EngineSettings(
+                "runner-1", "model", Address(HOST, 1), "zone", announcer, **fields
+            )
+        )
+
+    def test_memory_is_reserved_for_the_answer(self):
+        core = self.core(kv_tokens=100)
+        core.start(b"x" * 200, 40, "v1", "/r")
+        self.assertFalse(core.has_memory(b"x" * 40, 10))
+        self.assertTrue(core.has_memory(b"x" * 20, 5))
+        core.finish(b"x" * 200, 40, 40)
+        self.assertTrue(core.has_memory(b"x" * 4_000, 10))
+
+    def test_shared_prefix_is_computed_once(self):
+        core = self.core()
+        first = core.prefill(b"x" * 1024, 0.0)
+        again = core.prefill(b"x" * 1024, 0.0)
+        self.assertEqual((first, again), (256, 1))
+
+    def test_cache_reports_come_late_with_evictions(self):
+        core = self.core(cache_blocks=2)
+        core.prefill(b"x" * 768, 0.0)
+        early = core.cache_report(0.5)
+        late = core.cache_report(1.0)
+        self.assertEqual((early.added, early.removed), ((), ()))
+        self.assertEqual((len(late.added), len(late.removed)), (3, 1))
+        self.assertEqual((early.sequence, late.sequence), (1, 2))
+
+    def test_load_reports_lag(self):
+        core = self.core()
+        core.load_report(0.0)
+        core.start(b"x", 1, "v1", "/r")
+        self.assertEqual(core.load_report(0.5).running, 0)
+        self.assertEqual(core.load_report(1.6).running, 1)
+
+
 class TestFaults(unittest.TestCase):
     """A version can be bad in each of the ways."""
 
