Call one piece where the same reading stood several times

Cause: reading the whole change once more: a document was read, checked and failed on in four commands, a body in two servers, headers decoded in two places, a request's tokens added up in four, and the median of the old version's times taken twice for each request.

Change: settings.load_document with cli.load_or_fail, http.read_body, Headers.from_wire, SlotRequest.tokens; the limit on times is passed on. Behaviour is unchanged.

--- a/src/sassafraspin/cli/errors.py
+++ b/src/sassafraspin/cli/errors.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Callable
 from functools import wraps
-from typing import Any, NoReturn
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
 
 import click
 
 from sassafraspin.errors import SassafraspinError
+from sassafraspin.settings import load_document
 
-__all__ = ["fail", "reporting_errors"]
+__all__ = ["fail", "load_or_fail", "reporting_errors"]
+
+T = TypeVar("T")
 
 
 def fail(error: SassafraspinError) -> NoReturn:
@@ -17,6 +21,14 @@
     raise SystemExit(int(error.exit_code))
 
 
+def load_or_fail(schema: type[T], file: Path) -> T:
+    """Return the document in a file, or end the command with all its faults."""
+    checked = load_document(schema, file)
+    if checked.is_error():
+        fail(checked.error)
+    return checked.ok
+
+
 def reporting_errors(function: Callable[..., Any]) -> Callable[..., Any]:
     """Decorate a command so that typed errors end it without a traceback."""
 
--- a/src/sassafraspin/cli/load.py
+++ b/src/sassafraspin/cli/load.py
@@ -7,9 +7,8 @@
 import msgspec
 import trio
 
-from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.cli.errors import load_or_fail, reporting_errors
 from sassafraspin.cli.output import echo_json, echo_table, json_option
-from sassafraspin.settings import check_document, read_document
 
 if TYPE_CHECKING:
     from sassafraspin.load import LoadReport
@@ -30,16 +29,12 @@
     """Send the load that FILE describes; print goodput, latency and refusals."""
     from sassafraspin.load import LoadRecorder, LoadRunner, LoadSettings
 
-    checked = read_document(file).bind(
-        lambda value: check_document(LoadSettings, value, str(file))
-    )
-    if checked.is_error():
-        fail(checked.error)
+    settings = load_or_fail(LoadSettings, file)
 
     def show_progress(recorder: LoadRecorder) -> None:
         click.echo(f"{recorder.ended} ended, {recorder.good} good", err=True)
 
-    report = trio.run(LoadRunner(checked.ok, show_progress).run)
+    report = trio.run(LoadRunner(settings, show_progress).run)
     if write is not None:
         write.write_bytes(msgspec.json.encode(report))
     if as_json:
--- a/src/sassafraspin/cli/move.py
+++ b/src/sassafraspin/cli/move.py
@@ -7,11 +7,10 @@
 import click
 import msgspec
 
-from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.cli.errors import load_or_fail, reporting_errors
 from sassafraspin.cli.operator_client import OperatorClient, operator_options
 from sassafraspin.cli.output import echo_json, echo_table, format_time, json_option
 from sassafraspin.moves import Move, MoveSpec
-from sassafraspin.settings import check_document, read_document
 
 __all__ = ["move"]
 
@@ -43,15 +42,11 @@
     file: Path, change_id: str | None, as_json: bool, client: OperatorClient
 ) -> None:
     """Declare the move in FILE; it ends as done or taken back by its deadline."""
-    checked = read_document(file).bind(
-        lambda value: check_document(MoveSpec, value, str(file))
-    )
-    if checked.is_error():
-        fail(checked.error)
+    spec = load_or_fail(MoveSpec, file)
     change_id = change_id or uuid.uuid4().hex
     click.echo(f"change {change_id}", err=True)
     target = f"/v1/moves?change_id={quote(change_id)}"
-    _echo((client.post(target, msgspec.json.encode(checked.ok), Move),), as_json)
+    _echo((client.post(target, msgspec.json.encode(spec), Move),), as_json)
 
 
 @move.command()
--- a/src/sassafraspin/cli/profile.py
+++ b/src/sassafraspin/cli/profile.py
@@ -7,11 +7,10 @@
 import click
 import msgspec
 
-from sassafraspin.cli.errors import fail, reporting_errors
+from sassafraspin.cli.errors import load_or_fail, reporting_errors
 from sassafraspin.cli.operator_client import OperatorClient, operator_options
 from sassafraspin.cli.output import echo_json, echo_table, format_time, json_option
 from sassafraspin.profiles import Profile, ProfileChange
-from sassafraspin.settings import check_document, read_document
 
 __all__ = ["profile"]
 
@@ -37,12 +36,7 @@
     FILE names the version after the one in force. Of two operators who put the same
     version, the first wins and the other one is told (exit status 3).
     """
-    checked = read_document(file).bind(
-        lambda value: check_document(Profile, value, str(file))
-    )
-    if checked.is_error():
-        fail(checked.error)
-    wanted = checked.ok
+    wanted = load_or_fail(Profile, file)
     change_id = change_id or uuid.uuid4().hex
     target = f"/v1/profiles/{wanted.name}?change_id={quote(change_id)}"
     click.echo(f"change {change_id}", err=True)
--- a/src/sassafraspin/cli/standin.py
+++ b/src/sassafraspin/cli/standin.py
@@ -6,8 +6,7 @@
 import click
 import trio
 
-from sassafraspin.cli.errors import fail, reporting_errors
-from sassafraspin.settings import check_document, read_document
+from sassafraspin.cli.errors import load_or_fail, reporting_errors
 from sassafraspin.telemetry import configure_logs
 
 __all__ = ["stand_in"]
@@ -27,7 +26,7 @@
     """Run a stand-in model engine with the settings in FILE."""
     from sassafraspin.standins import EngineServer, EngineSettings
 
-    settings = _load(file, EngineSettings)
+    settings = load_or_fail(EngineSettings, file)
     _run(lambda: EngineServer(settings))
 
 
@@ -38,19 +37,10 @@
     """Run a stand-in plain service with the settings in FILE."""
     from sassafraspin.standins import PlainServer, ServiceSettings
 
-    settings = _load(file, ServiceSettings)
+    settings = load_or_fail(ServiceSettings, file)
     _run(lambda: PlainServer(settings))
 
 
-def _load(file: Path, schema: type) -> Any:
-    checked = read_document(file).bind(
-        lambda value: check_document(schema, value, str(file))
-    )
-    if checked.is_error():
-        fail(checked.error)
-    return checked.ok
-
-
 def _run(make_server: Any) -> None:
     configure_logs("INFO", "text")
 
--- a/src/sassafraspin/daemon/operations.py
+++ b/src/sassafraspin/daemon/operations.py
@@ -25,10 +25,16 @@
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.daemon.status import InstanceStatus
 from sassafraspin.dispatch import AnnounceBackend
-from sassafraspin.http import Headers, InvalidField, NotFound, Request, Response
+from sassafraspin.http import (
+    Headers,
+    InvalidField,
+    NotFound,
+    Request,
+    Response,
+    read_body,
+)
 from sassafraspin.moves import MoveSpec
 from sassafraspin.profiles import Profile
-from sassafraspin.settings import check_document, parse_document
 
 __all__ = ["OperationsApi"]
 
@@ -104,7 +110,7 @@
 
     def _announce(self, request: Request) -> Response:
         self._access.check_backend_server(request)
-        announcement = _read_body(request, Announcement)
+        announcement = read_body(request, Announcement)
         services = {service.name for service in self._node.settings.services}
         if announcement.service not in services:
             raise InvalidField("$.service", f"must be one of {sorted(services)}")
@@ -116,7 +122,7 @@
     async def _put_profile(
         self, request: Request, name: str, operator: str
     ) -> Response:
-        profile = _read_body(request, Profile)
+        profile = read_body(request, Profile)
         if profile.name != name:
             raise InvalidField("$.name", f"must be {name!r} as in the path")
         services = {service.name for service in self._node.settings.services}
@@ -127,7 +133,7 @@
         return _json(outcome.profile)
 
     async def _declare_move(self, request: Request, operator: str) -> Response:
-        spec = _read_body(request, MoveSpec)
+        spec = read_body(request, MoveSpec)
         services = {service.name for service in self._node.settings.services}
         if spec.service not in services:
             raise InvalidField("$.service", f"must be one of {sorted(services)}")
@@ -170,16 +176,6 @@
     return value
 
 
-def _read_body(request: Request, schema: type[T]) -> T:
-    checked = parse_document(request.body, "body").bind(
-        lambda value: check_document(schema, value, "body")
-    )
-    if checked.is_error():
-        problem = checked.error.problems[0]
-        raise InvalidField(problem.path, problem.message)
-    return checked.ok
-
-
 def _change_id(request: Request) -> str:
     values = parse_qs(request.query).get("change_id")
     return values[0] if values else uuid.uuid4().hex
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -78,6 +78,11 @@
     prefixes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
 
+    @property
+    def tokens(self) -> int:
+        """Return the estimated tokens of the prompt and the answer together."""
+        return self.prompt_tokens + self.answer_tokens
+
 
 class SlotGrant(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A slot; it lapses unless the request is sent within ``use_within_ms``."""
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -248,8 +248,7 @@
                 entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY
             )
             return
-        tokens = request.prompt_tokens + request.answer_tokens
-        decision = self._limits.admit(request.client_account, tokens, now)
+        decision = self._limits.admit(request.client_account, request.tokens, now)
         if isinstance(decision, LimitExceeded):
             reason = RefusalReason.ACCOUNT_LIMIT
             self._shortage.refuse(entry, request, reason, decision.retry_after)
@@ -359,9 +358,8 @@
                 self._reserve(backend, grant)
 
     def _reserve(self, backend: Backend, grant: Grant) -> None:
-        request = grant.request
-        tokens = request.prompt_tokens + request.answer_tokens
-        self._servers.reserve(backend, Reservation(grant.grant_id, tokens))
+        reservation = Reservation(grant.grant_id, grant.request.tokens)
+        self._servers.reserve(backend, reservation)
 
     def _end_grant(self, grant_id: str, now: float) -> Grant | None:
         grant = self._grants.remove(grant_id)
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -212,7 +212,7 @@
 def _fits(backend: Backend, request: SlotRequest, version: str, now: float) -> bool:
     return (
         _has_version(backend, version)
-        and backend.has_room(request.prompt_tokens + request.answer_tokens)
+        and backend.has_room(request.tokens)
         and backend.announcement.id not in request.avoid
         and backend.accepts_work(now)
     )
--- a/src/sassafraspin/dispatch/shortage.py
+++ b/src/sassafraspin/dispatch/shortage.py
@@ -130,8 +130,7 @@
 
     def give_back_limits(self, request: SlotRequest) -> None:
         """Stop counting a request against its account."""
-        tokens = request.prompt_tokens + request.answer_tokens
-        self._limits.finish(request.client_account, tokens)
+        self._limits.finish(request.client_account, request.tokens)
 
     def make_room(self, now: float) -> None:
         """Cancel running work of lower tiers for requests that would be late."""
--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on both sides, server-sent events and problem documents."""
 
+from sassafraspin.http.bodies import read_body
 from sassafraspin.http.client import (
     ClientTimeouts,
     ConnectFailed,
@@ -52,4 +53,5 @@
     "answering",
     "format_event",
     "problem_response",
+    "read_body",
 ]
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -193,7 +193,7 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer")
-        return event.status_code, _decode_headers(event)
+        return event.status_code, Headers.from_wire(event.headers)
 
     async def read_chunk(self) -> bytes | None:
         """Return the next piece of the body, or ``None`` at its end."""
@@ -244,12 +244,3 @@
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         headers.append(("content-length", str(len(request.body))))
     return headers
-
-
-def _decode_headers(event: h11.Response) -> Headers:
-    return Headers(
-        tuple(
-            (name.decode("ascii"), value.decode("latin-1"))
-            for name, value in event.headers
-        )
-    )
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -119,7 +119,7 @@
             return Request(
                 head.method.decode("ascii"),
                 head.target.decode("ascii", "replace"),
-                _decode_headers(head.headers),
+                Headers.from_wire(head.headers),
                 body,
             )
         raise RequestTimeout("body")
@@ -194,11 +194,3 @@
             await self._stream.send_all(data)
             return
         raise trio.BrokenResourceError("the peer does not read")
-
-
-def _decode_headers(headers: h11._headers.Headers) -> Headers:
-    return Headers(
-        tuple(
-            (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
-        )
-    )
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -1,5 +1,6 @@
 """Requests and responses as the HTTP server and client exchange them."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = ["Headers", "Request", "Response"]
@@ -17,6 +18,15 @@
 
     items: tuple[tuple[str, str], ...] = ()
 
+    @classmethod
+    def from_wire(cls, items: Iterable[tuple[bytes, bytes]]) -> "Headers":
+        """Return the fields as they are received, names in lower case."""
+        return cls(
+            tuple(
+                (name.decode("ascii"), value.decode("latin-1")) for name, value in items
+            )
+        )
+
     def get(self, name: str) -> str | None:
         """Return the first value of the field ``name``, or ``None``."""
         wanted = name.lower()
--- a/src/sassafraspin/moves/evidence.py
+++ b/src/sassafraspin/moves/evidence.py
@@ -157,9 +157,8 @@
         """Return the time above which a request counts as slow."""
         return factor * median(self._times)
 
-    def slow_rate(self, factor: float) -> float:
-        """Return a cautious estimate of the old version's own share of slow ones."""
-        limit = self.slow_limit(factor)
+    def slow_rate(self, limit: float) -> float:
+        """Return a cautious estimate of the old version's own share over a limit."""
         slow = sum(value > limit for value in self._times)
         return (slow + 1) / (len(self._times) + 10)
 
@@ -228,10 +227,10 @@
         reference = self._times_of(observation)
         if not reference.is_usable:
             return
-        factor = self._settings.slow_factor
-        is_slow = value > reference.slow_limit(factor)
+        limit = reference.slow_limit(self._settings.slow_factor)
+        is_slow = value > limit
         self._new_slow += is_slow
-        baseline = reference.slow_rate(factor) + self._settings.slow_margin
+        baseline = reference.slow_rate(limit) + self._settings.slow_margin
         for group in (observation.route, _ALL_ROUTES):
             test = self._slow_tests.setdefault(group, ShiryaevRobertsTest())
             test.observe(is_slow, min(baseline, _MAX_BASELINE))
--- a/src/sassafraspin/settings/__init__.py
+++ b/src/sassafraspin/settings/__init__.py
@@ -3,6 +3,7 @@
 from sassafraspin.settings.check import load_settings
 from sassafraspin.settings.document import (
     check_document,
+    load_document,
     parse_document,
     read_document,
 )
@@ -41,6 +42,7 @@
     "ServiceSettings",
     "TelemetrySettings",
     "check_document",
+    "load_document",
     "load_settings",
     "parse_document",
     "read_document",
--- a/src/sassafraspin/settings/document.py
+++ b/src/sassafraspin/settings/document.py
@@ -9,7 +9,13 @@
 
 from sassafraspin.errors import InvalidInput, Problem
 
-__all__ = ["check_document", "parse_document", "read_document", "valid_sections"]
+__all__ = [
+    "check_document",
+    "load_document",
+    "parse_document",
+    "read_document",
+    "valid_sections",
+]
 
 T = TypeVar("T")
 
@@ -79,6 +85,13 @@
         return Error(InvalidInput(source, problems))
 
 
+def load_document(schema: type[T], path: Path) -> Result[T, InvalidInput]:
+    """Read a JSON file and convert it to a frozen data class."""
+    return read_document(path).bind(
+        lambda value: check_document(schema, value, str(path))
+    )
+
+
 def valid_sections(schema: type, value: object) -> dict[str, Any]:
     """Return the fields of ``schema`` that are valid taken alone, by name.
 
--- a/src/sassafraspin/standins/engine.py
+++ b/src/sassafraspin/standins/engine.py
@@ -19,8 +19,9 @@
     ServerSentEvent,
     format_event,
     problem_response,
+    read_body,
 )
-from sassafraspin.settings import HttpLimits, check_document, parse_document
+from sassafraspin.settings import HttpLimits
 from sassafraspin.standins.announcer import Announcer
 from sassafraspin.standins.answers import answer_word, chunk_document, whole_document
 from sassafraspin.standins.engine_core import EngineCore, count_tokens
@@ -271,13 +272,7 @@
         return Response(200, _JSON, msgspec.json.encode({"state": job.state}))
 
     async def _carry_out(self, request: Request) -> Response:
-        checked = parse_document(request.body, "body").bind(
-            lambda value: check_document(Order, value, "body")
-        )
-        if checked.is_error():
-            problem = checked.error.problems[0]
-            raise InvalidField(problem.path, problem.message)
-        order = checked.ok
+        order = read_body(request, Order)
         if not self._guard.admits(order):
             message = f"a newer number than {order.fencing} was seen"
             raise InvalidField("$.fencing", message)
