Decide on each entry instance while the dispatcher is silent

Ruled out: lost messages, since the same entries were answered before and after. Every instance now keeps the backend servers that the dispatcher tells of, and decides by itself, with its share of slots and caps, once a question has gone 80 ms without any answer; a new dispatcher begins with the servers that the one before told of.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -99,6 +99,11 @@
         self._expires_at = now + announcement.ttl_ms / 1000
         self._cache.take_report(announcement.cache)
 
+    @property
+    def is_withdrawn(self) -> bool:
+        """Return whether the backend server has said that it stops for good."""
+        return self._withdrawn
+
     def withdraw(self) -> None:
         """Take no new requests until the backend server starts again."""
         self._withdrawn = True
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -25,7 +25,7 @@
 from sassafraspin.settings import ServiceSettings
 from sassafraspin.telemetry import part_logger
 
-__all__ = ["DispatchDuty"]
+__all__ = ["DispatchDuty", "DispatcherMessage"]
 
 _WRONG_DISPATCHER_RETRY_MS = 200
 _REPORT_SECONDS = 0.2
@@ -56,6 +56,8 @@
         Gives an order to a backend server and calls back when it has ended.
     scope : DispatchScope
         Services that this instance dispatches for.
+    label : str
+        Tells the grants of this duty from those of another one in the same process.
     """
 
     def __init__(
@@ -64,17 +66,23 @@
         generator: random.Random,
         order: Callable[[LoadOrder, Callable[[], None]], None],
         scope: DispatchScope,
+        label: str = "main",
     ) -> None:
         self._node = node
         self._generator = generator
         self._order = order
         self._scope = scope
+        self._label = label
         self._opened_pools = 0
         self._pools: dict[str, Pool] = {}
         self._planners: dict[str, LoadPlanner] = {}
         self._next_report_at = 0.0
         self._view_number = 0
 
+    def backends(self) -> tuple[Backend, ...]:
+        """Return the backend servers of each pool."""
+        return tuple(item for pool in self._pools.values() for item in pool.backends)
+
     def pool_statuses(self) -> tuple[PoolStatus, ...]:
         """Return figures of each pool."""
         now = self._node.now()
@@ -162,6 +170,10 @@
         """Return the pool if this instance may dispatch for the service now."""
         if not self._scope.owns(service):
             return None
+        if service not in self._pools:
+            for item in self._scope.services():
+                if item.name == service:
+                    self._open_pool(item)
         return self._pools.get(service)
 
     def _open_pool(self, service: ServiceSettings) -> None:
@@ -169,17 +181,23 @@
         settings = self._node.settings
         member = self._node.member
         self._opened_pools += 1
-        term = f"{member.name}-{member.incarnation}-{self._opened_pools}"
-        self._pools[service.name] = Pool(
+        number = f"{self._label}-{self._opened_pools}"
+        term = f"{member.name}-{member.incarnation}-{number}"
+        now = self._node.now()
+        pool = Pool(
             service.name,
             settings.dispatch,
             self._scope.limits(),
             gate,
             self._generator,
             term,
-            self._node.now(),
+            now,
         )
+        self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
+        for announcement in self._scope.known_backends(service.name):
+            self._run(pool.announce(announcement, now))
+        self._follow_move(service, pool)
         _log.info("This instance dispatches for service {}.", service.name)
 
     def _make_planner(self, service: ServiceSettings) -> LoadPlanner:
@@ -204,7 +222,7 @@
         version = moves.versions.get(service.name)
         if version is None:
             version = self._scope.initial_version(service, pool.backends)
-        pool.gate.follow(version, moves.running(service.name))
+        pool.gate.follow(version, self._scope.running_move(service.name))
 
     def _order_load(self, service: str, pool: Pool, now: float) -> None:
         planner = self._planners[service]
--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -3,9 +3,10 @@
 from typing import Protocol
 
 from sassafraspin.admission import AccountLimits, Limits
-from sassafraspin.backends import Backend
+from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.node import Node, dispatch_key
 from sassafraspin.ledger import Ledger
+from sassafraspin.moves import Move
 from sassafraspin.settings import ServiceSettings
 
 __all__ = ["DispatchScope", "ViewScope"]
@@ -28,6 +29,12 @@
     ) -> str:
         """Return the version in force of a service that was never moved."""
 
+    def running_move(self, service: str) -> Move | None:
+        """Return the move that a service's new version may be shown in."""
+
+    def known_backends(self, service: str) -> tuple[Announcement, ...]:
+        """Return the backend servers that a new pool begins with."""
+
 
 class ViewScope:
     """Services of the settings, shared out over the members of the view.
@@ -65,6 +72,14 @@
         """Return the version that the settings name."""
         return service.initial_version
 
+    def running_move(self, service: str) -> Move | None:
+        """Return the move that runs."""
+        return self._node.configuration.state.moves.running(service)
+
+    def known_backends(self, service: str) -> tuple[Announcement, ...]:
+        """Return nothing: backend servers announce themselves to a new pool."""
+        return ()
+
     def _follow_view(self) -> None:
         """See again which services are this instance's own after a change."""
         place = (self._node.view.number, self._ledger.synced_view)
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -6,6 +6,7 @@
 from sassafraspin.control.messages import ReplicaMessage
 from sassafraspin.discovery import DiscoveryMessage
 from sassafraspin.dispatch import DispatchMessage
+from sassafraspin.dispatch.directory import DirectoryUpdate
 from sassafraspin.ledger import LedgerMessage
 from sassafraspin.membership import MembershipMessage
 from sassafraspin.moves import MoveMessage
@@ -33,6 +34,7 @@
     | LedgerMessage
     | MoveMessage
     | DiscoveryMessage
+    | DirectoryUpdate
     | Propose
     | ProposeReply
 )
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from sassafraspin.daemon.dispatch_duty import DispatchDuty, DispatcherMessage
+from sassafraspin.daemon.dispatcher_health import DispatcherHealth
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.replies import ReplyTable
 from sassafraspin.dispatch import (
@@ -44,16 +46,31 @@
     ----------
     node : Node
         Shared handles of the daemon.
+    standby : DispatchDuty or None
+        Decides on this instance while the dispatcher does not answer.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, standby: DispatchDuty | None = None) -> None:
         self._node = node
+        self._standby = standby
+        self._health = DispatcherHealth(
+            node.settings.dispatch.standby_after_ms / _MS_PER_SECOND
+        )
         self._replies = ReplyTable()
         self._active: dict[str, _Active] = {}
         self._repeat_seconds = node.settings.dispatch.slot_repeat_ms / _MS_PER_SECOND
         self._used_services: set[str] = set()
         self._next_report_at = 0.0
 
+    @property
+    def uses_standby(self) -> bool:
+        """Return whether requests are decided on here for want of a dispatcher."""
+        return self._standby is not None and self._health.is_silent
+
+    def note_dispatcher(self) -> None:
+        """Record that the dispatcher is known to act."""
+        self._health.note_answer()
+
     async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
         """Return a slot or a refusal, at the latest when the deadline has passed.
 
@@ -65,26 +82,31 @@
             with trio.move_on_after(request.deadline_ms / 1000):
                 answer = await self._ask(request, receive)
                 if isinstance(answer, SlotGrant):
-                    dispatcher = self._node.dispatcher_of(request.service)
-                    self._active[answer.grant_id] = _Active(
-                        request, answer, self._node.now(), dispatcher
-                    )
+                    self._note_grant(request, answer)
                 return answer
         finally:
             self._replies.close(request.request_id)
         self.withdraw(request)
         return SlotRefusal(request.request_id, RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
 
+    def _note_grant(self, request: SlotRequest, grant: SlotGrant) -> None:
+        """Keep a grant; one of the standby is told to the next dispatcher."""
+        dispatcher = None
+        if not self.uses_standby:
+            dispatcher = self._node.dispatcher_of(request.service)
+        now = self._node.now()
+        self._active[grant.grant_id] = _Active(request, grant, now, dispatcher)
+
     def withdraw(self, request: SlotRequest) -> None:
         """Tell the dispatcher that a request no longer waits."""
         message = SlotWithdraw(request.service, request.request_id)
-        self._send_to_dispatcher(request.service, message)
+        self._tell_dispatchers(request.service, message)
 
     def release(self, release: SlotRelease) -> None:
         """Give a slot back."""
         self._used_services.add(release.service)
         self._active.pop(release.grant_id, None)
-        self._send_to_dispatcher(release.service, release)
+        self._tell_dispatchers(release.service, release)
 
     def allow_revocation(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
         """Let a revocation of the grant cancel ``scope``."""
@@ -122,11 +144,13 @@
                 for grant_id, active in self._active.items()
                 if active.request.service == service
             )
-            self._send_to_dispatcher(service, HeldGrants(service, grant_ids))
+            self._tell_dispatchers(service, HeldGrants(service, grant_ids))
         self._used_services = {item.request.service for item in self._active.values()}
 
     def _hand_over(self) -> None:
         """Tell a new dispatcher of the slots that an older one granted."""
+        if self.uses_standby:
+            return
         for active in self._active.values():
             dispatcher = self._node.dispatcher_of(active.request.service)
             if dispatcher is not None and dispatcher != active.dispatcher:
@@ -139,6 +163,8 @@
         message: SlotGrant | SlotRefusal | SlotRevoke | SlotWaiting | UnknownGrants,
     ) -> None:
         """Handle a message of a dispatcher."""
+        if source != self._node.name and not _is_wrong_dispatcher(message):
+            self._health.note_answer()
         match message:
             case SlotGrant():
                 if not self._replies.deliver(message.request_id, message):
@@ -158,29 +184,42 @@
     def _describe_grants(self, dispatcher: str, unknown: UnknownGrants) -> None:
         for grant_id in unknown.grant_ids:
             active = self._active.get(grant_id)
-            if active is not None:
-                self._node.send(dispatcher, ActiveGrant(active.request, active.grant))
+            if active is None:
+                continue
+            message = ActiveGrant(active.request, active.grant)
+            if self._standby is not None and dispatcher == self._node.name:
+                self._standby.receive(dispatcher, message)
+            self._node.send(dispatcher, message)
 
     async def _ask(
         self, request: SlotRequest, receive: trio.MemoryReceiveChannel
     ) -> SlotGrant | SlotRefusal:
-        asked_at = self._node.now()
+        asked_at = heard_at = self._node.now()
         while True:
-            self._send_to_dispatcher(request.service, request)
+            self._ask_once(request)
             with trio.move_on_after(self._repeat_seconds):
                 answer = await receive.receive()
                 while isinstance(answer, SlotWaiting):
+                    heard_at = self._node.now()
                     answer = await receive.receive()
                 if not _is_wrong_dispatcher(answer):
                     return answer
                 await trio.sleep_forever()
-            waited_ms = (self._node.now() - asked_at) * 1000
-            if self._is_unreachable(request, waited_ms):
+            now = self._node.now()
+            if not self.uses_standby:
+                self._health.note_waiting(now - heard_at)
+            if self._is_unreachable(request, (now - asked_at) * _MS_PER_SECOND):
                 self.withdraw(request)
                 return SlotRefusal(
                     request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
                 )
 
+    def _ask_once(self, request: SlotRequest) -> None:
+        if self._standby is not None and self._health.is_silent:
+            self._standby.receive(self._node.name, request)
+        else:
+            self._send_to_dispatcher(request.service, request)
+
     def _is_unreachable(self, request: SlotRequest, waited_ms: float) -> bool:
         """Return whether no dispatcher can be asked for longer than allowed."""
         if self._node.dispatcher_of(request.service) is not None:
@@ -193,15 +232,21 @@
         if grant.grant_id in self._active:
             return
         message = SlotWithdraw(service, grant.request_id)
+        self._tell_dispatchers(service, message)
+
+    def _tell_dispatchers(self, service: str, message: DispatcherMessage) -> None:
+        """Tell the dispatcher and the standby, one of which knows of the request."""
+        if self._standby is not None:
+            self._standby.receive(self._node.name, message)
         self._send_to_dispatcher(service, message)
 
-    def _send_to_dispatcher(self, service: str, message: object) -> None:
+    def _send_to_dispatcher(self, service: str, message: DispatcherMessage) -> None:
         dispatcher = self._node.dispatcher_of(service)
         if dispatcher is not None:
             self._node.send(dispatcher, message)
 
 
-def _is_wrong_dispatcher(answer: SlotGrant | SlotRefusal) -> bool:
+def _is_wrong_dispatcher(answer: object) -> bool:
     return (
         isinstance(answer, SlotRefusal)
         and answer.reason is RefusalReason.NOT_DISPATCHER
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -27,13 +27,19 @@
 """Part of the platform's bound on repeats that is used; the rest covers requests that
 a dispatcher counted before it was replaced."""
 
+_ELECTION_TIMEOUT_MS = 600
+"""A leader that is lost is replaced within twice this; heartbeats go four times as
+often, over links of a few milliseconds."""
+
 _DISPATCH = DispatchSettings(
     slot_timeout_ms=1_000,
     grant_use_within_ms=500,
     connect_timeout_ms=400,
     progress_timeout_ms=30_000,
-    slot_repeat_ms=100,
+    slot_repeat_ms=40,
+    standby_after_ms=80,
 )
+"""Short against the least objective on the users' sheet, 100 ms."""
 
 
 class _Listen(msgspec.Struct):
@@ -121,7 +127,7 @@
         may_found=boot.bootstrap and folder is not None,
         tolerated_losses=boot.fault_tolerance.machines,
         data_folder=folder,
-        control=ControlSettings(()),
+        control=ControlSettings((), election_timeout_ms=_ELECTION_TIMEOUT_MS),
         dispatch=replace(
             _DISPATCH,
             retry_share=_BUDGET_SHARE * bounds.retry_budget_ratio,
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -35,6 +35,11 @@
     SlotWithdraw,
     UnknownGrants,
 )
+from sassafraspin.dispatch.directory import (
+    BackendDirectory,
+    DirectoryFeed,
+    DirectoryUpdate,
+)
 from sassafraspin.http import (
     ClientTimeouts,
     HttpClient,
@@ -58,6 +63,7 @@
 from sassafraspin.routed.operations import Operations
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.routed.settings import RoutedSettings
+from sassafraspin.routed.standby_scope import StandbyScope
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import (
     AccessSettings,
@@ -282,12 +288,21 @@
         self.node = _make_node(daemon_settings, member, network)
         self.view = RoutingView(self.node)
         self._client = HttpClient(_client_timeouts(daemon_settings))
-        self._slots = SlotClient(self.node)
         self._proposals = ProposalClient(self.node)
         base = settings.data_folder.parent if settings.data_folder else None
         self._control = ControlShell(self.node, base, generator, network.learn_address)
-        scope = LeaderScope(self.node, self._control)
+        dispatch = daemon_settings.dispatch
+        self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
+        self._feed = DirectoryFeed(dispatch.directory_interval_ms / _MS_PER_SECOND)
+        scope = LeaderScope(self.node, self._control, self._directory)
         self._dispatch = DispatchDuty(self.node, generator, _no_orders, scope)
+        standby_scope = StandbyScope(
+            self.node, scope, self._directory, lambda: self._slots.uses_standby
+        )
+        self._standby = DispatchDuty(
+            self.node, generator, _no_orders, standby_scope, "standby"
+        )
+        self._slots = SlotClient(self.node, self._standby)
         self.entry = RoutedEntry(
             self.node, dialect, self.view, self._slots, self._client, generator
         )
@@ -318,11 +333,23 @@
         self._follow_view()
         self._slots.tick()
         self._dispatch.tick()
+        self._standby.tick()
+        self._tell_backends(now)
 
     def close(self) -> None:
         """Close every idle connection to backend servers."""
         self._client.close()
 
+    def _tell_backends(self, now: float) -> None:
+        """Tell the other instances of the backend servers that this one knows."""
+        if not self._control.leads(now):
+            return
+        for update in self._feed.updates(self._dispatch.backends(), now):
+            self._directory.take(update, now)
+            for member in self.node.view.members:
+                if member.name != self.node.name:
+                    self.node.send(member.name, update)
+
     def receive(self, source: MemberIdentity, message: PeerMessage) -> None:
         """Handle a message of another instance."""
         now = self.node.now()
@@ -330,7 +357,7 @@
             case MemberHeartbeat():
                 self._control.on_heartbeat(source, message, now)
             case HeartbeatReply():
-                self._on_heartbeat_reply(message, now)
+                self._on_heartbeat_reply(source.name, message, now)
             case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
                 self._dispatch.receive(source.name, message)
             case HeldGrants() | AnnounceBackend():
@@ -339,6 +366,8 @@
                 self._slots.receive(source.name, message)
             case SlotWaiting() | UnknownGrants():
                 self._slots.receive(source.name, message)
+            case DirectoryUpdate():
+                self._directory.take(message, now)
             case MoveEvidence():
                 self._control.on_evidence(message)
             case Propose():
@@ -348,8 +377,12 @@
             case _:
                 self._control.on_replica_message(source.name, message, now)
 
-    def _on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
+    def _on_heartbeat_reply(
+        self, source: str, reply: HeartbeatReply, now: float
+    ) -> None:
         configuration = self.node.configuration
+        if reply.leader == source:
+            self._slots.note_dispatcher()
         if reply.update is not None:
             configuration.take_update(reply.update)
         if reply.sent_at > 0:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -1,10 +1,11 @@
 """Dispatch at the control leader: it alone grants slots, for every service."""
 
 from sassafraspin.admission import Limits, UsageCaps
-from sassafraspin.backends import Backend
+from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.control_shell import ControlShell
 from sassafraspin.daemon.node import Node
-from sassafraspin.moves import MovePhase
+from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.moves import Move, MovePhase
 from sassafraspin.routes import DeclaredTable, RoutedService
 from sassafraspin.settings import ServiceSettings
 
@@ -25,11 +26,16 @@
         Shared handles of the daemon.
     control : ControlShell
         Knows whether this instance leads.
+    directory : BackendDirectory
+        Backend servers as the dispatcher before told of them.
     """
 
-    def __init__(self, node: Node, control: ControlShell) -> None:
+    def __init__(
+        self, node: Node, control: ControlShell, directory: BackendDirectory
+    ) -> None:
         self._node = node
         self._control = control
+        self._directory = directory
         self._caps = UsageCaps()
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
@@ -66,6 +72,14 @@
         usable = announced - self._refused_versions(service.name)
         return min(usable, default=_UNKNOWN_VERSION)
 
+    def running_move(self, service: str) -> Move | None:
+        """Return the move that runs."""
+        return self._node.configuration.state.moves.running(service)
+
+    def known_backends(self, service: str) -> tuple[Announcement, ...]:
+        """Return the servers that the dispatcher before knew."""
+        return tuple(self._directory.of_service(service))
+
     def _refused_versions(self, service: str) -> set[str]:
         """Return the versions that may only be shown by a move."""
         return {
--- /dev/null
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -0,0 +1,96 @@
+"""Dispatch on an entry instance itself, while no dispatcher answers."""
+
+import math
+from collections.abc import Callable
+from dataclasses import replace
+
+from sassafraspin.admission import Limits, UsageCaps
+from sassafraspin.backends import Announcement, Backend
+from sassafraspin.daemon.node import Node
+from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.moves import Move
+from sassafraspin.routed.leader_scope import LeaderScope
+from sassafraspin.routes import RoutedAccount
+from sassafraspin.settings import ServiceSettings
+
+__all__ = ["StandbyScope"]
+
+
+class StandbyScope:
+    """An entry instance's share of everything that a dispatcher would grant.
+
+    Each instance takes its share of the slots and of the usage caps, so that all of
+    them together stay near the whole. A new version is shown to nobody meanwhile.
+
+    Parameters
+    ----------
+    node : Node
+        Shared handles of the daemon.
+    services : LeaderScope
+        Knows the services of the routing table.
+    directory : BackendDirectory
+        Backend servers as the last dispatcher told of them.
+    is_needed : callable
+        Returns whether the dispatcher does not answer.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        services: LeaderScope,
+        directory: BackendDirectory,
+        is_needed: Callable[[], bool],
+    ) -> None:
+        self._node = node
+        self._services = services
+        self._directory = directory
+        self._is_needed = is_needed
+
+    def services(self) -> tuple[ServiceSettings, ...]:
+        """Return the services of the routing table."""
+        return self._services.services()
+
+    def owns(self, service: str) -> bool:
+        """Return whether this instance has to decide by itself."""
+        return self._is_needed()
+
+    def limits(self) -> Limits:
+        """Return this instance's share of the usage caps."""
+        caps = UsageCaps()
+        declared = self._node.configuration.state.routing
+        if declared is not None:
+            caps.follow(tuple(map(self._share_of, declared.table.accounts)))
+        return caps
+
+    def initial_version(
+        self, service: ServiceSettings, backends: tuple[Backend, ...]
+    ) -> str:
+        """Return the version in force of a service that was never moved."""
+        return self._services.initial_version(service, backends)
+
+    def running_move(self, service: str) -> Move | None:
+        """Return no move: what a new version is shown is counted in one place."""
+        return None
+
+    def known_backends(self, service: str) -> tuple[Announcement, ...]:
+        """Return the servers with this instance's share of their slots."""
+        keep_ms = self._node.settings.dispatch.directory_keep_ms
+        return tuple(
+            replace(
+                announcement,
+                slots=math.ceil(announcement.slots / self._instances),
+                ttl_ms=keep_ms,
+            )
+            for announcement in self._directory.of_service(service)
+        )
+
+    @property
+    def _instances(self) -> int:
+        return max(1, len(self._node.view.members))
+
+    def _share_of(self, account: RoutedAccount) -> RoutedAccount:
+        return replace(
+            account,
+            rate_per_second=account.rate_per_second / self._instances,
+            burst=account.burst / self._instances,
+        )
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -187,6 +187,11 @@
     ``slot_repeat_ms`` is the time after which an unanswered question to a dispatcher
     is asked again. Of the requests of ``retry_window_ms``, ``retry_share`` and
     ``retry_allowance`` more may be sent to another server after a first one.
+
+    A dispatcher that does not answer for ``standby_after_ms`` is given up by an entry
+    instance that has a standby; ``directory_interval_ms`` is the time between two
+    rounds in which a dispatcher tells the others of all its backend servers, and
+    ``directory_keep_ms`` the time for which they remember one.
     """
 
     __pydantic_config__ = _STRICT
@@ -197,6 +202,9 @@
     progress_timeout_ms: _Milliseconds = 10_000
     waiting_requests: _Count = 10_000
     slot_repeat_ms: _Milliseconds = 250
+    standby_after_ms: _Milliseconds = 300
+    directory_interval_ms: _Milliseconds = 1_000
+    directory_keep_ms: _Milliseconds = 30_000
     retry_share: Annotated[float, Field(ge=0, le=1)] = 0.2
     retry_allowance: Annotated[int, Field(ge=0, le=1_000_000)] = 50
     retry_window_ms: _Milliseconds = 10_000
