Use the declared overshoot of usage caps

The deployment declares that caps may be exceeded by a tenth; buckets now refill and hold a tenth more, and the declared slack stays for changes of the dispatcher.

--- a/src/sassafraspin/admission/limits.py
+++ b/src/sassafraspin/admission/limits.py
@@ -117,10 +117,15 @@
     start_share : float
         Share of a bucket that is full at first. A dispatcher that follows another
         one does not know what was used, so a full bucket could be spent twice.
+    overshoot : float
+        Part by which a cap may be exceeded. A request counts here when it is admitted
+        and at its caller when it is sent, so an exact bucket refuses requests that
+        their caller sent within its cap.
     """
 
-    def __init__(self, start_share: float = 0.5) -> None:
+    def __init__(self, start_share: float = 0.5, overshoot: float = 0.0) -> None:
         self._start_share = start_share
+        self._factor = 1 + overshoot
         self._accounts: dict[str, RoutedAccount] = {}
         self._buckets: dict[str, _Bucket] = {}
 
@@ -150,12 +155,13 @@
         """Keep the charge of a request that had a slot."""
 
     def _refilled(self, account: RoutedAccount, now: float) -> "_Bucket":
+        capacity = self._factor * account.burst
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = _Bucket(self._start_share * account.burst, now)
+            bucket = _Bucket(self._start_share * capacity, now)
             self._buckets[account.name] = bucket
-        refill = (now - bucket.refilled_at) * account.rate_per_second
-        bucket.level = min(account.burst, bucket.level + refill)
+        refill = self._factor * account.rate_per_second * (now - bucket.refilled_at)
+        bucket.level = min(capacity, bucket.level + refill)
         bucket.refilled_at = now
         return bucket
 
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -57,6 +57,7 @@
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
     budget_window_s: float = 10.0
+    quota_overshoot: float = 0.0
 
 
 class _Boot(msgspec.Struct):
@@ -130,6 +131,7 @@
         control=ControlSettings((), election_timeout_ms=_ELECTION_TIMEOUT_MS),
         dispatch=replace(
             _DISPATCH,
+            cap_overshoot=bounds.quota_overshoot,
             retry_share=_BUDGET_SHARE * bounds.retry_budget_ratio,
             retry_allowance=int(_BUDGET_SHARE * bounds.budget_slack),
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -36,7 +36,7 @@
         self._node = node
         self._control = control
         self._directory = directory
-        self._caps = UsageCaps()
+        self._caps = self._new_caps()
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
         self._led = False
@@ -88,9 +88,12 @@
             if move.spec.service == service and move.phase is not MovePhase.DONE
         }
 
+    def _new_caps(self) -> UsageCaps:
+        return UsageCaps(overshoot=self._node.settings.dispatch.cap_overshoot)
+
     def _start_caps(self) -> None:
         """Count anew: what was used under an earlier leader is not known here."""
-        self._caps = UsageCaps()
+        self._caps = self._new_caps()
         if self._declared is not None:
             self._caps.follow(self._declared.table.accounts)
 
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -56,7 +56,7 @@
 
     def limits(self) -> Limits:
         """Return this instance's share of the usage caps."""
-        caps = UsageCaps()
+        caps = UsageCaps(overshoot=self._node.settings.dispatch.cap_overshoot)
         declared = self._node.configuration.state.routing
         if declared is not None:
             caps.follow(tuple(map(self._share_of, declared.table.accounts)))
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -191,7 +191,8 @@
     A dispatcher that does not answer for ``standby_after_ms`` is given up by an entry
     instance that has a standby; ``directory_interval_ms`` is the time between two
     rounds in which a dispatcher tells the others of all its backend servers, and
-    ``directory_keep_ms`` the time for which they remember one.
+    ``directory_keep_ms`` the time for which they remember one. Usage caps may be
+    exceeded by ``cap_overshoot``.
     """
 
     __pydantic_config__ = _STRICT
@@ -205,6 +206,7 @@
     standby_after_ms: _Milliseconds = 300
     directory_interval_ms: _Milliseconds = 1_000
     directory_keep_ms: _Milliseconds = 30_000
+    cap_overshoot: Annotated[float, Field(ge=0, le=1)] = 0.0
     retry_share: Annotated[float, Field(ge=0, le=1)] = 0.2
     retry_allowance: Annotated[int, Field(ge=0, le=1_000_000)] = 50
     retry_window_ms: _Milliseconds = 10_000
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -54,6 +54,13 @@
         self.caps.follow((account(),))
         self.assertTrue(all(self.admitted(10_000, 0.0) for _ in range(10)))
 
+    def test_declared_overshoot_is_used_and_no_more(self):
+        self.caps = UsageCaps(start_share=1.0, overshoot=0.1)
+        self.caps.follow((account(rate_per_second=100.0, burst=500.0),))
+        used = sum(100 for tick in range(800) if self.admitted(100, tick / 100))
+        self.assertLessEqual(used, 1.1 * (100 * 8 + 500) + 100)
+        self.assertGreaterEqual(used, 1.1 * (100 * 8 + 500) - 100)
+
     def test_requests_are_counted_where_the_cap_says_so(self):
         capped = account(rate_per_second=1.0, burst=5.0, charges_tokens=False)
         self.caps.follow((capped,))
