Let spares take lost voters' places, rest fewer servers, recover sooner

Instances with a disk are spares now; one that holds all that is committed takes the place of a voter that was silent for 3 s. A replaced voter comes back as a spare. At most a third rest. - after all processes were killed, members asked the control instances twice a second and elections took 0.6 to 1.2 s; a member that is not confirmed asks ten times a second, elections begin after 0.4 s. - three processes were killed at the end of their time to stop: draining now leaves 1.5 s of it. Bounds on callers follow the routing table in force.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -126,7 +126,7 @@
             return False
         if now < self._ejected_until:
             return False
-        is_on_trial = self._failures >= _FAILURES_TO_EJECT
+        is_on_trial = self._ejections > 0 and self._failures >= _FAILURES_TO_EJECT
         return not (is_on_trial and self._reservations)
 
     def has_room(self, tokens: int) -> bool:
@@ -154,10 +154,10 @@
         self._failures = 0
         self._ejections = 0
 
-    def note_failure(self, now: float) -> bool:
+    def note_failure(self, now: float, may_eject: bool = True) -> bool:
         """Record a failed request; return whether the server is ejected now."""
         self._failures += 1
-        if self._failures < _FAILURES_TO_EJECT:
+        if self._failures < _FAILURES_TO_EJECT or not may_eject:
             return False
         self._ejections += 1
         pause = min(_EJECT_SECONDS * 2 ** (self._ejections - 1), _MAX_EJECT_SECONDS)
--- a/src/sassafraspin/control/duty.py
+++ b/src/sassafraspin/control/duty.py
@@ -158,10 +158,12 @@
     ) -> HeartbeatReply:
         """Answer a member's heartbeat, with a lease if this instance leads."""
         lease = 0.0
+        voters: tuple[str, ...] = ()
         leader = self._replica.leader
         if self._table is not None and self.leads(now):
             view = self._configuration.state.view
             lease = self._table.grant(identity, heartbeat, view, now)
+            voters = tuple(voter.name for voter in self._replica.log.voters)
         elif leader == self._settings.name:
             leader = None
         return HeartbeatReply(
@@ -170,6 +172,7 @@
             self._replica.commit_index,
             heartbeat.sent_at,
             self._configuration.update_since(heartbeat.config_index),
+            voters,
         )
 
     def is_proposed(self, change_id: str) -> bool:
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -134,6 +134,21 @@
         usable = self._timings.election_timeout * (1 - self._timings.clock_drift)
         return contact + usable
 
+    def silent_for(self, peer: Voter, now: float) -> float:
+        """Return the seconds since a replica was heard of in this leadership."""
+        return now - max(self._of(peer).contact, self._since)
+
+    def has_spare(
+        self, voters: tuple[Voter, ...], commit_index: int, now: float
+    ) -> bool:
+        """Return whether a replica that is no voter holds all that is committed."""
+        return any(
+            peer not in voters
+            and self._of(peer).match_index >= commit_index
+            and self.silent_for(peer, now) < self._timings.election_timeout
+            for peer in self._learners.values()
+        )
+
     def has_lost_quorum(self, voters: tuple[Voter, ...], now: float) -> bool:
         """Return whether a majority has been silent for two election timeouts."""
         contact = max(self._majority_contact(voters, now), self._since)
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -64,11 +64,15 @@
         Interval of the leader's heartbeats.
     clock_drift : float
         Largest relative difference between two clocks' rates.
+    replace_after : float or None
+        Silence of a voter after which a spare takes its place; ``None`` if only the
+        configured instances may be voters.
     """
 
     election_timeout: float = 1.0
     heartbeat: float = 0.2
     clock_drift: float = 0.05
+    replace_after: float | None = None
 
 
 @dataclass(frozen=True)
@@ -129,6 +133,10 @@
         self._leadership: Leadership | None = None
         self._effects: list[Effect] = []
 
+    @property
+    def _admits_spares(self) -> bool:
+        return self._timings.replace_after is not None
+
     @property
     def role(self) -> Role:
         """Return the current role."""
@@ -194,7 +202,7 @@
         elif self._role is Role.LEADER:
             self._tick_leader(now)
         else:
-            if not self.is_voter:
+            if not self.is_voter and not self._election.hears_leader(now):
                 self._greet(now)
             if self._election.is_due(now):
                 self._start_pre_vote(now)
@@ -251,20 +259,24 @@
         """Tell the other configured instances that this disk is not a voter."""
         if not self._formation.is_greeting_due(now):
             return
+        self._say_hello()
+        self._form_quorum(now)
+
+    def _say_hello(self) -> None:
         for name in self._formation.others:
             self._send(name, Hello(self._own.disk_id))
-        self._form_quorum(now)
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
-        if source not in self._configured:
+        if source not in self._configured and not self._admits_spares:
             return
         newcomer = Voter(source, message.disk_id)
         if self._log.voters:
             self._send(source, Welcome(self._first_voters(newcomer)))
             self._consider_newcomer(newcomer, now)
             return
-        self._formation.note_empty(source, message.disk_id)
-        self._form_quorum(now)
+        if source in self._configured:
+            self._formation.note_empty(source, message.disk_id)
+            self._form_quorum(now)
 
     def _first_voters(self, newcomer: Voter) -> tuple[Voter, ...]:
         """Return the voters that a newcomer may start with.
@@ -277,6 +289,8 @@
 
     def _form_quorum(self, now: float) -> None:
         """Start the log once every configured instance is known to be empty."""
+        if self._name not in self._configured:
+            return
         voters = self._formation.first_voters()
         if voters is not None and not self._log.voters:
             self._install_first_voters(voters, now)
@@ -297,6 +311,9 @@
         self._election.postpone(now)
         if not self.is_voter:
             return
+        if self._admits_spares:
+            # A voter that was replaced while it was away does not know of it yet.
+            self._say_hello()
         self._become(Role.CANDIDATE)
         self._leader = None
         self._ask_for_votes(pre=True, term=self._term + 1, now=now)
@@ -398,6 +415,8 @@
             self._leader = None
             self._election.postpone(now)
             return
+        if self._admits_spares:
+            self._replace_lost_voter(leadership, now)
         if leadership.heartbeat_due(now):
             self._replicate(now)
 
@@ -477,13 +496,41 @@
         outdated = [
             voter
             for voter in voters
-            if voter != self._own
-            and (voter.name == newcomer.name or voter.name not in self._configured)
+            if voter != self._own and self._is_outdated(voter, newcomer)
         ]
         if outdated and self._may_change_voters():
             remaining = tuple(voter for voter in voters if voter != outdated[0])
             self._append(VotersEntry(self._term, remaining), now)
 
+    def _is_outdated(self, voter: Voter, newcomer: Voter) -> bool:
+        """Return whether a voter's disk is gone for good, as far as is known."""
+        if voter.name == newcomer.name:
+            return True
+        return not self._admits_spares and voter.name not in self._configured
+
+    def _replace_lost_voter(self, leadership: Leadership, now: float) -> None:
+        """Drop a voter that has been silent for long if a spare is up to date.
+
+        The spare is admitted with its next answer. Of two lost voters the one that
+        was heard of last stays, since it is the likelier to come back.
+        """
+        replace_after = self._timings.replace_after
+        if replace_after is None or not self._may_change_voters():
+            return
+        voters = self._log.voters
+        if not leadership.has_spare(voters, self._commit_index, now):
+            return
+        silent = [
+            (leadership.silent_for(voter, now), voter)
+            for voter in voters
+            if voter != self._own
+        ]
+        longest, lost = max(silent, default=(0.0, None))
+        if lost is None or longest < replace_after:
+            return
+        remaining = tuple(voter for voter in voters if voter != lost)
+        self._append(VotersEntry(self._term, remaining), now)
+
     def _admit_learner(self, peer: Voter, now: float) -> None:
         leadership = self._leadership
         voters = self._log.voters
--- a/src/sassafraspin/daemon/control_shell.py
+++ b/src/sassafraspin/daemon/control_shell.py
@@ -175,7 +175,7 @@
             max(self._pushed_index, index - _MAX_PUSHED_COMMANDS)
         )
         self._pushed_index = index
-        reply = HeartbeatReply(self._node.name, 0, index, 0.0, update)
+        reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
         for member in view.members:
             if member.name != self._node.name:
                 self._learn_address(member.address)
@@ -213,7 +213,15 @@
     return ControlDutySettings(
         settings.instance.name,
         tuple(address.name for address in control.instances),
-        ReplicaTimings(election_timeout, election_timeout / _HEARTBEATS_PER_TIMEOUT),
+        ReplicaTimings(
+            election_timeout,
+            election_timeout / _HEARTBEATS_PER_TIMEOUT,
+            replace_after=(
+                None
+                if control.replace_after_ms is None
+                else control.replace_after_ms / _MS_PER_SECOND
+            ),
+        ),
         MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
         control.snapshot_after_entries,
     )
--- a/src/sassafraspin/discovery/search.py
+++ b/src/sassafraspin/discovery/search.py
@@ -62,6 +62,10 @@
         """Return the control instances, empty as long as they are not known."""
         return self._control
 
+    def replace_control(self, control: tuple[NamedAddress, ...]) -> None:
+        """Take over newer control instances."""
+        self._control = control
+
     def tick(self, now: float) -> list[tuple[Address, Seek]]:
         """Let time pass; return the questions to send."""
         if self._control:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -12,6 +12,7 @@
 _SAMPLED_SERVERS = 10
 _PREFIX_HOLDERS = 2
 _KEPT_PREFIXES = 100_000
+_MAX_RESTING_SHARE = 0.34
 
 
 class _RandomSet:
@@ -176,8 +177,14 @@
         return True
 
     def note_failure(self, backend: Backend, now: float) -> None:
-        """Record a failed request; a server that fails too often rests."""
-        if backend.note_failure(now):
+        """Record a failed request; a server that fails too often rests.
+
+        No more than a share of the servers rest at a time: where all of them fail,
+        those that are left would only be overloaded too.
+        """
+        resting = sum(item.is_ejected(now) for item in self._backends.values())
+        allowed = max(1, int(_MAX_RESTING_SHARE * len(self._backends)))
+        if backend.note_failure(now, may_eject=resting < allowed):
             self.refresh(now)
 
     def note_prefixes(self, backend: Backend, request: SlotRequest) -> None:
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -43,6 +43,10 @@
         self._draining = False
         self._idle = trio.Event()
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Bound the connections that are opened from now on."""
+        self._limits = limits
+
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen until the drain ends or the task is cancelled."""
         self._listeners = await trio.open_tcp_listeners(
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -10,6 +10,10 @@
 
 _REPLY_TIMEOUT_HEARTBEATS = 2
 
+_FIRST_INTERVAL_SECONDS = 0.1
+"""Interval of a member that does not know yet whether its configuration is current,
+and so may not serve."""
+
 
 @dataclass(frozen=True)
 class HeartbeatTo:
@@ -58,6 +62,11 @@
         """Return the control leader as last heard of."""
         return self._leader
 
+    @property
+    def control_names(self) -> tuple[str, ...]:
+        """Return the control instances, as the leader last told of them."""
+        return self._control_names
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the instance has asked to be removed."""
@@ -83,8 +92,11 @@
         """Return the heartbeat that is due, if any."""
         if now < self._next_at:
             return None
-        self._next_at = now + self._interval
-        if now - self._answered_at > _REPLY_TIMEOUT_HEARTBEATS * self._interval:
+        interval = self._interval
+        if self._confirmed_at == float("-inf"):
+            interval = min(interval, _FIRST_INTERVAL_SECONDS)
+        self._next_at = now + interval
+        if now - self._answered_at > _REPLY_TIMEOUT_HEARTBEATS * interval:
             self._try_next_target()
         member = None if view.contains(self._member.identity) else self._member
         heartbeat = MemberHeartbeat(
@@ -95,6 +107,10 @@
     def on_reply(self, reply: HeartbeatReply, config_index: int, now: float) -> None:
         """Take in a reply, after its configuration update was applied."""
         self._answered_at = now
+        if reply.voters:
+            self._control_names = reply.voters
+            if self._target not in reply.voters:
+                self._target = reply.voters[0]
         if reply.lease_ms > 0 and not self._leaving:
             usable = reply.lease_ms / 1000 * (1 - self._timings.clock_drift)
             self._lease_until = max(self._lease_until, reply.sent_at + usable)
@@ -114,5 +130,7 @@
             self._target = leader
 
     def _try_next_target(self) -> None:
-        position = self._control_names.index(self._target)
+        position = 0
+        if self._target in self._control_names:
+            position = self._control_names.index(self._target)
         self._target = self._control_names[(position + 1) % len(self._control_names)]
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -71,6 +71,8 @@
         Clock of the member, from its heartbeat.
     update : ConfigTail, ConfigImage or None
         What the member lacks.
+    voters : tuple of str
+        Names of the control instances that vote, empty from one that does not lead.
     """
 
     leader: str | None
@@ -78,6 +80,7 @@
     commit_index: int
     sent_at: float
     update: ConfigUpdate | None
+    voters: tuple[str, ...] = ()
 
 
 MembershipMessage = MemberHeartbeat | HeartbeatReply
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -27,10 +27,20 @@
 """Part of the platform's bound on repeats that is used; the rest covers requests that
 a dispatcher counted before it was replaced."""
 
-_ELECTION_TIMEOUT_MS = 600
+_ELECTION_TIMEOUT_MS = 400
 """A leader that is lost is replaced within twice this; heartbeats go four times as
 often, over links of a few milliseconds."""
 
+_REPLACE_AFTER_MS = 3_000
+"""Longer than a restart takes, shorter than the time in which another control instance
+may be lost again."""
+
+_STOP_RESERVE_S = 1.5
+"""Part of the time to stop that is left to close connections and to leave the view."""
+
+_READINESS_GRACE_S = 2.2
+"""The balancer asks once a second and takes an instance out after two misses."""
+
 _DISPATCH = DispatchSettings(
     slot_timeout_ms=1_000,
     grant_use_within_ms=500,
@@ -120,6 +130,7 @@
     )
     folder = Path(boot.data_dir) if boot.data_dir else None
     bounds = boot.bounds
+    drain_s = max(0.5, bounds.grace_s - _READINESS_GRACE_S - _STOP_RESERVE_S)
     return RoutedSettings(
         instance=InstanceSettings(boot.node_name, boot.region, boot.zone),
         listen=listen,
@@ -128,7 +139,11 @@
         may_found=boot.bootstrap and folder is not None,
         tolerated_losses=boot.fault_tolerance.machines,
         data_folder=folder,
-        control=ControlSettings((), election_timeout_ms=_ELECTION_TIMEOUT_MS),
+        control=ControlSettings(
+            (),
+            election_timeout_ms=_ELECTION_TIMEOUT_MS,
+            replace_after_ms=_REPLACE_AFTER_MS,
+        ),
         dispatch=replace(
             _DISPATCH,
             cap_overshoot=bounds.quota_overshoot,
@@ -137,6 +152,8 @@
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
         ),
         http=HttpLimits(connections=2_000),
+        readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
+        drain_timeout_ms=int(drain_s * _MS_PER_SECOND),
         announcement_ttl_ms=int(_LOST_HEARTBEATS * boot.heartbeat_ms),
     )
 
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -64,6 +64,7 @@
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.routed.standby_scope import StandbyScope
+from sassafraspin.routes import CallerLimits
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import (
     AccessSettings,
@@ -125,6 +126,7 @@
             _search_settings(settings), _card(settings, self._member), _steady_time()
         )
         self._duties: _Duties | None = None
+        self._limits: CallerLimits | None = None
         limits = settings.http
         self._callers = HttpServer(settings.listen.callers, limits, self._handle_call)
         self._readiness = HttpServer(
@@ -229,8 +231,48 @@
         )
         while True:
             self._duties.tick()
+            self._follow_control(self._duties.node)
+            self._follow_limits(self._duties.node)
             await trio.sleep(_TICK_SECONDS)
 
+    def _follow_control(self, node: Node) -> None:
+        """Remember the control instances after one of them was replaced."""
+        names = node.lease.control_names
+        if names == tuple(address.name for address in self._search.control):
+            return
+        members = [node.view.find(name) for name in names]
+        control = tuple(member.address for member in members if member is not None)
+        if len(control) < len(names):
+            return
+        _log.info("The control instances are now {}.", ", ".join(names))
+        self._search.replace_control(control)
+        self._keep_control()
+
+    def _follow_limits(self, node: Node) -> None:
+        """Bound callers as the routing table in force says."""
+        declared = node.configuration.state.routing
+        if declared is None or declared.table.limits == self._limits:
+            return
+        self._limits = declared.table.limits
+        self._callers.set_limits(
+            replace(
+                self._settings.http,
+                header_bytes=self._limits.header_bytes,
+                body_bytes=self._limits.body_bytes,
+                header_timeout_ms=self._limits.header_timeout_ms,
+                idle_timeout_ms=self._limits.idle_timeout_ms,
+            )
+        )
+
+    def _keep_control(self) -> None:
+        """Make the control instances durable, for a start without seeds."""
+        if self._book is None:
+            return
+        try:
+            self._book.save(self._search.control)
+        except StorageError as error:
+            _log.error("The control instances cannot be kept: {}.", error)
+
     async def _find_control(self) -> None:
         """Learn the control instances from the disk or from other instances."""
         known = () if self._book is None else self._book.load()
@@ -245,8 +287,8 @@
                 self._network.send(name, seek)
             await trio.sleep(_SEARCH_TICK_SECONDS)
         control = self._search.control
-        if self._book is not None and control != known:
-            self._book.save(control)
+        if control != known:
+            self._keep_control()
         for address in control:
             self._network.learn_address(address)
         names = ", ".join(address.name for address in control)
@@ -439,6 +481,7 @@
             settings.control,
             instances=control,
             data_folder=None if folder is None else folder.name,
+            spare=folder is not None,
         ),
         access=AccessSettings((), (), ""),
         services=(),
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -87,7 +87,12 @@
 
 @dataclass(frozen=True)
 class ControlSettings:
-    """The control quorum, and how often instances talk to it."""
+    """The control quorum, and how often instances talk to it.
+
+    An instance with ``spare`` set may take the place of a control instance that was
+    silent for ``replace_after_ms``; without that setting only the listed ones may be
+    part of the quorum.
+    """
 
     __pydantic_config__ = _STRICT
 
@@ -97,6 +102,8 @@
     member_lease_ms: _Milliseconds = 3000
     election_timeout_ms: _Milliseconds = 1000
     snapshot_after_entries: _Count = 1000
+    spare: bool = False
+    replace_after_ms: _Milliseconds | None = None
 
 
 @dataclass(frozen=True)
@@ -243,6 +250,6 @@
 
     @property
     def has_control_duty(self) -> bool:
-        """Return whether this instance is listed as a control instance."""
+        """Return whether this instance is a control instance or a spare one."""
         names = (address.name for address in self.control.instances)
-        return self.instance.name in names
+        return self.control.spare or self.instance.name in names
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -120,6 +120,39 @@
         self.assertEqual(sorted(map(by_server.count, set(by_server))), [3, 3])
 
 
+class TestFailures(unittest.TestCase):
+    """Servers that fail rest, but never so many that the others are swamped."""
+
+    def test_some_servers_stay_when_all_of_them_fail(self):
+        generator = random.Random(1)
+        pool = Pool(
+            SERVICE,
+            DispatchSettings(),
+            AccountLimits(()),
+            VersionGate("v1", random.Random(1)),
+            random.Random(1),
+            "term",
+            0.0,
+        )
+        for number in range(9):
+            pool.announce(announcement(number, slots=7), 0.0)
+        granted = 0
+        for number in range(400):
+            now = 1.0 + number / 100
+            (effect,) = pool.request("entry-1", stream(f"r{number}", 10, 5), now)[-1:]
+            if not isinstance(effect.message, SlotGrant):
+                continue
+            granted += 1
+            grant = effect.message
+            failed = generator.random() < 0.45
+            result = ReleaseResult.FAILED if failed else ReleaseResult.ANSWERED
+            release = SlotRelease(
+                SERVICE, grant.request_id, grant.grant_id, grant.backend_id, result
+            )
+            pool.release(release, now)
+        self.assertEqual(granted, 400)
+
+
 class TestWaiting(PlacingTestCase):
     """A request waits for the next slot and is not refused for all work ahead."""
 
