Log typed events, and tell a request's story from the logs

One JSON line on standard output for each try at a backend server and each refusal, with the inputs that decided (expected wait, slots, queue, table version, forecast of the first token), and for each start, stop, change of control instances or routing table, and each dispatcher lost or regained. The set of events is closed and typed; a test compares it with docs/OPERATIONS.md. Lines that the reader does not take are dropped and counted; a test looks for keys and bodies. Commands: explain ID LOG..., events. The daemon for declared routes is split by job (daemon, duties, setup).

--- a/src/sassafraspin/cli/main.py
+++ b/src/sassafraspin/cli/main.py
@@ -4,6 +4,7 @@
 
 from sassafraspin.cli.daemon import check_settings, entry
 from sassafraspin.cli.demo import demo
+from sassafraspin.cli.explain import events, explain
 from sassafraspin.cli.load import load
 from sassafraspin.cli.move import move
 from sassafraspin.cli.profile import profile
@@ -32,3 +33,5 @@
 main.add_command(stand_in)
 main.add_command(load)
 main.add_command(demo)
+main.add_command(explain)
+main.add_command(events)
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -21,6 +21,11 @@
     SlotWithdraw,
     UnknownGrants,
 )
+from sassafraspin.telemetry.events import (
+    DispatcherLost,
+    DispatcherRegained,
+    log_event,
+)
 
 __all__ = ["SlotClient"]
 
@@ -69,6 +74,8 @@
 
     def note_dispatcher(self) -> None:
         """Record that the dispatcher is known to act."""
+        if self.uses_standby:
+            log_event(DispatcherRegained(self._node.lease.leader))
         self._health.note_answer()
 
     async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
@@ -164,7 +171,7 @@
     ) -> None:
         """Handle a message of a dispatcher."""
         if source != self._node.name and not _is_wrong_dispatcher(message):
-            self._health.note_answer()
+            self.note_dispatcher()
         match message:
             case SlotGrant():
                 if not self._replies.deliver(message.request_id, message):
@@ -207,13 +214,19 @@
                 await trio.sleep_forever()
             now = self._node.now()
             if not self.uses_standby:
-                self._health.note_waiting(now - heard_at)
+                self._note_silence(request.service, now - heard_at)
             if self._is_unreachable(request, (now - asked_at) * _MS_PER_SECOND):
                 self.withdraw(request)
                 return SlotRefusal(
                     request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
                 )
 
+    def _note_silence(self, service: str, seconds: float) -> None:
+        self._health.note_waiting(seconds)
+        if self.uses_standby:
+            dispatcher = self._node.dispatcher_of(service)
+            log_event(DispatcherLost(dispatcher, int(seconds * _MS_PER_SECOND)))
+
     def _ask_once(self, request: SlotRequest) -> None:
         if self._standby is not None and self._health.is_silent:
             self._standby.receive(self._node.name, request)
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -130,11 +130,19 @@
 
 
 class SlotRefusal(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """No slot: the request was not run and may come back after some time."""
+    """No slot: the request was not run and may come back after some time.
+
+    The figures tell what decided: the wait that was expected, the slots of servers
+    that accept work, those that are granted, and the requests that wait.
+    """
 
     request_id: str
     reason: RefusalReason
     retry_after_ms: int
+    wait_ms: int = 0
+    open_slots: int = 0
+    busy_slots: int = 0
+    waiting: int = 0
 
 
 class ActiveGrant(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -262,17 +262,17 @@
     def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
         if not self._shortage.is_served(now):
             self._shortage.refuse(
-                entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY
+                entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY, now
             )
             return
         if request.tries and not self._budget.take(now):
             reason = RefusalReason.RETRY_BUDGET
-            self._shortage.refuse(entry, request, reason, _NO_BACKEND_RETRY)
+            self._shortage.refuse(entry, request, reason, _NO_BACKEND_RETRY, now)
             return
         decision = self._limits.admit(request, now)
         if isinstance(decision, LimitExceeded):
             reason = RefusalReason.ACCOUNT_LIMIT
-            self._shortage.refuse(entry, request, reason, decision.retry_after)
+            self._shortage.refuse(entry, request, reason, decision.retry_after, now)
             return
         seconds = self._servers.fastest_seconds(request)
         deadline = now + request.deadline_ms / 1000
@@ -287,7 +287,7 @@
         ):
             self._limits.withdraw(request)
             late_by = now + wait - waiting.latest_start
-            self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, late_by)
+            self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, late_by, now)
             return
         self._queue.add(waiting)
         self._shortage.bound_queue(now)
--- a/src/sassafraspin/dispatch/shortage.py
+++ b/src/sassafraspin/dispatch/shortage.py
@@ -125,14 +125,28 @@
         self._queue.remove(request.request_id)
         self._limits.withdraw(request)
         wait = self.expected_wait(request, now)
-        self.refuse(waiting.entry, request, reason, wait)
+        self.refuse(waiting.entry, request, reason, wait, now)
 
     def refuse(
-        self, entry: str, request: SlotRequest, reason: RefusalReason, retry: float
+        self,
+        entry: str,
+        request: SlotRequest,
+        reason: RefusalReason,
+        retry: float,
+        now: float,
     ) -> None:
         """Refuse a request; ``retry`` is when to come back, in seconds."""
         retry_ms = min(max(int(retry * 1000), _MIN_RETRY_MS), _MAX_RETRY_MS)
-        self._send(entry, SlotRefusal(request.request_id, reason, retry_ms))
+        refusal = SlotRefusal(
+            request.request_id,
+            reason,
+            retry_ms,
+            int(self.expected_wait(request, now) * 1000),
+            self._servers.open_slots,
+            len(self._grants),
+            len(self._queue),
+        )
+        self._send(entry, refusal)
 
     def make_room(self, now: float) -> None:
         """Cancel running work of lower tiers for requests that would be late."""
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -50,6 +50,8 @@
         Time within which it gets its final answer.
     tokens_per_event : int
         Tokens that an event of its answer holds.
+    table_version : int
+        Version of the routing table that decided.
     """
 
     identity: str
@@ -60,6 +62,7 @@
     account: RoutedAccount | None
     deadline_ms: int
     tokens_per_event: int
+    table_version: int
 
     @property
     def tier(self) -> int:
@@ -144,4 +147,5 @@
         account,
         min(wait_ms, route.timeout_ms),
         index.tokens_per_event(service),
+        index.table.version,
     )
--- /dev/null
+++ b/src/sassafraspin/routed/duties.py
@@ -0,0 +1,200 @@
+"""The duties of a daemon that knows the control instances."""
+
+import random
+
+from sassafraspin.daemon.control_shell import ControlShell
+from sassafraspin.daemon.dispatch_duty import DispatchDuty
+from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
+from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.daemon.slots import SlotClient
+from sassafraspin.dispatch import (
+    ActiveGrant,
+    AnnounceBackend,
+    HeldGrants,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+    SlotWaiting,
+    SlotWithdraw,
+    UnknownGrants,
+)
+from sassafraspin.dispatch.directory import (
+    BackendDirectory,
+    DirectoryFeed,
+    DirectoryUpdate,
+)
+from sassafraspin.http import HttpClient
+from sassafraspin.membership import (
+    HeartbeatReply,
+    Member,
+    MemberHeartbeat,
+    MemberIdentity,
+)
+from sassafraspin.moves import MoveEvidence
+from sassafraspin.routed.dialect import Dialect
+from sassafraspin.routed.entry import RoutedEntry
+from sassafraspin.routed.leader_scope import LeaderScope
+from sassafraspin.routed.operations import Operations
+from sassafraspin.routed.routing_view import RoutingView
+from sassafraspin.routed.settings import RoutedSettings
+from sassafraspin.routed.setup import client_timeouts, daemon_settings, make_node
+from sassafraspin.routed.standby_scope import StandbyScope
+from sassafraspin.rpc import PeerNetwork
+from sassafraspin.settings import NamedAddress
+
+__all__ = ["Duties"]
+
+_MS_PER_SECOND = 1000
+
+
+class Duties:
+    """Control, dispatch, entry and orders of one daemon.
+
+    Parameters
+    ----------
+    settings : RoutedSettings
+        Settings of the daemon.
+    control : tuple of NamedAddress
+        The control instances.
+    member : Member
+        This run of this instance.
+    network : PeerNetwork
+        Exchange with the other instances.
+    dialect : Dialect
+        Translates messages.
+    generator : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: RoutedSettings,
+        control: tuple[NamedAddress, ...],
+        member: Member,
+        network: PeerNetwork,
+        dialect: Dialect,
+        generator: random.Random,
+    ) -> None:
+        self._network = network
+        self._followed_view = 0
+        own_settings = daemon_settings(settings, control)
+        self.node = make_node(own_settings, member, network)
+        self.view = RoutingView(self.node)
+        self._client = HttpClient(client_timeouts(own_settings))
+        self._proposals = ProposalClient(self.node)
+        base = settings.data_folder.parent if settings.data_folder else None
+        self._control = ControlShell(self.node, base, generator, network.learn_address)
+        dispatch = own_settings.dispatch
+        self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
+        self._feed = DirectoryFeed(dispatch.directory_interval_ms / _MS_PER_SECOND)
+        scope = LeaderScope(self.node, self._control, self._directory)
+        self._dispatch = DispatchDuty(self.node, generator, _no_orders, scope)
+        standby_scope = StandbyScope(
+            self.node, scope, self._directory, lambda: self._slots.uses_standby
+        )
+        self._standby = DispatchDuty(
+            self.node, generator, _no_orders, standby_scope, "standby"
+        )
+        self._slots = SlotClient(self.node, self._standby)
+        self.entry = RoutedEntry(
+            self.node, dialect, self.view, self._slots, self._client, generator
+        )
+        operations = Operations(
+            self.node,
+            self._control,
+            self._proposals,
+            self._dispatch,
+            settings.listen.control.port,
+        )
+        self.handle_control = dialect.control_handler(operations)
+
+    @property
+    def has_table(self) -> bool:
+        """Return whether a routing table is in force here."""
+        return self.node.configuration.state.routing is not None
+
+    def tick(self) -> None:
+        """Let time pass."""
+        now = self.node.now()
+        node = self.node
+        self._control.tick(now)
+        heartbeat = node.lease.tick(
+            node.configuration.index, node.view.number, node.view, now
+        )
+        if heartbeat is not None:
+            node.send(heartbeat.name, heartbeat.heartbeat)
+        self._follow_view()
+        self._slots.tick()
+        self._dispatch.tick()
+        self._standby.tick()
+        self._tell_backends(now)
+
+    def close(self) -> None:
+        """Close every idle connection to backend servers."""
+        self._client.close()
+
+    def _tell_backends(self, now: float) -> None:
+        """Tell the other instances of the backend servers that this one knows."""
+        if not self._control.leads(now):
+            return
+        for update in self._feed.updates(self._dispatch.backends(), now):
+            self._directory.take(update, now)
+            for member in self.node.view.members:
+                if member.name != self.node.name:
+                    self.node.send(member.name, update)
+
+    def receive(self, source: MemberIdentity, message: PeerMessage) -> None:
+        """Handle a message of another instance."""
+        now = self.node.now()
+        match message:
+            case MemberHeartbeat():
+                self._control.on_heartbeat(source, message, now)
+            case HeartbeatReply():
+                self._on_heartbeat_reply(source.name, message, now)
+            case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
+                self._dispatch.receive(source.name, message)
+            case HeldGrants() | AnnounceBackend():
+                self._dispatch.receive(source.name, message)
+            case SlotGrant() | SlotRefusal() | SlotRevoke():
+                self._slots.receive(source.name, message)
+            case SlotWaiting() | UnknownGrants():
+                self._slots.receive(source.name, message)
+            case DirectoryUpdate():
+                self._directory.take(message, now)
+            case MoveEvidence():
+                self._control.on_evidence(message)
+            case Propose():
+                self._control.on_propose(source.name, message, now)
+            case ProposeReply():
+                self._proposals.receive(message)
+            case _:
+                self._control.on_replica_message(source.name, message, now)
+
+    def _on_heartbeat_reply(
+        self, source: str, reply: HeartbeatReply, now: float
+    ) -> None:
+        configuration = self.node.configuration
+        if reply.leader == source:
+            self._slots.note_dispatcher()
+        if reply.update is not None:
+            configuration.take_update(reply.update)
+        if reply.sent_at > 0:
+            self.node.lease.on_reply(reply, configuration.index, now)
+        elif reply.leader is not None:
+            self.node.lease.note_leader(reply.leader)
+        self._follow_view()
+
+    def _follow_view(self) -> None:
+        view = self.node.view
+        if view.number == self._followed_view:
+            return
+        self._followed_view = view.number
+        for member in view.members:
+            if member.name != self.node.name:
+                self._network.learn_address(member.address)
+
+
+def _no_orders(order, ended) -> None:
+    """Backend servers of declared routes load their versions by themselves."""
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -1,6 +1,7 @@
 """Calls on declared routes: from the HTTP request to the whole answer."""
 
 import random
+from dataclasses import replace
 
 import trio
 
@@ -11,11 +12,15 @@
 from sassafraspin.routed.call import read_routed_call
 from sassafraspin.routed.dialect import Dialect
 from sassafraspin.routed.exchange import RoutedExchange
+from sassafraspin.routed.problems import NotDispatched
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import CallRefused, log_event
 
 __all__ = ["RoutedEntry"]
 
+_MS_PER_SECOND = 1000
+
 _log = part_logger("entry")
 
 
@@ -63,15 +68,16 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one HTTP request of a caller."""
         self._in_flight += 1
+        started_at = self._node.now()
         try:
             await self._serve(request, responder)
         except RequestProblem as problem:
-            await self._refuse(problem, request, responder)
+            await self._refuse(problem, request, responder, started_at)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise
         except Exception:
             _log.exception("A call failed.")
-            await self._refuse(InternalFailure(), request, responder)
+            await self._refuse(InternalFailure(), request, responder, started_at)
         finally:
             self._in_flight -= 1
 
@@ -85,18 +91,40 @@
         self._node.metrics.count(f"answered.{call.route.name}")
 
     async def _refuse(
-        self, problem: RequestProblem, request: Request, responder: Responder
+        self,
+        problem: RequestProblem,
+        request: Request,
+        responder: Responder,
+        started_at: float,
     ) -> None:
         """Send the problem; an answer that has begun is cut instead."""
         self._node.metrics.count(f"refused.{problem.execution}.{problem.reason}")
-        _log.bind(
-            request=request.headers.get("x-request-id"),
-            status=problem.status,
-            reason=problem.reason,
-            execution=problem.execution.value,
-            retry_after_ms=problem.retry_after_ms,
-        ).info("A call is refused.")
-        if responder.has_started:
-            _log.info("An answer is cut: {}.", problem)
-            return
-        await responder.send(self._dialect.refusal(problem))
+        after_ms = int((self._node.now() - started_at) * _MS_PER_SECOND)
+        log_event(_refusal_event(problem, request, after_ms, responder.has_started))
+        if not responder.has_started:
+            await responder.send(self._dialect.refusal(problem))
+
+
+def _refusal_event(
+    problem: RequestProblem, request: Request, after_ms: int, cut: bool
+) -> CallRefused:
+    event = CallRefused(
+        request=request.headers.get("x-request-id") or "",
+        status=problem.status,
+        reason=problem.reason,
+        execution=problem.execution.value,
+        detail=str(problem),
+        retry_after_ms=problem.retry_after_ms,
+        after_ms=after_ms,
+        cut=cut,
+    )
+    if not isinstance(problem, NotDispatched):
+        return event
+    refusal = problem.refusal
+    return replace(
+        event,
+        wait_ms=refusal.wait_ms,
+        open_slots=refusal.open_slots,
+        busy_slots=refusal.busy_slots,
+        waiting=refusal.waiting,
+    )
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -34,12 +34,10 @@
 from sassafraspin.routed.stream import StreamRelay
 from sassafraspin.routes import RouteKind
 from sassafraspin.settings import Address
-from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import TryEnded, log_event
 
 __all__ = ["RoutedExchange"]
 
-_log = part_logger("entry")
-
 _RETRY_AFTER_MS = 500
 _MS_PER_SECOND = 1000
 
@@ -136,7 +134,9 @@
             return
         if self._is_sent or self._ran is not None:
             raise NoAnswerInTime("the time of the request ran out")
-        raise NotDispatched(RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
+        raise NotDispatched(
+            SlotRefusal(self._call.identity, RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
+        )
 
     async def _run_tries(self) -> None:
         for number in range(self._call.route.max_tries):
@@ -167,9 +167,9 @@
             case None if refusal is None:
                 raise ServerRefused("no backend server that was tried took it")
             case None if refusal.reason is RefusalReason.ACCOUNT_LIMIT:
-                raise AccountOverCap(refusal.reason, refusal.retry_after_ms)
+                raise AccountOverCap(refusal)
             case None:
-                raise NotDispatched(refusal.reason, refusal.retry_after_ms)
+                raise NotDispatched(refusal)
 
     async def _acquire(self, tries: int) -> SlotGrant | SlotRefusal:
         elapsed_ms = self._elapsed_ms()
@@ -271,25 +271,30 @@
     def _log_try(
         self, grant: SlotGrant, result: ReleaseResult, timing: _Timing
     ) -> None:
-        now = self._node.now()
         first = timing.first_event_at
-        _log.bind(
-            request=self._call.facts.request_id,
-            route=self._call.route.name,
-            tier=self._call.tier,
-            prompt_tokens=self._call.facts.prompt_tokens,
-            answer_tokens=self._call.facts.answer_tokens,
-            server=grant.backend_id,
-            grant=grant.grant_id,
-            waited_ms=grant.waited_ms,
-            asked_ms=int((timing.sent_at - self._started_at) * _MS_PER_SECOND),
-            expected_first_ms=grant.expected_first_ms,
-            first_ms=None if first is None else _ms(first - timing.sent_at),
-            total_ms=_ms(now - timing.sent_at),
-            longest_pause_ms=_ms(timing.longest_pause),
-            events=timing.events,
-            result=result.value,
-        ).info("A try ended.")
+        account = self._call.account
+        log_event(
+            TryEnded(
+                request=self._call.facts.request_id,
+                route=self._call.route.name,
+                tier=self._call.tier,
+                account=None if account is None else account.name,
+                table_version=self._call.table_version,
+                server=grant.backend_id,
+                grant=grant.grant_id,
+                tries=len(self._avoid),
+                prompt_tokens=self._call.facts.prompt_tokens,
+                answer_tokens=self._call.facts.answer_tokens,
+                waited_ms=grant.waited_ms,
+                asked_ms=_ms(timing.sent_at - self._started_at),
+                expected_first_ms=grant.expected_first_ms,
+                first_ms=None if first is None else _ms(first - timing.sent_at),
+                longest_pause_ms=_ms(timing.longest_pause),
+                total_ms=_ms(self._node.now() - timing.sent_at),
+                events=timing.events,
+                end=result.value,
+            )
+        )
 
     def _elapsed_ms(self) -> int:
         return int((self._node.now() - self._started_at) * _MS_PER_SECOND)
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -1,6 +1,6 @@
 """Refusals of routed calls; each says whether the request ran."""
 
-from sassafraspin.dispatch import RefusalReason
+from sassafraspin.dispatch import SlotRefusal
 from sassafraspin.http import Execution, RequestProblem
 
 __all__ = [
@@ -45,19 +45,18 @@
 
     Parameters
     ----------
-    reason : RefusalReason
-        Why.
-    retry_after_ms : int
-        When to come back.
+    refusal : SlotRefusal
+        Why, and when to come back.
     """
 
     status = 503
     title = "Not run"
 
-    def __init__(self, reason: RefusalReason, retry_after_ms: int) -> None:
-        super().__init__(f"no slot: {reason}; come back in {retry_after_ms} ms")
-        self.reason = reason.value
-        self.retry_after_ms = retry_after_ms
+    def __init__(self, refusal: SlotRefusal) -> None:
+        self.refusal = refusal
+        self.reason = refusal.reason.value
+        self.retry_after_ms = refusal.retry_after_ms
+        super().__init__(f"no slot: {self.reason}; come back later")
 
 
 class AccountOverCap(NotDispatched):
--- a/src/sassafraspin/routed/routing_view.py
+++ b/src/sassafraspin/routed/routing_view.py
@@ -4,7 +4,8 @@
 
 from sassafraspin.daemon.node import Node
 from sassafraspin.routed.problems import NotCurrent
-from sassafraspin.routes import DeclaredTable, RouteIndex
+from sassafraspin.routes import DeclaredTable, RouteIndex, RoutingTable
+from sassafraspin.telemetry.events import TableInForce, log_event
 
 __all__ = ["RoutingView"]
 
@@ -39,4 +40,10 @@
         if declared is not self._declared or self._index is None:
             self._declared = declared
             self._index = RouteIndex(declared.table)
+            _log_table(declared.table)
         return self._index
+
+
+def _log_table(table: RoutingTable) -> None:
+    counts = len(table.routes), len(table.services), len(table.accounts)
+    log_event(TableInForce(table.version, *counts))
--- /dev/null
+++ b/src/sassafraspin/routed/setup.py
@@ -0,0 +1,138 @@
+"""Parts of a daemon for declared routes, made from its settings."""
+
+import time
+from dataclasses import replace
+
+from sassafraspin.control import Configuration
+from sassafraspin.daemon.node import Node
+from sassafraspin.discovery import ControlBook, InstanceCard, SearchSettings
+from sassafraspin.http import ClientTimeouts
+from sassafraspin.membership import Member, MemberLease, MemberTimings
+from sassafraspin.routed.settings import RoutedSettings
+from sassafraspin.rpc import PeerNetwork
+from sassafraspin.settings import (
+    AccessSettings,
+    DaemonSettings,
+    ListenSettings,
+    NamedAddress,
+)
+from sassafraspin.storage import DataFolder, StorageError
+from sassafraspin.telemetry import Metrics, part_logger
+
+__all__ = [
+    "client_timeouts",
+    "daemon_settings",
+    "instance_card",
+    "make_node",
+    "open_book",
+    "own_member",
+    "search_settings",
+    "steady_time",
+]
+
+_MS_PER_SECOND = 1000
+
+_log = part_logger("daemon")
+
+
+def own_member(settings: RoutedSettings) -> Member:
+    """Return this run of this instance."""
+    peers = settings.listen.peers
+    return Member(
+        settings.instance.name,
+        time.time_ns() // 1_000,
+        settings.instance.region,
+        settings.instance.availability_zone,
+        peers.host,
+        peers.port,
+    )
+
+
+def steady_time() -> float:
+    """Return seconds of a clock that also counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def make_node(settings: DaemonSettings, member: Member, network: PeerNetwork) -> Node:
+    """Return the handles that the parts of a daemon share."""
+    control = settings.control
+    lease = MemberLease(
+        member,
+        tuple(address.name for address in control.instances),
+        control.heartbeat_interval_ms / _MS_PER_SECOND,
+        MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
+    )
+    return Node(
+        settings,
+        member,
+        Configuration(),
+        lease,
+        Metrics(f"sassafraspin.{member.name}"),
+        steady_time,
+        network.send,
+        leader_dispatches=True,
+    )
+
+
+def daemon_settings(
+    settings: RoutedSettings, control: tuple[NamedAddress, ...]
+) -> DaemonSettings:
+    """Return the settings of the parts that other daemons have too."""
+    folder = settings.data_folder
+    listen = settings.listen
+    return DaemonSettings(
+        instance=settings.instance,
+        listen=ListenSettings(listen.callers, listen.control, listen.peers),
+        control=replace(
+            settings.control,
+            instances=control,
+            data_folder=None if folder is None else folder.name,
+            spare=folder is not None,
+        ),
+        access=AccessSettings((), (), ""),
+        services=(),
+        http=settings.http,
+        dispatch=settings.dispatch,
+    )
+
+
+def search_settings(settings: RoutedSettings) -> SearchSettings:
+    """Return how this instance looks for the control instances."""
+    instances = 2 * settings.tolerated_losses + 1
+    return SearchSettings(
+        settings.seeds,
+        settings.founds,
+        instances,
+        settle=settings.founding_settle_ms / _MS_PER_SECOND,
+    )
+
+
+def instance_card(settings: RoutedSettings, member: Member) -> InstanceCard:
+    """Return who this instance is, for the others."""
+    return InstanceCard(
+        member.name,
+        member.availability_zone,
+        member.host,
+        member.port,
+        settings.may_found,
+    )
+
+
+def open_book(settings: RoutedSettings) -> ControlBook | None:
+    """Return the list of control instances on disk, ``None`` without a usable disk."""
+    if settings.data_folder is None:
+        return None
+    try:
+        return ControlBook(DataFolder(settings.data_folder))
+    except StorageError as error:
+        _log.error("The data folder cannot be used: {}.", error)
+        return None
+
+
+def client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
+    """Return the time limits towards backend servers."""
+    dispatch = settings.dispatch
+    return ClientTimeouts(
+        dispatch.connect_timeout_ms / _MS_PER_SECOND,
+        dispatch.progress_timeout_ms / _MS_PER_SECOND,
+    )
--- /dev/null
+++ b/src/sassafraspin/telemetry/events.py
@@ -0,0 +1,186 @@
+"""The closed set of structured events that daemons log, one line each.
+
+A line is a JSON object: ``time`` (Unix seconds), ``level``, ``part``, ``text``,
+``event`` (name of the class) and the fields of the class.
+"""
+
+from dataclasses import asdict, dataclass, fields
+from typing import ClassVar
+
+from loguru import logger
+
+__all__ = [
+    "CallRefused",
+    "ControlChanged",
+    "DispatcherLost",
+    "DispatcherRegained",
+    "EVENTS",
+    "Event",
+    "InstanceStarted",
+    "InstanceStopped",
+    "InstanceStopping",
+    "TableInForce",
+    "TryEnded",
+    "describe_events",
+    "log_event",
+]
+
+
+@dataclass(frozen=True)
+class Event:
+    """Base of all events; ``part`` is the prefix and ``text`` the sentence."""
+
+    part: ClassVar[str] = "daemon"
+    text: ClassVar[str] = ""
+
+
+@dataclass(frozen=True)
+class InstanceStarted(Event):
+    """A process listens; it serves once its configuration is confirmed."""
+
+    text: ClassVar[str] = "The instance is listening."
+    instance: str
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class InstanceStopping(Event):
+    """A shutdown began; readiness fails from now on."""
+
+    text: ClassVar[str] = "Shutdown: readiness fails now."
+    instance: str
+    in_flight: int
+
+
+@dataclass(frozen=True)
+class InstanceStopped(Event):
+    """A shutdown ended; ``cut`` requests were still in flight."""
+
+    text: ClassVar[str] = "Shutdown: done."
+    instance: str
+    cut: int
+
+
+@dataclass(frozen=True)
+class ControlChanged(Event):
+    """The control instances were found or one of them was replaced."""
+
+    text: ClassVar[str] = "The control instances are known."
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class TableInForce(Event):
+    """The instance obeys another routing table from now on."""
+
+    part: ClassVar[str] = "routes"
+    text: ClassVar[str] = "A routing table is in force here."
+    version: int
+    routes: int
+    services: int
+    accounts: int
+
+
+@dataclass(frozen=True)
+class DispatcherLost(Event):
+    """The dispatcher did not answer; this instance decides by itself."""
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "The dispatcher is silent."
+    dispatcher: str | None
+    silent_ms: int
+
+
+@dataclass(frozen=True)
+class DispatcherRegained(Event):
+    """The dispatcher answers again."""
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "The dispatcher answers again."
+    dispatcher: str | None
+
+
+@dataclass(frozen=True)
+class TryEnded(Event):
+    """A request was sent to a backend server and this is what came of it.
+
+    ``waited_ms`` is the wait for a slot at the dispatcher, ``asked_ms`` the time from
+    the request to its sending, ``expected_first_ms`` the dispatcher's forecast of
+    ``first_ms``, ``tries`` how many servers had it before.
+    """
+
+    part: ClassVar[str] = "entry"
+    text: ClassVar[str] = "A try ended."
+    request: str
+    route: str
+    tier: int
+    account: str | None
+    table_version: int
+    server: str
+    grant: str
+    tries: int
+    prompt_tokens: int
+    answer_tokens: int
+    waited_ms: int
+    asked_ms: int
+    expected_first_ms: int
+    first_ms: int | None
+    longest_pause_ms: int
+    total_ms: int
+    events: int
+    end: str
+
+
+@dataclass(frozen=True)
+class CallRefused(Event):
+    """A call was refused or its answer was cut.
+
+    Where a dispatcher refused, ``wait_ms`` is the wait that it expected,
+    ``open_slots`` and ``busy_slots`` the slots of servers that accept work, and
+    ``waiting`` the requests in its queue.
+    """
+
+    part: ClassVar[str] = "entry"
+    text: ClassVar[str] = "A call is refused."
+    request: str
+    status: int
+    reason: str
+    execution: str
+    detail: str
+    retry_after_ms: int | None
+    after_ms: int
+    cut: bool
+    wait_ms: int = 0
+    open_slots: int = 0
+    busy_slots: int = 0
+    waiting: int = 0
+
+
+EVENTS: tuple[type[Event], ...] = (
+    InstanceStarted,
+    InstanceStopping,
+    InstanceStopped,
+    ControlChanged,
+    TableInForce,
+    DispatcherLost,
+    DispatcherRegained,
+    TryEnded,
+    CallRefused,
+)
+
+
+def log_event(event: Event) -> None:
+    """Log an event at INFO level."""
+    logger.bind(part=event.part, event=type(event).__name__, **asdict(event)).info(
+        event.text
+    )
+
+
+def describe_events() -> str:
+    """Return a Markdown table of all events with their fields."""
+    lines = ["| event | part | meaning | fields |", "| --- | --- | --- | --- |"]
+    for kind in EVENTS:
+        meaning = " ".join((kind.__doc__ or "").split())
+        names = ", ".join(f"`{item.name}`" for item in fields(kind))
+        lines.append(f"| `{kind.__name__}` | {kind.part} | {meaning} | {names} |")
+    return "\n".join(lines)
--- a/src/sassafraspin/telemetry/logs.py
+++ b/src/sassafraspin/telemetry/logs.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from loguru import Logger, Message
 
-__all__ = ["LogFormat", "configure_logs", "part_logger"]
+__all__ = ["JsonSink", "LogFormat", "configure_logs", "part_logger"]
 
 LogFormat = Literal["text", "json"]
 
@@ -35,7 +35,7 @@
     logger.configure(extra={"part": "main"})
     if log_format == "json":
         writer = LineWriter(sys.stdout.fileno())
-        logger.add(_JsonSink(writer), level=level, format="", backtrace=False)
+        logger.add(JsonSink(writer), level=level, format="", backtrace=False)
         return
     logger.add(sys.stderr, level=level, format=_TEXT_FORMAT, backtrace=False)
 
@@ -56,7 +56,7 @@
     return logger.bind(part=part)
 
 
-class _JsonSink:
+class JsonSink:
     """Writes each record as one JSON object: time, level, part, text and fields."""
 
     def __init__(self, writer: LineWriter) -> None:
@@ -64,6 +64,7 @@
         self._reported_drops = 0
 
     def __call__(self, message: "Message") -> None:
+        """Write a record."""
         record = message.record
         fields = {
             "time": record["time"].timestamp(),
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,189 @@
+"""Structured logs: what they hold, that they never block, and how they are read."""
+
+import io
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+from loguru import logger
+
+from sassafraspin.cli import main
+from sassafraspin.telemetry.events import (
+    EVENTS,
+    CallRefused,
+    DispatcherLost,
+    TableInForce,
+    describe_events,
+    log_event,
+)
+from sassafraspin.telemetry.lines import LineWriter
+from sassafraspin.telemetry.logs import JsonSink
+from sassafraspin.telemetry.story import read_story
+from tests.test_routed_daemon import RoutedTestCase
+
+OPERATIONS = Path(__file__).resolve().parent.parent / "docs" / "OPERATIONS.md"
+
+
+class MemoryWriter:
+    """Keeps lines in place of a descriptor."""
+
+    def __init__(self):
+        self.lines: list[bytes] = []
+        self.dropped = 0
+
+    def write(self, line: bytes) -> None:
+        self.lines.append(line)
+
+
+def refused(request: str) -> CallRefused:
+    """Return the refusal of a request."""
+    return CallRefused(request, 503, "too-late", "not-run", "no slot", 200, 3, False)
+
+
+class TestLineWriter(unittest.TestCase):
+    """A reader that does not keep up costs lines, never time."""
+
+    def test_full_pipe_drops_and_counts(self):
+        reader, writer = os.pipe()
+        try:
+            lines = LineWriter(writer)
+            for _ in range(10_000):
+                lines.write(b"x" * 99 + b"\n")
+            self.assertGreater(lines.dropped, 5_000)
+            os.read(reader, 1 << 20)
+            dropped = lines.dropped
+            lines.write(b"after\n")
+            self.assertEqual(lines.dropped, dropped)
+        finally:
+            os.close(reader)
+            os.close(writer)
+
+    def test_lines_stay_whole(self):
+        reader, writer = os.pipe()
+        lines = LineWriter(writer)
+        received = io.BytesIO()
+        for number in range(3_000):
+            lines.write(b"%05d " % number + b"x" * 93 + b"\n")
+            if number % 500 == 499:
+                received.write(os.read(reader, 1 << 20))
+        lines._flush()
+        os.close(writer)
+        while chunk := os.read(reader, 1 << 20):
+            received.write(chunk)
+        os.close(reader)
+        lengths = {len(line) for line in received.getvalue().splitlines()}
+        self.assertEqual(lengths, {99})
+
+    def test_closed_reader_is_no_error(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        lines = LineWriter(writer)
+        lines.write(b"line\n")
+        os.close(writer)
+        self.assertEqual(lines.dropped, 1)
+
+
+class TestEvents(unittest.TestCase):
+    """One JSON object a line."""
+
+    def setUp(self):
+        self.writer = MemoryWriter()
+        handler = logger.add(JsonSink(self.writer), level="INFO", format="")
+        self.addCleanup(logger.remove, handler)
+
+    def test_fields(self):
+        log_event(refused("id-1"))
+        item = json.loads(self.writer.lines[-1])
+        self.assertEqual(item["event"], "CallRefused")
+        self.assertEqual(item["part"], "entry")
+        self.assertEqual((item["request"], item["status"]), ("id-1", 503))
+        self.assertIsInstance(item["time"], float)
+
+    def test_exceptions_are_kept(self):
+        try:
+            raise ValueError("broken")
+        except ValueError:
+            logger.bind(part="entry").exception("A call failed.")
+        self.assertIn("broken", json.loads(self.writer.lines[-1])["exception"])
+
+    def test_dropped_lines_are_told_with_the_next_line(self):
+        self.writer.dropped = 7
+        log_event(refused("id-1"))
+        self.assertEqual(json.loads(self.writer.lines[-1])["dropped_lines"], 7)
+        log_event(refused("id-1"))
+        self.assertNotIn("dropped_lines", json.loads(self.writer.lines[-1]))
+
+    def test_page_lists_every_event(self):
+        self.assertIn(describe_events(), OPERATIONS.read_text())
+        for kind in EVENTS:
+            self.assertTrue(kind.text.endswith("."), kind)
+
+
+class TestStory(unittest.TestCase):
+    """From the id of a request to its cause."""
+
+    def lines(self, *events) -> list[bytes]:
+        writer = MemoryWriter()
+        handler = logger.add(JsonSink(writer), level="INFO", format="")
+        for event in events:
+            log_event(event)
+        logger.remove(handler)
+        return writer.lines
+
+    def test_order_and_context(self):
+        first = self.lines(
+            TableInForce(7, 2, 2, 1), refused("id-9"), DispatcherLost("c", 80)
+        )
+        second = self.lines(refused("id-1"), refused("id-2"))
+        third = self.lines(DispatcherLost("c", 80), refused("id-1"))
+        logs = [("one", first), ("two", second), ("three", [b"12.5 x ", *third])]
+        story = read_story("id-1", logs)
+        self.assertEqual(
+            [(line.source, line.event) for line in story],
+            [
+                ("two", "CallRefused"),
+                ("three", "DispatcherLost"),
+                ("three", "CallRefused"),
+            ],
+        )
+
+    def test_lines_that_are_no_events_are_passed_over(self):
+        junk = [b"", b"{", b"[1]", b'{"time": "x"}', b"\xff{}"]
+        self.assertEqual(read_story("id-1", [("log", junk)]), [])
+
+    def test_command(self):
+        runner = CliRunner()
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "front-1.log"
+            log.write_bytes(b"".join(self.lines(refused("id-1"))))
+            found = runner.invoke(main, ["explain", "id-1", str(log)])
+            self.assertEqual(found.exit_code, 0, found.output)
+            self.assertIn("reason=too-late", found.output)
+            missing = runner.invoke(main, ["explain", "id-2", str(log)])
+            self.assertEqual(missing.exit_code, 4)
+        listed = runner.invoke(main, ["events"])
+        self.assertEqual(listed.output.strip(), describe_events())
+
+
+class TestSecrets(RoutedTestCase):
+    """No key of a caller and no body stands in the logs."""
+
+    def test_keys_and_bodies(self):
+        writer = MemoryWriter()
+        handler = logger.add(JsonSink(writer), level="DEBUG", format="")
+        self.addCleanup(logger.remove, handler)
+
+        async def scenario(deployment):
+            await deployment.call("/unsafe/1")
+            await deployment.call("/safe/1", authorization="Token stolen-key")
+            await deployment.call("/nowhere/1")
+
+        self.play(scenario)
+        text = b"".join(writer.lines)
+        self.assertIn(b"TryEnded", text)
+        self.assertIn(b"unknown-key", text)
+        for secret in (b"Token", b"stolen-key", b"question", b'"key"'):
+            self.assertNotIn(secret, text)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sassafraspin.dispatch import RefusalReason
+from sassafraspin.dispatch import RefusalReason, SlotRefusal
 from sassafraspin.errors import InvalidInput
 from sassafraspin.http import BadRequest, Headers, Request
 from sassafraspin.platform.boot import decode_boot_settings
@@ -382,7 +382,9 @@
         self.assertFalse(self.dialect.read_answer(503, Headers()).not_run)
 
     def test_time_to_come_back_has_fractions(self):
-        response = self.dialect.refusal(NotDispatched(RefusalReason.TOO_LATE, 250))
+        response = self.dialect.refusal(
+            NotDispatched(SlotRefusal("r", RefusalReason.TOO_LATE, 250))
+        )
         self.assertEqual(response.status, 503)
         self.assertEqual(response.headers.get("retry-after"), "0.250")
         self.assertIsNone(
