--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -35,8 +35,10 @@
 """Longer than a restart takes, shorter than the time in which another control instance
 may be lost again."""
 
-_STOP_RESERVE_S = 1.5
-"""Part of the time to stop that is left to close connections and to leave the view."""
+_CUT_SHARE = 5 / 6
+_CUT_MARGIN_S = 0.4
+"""A request that is still at work in the last sixth of the time to stop may be cut; the
+rest of that sixth is left to close connections and to exit."""
 
 _READINESS_GRACE_S = 2.2
 """The balancer asks once a second and takes an instance out after two misses."""
@@ -130,7 +132,8 @@
     )
     folder = Path(boot.data_dir) if boot.data_dir else None
     bounds = boot.bounds
-    drain_s = max(0.5, bounds.grace_s - _READINESS_GRACE_S - _STOP_RESERVE_S)
+    cut_after_s = _CUT_SHARE * bounds.grace_s + _CUT_MARGIN_S
+    drain_s = max(0.5, cut_after_s - _READINESS_GRACE_S)
     return RoutedSettings(
         instance=InstanceSettings(boot.node_name, boot.region, boot.zone),
         listen=listen,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -166,6 +166,12 @@
         restarted = decode_boot_settings(later, "boot.toml")
         self.assertFalse(restarted.founds or restarted.may_found)
 
+    def test_requests_are_cut_in_the_last_sixth_of_the_time_to_stop(self):
+        settings = decode_boot_settings(BOOT.encode(), "boot.toml")
+        cut_at_ms = settings.readiness_grace_ms + settings.drain_timeout_ms
+        self.assertGreater(cut_at_ms, 8_000 * 5 / 6)
+        self.assertLess(cut_at_ms, 8_000 - 500)
+
     def test_without_disk(self):
         text = BOOT.replace('data_dir = "/data/instance"', 'data_dir = ""')
         settings = decode_boot_settings(text.encode(), "boot.toml")
