Share out repeats on standby; drop connections with stray bytes

Both found by reading. A second answer that came in one piece with the first stayed in the parser of a kept connection and was taken for the answer to the next request, which then counted as lost (its identity differs); such a connection is closed now.

--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -178,7 +178,6 @@
 
     def _open_pool(self, service: ServiceSettings) -> None:
         gate = VersionGate(service.initial_version, self._generator)
-        settings = self._node.settings
         member = self._node.member
         self._opened_pools += 1
         number = f"{self._label}-{self._opened_pools}"
@@ -186,7 +185,7 @@
         now = self._node.now()
         pool = Pool(
             service.name,
-            settings.dispatch,
+            self._scope.settings(),
             self._scope.limits(),
             gate,
             self._generator,
--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -7,7 +7,7 @@
 from sassafraspin.daemon.node import Node, dispatch_key
 from sassafraspin.ledger import Ledger
 from sassafraspin.moves import Move
-from sassafraspin.settings import ServiceSettings
+from sassafraspin.settings import DispatchSettings, ServiceSettings
 
 __all__ = ["DispatchScope", "ViewScope"]
 
@@ -24,6 +24,9 @@
     def limits(self) -> Limits:
         """Return the limits that a new pool is made with."""
 
+    def settings(self) -> DispatchSettings:
+        """Return the time limits and bounds that a new pool is made with."""
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -66,6 +69,10 @@
         """Return the limits of the settings."""
         return AccountLimits(self._node.settings.access.client_accounts)
 
+    def settings(self) -> DispatchSettings:
+        """Return the settings of this instance."""
+        return self._node.settings.dispatch
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -164,8 +164,14 @@
         return not _is_readable(self._stream)
 
     def finish_cycle(self) -> bool:
-        """Make the connection ready for another request, if it can be."""
+        """Make the connection ready for another request, if it can be.
+
+        Bytes after a whole answer belong to no request; they would be taken for the
+        answer to the next one.
+        """
         self._last_used = trio.current_time()
+        if self._protocol.trailing_data[0]:
+            return False
         try:
             self._protocol.start_next_cycle()
         except h11.LocalProtocolError:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -7,7 +7,7 @@
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.moves import Move, MovePhase
 from sassafraspin.routes import DeclaredTable, RoutedService
-from sassafraspin.settings import ServiceSettings
+from sassafraspin.settings import DispatchSettings, ServiceSettings
 
 __all__ = ["LeaderScope"]
 
@@ -62,6 +62,10 @@
         """Return the usage caps, the same for every service."""
         return self._caps
 
+    def settings(self) -> DispatchSettings:
+        """Return the settings of this instance."""
+        return self._node.settings.dispatch
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -11,7 +11,7 @@
 from sassafraspin.moves import Move
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routes import RoutedAccount
-from sassafraspin.settings import ServiceSettings
+from sassafraspin.settings import DispatchSettings, ServiceSettings
 
 __all__ = ["StandbyScope"]
 
@@ -19,8 +19,8 @@
 class StandbyScope:
     """An entry instance's share of everything that a dispatcher would grant.
 
-    Each instance takes its share of the slots and of the usage caps, so that all of
-    them together stay near the whole. A new version is shown to nobody meanwhile.
+    Each instance takes its share of the slots, the usage caps and the repeats, so that
+    all of them together stay near the whole. A new version is shown to nobody.
 
     Parameters
     ----------
@@ -62,6 +62,12 @@
             caps.follow(tuple(map(self._share_of, declared.table.accounts)))
         return caps
 
+    def settings(self) -> DispatchSettings:
+        """Return the settings with this instance's share of the repeats."""
+        settings = self._node.settings.dispatch
+        allowance = settings.retry_allowance // self._instances
+        return replace(settings, retry_allowance=allowance)
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -1,11 +1,20 @@
 """What an instance knows and does while no dispatcher answers."""
 
 import unittest
+from types import SimpleNamespace
 
+from sassafraspin.admission import WithinLimits
 from sassafraspin.backends import Backend
 from sassafraspin.daemon.dispatcher_health import DispatcherHealth
+from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.directory import BackendDirectory, DirectoryFeed
+from sassafraspin.membership import Member, View
+from sassafraspin.routed.standby_scope import StandbyScope
+from sassafraspin.routes import DeclaredTable
+from sassafraspin.settings import DispatchSettings
 from tests.pool_model import SERVICE, announcement
+from tests.test_limits import request
+from tests.test_routes import account, table
 
 
 def backends(count: int) -> tuple[Backend, ...]:
@@ -26,6 +35,46 @@
         self.assertFalse(health.is_silent)
 
 
+class TestStandbyScope(unittest.TestCase):
+    """Ten instances that decide apart stay within what one may do."""
+
+    def setUp(self):
+        self.directory = BackendDirectory(30.0)
+        for update in DirectoryFeed(1.0).updates(
+            (Backend(announcement(0, slots=7), 0.0),), 0.0
+        ):
+            self.directory.take(update, 0.0)
+        members = tuple(Member(f"m{n}", 1, "r", "z", "::1", 1) for n in range(10))
+        capped = account(rate_per_second=100.0, burst=500.0)
+        state = SimpleNamespace(
+            view=View(1, 1, members),
+            routing=DeclaredTable(table(accounts=(capped,)), b""),
+        )
+        node = SimpleNamespace(
+            view=state.view,
+            configuration=SimpleNamespace(state=state),
+            settings=SimpleNamespace(dispatch=DispatchSettings(retry_allowance=48)),
+        )
+        self.scope = StandbyScope(node, None, self.directory, lambda: True)
+
+    def test_repeats(self):
+        budget = RetryBudget(self.scope.settings())
+        taken = sum(budget.take(0.0) for _ in range(100))
+        self.assertLessEqual(10 * taken, 48)
+
+    def test_slots(self):
+        (server,) = self.scope.known_backends(SERVICE)
+        self.assertEqual(server.slots, 1)
+
+    def test_usage_caps(self):
+        caps = self.scope.limits()
+        used = 0
+        for tick in range(800):
+            admitted = caps.admit(request(10), tick / 100)
+            used += 10 * isinstance(admitted, WithinLimits)
+        self.assertLessEqual(10 * used, 100 * 8 + 500 + 10 * 10)
+
+
 class TestDirectory(unittest.TestCase):
     """Every instance keeps the servers that the dispatcher tells of."""
 
