Let late requests wait, and serve sooner after a restart

Ruled out: idle slots (63 of 63 were granted), caps (429s are counted apart). Change: requests that would be late wait behind those on time of their tier while their deadline and their caller's patience allow, unless others of the tier waited in vain just now; a first dispatcher waits for servers to announce themselves; calls wait for the routes after a start; a restarted voter counts its promise from the start of its process and asks again soon. Refusals name the account, calls that end early get a line.

--- a/src/sassafraspin/__init__.py
+++ b/src/sassafraspin/__init__.py
@@ -1,5 +1,6 @@
 """A request scheduler for federations that share unlike model engines."""
 
+from sassafraspin.clock import PROCESS_STARTED_AT, steady_time
 from sassafraspin.errors import (
     CommandError,
     ExitCode,
@@ -17,8 +18,10 @@
     "ExitCode",
     "InvalidInput",
     "MoveSpec",
+    "PROCESS_STARTED_AT",
     "Problem",
     "Profile",
     "SassafraspinError",
     "load_settings",
+    "steady_time",
 ]
--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -1,4 +1,9 @@
-"""Requests that wait for a slot: by tier, and fair between client accounts."""
+"""Requests that wait for a slot: by tier, and fair between client accounts.
+
+In each tier the requests that can still be answered within their objective go before
+those that can only be answered late. This answers a load that exceeds the slots for
+some seconds: what cannot be on time is served after the peak instead of being refused.
+"""
 
 import heapq
 import math
@@ -9,6 +14,9 @@
 
 __all__ = ["WaitingQueue", "WaitingRequest"]
 
+_RANKS = 2 * (LOWEST_TIER + 1)
+"""Each tier has a rank for requests on time and one for late ones."""
+
 
 @dataclass(frozen=True)
 class WaitingRequest:
@@ -25,9 +33,13 @@
     deadline : float
         Monotonic time at which the whole answer is due, in seconds.
     start_by : float
-        Monotonic time by which it has to be sent, whatever its deadline is.
+        Monotonic time by which it has to be sent to be answered within its objective.
     since : float
         Monotonic time at which it began to wait.
+    leaves_at : float
+        Monotonic time at which its caller leaves unless it has the first token.
+    first_seconds : float
+        Expected time to the first token at a backend server.
     """
 
     entry: str
@@ -36,32 +48,35 @@
     deadline: float
     start_by: float = math.inf
     since: float = 0.0
+    leaves_at: float = math.inf
+    first_seconds: float = 0.0
 
     @property
     def latest_start(self) -> float:
-        """Return the time after which the answer would be late."""
-        return min(self.deadline - self.seconds, self.start_by)
+        """Return the time after which no answer reaches the caller."""
+        return min(self.deadline - self.seconds, self.leaves_at - self.first_seconds)
+
+    def is_late(self, now: float) -> bool:
+        """Return whether it can no longer be answered within its objective."""
+        return now > self.start_by
 
 
 class WaitingQueue:
-    """Orders waiting requests by tier, then by start-time fair queueing.
+    """Orders waiting requests by tier, lateness, then by start-time fair queueing.
 
-    Each client account in a tier has a virtual clock that advances by the cost of
-    its requests, so an account that sends a burst waits behind its own requests and
-    not before those of others.
+    Each client account in a rank, which is a tier's requests on time or its late
+    ones, has a virtual clock that advances by the cost of its requests, so an account
+    that sends a burst waits behind its own requests and not before those of others.
     """
 
     def __init__(self) -> None:
         self._waiting: dict[str, WaitingRequest] = {}
+        self._ranks: dict[str, int] = {}
         self._starts: dict[str, float] = {}
-        self._heaps: list[list[tuple[float, int, str]]] = [
-            [] for _ in range(LOWEST_TIER + 1)
-        ]
-        self._virtual_time = [0.0] * (LOWEST_TIER + 1)
-        self._account_time: list[dict[str, float]] = [
-            {} for _ in range(LOWEST_TIER + 1)
-        ]
-        self._counts: list[dict[str, int]] = [{} for _ in range(LOWEST_TIER + 1)]
+        self._heaps: list[list[tuple[float, int, str]]] = [[] for _ in range(_RANKS)]
+        self._virtual_time = [0.0] * _RANKS
+        self._account_time: list[dict[str, float]] = [{} for _ in range(_RANKS)]
+        self._counts: list[dict[str, int]] = [{} for _ in range(_RANKS)]
         self._counter = 0
 
     def __len__(self) -> int:
@@ -73,7 +88,7 @@
     def __iter__(self) -> Iterator[WaitingRequest]:
         return iter(list(self._waiting.values()))
 
-    def count_ahead(self, tier: int, account: str) -> int:
+    def count_ahead(self, tier: int, account: str, late: bool = False) -> int:
         """Return how many requests go before a new one.
 
         Parameters
@@ -82,82 +97,96 @@
             Tier of the request.
         account : str
             Client account that sends it.
+        late : bool
+            Whether it can no longer be on time.
 
         Returns
         -------
         int
-            Requests of higher tiers, of the account itself, and of each other account
-            in the tier as far as its turn comes first.
+            Requests of higher ranks, of the account itself, and of each other account
+            in the rank as far as its turn comes first.
         """
-        higher = sum(sum(counts.values()) for counts in self._counts[:tier])
-        own = self._counts[tier].get(account, 0)
+        rank = _rank(tier, late)
+        higher = sum(sum(counts.values()) for counts in self._counts[:rank])
+        own = self._counts[rank].get(account, 0)
         others = sum(
             min(count, own + 1)
-            for name, count in self._counts[tier].items()
+            for name, count in self._counts[rank].items()
             if name != account
         )
         return higher + own + others
 
-    def add(self, waiting: WaitingRequest) -> None:
+    def add(self, waiting: WaitingRequest, late: bool = False) -> None:
         """Add a request."""
         request = waiting.request
-        tier = request.tier
-        times = self._account_time[tier]
+        rank = _rank(request.tier, late)
+        times = self._account_time[rank]
         account = request.client_account
-        start = max(self._virtual_time[tier], times.get(account, 0.0))
+        start = max(self._virtual_time[rank], times.get(account, 0.0))
         times[account] = start + waiting.seconds
         self._counter += 1
-        heapq.heappush(self._heaps[tier], (start, self._counter, request.request_id))
+        heapq.heappush(self._heaps[rank], (start, self._counter, request.request_id))
         self._waiting[request.request_id] = waiting
+        self._ranks[request.request_id] = rank
         self._starts[request.request_id] = start
-        counts = self._counts[tier]
+        counts = self._counts[rank]
         counts[account] = counts.get(account, 0) + 1
 
+    def defer_late(self, now: float) -> None:
+        """Put the requests that can no longer be on time behind those that can."""
+        for request_id, waiting in list(self._waiting.items()):
+            if waiting.is_late(now) and not self._ranks[request_id] % 2:
+                self.remove(request_id)
+                self.add(waiting, late=True)
+
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Remove a request wherever it stands."""
         waiting = self._waiting.pop(request_id, None)
         if waiting is None:
             return None
         del self._starts[request_id]
-        self._uncount(waiting)
+        self._uncount(waiting, self._ranks.pop(request_id))
         return waiting
 
     def serve(self, request_id: str) -> None:
         """Remove a request that gets its slot; its account's turn has passed."""
-        waiting = self._waiting[request_id]
-        tier = waiting.request.tier
+        rank = self._ranks[request_id]
         start = self._starts[request_id]
-        self._virtual_time[tier] = max(self._virtual_time[tier], start)
+        self._virtual_time[rank] = max(self._virtual_time[rank], start)
         self.remove(request_id)
 
     def in_order(self, limit: int) -> list[WaitingRequest]:
         """Return the first ``limit`` requests in the order they are served."""
         ordered: list[WaitingRequest] = []
-        for tier, heap in enumerate(self._heaps):
+        for rank, heap in enumerate(self._heaps):
             taken = []
             while heap and len(ordered) < limit:
                 item = heapq.heappop(heap)
-                waiting = self._waiting.get(item[2])
-                if waiting is not None:
+                if self._ranks.get(item[2]) == rank:
                     taken.append(item)
-                    ordered.append(waiting)
+                    ordered.append(self._waiting[item[2]])
             for item in taken:
                 heapq.heappush(heap, item)
             if not heap:
-                self._account_time[tier].clear()
+                self._account_time[rank].clear()
         return ordered
 
     def last_of_lowest_tier(self) -> WaitingRequest | None:
         """Return the request that is shed first."""
-        for heap in reversed(self._heaps):
-            live = [item for item in heap if item[2] in self._waiting]
+        for rank in reversed(range(_RANKS)):
+            heap = self._heaps[rank]
+            live = [item for item in heap if self._ranks.get(item[2]) == rank]
             if live:
                 return self._waiting[max(live)[2]]
         return None
 
-    def _uncount(self, waiting: WaitingRequest) -> None:
-        counts = self._counts[waiting.request.tier]
+    def _uncount(self, waiting: WaitingRequest, rank: int) -> None:
+        counts = self._counts[rank]
         account = waiting.request.client_account
         counts[account] -= 1
         if not counts[account]:
             del counts[account]
+
+
+def _rank(tier: int, late: bool) -> int:
+    return 2 * tier + late
--- a/src/sassafraspin/control/duty.py
+++ b/src/sassafraspin/control/duty.py
@@ -89,6 +89,8 @@
         Monotonic time in seconds.
     wall_clock_ms : callable
         Returns the wall clock time in milliseconds since 1970.
+    started_at : float or None
+        Monotonic time at which this process began, ``now`` if that is not known.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         generator: random.Random,
         now: float,
         wall_clock_ms: Callable[[], int],
+        started_at: float | None = None,
     ) -> None:
         self._settings = settings
         self._wall_clock_ms = wall_clock_ms
@@ -114,6 +117,7 @@
             settings.replica,
             generator,
             now,
+            started_at,
         )
         self._table: MemberTable | None = None
         self._proposals: dict[str, _Proposal] = {}
--- a/src/sassafraspin/control/election.py
+++ b/src/sassafraspin/control/election.py
@@ -10,12 +10,16 @@
 
 __all__ = ["Election"]
 
+_START_SPREAD = 0.25
+"""Part of the election timeout over which first elections after a start are spread;
+many times a round trip, so that two replicas seldom stand at once."""
+
 
 class Election:
     """Election timer, contact with the leader, and the votes of the running ballot.
 
-    A replica that restarts has forgotten when it heard of a leader, so it counts
-    its start as contact.
+    A replica that restarts has forgotten when it heard of a leader. That was before
+    its process began, so it counts the beginning as contact.
 
     Parameters
     ----------
@@ -27,6 +31,8 @@
         Source of election delays.
     now : float
         Monotonic time in seconds.
+    started_at : float
+        Monotonic time at which this process began.
     """
 
     def __init__(
@@ -35,15 +41,15 @@
         timings: "ReplicaTimings",
         generator: random.Random,
         now: float,
+        started_at: float,
     ) -> None:
         self._own = own
         self._timings = timings
         self._generator = generator
         self._votes: set[Voter] = set()
         self._asked_pre = False
-        self._last_contact = now
-        self._due_at = 0.0
-        self.postpone(now)
+        self._last_contact = started_at
+        self._due_at = self._first_due(now)
 
     @property
     def asked_pre(self) -> bool:
@@ -54,6 +60,21 @@
         """Return whether the leader has been silent for long enough."""
         return now >= self._due_at
 
+    def _first_due(self, now: float) -> float:
+        """Return when to stand first; replicas that start together are spread."""
+        spread = _START_SPREAD * self._timings.election_timeout
+        free_at = self._last_contact + self._timings.election_timeout
+        return max(now, free_at) + spread * self._generator.random()
+
+    def ask_again_soon(self, now: float) -> None:
+        """Draw the time of the next question whether others would vote."""
+        factor = 1 + self._generator.random()
+        self._due_at = now + factor * self._timings.heartbeat
+
+    def yield_to_other(self, now: float) -> None:
+        """Leave time for the election of a replica that was promised a vote."""
+        self._due_at = max(self._due_at, now + self._timings.heartbeat)
+
     def postpone(self, now: float) -> None:
         """Draw the time of the next election."""
         factor = 1 + self._generator.random()
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -106,6 +106,8 @@
         Source of election delays.
     now : float
         Monotonic time in seconds.
+    started_at : float or None
+        Monotonic time at which this process began, ``now`` if that is not known.
     """
 
     def __init__(
@@ -116,12 +118,14 @@
         timings: ReplicaTimings,
         generator: random.Random,
         now: float,
+        started_at: float | None = None,
     ) -> None:
         self._name = name
         self._configured = configured
         self._own = Voter(name, image.disk_id)
         self._timings = timings
-        self._election = Election(self._own, timings, generator, now)
+        began = now if started_at is None else started_at
+        self._election = Election(self._own, timings, generator, now, began)
         self._formation = QuorumFormation(self._own, configured, timings.heartbeat, now)
         self._term = image.term
         self._voted_for = image.voted_for
@@ -308,7 +312,7 @@
     # Elections
 
     def _start_pre_vote(self, now: float) -> None:
-        self._election.postpone(now)
+        self._election.ask_again_soon(now)
         if not self.is_voter:
             return
         if self._admits_spares:
@@ -344,6 +348,9 @@
             granted = False
         elif request.pre:
             granted = request.term > self._term and self._is_current(request)
+            granted = granted and not self._stands_before(source, request)
+            if granted:
+                self._election.yield_to_other(now)
         else:
             granted = self._give_vote(source, request, now)
         reply = VoteReply(
@@ -369,6 +376,14 @@
             return self.has_lease(now)
         return self._election.hears_leader(now)
 
+    def _stands_before(self, source: str, request: VoteRequest) -> bool:
+        """Return whether this replica asks too, and goes first with an equal log."""
+        if self._role is not Role.CANDIDATE or not self._election.asked_pre:
+            return False
+        own = (self._log.last_term, self._log.last_index)
+        is_equal = (request.last_term, request.last_index) == own
+        return is_equal and self._name < source
+
     def _is_current(self, request: VoteRequest) -> bool:
         own = (self._log.last_term, self._log.last_index)
         return (request.last_term, request.last_index) >= own
--- a/src/sassafraspin/daemon/control_shell.py
+++ b/src/sassafraspin/daemon/control_shell.py
@@ -163,6 +163,7 @@
             generator,
             self._node.now(),
             wall_clock_ms,
+            self._node.started_at,
         )
 
     def _push_changes(self) -> None:
--- a/src/sassafraspin/daemon/dispatch_duty.py
+++ b/src/sassafraspin/daemon/dispatch_duty.py
@@ -191,11 +191,10 @@
             self._generator,
             term,
             now,
+            self._scope.known_backends(service.name),
         )
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
-        for announcement in self._scope.known_backends(service.name):
-            self._run(pool.announce(announcement, now))
         self._follow_move(service, pool)
         _log.info("This instance dispatches for service {}.", service.name)
 
--- a/src/sassafraspin/daemon/node.py
+++ b/src/sassafraspin/daemon/node.py
@@ -38,6 +38,8 @@
     leader_dispatches : bool
         Whether the control leader dispatches for every service; else the members
         of the view share the services.
+    started_at : float or None
+        Time of ``clock`` at which this process began, ``None`` if not known.
     """
 
     settings: DaemonSettings
@@ -49,6 +51,7 @@
     send: Callable[[str, object], None]
     dispatchers: dict[tuple[int, str], str | None] = field(default_factory=dict)
     leader_dispatches: bool = False
+    started_at: float | None = None
 
     @property
     def name(self) -> str:
--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -64,6 +64,7 @@
         self._cancellable: list[dict[str, Grant]] = [{} for _ in range(LOWEST_TIER + 1)]
         self._revoked = 0
         self._expected_end_sum = 0.0
+        self._granted_at_sum = 0.0
 
     def __len__(self) -> int:
         return len(self._grants)
@@ -92,9 +93,11 @@
         """Return the grant of a request."""
         return self._by_request.get(request_id)
 
-    def remaining_seconds(self, now: float) -> float:
-        """Return the expected work that is left of all granted requests."""
-        return max(0.0, self._expected_end_sum - now * len(self._grants))
+    @property
+    def mean_seconds(self) -> float:
+        """Return the expected mean time from the grant to the end of the answer."""
+        total = self._expected_end_sum - self._granted_at_sum
+        return max(0.0, total / max(1, len(self._grants)))
 
     def slot_times(self, now: float) -> list[float]:
         """Return when each slot is expected to be free again, soonest first.
@@ -119,6 +122,7 @@
         self._grants[grant.grant_id] = grant
         self._by_request[grant.request.request_id] = grant
         self._expected_end_sum += grant.expected_end
+        self._granted_at_sum += grant.granted_at
         if grant.request.cancellable:
             self._cancellable[grant.request.tier][grant.grant_id] = grant
 
@@ -137,8 +141,10 @@
         self._cancellable[grant.request.tier].pop(grant_id, None)
         self._revoked -= grant.revoked
         self._expected_end_sum -= grant.expected_end
+        self._granted_at_sum -= grant.granted_at
         if not self._grants:
             self._expected_end_sum = 0.0
+            self._granted_at_sum = 0.0
         return grant
 
 
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -76,6 +76,9 @@
         allows.
     first_token_within_ms : int
         Time within which the first token is on time, 0 if only the deadline counts.
+    leaves_within_ms : int
+        Time after which the caller leaves unless it has the first token, 0 if it waits
+        for the whole deadline.
     charged_tokens : int
         Tokens that the account's usage cap is charged.
     tries : int
@@ -96,6 +99,7 @@
     avoid: tuple[str, ...] = ()
     start_within_ms: int = 0
     first_token_within_ms: int = 0
+    leaves_within_ms: int = 0
     charged_tokens: int = 0
     tries: int = 0
 
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -4,17 +4,12 @@
 new versions hold for all instances together.
 """
 
-import math
 import random
 from dataclasses import dataclass
 
-from sassafraspin.admission import (
-    LimitExceeded,
-    Limits,
-    WaitingQueue,
-    WaitingRequest,
-)
+from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.dispatch.admission import Admission
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.messages import (
@@ -48,7 +43,9 @@
 _GRANT_SLACK_SECONDS = 2.0
 _RECONCILE_AFTER_SECONDS = 2.0
 _GRANT_SCAN_REQUESTS = 16
-_NO_BACKEND_RETRY = 1.0
+
+_LEARNING_SECONDS = 2.0
+"""Time in which a first dispatcher waits for servers to announce themselves."""
 
 
 @dataclass(frozen=True)
@@ -90,6 +87,9 @@
         Prefix of grant identities; differs between dispatchers over time.
     now : float
         Monotonic time in seconds.
+    known : tuple of Announcement
+        Servers that the dispatcher before knew; without any, those that announce
+        themselves are waited for.
     """
 
     def __init__(
@@ -101,6 +101,7 @@
         generator: random.Random,
         term: str,
         now: float,
+        known: tuple[Announcement, ...] = (),
     ) -> None:
         self._service = service
         self._settings = settings
@@ -120,8 +121,18 @@
             self._grants,
             self._servers,
             self._send,
-            now,
+            None if known else now + _LEARNING_SECONDS,
+        )
+        self._admission = Admission(
+            limits,
+            self._budget,
+            self._queue,
+            self._grants,
+            self._servers,
+            self._shortage,
         )
+        for announcement in known:
+            self._servers.announce(announcement, now)
 
     @property
     def gate(self) -> VersionGate:
@@ -169,7 +180,7 @@
             self._send(entry, granted.message)
             return self._take_effects()
         if request.request_id not in self._queue:
-            self._admit(entry, request, now)
+            self._admission.admit(entry, request, now)
         effects = self._pump(now)
         if request.request_id in self._queue:
             waiting = SlotWaiting(request.request_id)
@@ -257,41 +268,6 @@
         ]
         return ServerCounts(len(accepting), len(with_new))
 
-    # Admission
-
-    def _admit(self, entry: str, request: SlotRequest, now: float) -> None:
-        if not self._shortage.is_served(now):
-            self._shortage.refuse(
-                entry, request, RefusalReason.NO_BACKEND, _NO_BACKEND_RETRY, now
-            )
-            return
-        if request.tries and not self._budget.take(now):
-            reason = RefusalReason.RETRY_BUDGET
-            self._shortage.refuse(entry, request, reason, _NO_BACKEND_RETRY, now)
-            return
-        decision = self._limits.admit(request, now)
-        if isinstance(decision, LimitExceeded):
-            reason = RefusalReason.ACCOUNT_LIMIT
-            self._shortage.refuse(entry, request, reason, decision.retry_after, now)
-            return
-        seconds = self._servers.fastest_seconds(request)
-        deadline = now + request.deadline_ms / 1000
-        start_by = math.inf
-        if request.start_within_ms:
-            start_by = now + request.start_within_ms / 1000
-        waiting = WaitingRequest(entry, request, seconds, deadline, start_by, now)
-        wait = self._shortage.expected_wait(request, now)
-        is_late = now + wait > waiting.latest_start
-        if is_late and (
-            now > waiting.latest_start or not self._grants.victim(request.tier)
-        ):
-            self._limits.withdraw(request)
-            late_by = now + wait - waiting.latest_start
-            self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, late_by, now)
-            return
-        self._queue.add(waiting)
-        self._shortage.bound_queue(now)
-
     # Granting
 
     def _pump(self, now: float) -> list[SendToEntry]:
@@ -338,6 +314,7 @@
             backend
             for backend in self._servers.candidates(request, version, limit, now)
             if now + expected_seconds(backend, request) <= waiting.deadline
+            and now + expected_first_token(backend, request, now) <= waiting.leaves_at
         ]
         return choose_backend(candidates, request, now)
 
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -101,8 +101,12 @@
         """Return the least time that any server would need for a request."""
         if not self._accepting:
             return 0.0
-        prefill = request.prompt_tokens / self._best_prefill_rate
-        return prefill + request.answer_tokens / self._best_decode_rate
+        decode = request.answer_tokens / self._best_decode_rate
+        return self.fastest_first_token(request) + decode
+
+    def fastest_first_token(self, request: SlotRequest) -> float:
+        """Return the least time to the first token at any server."""
+        return request.prompt_tokens / self._best_prefill_rate
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Take in an announcement; return whether the server is a new one.
--- a/src/sassafraspin/dispatch/shortage.py
+++ b/src/sassafraspin/dispatch/shortage.py
@@ -1,11 +1,13 @@
 """What is done with requests when slots are short."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.messages import (
+    LOWEST_TIER,
     DispatchMessage,
     RefusalReason,
     SlotRefusal,
@@ -22,8 +24,9 @@
 _LATE_SCAN_SECONDS = 0.05
 _ROOM_SCAN_REQUESTS = 64
 
-_WARM_UP_SECONDS = 2.0
-"""Time in which a new dispatcher waits for backend servers to announce themselves."""
+_STARVED_SECONDS = 1.0
+"""Time after a waiting request got no slot in which those behind it are not let wait
+late; long enough that a lasting overload is asked about about once a second."""
 
 
 class Shortage:
@@ -46,8 +49,9 @@
         Backend servers.
     send : callable
         Sends a message to an entry instance by name.
-    now : float
-        Monotonic time in seconds.
+    learns_until : float or None
+        Monotonic time until which servers that are not known yet announce themselves,
+        ``None`` if they were known from the start.
     """
 
     def __init__(
@@ -58,7 +62,7 @@
         grants: GrantTable,
         servers: ServerTable,
         send: Callable[[str, DispatchMessage], None],
-        now: float,
+        learns_until: float | None,
     ) -> None:
         self._settings = settings
         self._limits = limits
@@ -66,22 +70,37 @@
         self._grants = grants
         self._servers = servers
         self._send = send
-        self._warm_at = now + _WARM_UP_SECONDS
+        self._learns_until = -math.inf if learns_until is None else learns_until
         self._next_late_scan = 0.0
+        self._starved_until = [-math.inf] * (LOWEST_TIER + 1)
 
     def is_served(self, now: float) -> bool:
         """Return whether a server accepts work or may still announce itself."""
-        return self._servers.accepts_work or now < self._warm_at
+        return self._servers.accepts_work or self.is_learning(now)
+
+    def is_learning(self, now: float) -> bool:
+        """Return whether servers that are not known yet may announce themselves.
+
+        Until then the slots are counted too low to tell who would be late.
+        """
+        return now < self._learns_until
 
-    def expected_wait(self, request: SlotRequest, now: float) -> float:
+    def is_starved(self, tier: int, now: float) -> bool:
+        """Return whether requests of a tier or a higher one waited in vain lately."""
+        return any(now < until for until in self._starved_until[: tier + 1])
+
+    def expected_wait(
+        self, request: SlotRequest, now: float, late: bool = False
+    ) -> float:
         """Return how long a new request would wait for a slot."""
-        slots = self._servers.open_slots
-        if slots == 0 and now < self._warm_at:
+        if self.is_learning(now):
             return 0.0
+        slots = self._servers.open_slots
         free = slots - len(self._grants)
         if free > len(self._queue):
             return 0.0
-        ahead = self._queue.count_ahead(request.tier, request.client_account)
+        account = request.client_account
+        ahead = self._queue.count_ahead(request.tier, account, late)
         return self._slot_wait(max(0, ahead - max(free, 0)), slots, now)
 
     def _slot_wait(self, position: int, slots: int, now: float) -> float:
@@ -89,8 +108,7 @@
         times = self._grants.slot_times(now)
         if position < len(times):
             return times[position] - now
-        running = self._grants.remaining_seconds(now) / max(len(times), 1)
-        return running * (1 + position) / max(slots, 1)
+        return self._grants.mean_seconds * (1 + position) / max(slots, 1)
 
     def bound_queue(self, now: float) -> None:
         """Shed the last requests of the lowest tiers when too many wait.
@@ -108,7 +126,7 @@
                 self._revoke(victim, now)
 
     def refuse_late(self, now: float) -> None:
-        """Refuse waiting requests that can no longer be answered in time."""
+        """Refuse what cannot be answered any more, defer what cannot be on time."""
         if now < self._next_late_scan:
             return
         self._next_late_scan = now + _LATE_SCAN_SECONDS
@@ -118,13 +136,16 @@
                 self.shed(waiting, RefusalReason.NO_BACKEND, now)
             elif now > waiting.latest_start:
                 self.shed(waiting, RefusalReason.TOO_LATE, now)
+        self._queue.defer_late(now)
 
     def shed(self, waiting: WaitingRequest, reason: RefusalReason, now: float) -> None:
         """Refuse a waiting request."""
         request = waiting.request
+        if reason is RefusalReason.TOO_LATE:
+            self._starved_until[request.tier] = now + _STARVED_SECONDS
         self._queue.remove(request.request_id)
         self._limits.withdraw(request)
-        wait = self.expected_wait(request, now)
+        wait = self.expected_wait(request, now, late=True)
         self.refuse(waiting.entry, request, reason, wait, now)
 
     def refuse(
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -20,6 +20,13 @@
 _SOURCE = "configuration"
 _TOKENS_UNIT = "tokens"
 _DEFAULT_OBJECTIVE_MS = 1_000
+
+_LEAST_PATIENCE_MS = 2_000
+_PATIENCE_OBJECTIVES = 4
+_PATIENCE_PAUSES = 8
+"""The platform's clients leave a stream after a gap of two seconds, four objectives or
+eight of its longest pauses, whichever is longest."""
+
 """Objective of a route that declares none, in milliseconds."""
 
 
@@ -119,14 +126,16 @@
 
 
 def _route(item: _Route) -> Route:
+    kind = _kind(item.route_type)
     return Route(
         name=item.name,
         host=item.hostname.lower(),
         path_prefix=item.path_prefix,
-        kind=_kind(item.route_type),
+        kind=kind,
         timeout_ms=int(item.timeout_ms),
         objective_ms=int(item.target_latency_ms),
         event_gap_ms=int(item.target_gap_ms),
+        patience_ms=_patience_ms(item) if kind is RouteKind.STREAM else 0,
         tier=item.priority,
         shares=_shares(item),
         max_tries=item.max_attempts,
@@ -135,6 +144,13 @@
     )
 
 
+def _patience_ms(item: _Route) -> int:
+    """Return the time without an event after which the platform's clients leave."""
+    objective = _PATIENCE_OBJECTIVES * item.target_latency_ms
+    pauses = _PATIENCE_PAUSES * item.target_gap_ms
+    return int(max(_LEAST_PATIENCE_MS, objective, pauses))
+
+
 def _kind(text: str) -> RouteKind:
     """Return the kind of a route; what is not known may run once at most."""
     try:
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -80,7 +80,7 @@
         return 0 if self.account is None else self.account.plain_tokens
 
     def slot_request(
-        self, tries: int, avoid: tuple[str, ...], left_ms: int, objective_left_ms: int
+        self, tries: int, avoid: tuple[str, ...], elapsed_ms: int, has_events: bool
     ) -> SlotRequest:
         """Return the question for a slot.
 
@@ -90,11 +90,14 @@
             Backend servers that the request was sent to before.
         avoid : tuple of str
             Their names.
-        left_ms : int
-            Time left until the final answer is due.
-        objective_left_ms : int
-            Time left until the answer would be late.
+        elapsed_ms : int
+            Time since the call came.
+        has_events : bool
+            Whether the caller has got the first events of a stream.
         """
+        objective_left_ms = self.route.objective_ms - elapsed_ms
+        silent_ms = 0 if has_events else elapsed_ms
+        patience_ms = self.route.patience_ms
         return SlotRequest(
             request_id=f"{self.identity}:{tries}",
             service=self.service,
@@ -104,13 +107,14 @@
             tier=self.tier,
             prompt_tokens=max(1, self.facts.prompt_tokens),
             answer_tokens=max(1, self.facts.answer_tokens),
-            deadline_ms=max(1, left_ms),
+            deadline_ms=max(1, self.deadline_ms - elapsed_ms),
             cancellable=False,
             avoid=avoid,
             start_within_ms=max(1, int(_START_SHARE * objective_left_ms)),
             first_token_within_ms=(
                 max(1, objective_left_ms) if self.route.kind is RouteKind.STREAM else 0
             ),
+            leaves_within_ms=max(1, patience_ms - silent_ms) if patience_ms else 0,
             charged_tokens=self.charged_tokens,
             tries=tries,
         )
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sassafraspin.clock import steady_time
 from sassafraspin.daemon.messages import PeerMessage
 from sassafraspin.daemon.node import Node
 from sassafraspin.discovery import (
@@ -24,13 +25,13 @@
 )
 from sassafraspin.routed.dialect import Dialect
 from sassafraspin.routed.duties import Duties
+from sassafraspin.routed.problems import NotCurrent
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.routed.setup import (
     instance_card,
     open_book,
     own_member,
     search_settings,
-    steady_time,
 )
 from sassafraspin.routes import CallerLimits
 from sassafraspin.rpc import PeerNetwork
@@ -53,6 +54,10 @@
 _SEARCH_TICK_SECONDS = 0.05
 _MS_PER_SECOND = 1000
 
+_CONTROL_WAIT_SECONDS = 0.3
+"""Time for which a call waits until the control instances are known; they answer within
+two round trips, and half of the shortest time limit of callers is left."""
+
 _log = part_logger("daemon")
 
 
@@ -92,6 +97,7 @@
             steady_time(),
         )
         self._duties: Duties | None = None
+        self._found_control = trio.Event()
         self._limits: CallerLimits | None = None
         limits = settings.http
         self._callers = HttpServer(settings.listen.callers, limits, self._handle_call)
@@ -176,7 +182,12 @@
 
     async def _handle_call(self, request: Request, responder) -> None:
         if self._duties is None:
-            await responder.send(Response(503))
+            with trio.move_on_after(_CONTROL_WAIT_SECONDS):
+                await self._found_control.wait()
+        if self._duties is None:
+            _log.warning("A call is refused: the control instances are not known.")
+            problem = NotCurrent("the control instances are not known here yet")
+            await responder.send(self._dialect.refusal(problem))
             return
         await self._duties.entry.handle(request, responder)
 
@@ -200,6 +211,7 @@
             self._dialect,
             self._generator,
         )
+        self._found_control.set()
         while True:
             self._duties.tick()
             self._follow_control(self._duties.node)
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -104,6 +104,8 @@
         The call.
     responder : Responder
         Sends the answer to the caller.
+    started_at : float
+        Monotonic time at which the call came, in seconds.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         client: HttpClient,
         call: RoutedCall,
         responder: Responder,
+        started_at: float,
     ) -> None:
         self._node = node
         self._dialect = dialect
@@ -122,14 +125,15 @@
         self._call = call
         self._responder = responder
         self._stream = StreamRelay(call.route.resumable, responder)
-        self._started_at = node.now()
+        self._started_at = started_at
         self._ran: Failed | Lost | None = None
         self._is_sent = False
         self._avoid: tuple[str, ...] = ()
 
     async def run(self) -> None:
         """Answer the call; raises typed problems for what could not be done."""
-        with trio.move_on_after(self._call.deadline_ms / _MS_PER_SECOND):
+        left_ms = self._call.deadline_ms - self._elapsed_ms()
+        with trio.move_on_after(max(0.0, left_ms / _MS_PER_SECOND)):
             await self._run_tries()
             return
         if self._is_sent or self._ran is not None:
@@ -172,12 +176,8 @@
                 raise NotDispatched(refusal)
 
     async def _acquire(self, tries: int) -> SlotGrant | SlotRefusal:
-        elapsed_ms = self._elapsed_ms()
         request = self._call.slot_request(
-            tries,
-            self._avoid,
-            self._call.deadline_ms - elapsed_ms,
-            self._call.route.objective_ms - elapsed_ms,
+            tries, self._avoid, self._elapsed_ms(), self._responder.has_started
         )
         try:
             return await self._slots.acquire(request)
--- a/src/sassafraspin/routed/routing_view.py
+++ b/src/sassafraspin/routed/routing_view.py
@@ -32,6 +32,11 @@
         """
         return self._node.lease.confirmed_age(self._node.now()) < math.inf
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the table in force is known here."""
+        return self._node.configuration.state.routing is not None and self.is_confirmed
+
     def index(self) -> RouteIndex:
         """Return the table in force; raises ``NotCurrent`` if it is not known."""
         declared = self._node.configuration.state.routing
--- a/src/sassafraspin/routed/setup.py
+++ b/src/sassafraspin/routed/setup.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import replace
 
+from sassafraspin.clock import PROCESS_STARTED_AT, steady_time
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.node import Node
 from sassafraspin.discovery import ControlBook, InstanceCard, SearchSettings
@@ -27,7 +28,6 @@
     "open_book",
     "own_member",
     "search_settings",
-    "steady_time",
 ]
 
 _MS_PER_SECOND = 1000
@@ -48,11 +48,6 @@
     )
 
 
-def steady_time() -> float:
-    """Return seconds of a clock that also counts while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def make_node(settings: DaemonSettings, member: Member, network: PeerNetwork) -> Node:
     """Return the handles that the parts of a daemon share."""
     control = settings.control
@@ -71,6 +66,7 @@
         steady_time,
         network.send,
         leader_dispatches=True,
+        started_at=PROCESS_STARTED_AT,
     )
 
 
--- a/src/sassafraspin/routes/table.py
+++ b/src/sassafraspin/routes/table.py
@@ -56,6 +56,9 @@
         Time within which the answer, or the first event of a stream, is on time.
     event_gap_ms : int
         Longest pause between the events of a stream that is on time.
+    patience_ms : int
+        Time without an event after which callers leave a stream, also before its
+        first event; 0 if they wait until the timeout.
     tier : int
         Urgency from 0, the highest.
     shares : tuple of ServiceShare
@@ -75,6 +78,7 @@
     timeout_ms: int
     objective_ms: int
     event_gap_ms: int
+    patience_ms: int
     tier: int
     shares: tuple[ServiceShare, ...]
     max_tries: int
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 __all__ = [
+    "CallEnded",
     "CallRefused",
     "ControlChanged",
     "DispatcherLost",
@@ -135,9 +136,10 @@
 class CallRefused(Event):
     """A call was refused or its answer was cut.
 
-    Where a dispatcher refused, ``wait_ms`` is the wait that it expected,
-    ``open_slots`` and ``busy_slots`` the slots of servers that accept work, and
-    ``waiting`` the requests in its queue.
+    ``route``, ``tier``, ``account`` and ``charged_tokens``, its charge against the
+    usage cap, are empty if it was refused before they were known. Where a dispatcher
+    refused, ``wait_ms`` is the wait that it expected, ``open_slots`` and ``busy_slots``
+    the slots of servers that accept work, and ``waiting`` the requests in its queue.
     """
 
     part: ClassVar[str] = "entry"
@@ -150,12 +152,30 @@
     retry_after_ms: int | None
     after_ms: int
     cut: bool
+    route: str | None = None
+    tier: int | None = None
+    account: str | None = None
+    charged_tokens: int = 0
     wait_ms: int = 0
     open_slots: int = 0
     busy_slots: int = 0
     waiting: int = 0
 
 
+@dataclass(frozen=True)
+class CallEnded(Event):
+    """A call ended early: its caller left, or this instance stopped."""
+
+    part: ClassVar[str] = "entry"
+    text: ClassVar[str] = "A call ends before its answer is whole."
+    request: str
+    route: str | None
+    tier: int | None
+    account: str | None
+    after_ms: int
+    cut: bool
+
+
 EVENTS: tuple[type[Event], ...] = (
     InstanceStarted,
     InstanceStopping,
@@ -166,6 +186,7 @@
     DispatcherRegained,
     TryEnded,
     CallRefused,
+    CallEnded,
 )
 
 
--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -45,6 +45,7 @@
     clock: DriftingClock
     duty: ControlDuty | None = None
     frozen: bool = False
+    crashed_at: float | None = None
 
 
 class QuorumModel:
@@ -91,11 +92,16 @@
     def crash(self, name: str) -> None:
         """Kill a node."""
         node = self.nodes[name]
+        if node.duty is not None:
+            node.crashed_at = node.clock.now()
         node.duty = None
         node.files.crash()
 
-    def restart(self, name: str) -> None:
-        """Start a node from its disk."""
+    def restart(self, name: str, loading: float | None = None) -> None:
+        """Start a node from its disk.
+
+        ``loading`` are the seconds since its process began, drawn if ``None``.
+        """
         node = self.nodes[name]
         if node.duty is not None:
             return
@@ -117,10 +123,20 @@
                 random.Random(self._generator.random()),
                 node.clock.now(),
                 lambda: int(self.network.now * 1000),
+                self._process_start(node, loading),
             )
         except (SimulatedCrash, StorageError):
             self.crash(name)
 
+    def _process_start(self, node: QuorumNode, loading: float | None) -> float:
+        """Return when the new process of a node began to load, after the old ended."""
+        now = node.clock.now()
+        if loading is not None:
+            return now - loading
+        if node.crashed_at is None:
+            return now
+        return self._generator.uniform(node.crashed_at, now)
+
     def replace(self, old: str, new: str) -> None:
         """Put a new instance in place of one that is gone for good.
 
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -1,6 +1,7 @@
 """Stateful fuzzing of the control quorum against an oracle."""
 
 import random
+import statistics
 import unittest
 
 from hypothesis import strategies as st
@@ -213,6 +214,43 @@
         model.run(5.0)
         model.check()
 
+    def test_leader_soon_after_all_restarted(self):
+        """No earlier promise binds processes that have been loading long enough."""
+        waits = []
+        for seed in range(20):
+            model = QuorumModel(3, seed=seed)
+            model.run(5.0)
+            for name in model.nodes:
+                model.crash(name)
+            model.run(6.0)
+            for name in model.nodes:
+                model.restart(name, loading=2 * TIMINGS.election_timeout)
+            waits.append(self.wait_for_leader(model))
+        self.assertLess(statistics.median(waits), 0.5 * TIMINGS.election_timeout)
+        one_split_vote = 2.5 * TIMINGS.election_timeout
+        self.assertLess(max(waits), one_split_vote)
+
+    def test_lonely_replica_asks_again_soon(self):
+        """A majority that comes later has a leader without another full timeout."""
+        for seed in range(10):
+            model = QuorumModel(3, seed=seed)
+            model.run(5.0)
+            for name in model.nodes:
+                model.crash(name)
+            model.run(5.0)
+            model.restart("c0")
+            model.run(5.0)
+            model.restart("c1", loading=2 * TIMINGS.election_timeout)
+            self.assertLess(self.wait_for_leader(model), TIMINGS.election_timeout)
+
+    def wait_for_leader(self, model: QuorumModel) -> float:
+        """Return the seconds until a node leads."""
+        began = model.network.now
+        while model.leader() is None:
+            model.run(0.05)
+            self.assertLess(model.network.now - began, 20.0)
+        return model.network.now - began
+
     def test_instance_gone_for_good_is_replaced(self):
         for gone in ("c0", "c1", "c2"):
             with self.subTest(gone=gone):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,9 +2,10 @@
 
 import random
 import unittest
+from dataclasses import dataclass
 
 from sassafraspin.admission import AccountLimits
-from sassafraspin.backends import PrefillBacklog, SpeedEstimate
+from sassafraspin.backends import Announcement, PrefillBacklog, SpeedEstimate
 from sassafraspin.dispatch import (
     ReleaseResult,
     SlotGrant,
@@ -44,7 +45,21 @@
     """A pool with two servers of four slots."""
 
     def setUp(self):
-        self.pool = Pool(
+        self.pool = self.make_pool(
+            tuple(
+                announcement(
+                    number,
+                    slots=4,
+                    prefill_tokens_per_second=40_000.0,
+                    decode_tokens_per_second=100.0,
+                )
+                for number in range(2)
+            )
+        )
+
+    def make_pool(self, known: tuple[Announcement, ...]) -> Pool:
+        """Return a pool that knew servers when it began."""
+        return Pool(
             SERVICE,
             DispatchSettings(),
             AccountLimits(()),
@@ -52,17 +67,8 @@
             random.Random(1),
             "term",
             0.0,
+            known,
         )
-        for number in range(2):
-            self.pool.announce(
-                announcement(
-                    number,
-                    slots=4,
-                    prefill_tokens_per_second=40_000.0,
-                    decode_tokens_per_second=100.0,
-                ),
-                0.0,
-            )
 
     def ask(self, request: SlotRequest, now: float):
         """Return what the pool answers at once."""
@@ -194,3 +200,163 @@
             self.assertIsInstance(waiting, SlotWaiting)
         refusal = self.ask(stream("low", 500, tier=3), 1.0)
         self.assertIsInstance(refusal, SlotRefusal)
+
+    def test_request_that_would_be_late_waits_if_its_deadline_allows(self):
+        self.fill([1.0, *([5.0] * 7)])
+        late = self.ask(stream("late", 500, tier=0), 1.0)
+        self.assertIsInstance(late, SlotWaiting)
+
+    def test_request_on_time_goes_before_a_late_one(self):
+        grants = self.fill([1.0, 1.3, *([5.0] * 6)])
+        self.ask(stream("late", 500, tier=0), 1.0)
+        self.ask(stream("soon", 500, tier=0), 1.9)
+        self.assertEqual(self.end(grants[0], 2.0), ["soon"])
+        self.assertEqual(self.end(grants[1], 2.3), ["late"])
+
+    def test_request_that_misses_its_start_yields_to_one_on_time(self):
+        grants = self.fill([0.2, 0.4, *([5.0] * 6)])
+        self.ask(stream("first", 500, tier=0), 1.0)
+        self.pool.tick(1.6)
+        self.ask(stream("second", 500, tier=0), 1.7)
+        self.assertEqual(self.end(grants[0], 1.8), ["second"])
+        self.assertEqual(self.end(grants[1], 1.8), ["first"])
+
+    def test_request_is_refused_if_its_caller_leaves_before_a_slot_is_free(self):
+        self.fill([1.2, *([5.0] * 7)])
+        refusal = self.ask(stream("leaves", 500, tier=0, leaves_within_ms=1_000), 1.0)
+        self.assertIsInstance(refusal, SlotRefusal)
+        self.assertGreaterEqual(refusal.retry_after_ms, 1_000)
+
+    def test_waiting_request_is_refused_before_its_caller_leaves(self):
+        self.fill([0.3, *([5.0] * 7)])
+        self.ask(stream("leaves", 4_000, tier=0, leaves_within_ms=1_000), 1.0)
+        [effect] = self.pool.tick(1.95)
+        self.assertIsInstance(effect.message, SlotRefusal)
+
+    def test_nobody_waits_late_while_others_wait_in_vain(self):
+        [first, *_] = self.fill([0.5, *([5.0] * 7)])
+        self.ask(stream("vain", 500, tier=1, leaves_within_ms=1_200), 1.0)
+        self.ask(stream("urgent", 500, 150, tier=0), 1.4)
+        self.assertEqual(self.end(first, 1.5), ["urgent"])
+        [effect] = self.pool.tick(2.2)
+        self.assertEqual(effect.message.request_id, "vain")
+        refusal = self.ask(stream("told", 500, tier=1, leaves_within_ms=5_000), 2.3)
+        self.assertIsInstance(refusal, SlotRefusal)
+        later = self.ask(stream("waits", 500, tier=1, leaves_within_ms=5_000), 3.4)
+        self.assertIsInstance(later, SlotWaiting)
+
+    def end(self, grant: SlotGrant, now: float) -> list[str]:
+        """End a request; return the requests that get a slot by it."""
+        effects = self.pool.release(_answered(grant), now)
+        messages = [item.message for item in effects]
+        return [item.request_id for item in messages if isinstance(item, SlotGrant)]
+
+
+class TestLearning(PlacingTestCase):
+    """A first dispatcher does not refuse for servers that it cannot know yet."""
+
+    def test_requests_wait_while_servers_announce_themselves(self):
+        pool = self.make_pool(())
+        pool.announce(announcement(0, slots=1), 0.2)
+        answers = [
+            pool.request("entry-1", stream(f"r{n}", 500), 0.3)[-1].message
+            for n in range(20)
+        ]
+        self.assertFalse([item for item in answers if isinstance(item, SlotRefusal)])
+        pool.tick(1.0)
+        granted = []
+        for number in range(1, 20):
+            granted += pool.announce(announcement(number, slots=1), 1.1)
+        self.assertEqual(len(granted), 19)
+
+
+class LoadTestCase(PlacingTestCase):
+    """Plays a load on two servers of four slots, which end 40 requests a second."""
+
+    def play(self, arrivals: list[float], **fields) -> "LoadResult":
+        """Send requests at some times and return what became of them."""
+        pending = [(at, f"r{n}") for n, at in enumerate(arrivals)]
+        came = {name: at for at, name in pending}
+        result = LoadResult({}, {})
+        running: list[tuple[float, SlotGrant]] = []
+        now = pending[0][0]
+        while now < arrivals[-1] + 8.0:
+            now += 0.005
+            effects = list(self.pool.tick(now))
+            for grant in [item for at, item in running if at <= now]:
+                effects += self.pool.release(_answered(grant), now)
+            running = [(at, item) for at, item in running if at > now]
+            while pending and pending[0][0] <= now:
+                request = stream(pending.pop(0)[1], 10, answer=20, **fields)
+                effects += self.pool.request("entry-1", request, now)
+            for message in (item.message for item in effects):
+                if isinstance(message, SlotGrant):
+                    running.append((now + 0.2, message))
+                    result.granted[message.request_id] = now - came[message.request_id]
+                elif isinstance(message, SlotRefusal):
+                    result.refused[message.request_id] = now - came[message.request_id]
+        return result
+
+
+@dataclass(frozen=True)
+class LoadResult:
+    """Seconds until the slot or the refusal, by request."""
+
+    granted: dict[str, float]
+    refused: dict[str, float]
+
+
+def _answered(grant: SlotGrant) -> SlotRelease:
+    return SlotRelease(
+        SERVICE,
+        grant.request_id,
+        grant.grant_id,
+        grant.backend_id,
+        ReleaseResult.ANSWERED,
+        10,
+        200,
+        20,
+    )
+
+
+class TestPeak(LoadTestCase):
+    """Load: 60 requests a second for three seconds on slots for 40, then 20.
+
+    Every caller whose deadline leaves time until after the peak gets an answer, and
+    those that come after the peak get it on time.
+    """
+
+    def arrivals(self) -> list[float]:
+        """Return when requests come."""
+        peak = [10 + number / 60 for number in range(180)]
+        return peak + [13 + number / 20 for number in range(80)]
+
+    def test_callers_of_a_peak_are_answered_after_it(self):
+        result = self.play(self.arrivals())
+        self.assertEqual(result.refused, {})
+        self.assertEqual(len(result.granted), 260)
+
+    def test_callers_after_the_peak_are_not_made_late_by_it(self):
+        result = self.play(self.arrivals())
+        after = [result.granted[f"r{number}"] for number in range(180, 260)]
+        on_time = sum(wait <= 0.4 for wait in after)
+        self.assertGreaterEqual(on_time, 76)
+
+
+class TestLastingOverload(LoadTestCase):
+    """Load: 80 requests a second for ten seconds on slots for 40.
+
+    Half of the callers cannot be answered, and most of those are told at once.
+    """
+
+    def test_refusals_come_at_once(self):
+        arrivals = [10 + number / 80 for number in range(800)]
+        result = self.play(arrivals, leaves_within_ms=2_000)
+        held = [name for name, wait in result.refused.items() if wait > 0.5]
+        self.assertGreater(len(result.granted), 380)
+        self.assertLess(len(held), 0.25 * len(result.refused))
+
+    def test_refusals_come_before_the_caller_leaves(self):
+        arrivals = [10 + number / 80 for number in range(800)]
+        result = self.play(arrivals, leaves_within_ms=2_000)
+        self.assertLess(max(result.refused.values()), 1.95)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -32,6 +32,7 @@
             "timeout_ms": 2_000,
             "objective_ms": 500,
             "event_gap_ms": 200,
+            "patience_ms": 2_000,
             "tier": 0,
             "shares": (ServiceShare("sorter-model", 1),),
             "max_tries": 2,
