--- a/src/sassafraspin/admission/__init__.py
+++ b/src/sassafraspin/admission/__init__.py
@@ -1,11 +1,16 @@
 """Admission: tiers, fairness between client accounts, and limits."""
 
+from sassafraspin.admission.caps import (
+    UsageCaps,
+    UsageLog,
+    UsageReport,
+    UsageWindow,
+)
 from sassafraspin.admission.limits import (
     AccountLimits,
     LimitDecision,
     LimitExceeded,
     Limits,
-    UsageCaps,
     WithinLimits,
 )
 from sassafraspin.admission.queue import WaitingQueue, WaitingRequest
@@ -16,6 +21,9 @@
     "LimitExceeded",
     "Limits",
     "UsageCaps",
+    "UsageLog",
+    "UsageReport",
+    "UsageWindow",
     "WaitingQueue",
     "WaitingRequest",
     "WithinLimits",
--- a/src/sassafraspin/admission/limits.py
+++ b/src/sassafraspin/admission/limits.py
@@ -1,10 +1,9 @@
-"""Limits of each client account: request rate, tokens in flight, usage caps."""
+"""Limits of each client account: request rate and tokens in flight."""
 
 from dataclasses import dataclass
 from typing import Protocol
 
 from sassafraspin.dispatch.messages import SlotRequest
-from sassafraspin.routes import RoutedAccount
 from sassafraspin.settings import ClientAccountSettings
 
 __all__ = [
@@ -12,7 +11,6 @@
     "LimitDecision",
     "LimitExceeded",
     "Limits",
-    "UsageCaps",
     "WithinLimits",
 ]
 
@@ -104,73 +102,3 @@
         usage.allowance = min(capacity, usage.allowance + refill)
         usage.refilled_at = now
         return usage
-
-
-class UsageCaps:
-    """Usage caps of the accounts of a routing table, one bucket each.
-
-    An account may overdraw its bucket by one request, so that a request larger than
-    the bucket is served now and then.
-
-    Parameters
-    ----------
-    start_share : float
-        Share of a bucket that is full at first. A dispatcher that follows another
-        one does not know what was used, so a full bucket could be spent twice.
-    overshoot : float
-        Part by which a cap may be exceeded. A request counts here when it is admitted
-        and at its caller when it is sent, so an exact bucket refuses requests that
-        their caller sent within its cap.
-    """
-
-    def __init__(self, start_share: float = 0.5, overshoot: float = 0.0) -> None:
-        self._start_share = start_share
-        self._factor = 1 + overshoot
-        self._accounts: dict[str, RoutedAccount] = {}
-        self._buckets: dict[str, _Bucket] = {}
-
-    def follow(self, accounts: tuple[RoutedAccount, ...]) -> None:
-        """Take over the accounts of a newer routing table."""
-        self._accounts = {account.name: account for account in accounts}
-
-    def admit(self, request: SlotRequest, now: float) -> LimitDecision:
-        """Charge a request to its account if the bucket is not overdrawn."""
-        account = self._accounts.get(request.client_account)
-        if account is None or account.rate_per_second <= 0:
-            return WithinLimits()
-        bucket = self._refilled(account, now)
-        if bucket.level <= 0:
-            return LimitExceeded(-bucket.level / account.rate_per_second)
-        bucket.level -= _charge(account, request)
-        return WithinLimits()
-
-    def withdraw(self, request: SlotRequest) -> None:
-        """Give back the charge of a request that got no slot."""
-        account = self._accounts.get(request.client_account)
-        bucket = self._buckets.get(request.client_account)
-        if account is not None and bucket is not None:
-            bucket.level += _charge(account, request)
-
-    def finish(self, request: SlotRequest) -> None:
-        """Keep the charge of a request that had a slot."""
-
-    def _refilled(self, account: RoutedAccount, now: float) -> "_Bucket":
-        capacity = self._factor * account.burst
-        bucket = self._buckets.get(account.name)
-        if bucket is None:
-            bucket = _Bucket(self._start_share * capacity, now)
-            self._buckets[account.name] = bucket
-        refill = self._factor * account.rate_per_second * (now - bucket.refilled_at)
-        bucket.level = min(capacity, bucket.level + refill)
-        bucket.refilled_at = now
-        return bucket
-
-
-@dataclass
-class _Bucket:
-    level: float
-    refilled_at: float
-
-
-def _charge(account: RoutedAccount, request: SlotRequest) -> float:
-    return request.charged_tokens if account.charges_tokens else 1.0
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sassafraspin.admission import UsageReport
 from sassafraspin.control.commands import Command, CommandOutcome
 from sassafraspin.control.messages import ReplicaMessage
 from sassafraspin.discovery import DiscoveryMessage
@@ -35,6 +36,7 @@
     | MoveMessage
     | DiscoveryMessage
     | DirectoryUpdate
+    | UsageReport
     | Propose
     | ProposeReply
 )
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -1,5 +1,6 @@
 """The backend servers that a dispatcher knows, kept by every other instance too."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
@@ -13,16 +14,28 @@
 """Announcements in one update, so that it fits a datagram."""
 
 
+_GONE_ROUNDS = 3
+"""Rounds in which a server that is gone is told again, for a lost update."""
+
+_SPEED_STEPS = 4
+"""Steps a doubling of a server's speed at which it is told again."""
+
+
 class DirectoryUpdate(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Some of the backend servers that a dispatcher knows, as it sees them."""
+    """Some of the backend servers that a dispatcher knows, as it sees them.
+
+    ``gone`` are the incarnations of servers, by name, that it knows no longer.
+    """
 
     announcements: tuple[Announcement, ...]
+    gone: dict[str, int] = {}
 
 
 class DirectoryFeed:
     """Decides what a dispatcher tells the other instances of its backend servers.
 
-    What decides on new requests is told at once, everything else in each round.
+    What changed is told at once and everything in each round, so that the volume grows
+    with the changes and not with the servers.
 
     Parameters
     ----------
@@ -33,24 +46,65 @@
     def __init__(self, interval: float) -> None:
         self._interval = interval
         self._next_round_at = float("-inf")
-        self._told: dict[str, tuple[int, bool]] = {}
+        self._told: dict[str, _Told] = {}
+        self._gone: dict[str, _Gone] = {}
 
     def updates(
         self, backends: tuple[Backend, ...], now: float
     ) -> list[DirectoryUpdate]:
         """Return the updates that are due."""
         announcements = [_as_seen(backend) for backend in backends]
+        gone = self._newly_gone({item.id for item in announcements})
         if now >= self._next_round_at:
             self._next_round_at = now + self._interval
+            gone.update(self._gone_again())
         else:
             announcements = [
                 item for item in announcements if self._told.get(item.id) != _key(item)
             ]
         self._told.update((item.id, _key(item)) for item in announcements)
-        return [
+        updates = [
             DirectoryUpdate(tuple(announcements[start : start + _UPDATE_SIZE]))
             for start in range(0, len(announcements), _UPDATE_SIZE)
         ]
+        if gone:
+            updates.append(DirectoryUpdate((), gone))
+        return updates
+
+    def _newly_gone(self, known: set[str]) -> dict[str, int]:
+        gone = {}
+        for backend_id in self._told.keys() - known:
+            gone[backend_id] = self._told.pop(backend_id).incarnation
+        for backend_id, incarnation in gone.items():
+            self._gone[backend_id] = _Gone(incarnation, _GONE_ROUNDS)
+        return gone
+
+    def _gone_again(self) -> dict[str, int]:
+        again = {
+            backend_id: item.incarnation for backend_id, item in self._gone.items()
+        }
+        for backend_id, item in list(self._gone.items()):
+            item.rounds -= 1
+            if item.rounds <= 0 or backend_id in self._told:
+                del self._gone[backend_id]
+        return again
+
+
+@dataclass(frozen=True)
+class _Told:
+    """What decides on new requests for a server, as it was told."""
+
+    incarnation: int
+    leaving: bool
+    slots: int
+    prefill_step: int
+    decode_step: int
+
+
+@dataclass
+class _Gone:
+    incarnation: int
+    rounds: int
 
 
 @dataclass(frozen=True)
@@ -78,6 +132,10 @@
             known = self._entries.get(announcement.id)
             if known is None or known.announcement.order <= announcement.order:
                 self._entries[announcement.id] = _Entry(announcement, now)
+        for backend_id, incarnation in update.gone.items():
+            known = self._entries.get(backend_id)
+            if known is not None and known.announcement.incarnation <= incarnation:
+                del self._entries[backend_id]
         for backend_id, entry in list(self._entries.items()):
             if now - entry.at > self._keep:
                 del self._entries[backend_id]
@@ -100,5 +158,15 @@
     )
 
 
-def _key(announcement: Announcement) -> tuple[int, bool]:
-    return announcement.incarnation, announcement.leaving
+def _key(announcement: Announcement) -> _Told:
+    return _Told(
+        announcement.incarnation,
+        announcement.leaving,
+        announcement.slots,
+        _step(announcement.prefill_tokens_per_second),
+        _step(announcement.decode_tokens_per_second),
+    )
+
+
+def _step(speed: float) -> int:
+    return round(_SPEED_STEPS * math.log2(max(speed, 1.0)))
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -70,6 +70,7 @@
     budget_slack: float = 50.0
     budget_window_s: float = 10.0
     quota_overshoot: float = 0.0
+    quota_window_s: float = 8.0
 
 
 class _Boot(msgspec.Struct):
@@ -149,6 +150,7 @@
         ),
         dispatch=replace(
             _DISPATCH,
+            cap_window_ms=int(bounds.quota_window_s * _MS_PER_SECOND),
             cap_overshoot=bounds.quota_overshoot,
             retry_share=_BUDGET_SHARE * bounds.retry_budget_ratio,
             retry_allowance=int(_BUDGET_SHARE * bounds.budget_slack),
--- a/src/sassafraspin/routed/duties.py
+++ b/src/sassafraspin/routed/duties.py
@@ -2,6 +2,7 @@
 
 import random
 
+from sassafraspin.admission import UsageReport
 from sassafraspin.daemon.control_shell import ControlShell
 from sassafraspin.daemon.dispatch_duty import DispatchDuty
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
@@ -90,6 +91,7 @@
         self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
         self._feed = DirectoryFeed(dispatch.directory_interval_ms / _MS_PER_SECOND)
         scope = LeaderScope(self.node, self._control, self._directory)
+        self._scope = scope
         self._dispatch = DispatchDuty(self.node, generator, _no_orders, scope)
         standby_scope = StandbyScope(
             self.node, scope, self._directory, lambda: self._slots.uses_standby
@@ -129,7 +131,9 @@
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
-        self._tell_backends(now)
+        if self._control.leads(now):
+            self._tell_backends(now)
+            self._tell_usage()
 
     def close(self) -> None:
         """Close every idle connection to backend servers."""
@@ -137,14 +141,19 @@
 
     def _tell_backends(self, now: float) -> None:
         """Tell the other instances of the backend servers that this one knows."""
-        if not self._control.leads(now):
-            return
         for update in self._feed.updates(self._dispatch.backends(), now):
             self._directory.take(update, now)
             for member in self.node.view.members:
                 if member.name != self.node.name:
                     self.node.send(member.name, update)
 
+    def _tell_usage(self) -> None:
+        """Tell the instances that may lead next what the accounts used."""
+        for report in self._scope.usage_reports():
+            for name in self.node.lease.control_names:
+                if name != self.node.name:
+                    self.node.send(name, report)
+
     def receive(self, source: MemberIdentity, message: PeerMessage) -> None:
         """Handle a message of another instance."""
         now = self.node.now()
@@ -163,6 +172,8 @@
                 self._slots.receive(source.name, message)
             case DirectoryUpdate():
                 self._directory.take(message, now)
+            case UsageReport():
+                self._scope.note_usage(message)
             case MoveEvidence():
                 self._control.on_evidence(message)
             case Propose():
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -1,6 +1,8 @@
 """Dispatch at the control leader: it alone grants slots, for every service."""
 
-from sassafraspin.admission import Limits, UsageCaps
+from collections.abc import Iterator
+
+from sassafraspin.admission import Limits, UsageCaps, UsageLog, UsageReport
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.control_shell import ControlShell
 from sassafraspin.daemon.node import Node
@@ -13,6 +15,9 @@
 
 _UNKNOWN_VERSION = "none"
 
+_REPORT_SECONDS = 0.5
+"""Time between two reports of usage; what is used meanwhile is estimated."""
+
 
 class LeaderScope:
     """Services of the routing table, all dispatched by the control leader.
@@ -36,7 +41,9 @@
         self._node = node
         self._control = control
         self._directory = directory
+        self._usage_log = UsageLog(node.settings.dispatch)
         self._caps = self._new_caps()
+        self._next_report_at = 0.0
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
         self._led = False
@@ -62,6 +69,17 @@
         """Return the usage caps, the same for every service."""
         return self._caps
 
+    def note_usage(self, report: UsageReport) -> None:
+        """Take in what the leader charged."""
+        self._usage_log.take(report, self._node.now())
+
+    def usage_reports(self) -> Iterator[UsageReport]:
+        """Return what is due to be told to the instances that may lead next."""
+        now = self._node.now()
+        if now >= self._next_report_at:
+            self._next_report_at = now + _REPORT_SECONDS
+            yield from self._caps.reports(now)
+
     def settings(self) -> DispatchSettings:
         """Return the settings of this instance."""
         return self._node.settings.dispatch
@@ -93,10 +111,11 @@
         }
 
     def _new_caps(self) -> UsageCaps:
-        return UsageCaps(overshoot=self._node.settings.dispatch.cap_overshoot)
+        settings, now = self._node.settings.dispatch, self._node.now()
+        return UsageCaps(settings, now, self._usage_log)
 
     def _start_caps(self) -> None:
-        """Count anew: what was used under an earlier leader is not known here."""
+        """Count on from what the leader before told of its charges."""
         self._caps = self._new_caps()
         if self._declared is not None:
             self._caps.follow(self._declared.table.accounts)
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -1,6 +1,5 @@
 """Dispatch on an entry instance itself, while no dispatcher answers."""
 
-import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -56,7 +55,7 @@
 
     def limits(self) -> Limits:
         """Return this instance's share of the usage caps."""
-        caps = UsageCaps(overshoot=self._node.settings.dispatch.cap_overshoot)
+        caps = UsageCaps(self._node.settings.dispatch, self._node.now())
         declared = self._node.configuration.state.routing
         if declared is not None:
             caps.follow(tuple(map(self._share_of, declared.table.accounts)))
@@ -79,17 +78,37 @@
         return None
 
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
-        """Return the servers with this instance's share of their slots."""
+        """Return the servers of which this instance has slots, with those alone.
+
+        An instance that none falls to uses one slot, so that its callers are served.
+        """
+        servers = tuple(self._directory.of_service(service))
+        own = {server.id: self._own_slots(server) for server in servers}
+        if servers and not any(own.values()):
+            own[self._nearest(servers).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
         return tuple(
-            replace(
-                announcement,
-                slots=math.ceil(announcement.slots / self._instances),
-                ttl_ms=keep_ms,
-            )
-            for announcement in self._directory.of_service(service)
+            replace(server, slots=own[server.id], ttl_ms=keep_ms)
+            for server in servers
+            if own[server.id]
         )
 
+    def _own_slots(self, server: Announcement) -> int:
+        """Return how many slots of a server fall to this instance, by its place."""
+        everywhere, rest = divmod(server.slots, self._instances)
+        ranked = self._node.view.ranked(server.id, rest)
+        return everywhere + any(member.name == self._node.name for member in ranked)
+
+    def _nearest(self, servers: tuple[Announcement, ...]) -> Announcement:
+        """Return a server, another one for most instances."""
+        start = len(servers) * self._place // self._instances
+        return servers[start]
+
+    @property
+    def _place(self) -> int:
+        names = sorted(member.name for member in self._node.view.members)
+        return names.index(self._node.name) if self._node.name in names else 0
+
     @property
     def _instances(self) -> int:
         return max(1, len(self._node.view.members))
