Count handed-over usage once, and ask again at once where another one decides

Found on reading the change: a leader that follows another one shared its windows with the log of reports, so each charge counted twice from its own reports on; a request that is known to wait would have noticed a change of dispatcher up to 0.64 s late; a learned speed next to a step was told again and again; every known server refreshed the table of a new dispatcher.

--- a/src/sassafraspin/admission/caps.py
+++ b/src/sassafraspin/admission/caps.py
@@ -4,11 +4,12 @@
 dispatcher neither forgets it nor makes every account wait for an empty window.
 """
 
+import copy
 import math
 import random
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -68,6 +69,12 @@
         self._ticks: deque[_Tick] = deque()
         self._used = 0.0
 
+    def copy(self) -> "UsageWindow":
+        """Return a window with the same charges."""
+        other = copy.copy(self)
+        other._ticks = deque(replace(tick) for tick in self._ticks)
+        return other
+
     def used(self, now: float) -> float:
         """Return the charges of the window that ends now."""
         while self._ticks and now - self._ticks[0].began_at >= self._seconds:
@@ -122,6 +129,12 @@
         return max(0.0, -self.level / account.rate_per_second)
 
 
+@dataclass(frozen=True)
+class _Pace:
+    per_second: float
+    at: float
+
+
 class UsageLog:
     """What the dispatcher before was heard to charge.
 
@@ -134,7 +147,7 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._seconds = settings.cap_window_ms / _MS_PER_SECOND
         self._windows: dict[str, UsageWindow] = {}
-        self._paces: dict[str, float] = {}
+        self._paces: dict[str, _Pace] = {}
         self._heard_at = -math.inf
 
     def is_recent(self, now: float) -> bool:
@@ -146,18 +159,23 @@
         self._heard_at = now
         for name, charge in report.charges.items():
             self.window(name).add(charge, now)
-            self._paces[name] = charge / report.seconds
+            self._paces[name] = _Pace(charge / report.seconds, now)
 
     def window(self, name: str) -> UsageWindow:
         """Return the window of an account."""
         return self._windows.setdefault(name, UsageWindow(self._seconds))
 
     def windows(self, now: float) -> dict[str, UsageWindow]:
-        """Return every window, with the time since the last report at its pace."""
+        """Return copies of all windows, with the time since the last report added.
+
+        An account that the last report names goes on at its pace there.
+        """
         silent = now - self._heard_at
-        for name, window in self._windows.items():
-            window.add(silent * self._paces.get(name, 0.0), now)
-        return dict(self._windows)
+        windows = {name: window.copy() for name, window in self._windows.items()}
+        for name, pace in self._paces.items():
+            if self._heard_at - pace.at < _TICK_SECONDS:
+                windows[name].add(silent * pace.per_second, now)
+        return windows
 
 
 class UsageCaps:
--- a/src/sassafraspin/daemon/replies.py
+++ b/src/sassafraspin/daemon/replies.py
@@ -23,6 +23,11 @@
         """Stop collecting answers for ``identity``."""
         self._channels.pop(identity, None)
 
+    def deliver_all(self, message: Any) -> None:
+        """Hand a message to every task that waits."""
+        for identity in self._channels:
+            self.deliver(identity, message)
+
     def deliver(self, identity: str, message: Any) -> bool:
         """Hand an answer over; return whether somebody waits for it."""
         channel = self._channels.get(identity)
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -38,6 +38,11 @@
 was lost comes again with the answer; each repeat costs the dispatcher a message."""
 
 
+@dataclass(frozen=True)
+class _AskAgain:
+    """Another dispatcher decides from now on, so every waiting request asks again."""
+
+
 @dataclass
 class _Active:
     request: SlotRequest
@@ -70,6 +75,12 @@
         self._repeat_seconds = node.settings.dispatch.slot_repeat_ms / _MS_PER_SECOND
         self._used_services: set[str] = set()
         self._next_report_at = 0.0
+        self._followed = self._current_dispatchers
+
+    @property
+    def _current_dispatchers(self) -> tuple[str | None, int]:
+        """Return what decides on who dispatches."""
+        return self._node.lease.leader, self._node.view.number
 
     @property
     def uses_standby(self) -> bool:
@@ -78,9 +89,11 @@
 
     def note_dispatcher(self) -> None:
         """Record that the dispatcher is known to act."""
-        if self.uses_standby:
-            log_event(DispatcherRegained(self._node.lease.leader))
+        if not self.uses_standby:
+            return
+        log_event(DispatcherRegained(self._node.lease.leader))
         self._health.note_answer()
+        self._replies.deliver_all(_AskAgain())
 
     async def acquire(self, request: SlotRequest) -> SlotGrant | SlotRefusal:
         """Return a slot or a refusal, at the latest when the deadline has passed.
@@ -144,6 +157,9 @@
 
     def tick(self) -> None:
         """Tell dispatchers of the slots in use, now and then and after a change."""
+        if self._followed != self._current_dispatchers:
+            self._followed = self._current_dispatchers
+            self._replies.deliver_all(_AskAgain())
         self._hand_over()
         now = self._node.now()
         if now < self._next_report_at:
@@ -215,6 +231,10 @@
                 while isinstance(answer, SlotWaiting):
                     is_heard = True
                     answer = await receive.receive()
+                if isinstance(answer, _AskAgain):
+                    unanswered_since = self._node.now()
+                    repeat_seconds = self._repeat_seconds
+                    continue
                 if not _is_wrong_dispatcher(answer):
                     return answer
                 await trio.sleep_forever()
@@ -237,6 +257,7 @@
         if self.uses_standby:
             dispatcher = self._node.dispatcher_of(service)
             log_event(DispatcherLost(dispatcher, int(seconds * _MS_PER_SECOND)))
+            self._replies.deliver_all(_AskAgain())
 
     def _ask_once(self, request: SlotRequest) -> None:
         if self._standby is not None and self._health.is_silent:
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -1,6 +1,5 @@
 """The backend servers that a dispatcher knows, kept by every other instance too."""
 
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
@@ -17,8 +16,8 @@
 _GONE_ROUNDS = 3
 """Rounds in which a server that is gone is told again, for a lost update."""
 
-_SPEED_STEPS = 4
-"""Steps a doubling of a server's speed at which it is told again."""
+_TOLD_SPEED_RATIO = 1.2
+"""Change of a server's learned speed since it was told at which it is told again."""
 
 
 class DirectoryUpdate(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -46,7 +45,7 @@
     def __init__(self, interval: float) -> None:
         self._interval = interval
         self._next_round_at = float("-inf")
-        self._told: dict[str, _Told] = {}
+        self._told: dict[str, Announcement] = {}
         self._gone: dict[str, _Gone] = {}
 
     def updates(
@@ -60,9 +59,9 @@
             gone.update(self._gone_again())
         else:
             announcements = [
-                item for item in announcements if self._told.get(item.id) != _key(item)
+                item for item in announcements if _is_news(item, self._told)
             ]
-        self._told.update((item.id, _key(item)) for item in announcements)
+        self._told.update((item.id, item) for item in announcements)
         updates = [
             DirectoryUpdate(tuple(announcements[start : start + _UPDATE_SIZE]))
             for start in range(0, len(announcements), _UPDATE_SIZE)
@@ -90,17 +89,6 @@
         return again
 
 
-@dataclass(frozen=True)
-class _Told:
-    """What decides on new requests for a server, as it was told."""
-
-    incarnation: int
-    leaving: bool
-    slots: int
-    prefill_step: int
-    decode_step: int
-
-
 @dataclass
 class _Gone:
     incarnation: int
@@ -158,15 +146,16 @@
     )
 
 
-def _key(announcement: Announcement) -> _Told:
-    return _Told(
-        announcement.incarnation,
-        announcement.leaving,
-        announcement.slots,
-        _step(announcement.prefill_tokens_per_second),
-        _step(announcement.decode_tokens_per_second),
+def _is_news(announcement: Announcement, told: dict[str, Announcement]) -> bool:
+    """Return whether what decides on new requests has changed since it was told."""
+    before = told.get(announcement.id)
+    if before is None:
+        return True
+    offer = (announcement.incarnation, announcement.leaving, announcement.slots)
+    if offer != (before.incarnation, before.leaving, before.slots):
+        return True
+    speeds = (
+        (before.prefill_tokens_per_second, announcement.prefill_tokens_per_second),
+        (before.decode_tokens_per_second, announcement.decode_tokens_per_second),
     )
-
-
-def _step(speed: float) -> int:
-    return round(_SPEED_STEPS * math.log2(max(speed, 1.0)))
+    return any(max(pair) > _TOLD_SPEED_RATIO * min(pair) for pair in speeds)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -131,8 +131,7 @@
             self._servers,
             self._shortage,
         )
-        for announcement in known:
-            self._servers.announce(announcement, now)
+        self._servers.adopt(known, now)
 
     @property
     def gate(self) -> VersionGate:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -126,6 +126,12 @@
         self.refresh(now)
         return True
 
+    def adopt(self, announcements: tuple[Announcement, ...], now: float) -> None:
+        """Take in all servers that another dispatcher knew."""
+        for announcement in announcements:
+            self._backends[announcement.id] = Backend(announcement, now)
+        self.refresh(now)
+
     def _holds_its_address(self, announcement: Announcement) -> bool:
         """Forget an older server at the same address, unless this one is older."""
         for backend_id, backend in list(self._backends.items()):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from sassafraspin.admission import UsageCaps, UsageLog, WithinLimits
+from sassafraspin.admission import UsageCaps, UsageLog, UsageReport, WithinLimits
 from sassafraspin.dispatch import SlotRequest
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.settings import DispatchSettings
@@ -143,6 +143,20 @@
         answers = [second.admit(request(100), 3.4) for _ in range(6)]
         self.assertTrue(all(isinstance(item, WithinLimits) for item in answers))
 
+    def test_leader_that_hears_its_own_reports_counts_once(self):
+        log = UsageLog(DispatchSettings())
+        first = self.make(-100.0)
+        self.use(first, 0.0, 0.5, log)
+        second = self.make(1.0, log)
+        charged = self.use(second, 1.0, 60.0, log)
+        self.assertGreaterEqual(20 * len(charged), 0.9 * 100 * 59)
+
+    def test_account_that_has_stopped_is_not_charged_on(self):
+        log = UsageLog(DispatchSettings())
+        log.take(UsageReport(0.5, {"mill": 300.0}), 0.5)
+        log.take(UsageReport(0.5, {"other": 1.0}), 1.0)
+        self.assertEqual(log.windows(2.0)["mill"].used(2.0), 300.0)
+
     def test_withdrawn_charge_is_not_told(self):
         caps = self.make(-100.0)
         caps.admit(request(100), 0.0)
