Restart the count of usage in place, and judge freshness by heartbeats

Found on reading the change: a leader whose lease ended for a moment made a new count while its open pools kept the old one; a withdrawal could meet an account without a reserve; a fixed 1.5 s would turn every 404 into 503 where heartbeats are slower. Tests for the first two; the third is the same at the platform's settings.

--- a/src/sassafraspin/admission/caps.py
+++ b/src/sassafraspin/admission/caps.py
@@ -210,8 +210,13 @@
         self._seconds = settings.cap_window_ms / _MS_PER_SECOND
         self._factor = 1 + settings.cap_overshoot
         self._accounts: dict[str, RoutedAccount] = {}
-        self._windows: dict[str, UsageWindow] = {}
         self._reserves: dict[str, _Reserve] = {}
+        self.restart(now, log)
+
+    def restart(self, now: float, log: UsageLog | None = None) -> None:
+        """Count anew from a log, as a dispatcher that begins to act does."""
+        self._windows: dict[str, UsageWindow] = {}
+        self._reserves.clear()
         self._unreported: dict[str, float] = {}
         self._reported_at = now
         self._began_at = now
@@ -261,7 +266,8 @@
         if account is not None and window is not None:
             charge = _charge(account, request)
             window.take_back(charge)
-            self._reserves[account.name].level += charge
+            if account.name in self._reserves:
+                self._reserves[account.name].level += charge
             before = self._unreported.get(account.name, 0.0)
             self._unreported[account.name] = before - charge
 
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -42,7 +42,7 @@
         self._control = control
         self._directory = directory
         self._usage_log = UsageLog(node.settings.dispatch)
-        self._caps = self._new_caps()
+        self._caps = UsageCaps(node.settings.dispatch, node.now())
         self._next_report_at = 0.0
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
@@ -115,15 +115,12 @@
             if move.spec.service == service and move.phase is not MovePhase.DONE
         }
 
-    def _new_caps(self) -> UsageCaps:
-        settings, now = self._node.settings.dispatch, self._node.now()
-        return UsageCaps(settings, now, self._usage_log)
-
     def _start_caps(self) -> None:
-        """Count on from what the leader before told of its charges."""
-        self._caps = self._new_caps()
-        if self._declared is not None:
-            self._caps.follow(self._declared.table.accounts)
+        """Count on from what the leader before told of its charges.
+
+        The same object goes on, since pools that are still open hold it.
+        """
+        self._caps.restart(self._node.now(), self._usage_log)
 
 
 def _settings(service: RoutedService) -> ServiceSettings:
--- a/src/sassafraspin/routed/routing_view.py
+++ b/src/sassafraspin/routed/routing_view.py
@@ -9,9 +9,11 @@
 
 __all__ = ["RoutingView"]
 
-_FRESH_SECONDS = 1.5
-"""Age of the confirmation up to which a route or key that is not known does not exist;
-a change has to be in force everywhere within two seconds."""
+_FRESH_HEARTBEATS = 3
+"""Heartbeats since the confirmation up to which a route or key that is not known does
+not exist; one of them may be lost and one on its way."""
+
+_MS_PER_SECOND = 1000
 
 
 class RoutingView:
@@ -42,8 +44,9 @@
 
         Else there may be routes and keys that this instance has not heard of.
         """
+        interval_ms = self._node.settings.control.heartbeat_interval_ms
         age = self._node.lease.confirmed_age(self._node.now())
-        return age < _FRESH_SECONDS
+        return age < _FRESH_HEARTBEATS * interval_ms / _MS_PER_SECOND
 
     @property
     def is_known(self) -> bool:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -157,6 +157,24 @@
         log.take(UsageReport(0.5, {"other": 1.0}), 1.0)
         self.assertEqual(log.windows(2.0)["mill"].used(2.0), 300.0)
 
+    def test_cap_that_was_added_while_a_request_waited(self):
+        """Its withdrawal takes back nothing that was never charged."""
+        log = UsageLog(DispatchSettings())
+        log.take(UsageReport(0.5, {"mill": 300.0}), 0.5)
+        caps = UsageCaps(DispatchSettings(), 1.0, log)
+        caps.admit(request(100), 1.0)
+        caps.follow((account(rate_per_second=100.0, burst=500.0),))
+        caps.withdraw(request(100))
+        self.assertIsInstance(caps.admit(request(100), 1.1), WithinLimits)
+
+    def test_dispatcher_that_acts_again_counts_on(self):
+        log = UsageLog(DispatchSettings())
+        caps = self.make(-100.0)
+        charged = self.use(caps, 0.0, 3.0, log)
+        caps.restart(3.2, log)
+        charged += self.use(caps, 3.2, 20.0, log)
+        self.assertLessEqual(self.most_used(charged), 1.1 * (100 * 8 + 500))
+
     def test_withdrawn_charge_is_not_told(self):
         caps = self.make(-100.0)
         caps.admit(request(100), 0.0)
