Add a soak of real processes with faults from outside

Seeded faults by signals and loopback proxies, promises checked from what callers and engines see; a short run in the tests.

--- a/src/sassafraspin/cli/main.py
+++ b/src/sassafraspin/cli/main.py
@@ -8,6 +8,7 @@
 from sassafraspin.cli.load import load
 from sassafraspin.cli.move import move
 from sassafraspin.cli.profile import profile
+from sassafraspin.cli.soak import soak
 from sassafraspin.cli.standin import stand_in
 from sassafraspin.cli.status import status
 
@@ -35,3 +36,4 @@
 main.add_command(demo)
 main.add_command(explain)
 main.add_command(events)
+main.add_command(soak)
--- /dev/null
+++ b/src/sassafraspin/soak/__init__.py
@@ -0,0 +1,7 @@
+"""Randomized soak: real processes, faults from outside, promises checked as it runs."""
+
+from sassafraspin.soak.model import SoakReport, SoakSettings, Violation
+from sassafraspin.soak.plan import plan_faults
+from sassafraspin.soak.runner import run_soak
+
+__all__ = ["SoakReport", "SoakSettings", "Violation", "plan_faults", "run_soak"]
