--- a/src/sassafraspin/soak/proxy.py
+++ b/src/sassafraspin/soak/proxy.py
@@ -13,6 +13,7 @@
 _CHUNK_BYTES = 16_384
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _POLL_SECONDS = 0.01
+_ENDS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class LinkProxy:
@@ -76,26 +77,38 @@
         pair = {caller, instance}
         self._streams |= pair
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._pass, caller, instance, Direction.TO_INSTANCE)
-                nursery.start_soon(self._pass, instance, caller, Direction.TO_CALLER)
+            await self._pass_both_ways(caller, instance)
         finally:
             self._streams -= pair
             with trio.CancelScope(shield=True):
                 for stream in pair:
                     await trio.aclose_forcefully(stream)
 
+    async def _pass_both_ways(
+        self, caller: trio.SocketStream, instance: trio.SocketStream
+    ) -> None:
+        """Pass bytes on; a reset of one side ends both."""
+
+        async def pass_on(source, sink, direction):
+            try:
+                await self._pass(source, sink, direction)
+            except _ENDS:
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pass_on, caller, instance, Direction.TO_INSTANCE)
+            nursery.start_soon(pass_on, instance, caller, Direction.TO_CALLER)
+
     async def _pass(
         self, source: trio.SocketStream, sink: trio.SocketStream, direction: Direction
     ) -> None:
-        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            while True:
-                data = await source.receive_some(_CHUNK_BYTES)
-                await self._wait_until_passed(direction)
-                if not data:
-                    await sink.send_eof()
-                    return
-                await sink.send_all(data)
+        while True:
+            data = await source.receive_some(_CHUNK_BYTES)
+            await self._wait_until_passed(direction)
+            if not data:
+                await sink.send_eof()
+                return
+            await sink.send_all(data)
 
     async def _wait_until_passed(self, direction: Direction) -> None:
         await trio.sleep(max(self._delays, default=0.0))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """The soak: its plans, its proxy, its checks, and a short run of real processes."""
 
+import socket
+import struct
 import tempfile
 import unittest
 from pathlib import Path
@@ -144,6 +146,30 @@
 
         self.play(scenario)
 
+    def test_reset_by_the_instance_reaches_the_caller(self):
+        async def run():
+            async def reset(stream):
+                await stream.receive_some(100)
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                stream.socket.close()
+
+            async with trio.open_nursery() as nursery:
+                [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, reset, [listener])
+                port = listener.socket.getsockname()[1]
+                proxy = LinkProxy(Address("127.0.0.1", port))
+                await proxy.open()
+                nursery.start_soon(proxy.serve)
+                caller = await trio.open_tcp_stream("127.0.0.1", proxy.port)
+                await caller.send_all(b"word")
+                with trio.move_on_after(60) as scope:
+                    self.assertEqual(await caller.receive_some(100), b"")
+                self.assertFalse(scope.cancelled_caught)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
 
 class TestChecks(unittest.TestCase):
     """Broken promises are seen."""
