Use one copy of what both daemons, the demo, the soak and the tests make

Found on reading the change once more; behaviour stays as it is. - daemon/setup.py makes a member, lease times and client timeouts for both daemons. - loopback.free_ports replaces copies in the demo, the soak and the tests. - The majority's contact is one cached value by the function that commits use too. - Admission asks for the wait of a late request once; a cap reads its window once. - RoutedCall.account_name, RoutingView.is_known and SlotClient.uses_standby are called where their conditions were written again; six faults of the soak share their fields.

--- a/src/sassafraspin/admission/__init__.py
+++ b/src/sassafraspin/admission/__init__.py
@@ -4,7 +4,6 @@
     UsageCaps,
     UsageLog,
     UsageReport,
-    UsageWindow,
 )
 from sassafraspin.admission.limits import (
     AccountLimits,
@@ -23,7 +22,6 @@
     "UsageCaps",
     "UsageLog",
     "UsageReport",
-    "UsageWindow",
     "WaitingQueue",
     "WaitingRequest",
     "WithinLimits",
--- a/src/sassafraspin/admission/caps.py
+++ b/src/sassafraspin/admission/caps.py
@@ -7,7 +7,7 @@
 import copy
 import math
 import random
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
@@ -18,7 +18,7 @@
 from sassafraspin.routes import RoutedAccount
 from sassafraspin.settings import DispatchSettings
 
-__all__ = ["UsageCaps", "UsageLog", "UsageReport", "UsageWindow"]
+__all__ = ["UsageCaps", "UsageLog", "UsageReport"]
 
 _MS_PER_SECOND = 1000
 
@@ -158,13 +158,10 @@
         """Take in a report."""
         self._heard_at = now
         for name, charge in report.charges.items():
-            self.window(name).add(charge, now)
+            window = self._windows.setdefault(name, UsageWindow(self._seconds))
+            window.add(charge, now)
             self._paces[name] = _Pace(charge / report.seconds, now)
 
-    def window(self, name: str) -> UsageWindow:
-        """Return the window of an account."""
-        return self._windows.setdefault(name, UsageWindow(self._seconds))
-
     def windows(self, now: float) -> dict[str, UsageWindow]:
         """Return copies of all windows, with the time since the last report added.
 
@@ -217,7 +214,7 @@
         """Count anew from a log, as a dispatcher that begins to act does."""
         self._windows: dict[str, UsageWindow] = {}
         self._reserves.clear()
-        self._unreported: dict[str, float] = {}
+        self._unreported: defaultdict[str, float] = defaultdict(float)
         self._reported_at = now
         self._began_at = now
         if log is not None and log.is_recent(now):
@@ -235,26 +232,27 @@
             return WithinLimits()
         window = self._windows.setdefault(account.name, UsageWindow(self._seconds))
         limit = self._limit(account, now)
-        reserve = self._filled_reserve(account, limit - window.used(now), now)
-        if window.used(now) >= limit:
+        room = limit - window.used(now)
+        reserve = self._filled_reserve(account, room, now)
+        if room <= 0:
             return LimitExceeded(window.seconds_until(limit, now))
         if reserve.level <= 0:
             return LimitExceeded(reserve.seconds_until_filled(account))
         used = _charge(account, request)
-        if not self._has_luck(used, limit - window.used(now)):
-            window.add(limit - window.used(now), now)
+        if not self._has_luck(used, room):
+            window.add(room, now)
             return LimitExceeded(window.seconds_until(limit, now))
         window.add(used, now)
         reserve.level -= used
-        before = self._unreported.get(account.name, 0.0)
-        self._unreported[account.name] = before + used
+        self._unreported[account.name] += used
         return WithinLimits()
 
     def reports(self, now: float) -> Iterator[UsageReport]:
         """Return what was charged since the last time."""
         seconds = max(now - self._reported_at, _TICK_SECONDS)
         charges = list(self._unreported.items())
-        self._reported_at, self._unreported = now, {}
+        self._reported_at = now
+        self._unreported.clear()
         for start in range(0, max(1, len(charges)), _ACCOUNTS_IN_REPORT):
             part = charges[start : start + _ACCOUNTS_IN_REPORT]
             yield UsageReport(seconds, dict(part))
@@ -268,8 +266,7 @@
             window.take_back(charge)
             if account.name in self._reserves:
                 self._reserves[account.name].level += charge
-            before = self._unreported.get(account.name, 0.0)
-            self._unreported[account.name] = before - charge
+            self._unreported[account.name] -= charge
 
     def finish(self, request: SlotRequest) -> None:
         """Keep the charge of a request that had a slot."""
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -1,5 +1,6 @@
 """What a control leader knows of the other replicas during its term."""
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -46,7 +47,7 @@
         self._last_heartbeat = float("-inf")
         self._term_committed = False
         self._progress: dict[Voter, _Progress] = {}
-        self._contacts: tuple[tuple[Voter, ...], list[float]] | None = None
+        self._contact: tuple[tuple[Voter, ...], float] | None = None
         self._learners: dict[str, Voter] = {}
 
     @property
@@ -112,7 +113,7 @@
         """Record that a peer has answered a message sent at ``sent_at``."""
         progress = self._of(peer)
         progress.contact = max(progress.contact, sent_at)
-        self._contacts = None
+        self._contact = None
 
     def heartbeat_due(self, now: float) -> bool:
         """Return whether it is time for a heartbeat."""
@@ -158,15 +159,14 @@
 
     def _majority_contact(self, voters: tuple[Voter, ...], now: float) -> float:
         """Return when a majority was heard; looked up for each message."""
-        if self._contacts is None or self._contacts[0] is not voters:
-            others = [self._of(voter).contact for voter in voters if voter != self._own]
-            self._contacts = voters, sorted(others, reverse=True)
-        others = self._contacts[1]
-        is_voter = len(others) < len(voters)
-        needed = len(voters) // 2 + 1 - is_voter
-        if not voters or needed > len(others):
-            return float("-inf")
-        return others[needed - 1] if needed else now
+        if self._contact is None or self._contact[0] is not voters:
+            contacts = [
+                math.inf if voter == self._own else self._of(voter).contact
+                for voter in voters
+            ]
+            contact = _majority_value(contacts) if contacts else -math.inf
+            self._contact = voters, contact
+        return min(now, self._contact[1])
 
     def _of(self, peer: Voter) -> _Progress:
         if peer not in self._progress:
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import time
 from pathlib import Path
 
 import trio
@@ -20,6 +19,7 @@
 from sassafraspin.daemon.orders import OrderSender
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.daemon.relay import BackendRelay
+from sassafraspin.daemon.setup import client_timeouts, member_timings, own_member
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.daemon.status import InstanceStatus
 from sassafraspin.dispatch import (
@@ -36,7 +36,6 @@
     UnknownGrants,
 )
 from sassafraspin.http import (
-    ClientTimeouts,
     HttpClient,
     HttpServer,
     Request,
@@ -60,7 +59,6 @@
     MemberHeartbeat,
     MemberIdentity,
     MemberLease,
-    MemberTimings,
 )
 from sassafraspin.moves import MoveEvidence
 from sassafraspin.rpc import PeerNetwork
@@ -98,7 +96,7 @@
         self._drained = trio.Event()
         self._draining = False
         self._followed_view = 0
-        member = _own_member(settings)
+        member = own_member(settings.instance, settings.listen.peers)
         self._network = PeerNetwork(
             member.name,
             member.incarnation,
@@ -111,7 +109,7 @@
         self._claims = ClaimClient(self._node)
         self._slots = SlotClient(self._node)
         self._proposals = ProposalClient(self._node)
-        self._backend_client = HttpClient(_client_timeouts(settings))
+        self._backend_client = HttpClient(client_timeouts(settings.dispatch))
         self._orders = OrderSender(self._backend_client)
         self._dispatch = DispatchDuty(
             self._node,
@@ -144,7 +142,7 @@
 
     def _make_node(self, member: Member) -> Node:
         settings = self._settings
-        timings = _member_timings(settings)
+        timings = member_timings(settings.control)
         lease = MemberLease(
             member,
             tuple(address.name for address in settings.control.instances),
@@ -356,27 +354,3 @@
     ) -> None:
         acts = self._node.acts_in_view()
         self._send_ledger(self._ledger.receive(source, message, acts, now))
-
-
-def _own_member(settings: DaemonSettings) -> Member:
-    peers = settings.listen.peers
-    return Member(
-        settings.instance.name,
-        time.time_ns() // 1_000,
-        settings.instance.region,
-        settings.instance.availability_zone,
-        peers.host,
-        peers.port,
-    )
-
-
-def _member_timings(settings: DaemonSettings) -> MemberTimings:
-    return MemberTimings(settings.control.member_lease_ms / _MS_PER_SECOND)
-
-
-def _client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
-    dispatch = settings.dispatch
-    return ClientTimeouts(
-        dispatch.connect_timeout_ms / _MS_PER_SECOND,
-        dispatch.progress_timeout_ms / _MS_PER_SECOND,
-    )
--- /dev/null
+++ b/src/sassafraspin/daemon/setup.py
@@ -0,0 +1,41 @@
+"""What every kind of daemon is made from its settings."""
+
+import time
+
+from sassafraspin.http import ClientTimeouts
+from sassafraspin.membership import Member, MemberTimings
+from sassafraspin.settings import (
+    Address,
+    ControlSettings,
+    DispatchSettings,
+    InstanceSettings,
+)
+
+__all__ = ["client_timeouts", "member_timings", "own_member"]
+
+_MS_PER_SECOND = 1000
+
+
+def own_member(instance: InstanceSettings, peers: Address) -> Member:
+    """Return this run of this instance."""
+    return Member(
+        instance.name,
+        time.time_ns() // 1_000,
+        instance.region,
+        instance.availability_zone,
+        peers.host,
+        peers.port,
+    )
+
+
+def member_timings(control: ControlSettings) -> MemberTimings:
+    """Return the time limits of leases."""
+    return MemberTimings(control.member_lease_ms / _MS_PER_SECOND)
+
+
+def client_timeouts(dispatch: DispatchSettings) -> ClientTimeouts:
+    """Return the time limits towards backend servers."""
+    return ClientTimeouts(
+        dispatch.connect_timeout_ms / _MS_PER_SECOND,
+        dispatch.progress_timeout_ms / _MS_PER_SECOND,
+    )
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -260,7 +260,7 @@
             self._replies.deliver_all(_AskAgain())
 
     def _ask_once(self, request: SlotRequest) -> None:
-        if self._standby is not None and self._health.is_silent:
+        if self.uses_standby:
             self._standby.receive(self._node.name, request)
         else:
             self._send_to_dispatcher(request.service, request)
--- a/src/sassafraspin/demo.py
+++ b/src/sassafraspin/demo.py
@@ -1,6 +1,5 @@
 """The main job in one process: a daemon, stand-in engines, a load and two moves."""
 
-import socket
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +17,7 @@
     RequestClass,
     TokenLengths,
 )
+from sassafraspin.loopback import LOOPBACK_HOST, free_ports
 from sassafraspin.moves import Move, MoveSpec
 from sassafraspin.profiles import Profile
 from sassafraspin.settings import (
@@ -42,7 +42,6 @@
 __all__ = ["DemoResult", "run_demo"]
 
 _TOKEN = "demo"
-_HOST = "127.0.0.1"
 _SERVICE = "sorter-model"
 _LOAD_SECONDS = 15.0
 _REQUESTS_PER_SECOND = 45.0
@@ -151,16 +150,9 @@
 
 
 def _free_ports() -> _Ports:
-    sockets = [socket.socket() for _ in range(5)]
-    try:
-        for item in sockets:
-            item.bind((_HOST, 0))
-        callers, operators, peers, *engines = (
-            Address(_HOST, item.getsockname()[1]) for item in sockets
-        )
-    finally:
-        for item in sockets:
-            item.close()
+    callers, operators, peers, *engines = (
+        Address(LOOPBACK_HOST, port) for port in free_ports(5)
+    )
     return _Ports(callers, operators, peers, tuple(engines))
 
 
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -78,16 +78,15 @@
             self._shortage.refuse(entry, request, reason, retry, now)
             return
         waiting = self._waiting(entry, request, now)
-        late_by = self._late_by(waiting, now)
-        if late_by <= 0:
+        if self._is_on_time(waiting, now):
             self._queue.add(waiting)
-        elif self._may_wait_late(waiting, now):
-            self._queue.add(waiting, late=True)
         else:
-            self._limits.withdraw(request)
             wait = self._shortage.expected_wait(request, now, late=True)
-            self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, wait, now)
-            return
+            if not self._may_wait_late(waiting, wait, now):
+                self._limits.withdraw(request)
+                self._shortage.refuse(entry, request, RefusalReason.TOO_LATE, wait, now)
+                return
+            self._queue.add(waiting, late=True)
         self._shortage.bound_queue(now)
 
     def _refusal(
@@ -121,19 +120,18 @@
             self._servers.fastest_first_token(request),
         )
 
-    def _late_by(self, waiting: WaitingRequest, now: float) -> float:
-        """Return by how much it would miss its objective, 0 or less if it would not."""
+    def _is_on_time(self, waiting: WaitingRequest, now: float) -> bool:
+        """Return whether it is expected to start within its objective."""
         request = waiting.request
-        start_by = min(waiting.start_by, waiting.latest_start)
         if now <= waiting.latest_start and self._grants.victim(request.tier):
-            return 0.0
-        return now + self._shortage.expected_wait(request, now) - start_by
+            return True
+        start_by = min(waiting.start_by, waiting.latest_start)
+        return now + self._shortage.expected_wait(request, now) <= start_by
 
-    def _may_wait_late(self, waiting: WaitingRequest, now: float) -> bool:
-        """Return whether it is likely to be answered by its deadline."""
+    def _may_wait_late(self, waiting: WaitingRequest, wait: float, now: float) -> bool:
+        """Return whether it is likely to be answered by its deadline after a wait."""
         if waiting.start_by >= waiting.latest_start:
             return False
         if self._shortage.is_starved(waiting.request.tier, now):
             return False
-        wait = self._shortage.expected_wait(waiting.request, now, late=True)
         return now + _OVERTAKEN_FACTOR * wait <= waiting.latest_start
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -72,6 +72,11 @@
         route_tier = min(self.route.tier, _ROUTE_TIERS - 1)
         return min(account_tier * _ROUTE_TIERS + route_tier, LOWEST_TIER)
 
+    @property
+    def account_name(self) -> str | None:
+        """Return the name of the client account, ``None`` on a public route."""
+        return None if self.account is None else self.account.name
+
     @property
     def charged_tokens(self) -> int:
         """Return what a usage cap in tokens is charged."""
@@ -101,7 +106,7 @@
         return SlotRequest(
             request_id=f"{self.identity}:{tries}",
             service=self.service,
-            client_account="" if self.account is None else self.account.name,
+            client_account=self.account_name or "",
             profile=self.route.name,
             route=self.route.name,
             tier=self.tier,
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -9,6 +9,7 @@
 from sassafraspin.clock import steady_time
 from sassafraspin.daemon.messages import PeerMessage
 from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.setup import own_member
 from sassafraspin.discovery import (
     ControlMap,
     ControlSearch,
@@ -30,7 +31,6 @@
 from sassafraspin.routed.setup import (
     instance_card,
     open_book,
-    own_member,
     search_settings,
 )
 from sassafraspin.routes import CallerLimits
@@ -82,7 +82,7 @@
         self._generator = random.Random(seed)
         self._draining = False
         self._drained = trio.Event()
-        self._member = own_member(settings)
+        self._member = own_member(settings.instance, settings.listen.peers)
         self._network = PeerNetwork(
             self._member.name,
             self._member.incarnation,
--- a/src/sassafraspin/routed/duties.py
+++ b/src/sassafraspin/routed/duties.py
@@ -7,6 +7,7 @@
 from sassafraspin.daemon.dispatch_duty import DispatchDuty
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
 from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.daemon.setup import client_timeouts
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.dispatch import (
     ActiveGrant,
@@ -40,7 +41,7 @@
 from sassafraspin.routed.operations import Operations
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.routed.settings import RoutedSettings
-from sassafraspin.routed.setup import client_timeouts, daemon_settings, make_node
+from sassafraspin.routed.setup import daemon_settings, make_node
 from sassafraspin.routed.standby_scope import StandbyScope
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import NamedAddress
@@ -83,7 +84,7 @@
         own_settings = daemon_settings(settings, control)
         self.node = make_node(own_settings, member, network)
         self.view = RoutingView(self.node)
-        self._client = HttpClient(client_timeouts(own_settings))
+        self._client = HttpClient(client_timeouts(own_settings.dispatch))
         self._proposals = ProposalClient(self.node)
         base = settings.data_folder.parent if settings.data_folder else None
         self._control = ControlShell(self.node, base, generator, network.learn_address)
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -163,7 +163,7 @@
         request=visit.request.headers.get("x-request-id") or "",
         route=None if call is None else call.route.name,
         tier=None if call is None else call.tier,
-        account=None if call is None or call.account is None else call.account.name,
+        account=None if call is None else call.account_name,
         after_ms=int((now - visit.started_at) * _MS_PER_SECOND),
         cut=visit.responder.has_started,
     )
@@ -186,7 +186,7 @@
             event,
             route=call.route.name,
             tier=call.tier,
-            account=None if call.account is None else call.account.name,
+            account=call.account_name,
             charged_tokens=call.charged_tokens,
         )
     if isinstance(problem, NotDispatched):
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -199,10 +199,9 @@
     async def _send(self, grant: SlotGrant, timing: _Timing) -> TryEnd:
         if not self._slots.is_usable(grant):
             return NotRun()
-        account = self._call.account
         target = BackendTarget(
             grant.backend_id,
-            None if account is None else account.name,
+            self._call.account_name,
             max(1, self._call.deadline_ms - self._elapsed_ms()),
             self._stream.last_event_id or self._call.facts.resume_after,
         )
@@ -272,13 +271,12 @@
         self, grant: SlotGrant, result: ReleaseResult, timing: _Timing
     ) -> None:
         first = timing.first_event_at
-        account = self._call.account
         log_event(
             TryEnded(
                 request=self._call.facts.request_id,
                 route=self._call.route.name,
                 tier=self._call.tier,
-                account=None if account is None else account.name,
+                account=self._call.account_name,
                 table_version=self._call.table_version,
                 server=grant.backend_id,
                 grant=grant.grant_id,
--- a/src/sassafraspin/routed/routing_view.py
+++ b/src/sassafraspin/routed/routing_view.py
@@ -55,9 +55,9 @@
 
     def index(self) -> RouteIndex:
         """Return the table in force; raises ``NotCurrent`` if it is not known."""
-        declared = self._node.configuration.state.routing
-        if declared is None or not self.is_confirmed:
+        if not self.is_known:
             raise NotCurrent("the routes in force are not known here yet")
+        declared = self._node.configuration.state.routing
         if declared is not self._declared or self._index is None:
             self._declared = declared
             self._index = RouteIndex(declared.table)
--- a/src/sassafraspin/routed/setup.py
+++ b/src/sassafraspin/routed/setup.py
@@ -1,14 +1,13 @@
 """Parts of a daemon for declared routes, made from its settings."""
 
-import time
 from dataclasses import replace
 
 from sassafraspin.clock import PROCESS_STARTED_AT, steady_time
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.setup import member_timings
 from sassafraspin.discovery import ControlBook, InstanceCard, SearchSettings
-from sassafraspin.http import ClientTimeouts
-from sassafraspin.membership import Member, MemberLease, MemberTimings
+from sassafraspin.membership import Member, MemberLease
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import (
@@ -21,12 +20,10 @@
 from sassafraspin.telemetry import Metrics, part_logger
 
 __all__ = [
-    "client_timeouts",
     "daemon_settings",
     "instance_card",
     "make_node",
     "open_book",
-    "own_member",
     "search_settings",
 ]
 
@@ -35,19 +32,6 @@
 _log = part_logger("daemon")
 
 
-def own_member(settings: RoutedSettings) -> Member:
-    """Return this run of this instance."""
-    peers = settings.listen.peers
-    return Member(
-        settings.instance.name,
-        time.time_ns() // 1_000,
-        settings.instance.region,
-        settings.instance.availability_zone,
-        peers.host,
-        peers.port,
-    )
-
-
 def make_node(settings: DaemonSettings, member: Member, network: PeerNetwork) -> Node:
     """Return the handles that the parts of a daemon share."""
     control = settings.control
@@ -55,7 +39,7 @@
         member,
         tuple(address.name for address in control.instances),
         control.heartbeat_interval_ms / _MS_PER_SECOND,
-        MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
+        member_timings(control),
     )
     return Node(
         settings,
@@ -123,12 +107,3 @@
     except StorageError as error:
         _log.error("The data folder cannot be used: {}.", error)
         return None
-
-
-def client_timeouts(settings: DaemonSettings) -> ClientTimeouts:
-    """Return the time limits towards backend servers."""
-    dispatch = settings.dispatch
-    return ClientTimeouts(
-        dispatch.connect_timeout_ms / _MS_PER_SECOND,
-        dispatch.progress_timeout_ms / _MS_PER_SECOND,
-    )
--- a/src/sassafraspin/soak/model.py
+++ b/src/sassafraspin/soak/model.py
@@ -57,8 +57,8 @@
 
 
 @dataclass(frozen=True)
-class KillInstance:
-    """SIGKILL, and a new start after ``seconds``."""
+class _ProcessFault:
+    """A fault of the process ``target`` that begins at ``at``."""
 
     at: float
     target: int
@@ -66,22 +66,19 @@
 
 
 @dataclass(frozen=True)
-class FreezeInstance:
-    """SIGSTOP, and SIGCONT after ``seconds``."""
+class KillInstance(_ProcessFault):
+    """SIGKILL, and a new start after ``seconds``."""
 
-    at: float
-    target: int
-    seconds: float
+
+@dataclass(frozen=True)
+class FreezeInstance(_ProcessFault):
+    """SIGSTOP, and SIGCONT after ``seconds``."""
 
 
 @dataclass(frozen=True)
-class StopInstance:
+class StopInstance(_ProcessFault):
     """SIGTERM; a new start ``seconds`` after its end."""
 
-    at: float
-    target: int
-    seconds: float
-
 
 @dataclass(frozen=True)
 class RestartAll:
@@ -92,31 +89,19 @@
 
 
 @dataclass(frozen=True)
-class LoseDisk:
+class LoseDisk(_ProcessFault):
     """SIGKILL of a control instance; it starts ``seconds`` later with an empty disk."""
 
-    at: float
-    target: int
-    seconds: float
-
 
 @dataclass(frozen=True)
-class KillEngine:
+class KillEngine(_ProcessFault):
     """SIGKILL of an engine, and a new start after ``seconds``."""
 
-    at: float
-    target: int
-    seconds: float
-
 
 @dataclass(frozen=True)
-class FreezeEngine:
+class FreezeEngine(_ProcessFault):
     """SIGSTOP of an engine, and SIGCONT after ``seconds``."""
 
-    at: float
-    target: int
-    seconds: float
-
 
 @dataclass(frozen=True)
 class DelayLink:
--- a/src/sassafraspin/soak/processes.py
+++ b/src/sassafraspin/soak/processes.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from contextlib import suppress
@@ -12,13 +11,13 @@
 import trio
 
 from sassafraspin.daemon import hash_token
+from sassafraspin.loopback import LOOPBACK_HOST, free_ports
 from sassafraspin.settings import Address
 from sassafraspin.soak.model import SoakSettings
 from sassafraspin.soak.plan import CONTROL_INSTANCES
 
-__all__ = ["HOST", "PROFILE", "SERVICE", "Deployment", "TOKEN"]
+__all__ = ["PROFILE", "SERVICE", "Deployment", "TOKEN"]
 
-HOST = "127.0.0.1"
 TOKEN = "soak"
 SERVICE = "model"
 PROFILE = "question"
@@ -46,14 +45,15 @@
 
     def __init__(self, settings: SoakSettings, folder: Path) -> None:
         self._folder = folder
-        ports = _free_ports(3 * settings.instances + settings.engines)
-        numbers = range(settings.instances)
-        self.callers = [Address(HOST, ports[3 * number]) for number in numbers]
-        self.operators = [Address(HOST, ports[3 * number + 1]) for number in numbers]
-        self._peers = [Address(HOST, ports[3 * number + 2]) for number in numbers]
-        self.engines = [Address(HOST, port) for port in ports[3 * settings.instances :]]
+        count = 3 * settings.instances
+        ports = free_ports(count + settings.engines)
+        addresses = [Address(LOOPBACK_HOST, port) for port in ports]
+        self.callers = addresses[0:count:3]
+        self.operators = addresses[1:count:3]
+        self._peers = addresses[2:count:3]
+        self.engines = addresses[count:]
         self._processes: dict[str, trio.Process] = {}
-        for number in numbers:
+        for number in range(settings.instances):
             self._write(f"entry-{number}", self._instance_settings(number))
         for number in range(settings.engines):
             self._write(f"engine-{number}", self._engine_settings(number))
@@ -145,7 +145,11 @@
             },
             "control": {
                 "instances": [
-                    {"name": f"entry-{item}", "host": HOST, "port": address.port}
+                    {
+                        "name": f"entry-{item}",
+                        "host": LOOPBACK_HOST,
+                        "port": address.port,
+                    }
                     for item, address in enumerate(self._peers[:CONTROL_INSTANCES])
                 ],
                 "data_folder": f"data-entry-{number}",
@@ -174,14 +178,3 @@
                 "interval_ms": _ANNOUNCE_MS,
             },
         }
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- a/src/sassafraspin/soak/runner.py
+++ b/src/sassafraspin/soak/runner.py
@@ -15,6 +15,7 @@
     RequestClass,
     TokenLengths,
 )
+from sassafraspin.loopback import LOOPBACK_HOST
 from sassafraspin.settings import Address
 from sassafraspin.soak.model import (
     CutLink,
@@ -35,7 +36,7 @@
 )
 from sassafraspin.soak.operator import ProfileOperator
 from sassafraspin.soak.plan import plan_faults
-from sassafraspin.soak.processes import HOST, PROFILE, TOKEN, Deployment
+from sassafraspin.soak.processes import PROFILE, TOKEN, Deployment
 from sassafraspin.soak.proxy import LinkProxy
 
 __all__ = ["Soak", "run_soak"]
@@ -131,7 +132,7 @@
         since they may have been executed; calls without a key are not bound to that.
         """
         settings = LoadSettings(
-            targets=tuple(Address(HOST, link.port) for link in self._links),
+            targets=tuple(Address(LOOPBACK_HOST, link.port) for link in self._links),
             seconds=seconds,
             requests_per_second=self._settings.requests_per_second,
             classes=(
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 from typing import Any
 
 from sassafraspin.daemon import hash_token
+from sassafraspin.loopback import free_ports
 
 CALLER_TOKEN = "caller-token"
 OPERATOR_TOKEN = "operator-token"
@@ -23,18 +23,6 @@
 _READY_SECONDS = 60.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 def wait_until(condition, what: str, seconds: float = _READY_SECONDS) -> None:
     """Wait for a condition; the bound only keeps a broken run from hanging."""
     deadline = time.monotonic() + seconds
--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -18,6 +18,7 @@
     Responder,
     Response,
 )
+from sassafraspin.loopback import free_ports
 from sassafraspin.platform.dialect import PlatformDialect
 from sassafraspin.routed import RoutedDaemon, RoutedListen, RoutedSettings
 from sassafraspin.settings import (
@@ -27,7 +28,6 @@
     HttpLimits,
     InstanceSettings,
 )
-from tests.deployment import free_ports
 
 HOST = "127.0.0.1"
 SEAL = ("x-response-seal", "seal")
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -8,8 +8,8 @@
 import trio.testing
 
 from sassafraspin.http import HttpServer, Response, answering
+from sassafraspin.loopback import free_ports
 from sassafraspin.settings import Address, HttpLimits
-from tests.deployment import free_ports
 
 LIMITS = HttpLimits(
     header_bytes=1024,
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -7,10 +7,10 @@
 import msgspec
 import trio
 
+from sassafraspin.loopback import free_ports
 from sassafraspin.rpc import LinkTimeouts, PeerNetwork
 from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES
 from sassafraspin.settings import Address, NamedAddress
-from tests.deployment import free_ports
 
 HOST = "127.0.0.1"
 LARGE = "x" * (40 * MAX_DATAGRAM_BYTES)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafraspin.http import ClientTimeouts, Headers, HttpClient, Request, Response
+from sassafraspin.loopback import free_ports
 from sassafraspin.settings import Address
 from sassafraspin.standins import (
     AnnouncerSettings,
@@ -16,7 +17,6 @@
     FaultSettings,
 )
 from sassafraspin.standins.faults import FaultModel
-from tests.deployment import free_ports
 
 HOST = "127.0.0.1"
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,6 +11,7 @@
 
 from sassafraspin.daemon import Daemon
 from sassafraspin.http import ClientTimeouts, Headers, HttpClient, Request
+from sassafraspin.loopback import free_ports
 from sassafraspin.profiles import Profile
 from sassafraspin.settings import Address, load_settings
 from sassafraspin.standins import AnnouncerSettings, EngineServer, EngineSettings
@@ -19,7 +20,6 @@
     CALLER_TOKEN,
     OPERATOR_TOKEN,
     Deployment,
-    free_ports,
 )
 from tests.pool_model import announcement
 
