Log memory and bytes by owner

The event ResourceUsage reports them each 5 s, and sooner when the resident memory has grown by 16 MB, with the traffic to other instances by type of message. No decision depends on it.

--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -32,6 +32,11 @@
         """Return the index of the last log entry applied."""
         return self._state.index
 
+    @property
+    def retained_bytes(self) -> int:
+        """Return the bytes of the commands retained for updates."""
+        return sum(len(data) for data in self._recent_commands if data is not None)
+
     def apply(self, index: int, data: bytes | None) -> CommandOutcome | None:
         """Apply the log entry at the next index; ignore entries already applied."""
         if index <= self._state.index:
--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -1,6 +1,12 @@
 """In-memory replicated log: a snapshot and the entries after it."""
 
-from sassafraspin.control.messages import Entry, Snapshot, Voter, VotersEntry
+from sassafraspin.control.messages import (
+    CommandEntry,
+    Entry,
+    Snapshot,
+    Voter,
+    VotersEntry,
+)
 
 __all__ = ["EMPTY_SNAPSHOT", "ReplicatedLog"]
 
@@ -44,6 +50,16 @@
         """Return the index of the entry that set the latest voters."""
         return self._voters_index
 
+    @property
+    def bytes(self) -> int:
+        """Return the bytes of the snapshot and of the commands after it."""
+        commands = (
+            len(entry.data)
+            for entry in self._entries
+            if isinstance(entry, CommandEntry)
+        )
+        return len(self._snapshot.data) + sum(commands)
+
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at ``index``, ``None`` if the log lacks it."""
         if index == self._snapshot.index:
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -92,6 +92,11 @@
             None if failure is None else str(failure),
         )
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the bytes of the control log held in memory, 0 without a replica."""
+        return 0 if self._control_node is None else self._control_node.replica.log.bytes
+
     def leads(self, now: float) -> bool:
         """Return whether this instance is the control leader and holds its lease."""
         return self._control_node is not None and self._control_node.leads(now)
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -45,10 +45,16 @@
 from sassafraspin.routed.standby_scope import StandbyScope
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import NamedAddress
+from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import ResourceUsage, log_event
+from sassafraspin.telemetry.resources import ReportSchedule, resident_bytes
 
 __all__ = ["RoutedRuntime"]
 
 _MS_PER_SECOND = 1000
+_BYTES_PER_KB = 1024
+
+_log = part_logger("daemon")
 
 
 class RoutedRuntime:
@@ -130,6 +136,7 @@
             settings.listen.control.port,
         )
         self.handle_control = adapter.control_handler(operations)
+        self._report_schedule = ReportSchedule(self.node.now())
 
     @property
     def has_table(self) -> bool:
@@ -153,6 +160,7 @@
         if self._control.leads(now):
             self._broadcast_backends(now)
             self._send_usage_reports()
+        self._report_resources(now)
 
     def close(self) -> None:
         """Close every idle connection to backend servers."""
@@ -176,6 +184,32 @@
                 if name != self.node.name:
                     self.node.send(name, report)
 
+    def _report_resources(self, now: float) -> None:
+        try:
+            resident = resident_bytes()
+        except OSError as error:
+            _log.debug("Cannot read the memory of this process: {}.", error)
+            return
+        if not self._report_schedule.is_due(resident, now):
+            return
+        usage = self._network.usage()
+        log_event(
+            ResourceUsage(
+                resident // _BYTES_PER_KB,
+                usage.pending_bytes,
+                usage.largest_peer,
+                usage.largest_peer_bytes,
+                usage.dropped_messages,
+                {
+                    name: sent // _BYTES_PER_KB
+                    for name, sent in usage.sent_bytes.items()
+                },
+                self.node.configuration.retained_bytes,
+                self._control.log_bytes,
+                self.entry.in_flight,
+            )
+        )
+
     def receive(self, source: MemberIdentity, message: PeerMessage) -> None:
         """Handle a message from another instance or from this one."""
         now = self.node.now()
--- a/src/sassafraspin/rpc/__init__.py
+++ b/src/sassafraspin/rpc/__init__.py
@@ -2,7 +2,7 @@
 
 from sassafraspin.rpc.frames import Acknowledgement, Frame, MessageCodec
 from sassafraspin.rpc.link import LinkTimeouts, PeerLink
-from sassafraspin.rpc.network import MessageHandler, PeerNetwork
+from sassafraspin.rpc.network import MessageHandler, NetworkUsage, PeerNetwork
 
 __all__ = [
     "Acknowledgement",
@@ -10,6 +10,7 @@
     "LinkTimeouts",
     "MessageCodec",
     "MessageHandler",
+    "NetworkUsage",
     "PeerLink",
     "PeerNetwork",
 ]
--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -65,6 +65,12 @@
 )
 
 
+@dataclass(frozen=True)
+class _QueuedMessage:
+    message: Any
+    size: int
+
+
 class PeerLink:
     """Sends messages to one peer in order, without delivery guarantee.
 
@@ -98,7 +104,10 @@
         self._incarnation = incarnation
         self._codec = codec
         self._timeouts = timeouts
-        self._queue: deque[Any] = deque()
+        self._queue: deque[_QueuedMessage] = deque()
+        self._queued_bytes = 0
+        self._sending_bytes = 0
+        self._dropped_messages = 0
         self._queued = asyncio.Event()
         self._sent_frames = 0
         self._acknowledged_frames = 0
@@ -115,11 +124,31 @@
         """Return the bytes of all frames sent, without transport headers."""
         return self._sent_bytes
 
-    def send(self, message: Any) -> None:
-        """Queue a message; drop the oldest one when the queue is full."""
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes of messages that are queued or being sent."""
+        return self._queued_bytes + self._sending_bytes
+
+    @property
+    def dropped_messages(self) -> int:
+        """Return the number of messages that were discarded without being sent."""
+        return self._dropped_messages
+
+    def send(self, message: Any, size: int) -> None:
+        """Queue a message; drop the oldest one when the queue is full.
+
+        Parameters
+        ----------
+        message : object
+            The message.
+        size : int
+            Bytes of the encoded message.
+        """
         if len(self._queue) >= _MAX_QUEUED_MESSAGES:
-            self._queue.popleft()
-        self._queue.append(message)
+            self._take_oldest()
+            self._dropped_messages += 1
+        self._queue.append(_QueuedMessage(message, size))
+        self._queued_bytes += size
         self._queued.set()
 
     async def run(self) -> None:
@@ -138,7 +167,9 @@
 
     def _drop_queue(self) -> None:
         """Discard the messages for a peer that cannot be reached."""
+        self._dropped_messages += len(self._queue)
         self._queue.clear()
+        self._queued_bytes = 0
         self._queued.clear()
 
     async def _run_stream(self) -> None:
@@ -189,7 +220,11 @@
             if self._acknowledged_frames == self._sent_frames:
                 self._last_progress_at = loop.time()
             self._sent_frames += 1
-            await stream.send_message(frame)
+            self._sending_bytes = len(frame)
+            try:
+                await stream.send_message(frame)
+            finally:
+                self._sending_bytes = 0
             self._sent_bytes += len(frame)
 
     async def _watch_timeouts(self) -> None:
@@ -207,9 +242,14 @@
 
     def _next_frame(self) -> bytes:
         count = min(len(self._queue), _MAX_FRAME_MESSAGES)
-        messages = [self._queue.popleft() for _ in range(count)]
+        messages = [self._take_oldest() for _ in range(count)]
         return self._codec.encode(Frame(self._source, self._incarnation, messages))
 
+    def _take_oldest(self) -> Any:
+        queued = self._queue.popleft()
+        self._queued_bytes -= queued.size
+        return queued.message
+
     async def _read_acknowledgements(self, stream: Stream[bytes, bytes]) -> None:
         while True:
             data = await stream.recv_message()
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -1,8 +1,10 @@
 """Message exchange between instances over UDP, and gRPC for large messages."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -18,7 +20,7 @@
 from sassafraspin.settings import Address, NamedAddress
 from sassafraspin.telemetry import part_logger
 
-__all__ = ["MessageHandler", "PeerNetwork"]
+__all__ = ["MessageHandler", "NetworkUsage", "PeerNetwork"]
 
 MessageHandler = Callable[[str, int, Any], None]
 """Called with the sender's name, its incarnation and the message."""
@@ -28,6 +30,31 @@
 _log = part_logger("rpc")
 
 
+@dataclass(frozen=True)
+class NetworkUsage:
+    """Bytes held and sent by a ``PeerNetwork``.
+
+    Parameters
+    ----------
+    pending_bytes : int
+        Bytes that wait to be sent over streams, for all peers.
+    largest_peer : str or None
+        Peer with the most pending bytes, ``None`` if nothing is pending.
+    largest_peer_bytes : int
+        Pending bytes of that peer.
+    dropped_messages : int
+        Messages discarded without being sent, since the start.
+    sent_bytes : dict
+        Bytes handed to datagrams or streams since the start, by type of message.
+    """
+
+    pending_bytes: int
+    largest_peer: str | None
+    largest_peer_bytes: int
+    dropped_messages: int
+    sent_bytes: dict[str, int]
+
+
 class PeerNetwork:
     """Sends messages to peers by name and passes received ones to a handler.
 
@@ -69,6 +96,8 @@
         self._received_bytes = 0
         self._datagrams = DatagramSocket(address, self._receive_frame)
         self._sent_bytes = 0
+        self._sent_bytes_by_type: Counter[str] = Counter()
+        self._dropped_messages = 0
 
     @property
     def sent_bytes(self) -> int:
@@ -83,6 +112,21 @@
         """Return the bytes of frames received, without transport headers."""
         return self._received_bytes
 
+    def usage(self) -> NetworkUsage:
+        """Return the bytes held for peers and the bytes sent by type of message."""
+        pending = {name: link.pending_bytes for name, link in self._links.items()}
+        largest = max(pending, key=pending.__getitem__, default=None)
+        if largest is not None and pending[largest] == 0:
+            largest = None
+        dropped = sum(link.dropped_messages for link in self._links.values())
+        return NetworkUsage(
+            sum(pending.values()),
+            largest,
+            0 if largest is None else pending[largest],
+            self._dropped_messages + dropped,
+            dict(self._sent_bytes_by_type),
+        )
+
     def set_peer_address(self, address: NamedAddress) -> None:
         """Set the address of a peer.
 
@@ -107,13 +151,14 @@
         if address is None:
             return
         data = self._codec.encode(Frame(self._name, self._incarnation, [message]))
+        self._sent_bytes_by_type[type(message).__name__] += len(data)
         if len(data) <= MAX_DATAGRAM_BYTES:
             self._sent_bytes += len(data)
             self._datagrams.send(address.host, address.port, data)
             return
         link = self._links.get(peer) or self._open_link(address)
         if link is not None:
-            link.send(message)
+            link.send(message, len(data))
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen for peers until cancelled."""
@@ -153,6 +198,7 @@
         link = self._links.pop(peer, None)
         if link is not None:
             self._sent_bytes += link.sent_bytes
+            self._dropped_messages += link.dropped_messages
         task = self._tasks.pop(peer, None)
         if task is not None:
             task.cancel()
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -21,6 +21,7 @@
     "InstanceStarted",
     "InstanceStopped",
     "InstanceStopping",
+    "ResourceUsage",
     "TableInForce",
     "TryEnded",
     "describe_events",
@@ -102,6 +103,29 @@
     dispatcher: str | None
 
 
+@dataclass(frozen=True)
+class ResourceUsage(Event):
+    """Memory of the process and bytes by owner, each 5 s and when memory has grown.
+
+    ``resident_kb`` is the memory of the process, ``pending_bytes`` what waits to be
+    sent to other instances, most of it to ``largest_peer``, ``dropped_messages`` the
+    messages discarded since the start, ``sent_kb`` the traffic to other instances since
+    the start by type of message, ``retained_bytes`` the commands kept for updates,
+    ``log_bytes`` the control log and ``in_flight`` the calls in progress.
+    """
+
+    text: ClassVar[str] = "Memory and bytes by owner."
+    resident_kb: int
+    pending_bytes: int
+    largest_peer: str | None
+    largest_peer_bytes: int
+    dropped_messages: int
+    sent_kb: dict[str, int]
+    retained_bytes: int
+    log_bytes: int
+    in_flight: int
+
+
 @dataclass(frozen=True)
 class TryEnded(Event):
     """An attempt to serve a request on a backend server ended.
@@ -187,6 +211,7 @@
     TableInForce,
     DispatcherLost,
     DispatcherRegained,
+    ResourceUsage,
     TryEnded,
     CallRefused,
     CallEnded,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -21,6 +21,7 @@
 )
 from sassafraspin.telemetry.line_writer import LineWriter
 from sassafraspin.telemetry.logs import JsonSink
+from sassafraspin.telemetry.resources import ReportSchedule, resident_bytes
 from sassafraspin.telemetry.timeline import read_timeline
 from tests.test_routed_daemon import RoutedTestCase
 
@@ -43,6 +44,23 @@
     return CallRefused(request, 503, "too-late", "not-run", "no slot", 200, 3, False)
 
 
+class TestReportSchedule(unittest.TestCase):
+    """Resource reports are periodic, and earlier when memory has grown."""
+
+    def test_interval_and_growth(self):
+        schedule = ReportSchedule(0.0)
+        small, large = 20 << 20, 60 << 20
+        self.assertFalse(schedule.is_due(small, 0.1))
+        self.assertTrue(schedule.is_due(small, 1.0))
+        self.assertFalse(schedule.is_due(small, 5.0))
+        self.assertTrue(schedule.is_due(large, 5.1))
+        self.assertFalse(schedule.is_due(large, 10.0))
+        self.assertTrue(schedule.is_due(large, 10.2))
+
+    def test_resident_memory_is_read(self):
+        self.assertGreater(resident_bytes(), 1 << 20)
+
+
 class TestLineWriter(unittest.TestCase):
     """A slow or closed reader loses lines but never blocks the writer."""
 
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -101,6 +101,21 @@
         trio.run(run)
         self.assertIn(("a", 1, 2), self.received)
 
+    def test_pending_bytes_are_reported_by_peer(self):
+        async def run():
+            first = self.network(0)
+            async with self.serving(first):
+                for number in range(3):
+                    first.send("b", Note(number, LARGE))
+                first.send("b", Note(9))
+                return first.usage()
+
+        usage = trio.run(run)
+        self.assertEqual(usage.largest_peer, "b")
+        self.assertEqual(usage.pending_bytes, usage.largest_peer_bytes)
+        self.assertGreaterEqual(usage.pending_bytes, 3 * len(LARGE))
+        self.assertGreater(usage.sent_bytes["Note"], usage.pending_bytes)
+
     def test_message_to_the_own_instance(self):
         async def run():
             first = self.network(0)
