--- /dev/null
+++ b/tests/test_config_transfer.py
@@ -0,0 +1,178 @@
+"""Transfer of the configuration to members, and its cost for control instances."""
+
+import random
+import unittest
+
+import msgspec
+
+from sassafraspin.control import (
+    Configuration,
+    ControlNode,
+    ControlNodeSettings,
+    PutTable,
+    ReplicaDisk,
+    ReplicaTimings,
+)
+from sassafraspin.control.messages import AppendRequest
+from sassafraspin.membership import (
+    HeartbeatReply,
+    Member,
+    MemberHeartbeat,
+    MemberIdentity,
+    MemberTimings,
+)
+from sassafraspin.routes import CallerLimits, DeclaredTable, RoutingTable
+from tests.quorum_model import QuorumModel
+from tests.simulation import MemoryFiles
+
+TABLE_BYTES = 40_000
+MAX_LOG_BYTES = 8 * 1024 * 1024
+MAX_REPLY_BYTES = 256 * 1024
+
+MEMBER = Member("m1", 1, "south", "a", "10.0.0.9", 7400)
+IDENTITY = MemberIdentity("m1", 1)
+
+
+def table_change(version: int, size: int = TABLE_BYTES) -> PutTable:
+    """Return a change to a routing table whose document has ``size`` bytes."""
+    table = RoutingTable(version, (), (), (), CallerLimits())
+    document = random.Random(version).randbytes(size)
+    return PutTable(f"table-{version}", 0, DeclaredTable(table, document))
+
+
+class SingleLeader:
+    """A control quorum of one instance that leads, with a clock set by the test."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        settings = ControlNodeSettings(
+            "c0", ("c0",), ReplicaTimings(), MemberTimings(), 1_000
+        )
+        self.configuration = Configuration()
+        self.node = ControlNode(
+            settings,
+            ReplicaDisk(MemoryFiles()),
+            self.configuration,
+            lambda target, message: None,
+            random.Random(1),
+            self.now,
+            lambda: 0,
+        )
+        while not self.node.leads(self.now):
+            self.advance(0.1)
+
+    def advance(self, seconds: float) -> None:
+        """Advance the clock and run the periodic work."""
+        self.now += seconds
+        self.node.tick(self.now)
+
+    def change(self, count: int, size: int = TABLE_BYTES) -> None:
+        """Apply changes of the routing table."""
+        routing = self.configuration.state.routing
+        first = 1 if routing is None else routing.table.version + 1
+        for version in range(first, first + count):
+            self.node.propose(
+                table_change(version, size), lambda result: None, self.now
+            )
+
+    def heartbeat(self, index: int) -> HeartbeatReply:
+        """Return the reply to a member whose configuration is at ``index``."""
+        heartbeat = MemberHeartbeat(MEMBER, index, 0, False, self.now)
+        return self.node.heartbeat(IDENTITY, heartbeat, self.now)
+
+
+def encoded_size(reply: HeartbeatReply) -> int:
+    """Return the bytes of a reply on the wire."""
+    return len(msgspec.msgpack.encode(reply))
+
+
+class TestHeartbeatReplies(unittest.TestCase):
+    """Configuration sent in reply to heartbeats."""
+
+    def test_repeated_heartbeats_of_a_starting_member_do_not_multiply_updates(self):
+        leader = SingleLeader()
+        leader.change(40)
+        sent = 0
+        for _ in range(30):
+            sent += encoded_size(leader.heartbeat(0))
+            leader.advance(0.1)
+        self.assertLess(sent, 8 * len(leader.configuration.state.to_bytes()))
+
+    def test_member_without_history_gets_the_state_and_not_each_change(self):
+        leader = SingleLeader()
+        leader.change(40)
+        member = Configuration()
+        sent = 0
+        for _ in range(50):
+            reply = leader.heartbeat(member.index)
+            sent += encoded_size(reply)
+            if reply.update is not None:
+                member.apply_update(reply.update)
+            leader.advance(0.1)
+        self.assertEqual(member.index, leader.configuration.index)
+        self.assertEqual(member.state.to_bytes(), leader.configuration.state.to_bytes())
+        self.assertLess(sent, 2 * len(leader.configuration.state.to_bytes()))
+
+    def test_replies_are_bounded_however_far_a_member_is_behind(self):
+        leader = SingleLeader()
+        leader.change(400, size=4_000)
+        for index in (0, 1, 200, leader.configuration.index - 1):
+            leader.advance(10.0)
+            self.assertLess(encoded_size(leader.heartbeat(index)), MAX_REPLY_BYTES)
+
+    def test_lost_update_is_sent_again(self):
+        leader = SingleLeader()
+        leader.change(3)
+        self.assertIsNotNone(leader.heartbeat(0).update)
+        repeated = 0
+        for _ in range(20):
+            leader.advance(0.1)
+            repeated += leader.heartbeat(0).update is not None
+        self.assertGreaterEqual(repeated, 2)
+
+    def test_followers_send_no_configuration(self):
+        model = QuorumModel(3)
+        model.run(5.0)
+        leader = model.leader()
+        model.propose(leader.name)
+        model.run(2.0)
+        for node in model.nodes.values():
+            heartbeat = MemberHeartbeat(MEMBER, 0, 0, False, 0.0)
+            reply = node.control.heartbeat(IDENTITY, heartbeat, node.clock.now())
+            self.assertEqual(reply.update is not None, node is leader)
+
+
+class TestReplication(unittest.TestCase):
+    """Log entries sent from the leader to the other voters."""
+
+    def test_entries_on_a_slow_stream_are_sent_once(self):
+        model = QuorumModel(3)
+        model.run(5.0)
+        leader = model.leader()
+        sent: dict[str, int] = {}
+        deliver = model.network._deliver
+        send = model.network.send
+
+        def send_slowly(source: str, target: str, message: object) -> None:
+            if isinstance(message, AppendRequest) and message.entries:
+                sent[target] = sent.get(target, 0) + len(message.entries)
+                model.schedule(0.5, lambda: deliver(source, target, message))
+            else:
+                send(source, target, message)
+
+        model.network.send = send_slowly
+        model.propose(leader.name)
+        model.run(3.0)
+        self.assertEqual(len(model.acknowledged), 1)
+        self.assertEqual(sent, dict.fromkeys(model.nodes.keys() - {leader.name}, 1))
+
+
+class TestLogSize(unittest.TestCase):
+    """Memory and disk of the control log under many changes of a large table."""
+
+    def test_log_is_compacted_before_large_tables_fill_the_disk(self):
+        leader = SingleLeader()
+        for _ in range(20):
+            leader.change(20)
+            self.assertLess(leader.node.replica.log.bytes, MAX_LOG_BYTES)
+            self.assertLess(leader.configuration.retained_bytes, MAX_LOG_BYTES)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -14,6 +14,8 @@
 
 HOST = "127.0.0.1"
 LARGE = "x" * (40 * MAX_DATAGRAM_BYTES)
+MAX_PEER_BYTES = 2 * 1024 * 1024
+MAX_NETWORK_BYTES = 16 * 1024 * 1024
 TIMEOUTS = LinkTimeouts(connect=0.5, acknowledge=0.4, idle=0.4, retry=0.02)
 
 
@@ -116,6 +118,35 @@
         self.assertGreaterEqual(usage.pending_bytes, 3 * len(LARGE))
         self.assertGreater(usage.sent_bytes["Note"], usage.pending_bytes)
 
+    def test_messages_for_a_silent_peer_are_bounded_in_bytes(self):
+        async def run():
+            first = self.network(0)
+            with socket.create_server((HOST, self.ports[1])):
+                async with self.serving(first):
+                    for number in range(400):
+                        first.send("b", Note(number, LARGE))
+                    return first.usage()
+
+        usage = trio.run(run)
+        self.assertLessEqual(usage.pending_bytes, MAX_PEER_BYTES)
+        self.assertGreater(usage.dropped_messages, 0)
+
+    def test_messages_for_many_silent_peers_are_bounded_in_bytes(self):
+        async def run():
+            first = self.network(0)
+            with socket.create_server((HOST, self.ports[1])):
+                async with self.serving(first):
+                    for peer in range(60):
+                        address = NamedAddress(f"p{peer}", HOST, self.ports[1])
+                        first.set_peer_address(address)
+                        for number in range(20):
+                            first.send(address.name, Note(number, LARGE))
+                    return first.usage()
+
+        usage = trio.run(run)
+        self.assertLessEqual(usage.pending_bytes, MAX_NETWORK_BYTES)
+        self.assertGreater(usage.dropped_messages, 0)
+
     def test_message_to_the_own_instance(self):
         async def run():
             first = self.network(0)
