Send each member its configuration once, and the state in place of the history

Cause: a control instance, leader or not, answered every heartbeat with all commands that the member lacked. An instance that had just started asks every 100 ms until it is confirmed, and each answer held every routing table since the start, whether or not the same bytes were still in transit. A restarted instance on a slow link never caught up, so the answers piled up.

Ruled out: the log and the retained commands (0.9 MB).

Change: only the leader sends updates. It tracks what is in transit to each member and sends it again only after a retry time without progress, which doubles. An update is bounded: a short tail, else the state, else the first part of the tail. A member that received a part asks for the rest at once. So the bytes for one member are bounded by the state, and not by the history or by how often it asks.

--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -9,6 +9,10 @@
 __all__ = ["Configuration"]
 
 _RETAINED_COMMANDS = 1_000
+_RETAINED_BYTES = 4 * 1024 * 1024
+
+_MAX_TAIL_BYTES = 64 * 1024
+"""Bytes of commands in one update, unless a single command is larger."""
 
 
 class Configuration:
@@ -20,7 +24,9 @@
 
     def __init__(self) -> None:
         self._state = ControlState()
-        self._recent_commands: deque[bytes | None] = deque(maxlen=_RETAINED_COMMANDS)
+        self._recent_commands: deque[bytes | None] = deque()
+        self._retained_bytes = 0
+        self._image: ConfigImage | None = None
 
     @property
     def state(self) -> ControlState:
@@ -35,7 +41,7 @@
     @property
     def retained_bytes(self) -> int:
         """Return the bytes of the commands retained for updates."""
-        return sum(len(data) for data in self._recent_commands if data is not None)
+        return self._retained_bytes
 
     def apply(self, index: int, data: bytes | None) -> CommandOutcome | None:
         """Apply the log entry at the next index; ignore entries already applied."""
@@ -43,7 +49,7 @@
             return None
         command = None if data is None else decode_command(data)
         outcome = self._state.apply(index, command)
-        self._recent_commands.append(data)
+        self._retain(data)
         return outcome
 
     def restore(self, index: int, data: bytes) -> None:
@@ -52,18 +58,42 @@
             return
         self._state = ControlState.from_bytes(index, data)
         self._recent_commands.clear()
+        self._retained_bytes = 0
 
     def update_since(self, index: int) -> ConfigUpdate | None:
-        """Return the update for an instance at ``index``, ``None`` if it lacks nothing.
+        """Return an update for an instance at ``index``, ``None`` if it lacks nothing.
 
-        The update is the log tail if the tail is still retained, else a snapshot.
+        The update is a log tail if that is short. Otherwise it is a snapshot, unless
+        the log tail takes fewer bytes; then the update is the first part of the tail.
         """
         missing = self._state.index - index
         if missing <= 0:
             return None
-        if missing <= len(self._recent_commands):
-            return ConfigTail(index + 1, tuple(self._recent_commands)[-missing:])
-        return ConfigImage(self._state.index, self._state.to_bytes())
+        if missing > len(self._recent_commands):
+            return self._current_image()
+        commands = tuple(self._recent_commands)[-missing:]
+        tail = ConfigTail(index + 1, commands)
+        if tail.size <= _MAX_TAIL_BYTES:
+            return tail
+        image = self._current_image()
+        if image.size <= tail.size:
+            return image
+        return ConfigTail(index + 1, _leading_commands(commands))
+
+    def _retain(self, data: bytes | None) -> None:
+        """Retain a command for updates; drop the oldest ones above the limits."""
+        commands = self._recent_commands
+        commands.append(data)
+        self._retained_bytes += _size(data)
+        while len(commands) > 1 and (
+            len(commands) > _RETAINED_COMMANDS or self._retained_bytes > _RETAINED_BYTES
+        ):
+            self._retained_bytes -= _size(commands.popleft())
+
+    def _current_image(self) -> ConfigImage:
+        if self._image is None or self._image.index != self._state.index:
+            self._image = ConfigImage(self._state.index, self._state.to_bytes())
+        return self._image
 
     def apply_update(self, update: ConfigUpdate) -> None:
         """Apply an update; a log tail that would leave a gap is ignored."""
@@ -75,3 +105,17 @@
                     return
                 for offset, data in enumerate(update.commands):
                     self.apply(update.first_index + offset, data)
+
+
+def _size(data: bytes | None) -> int:
+    return 0 if data is None else len(data)
+
+
+def _leading_commands(commands: tuple[bytes | None, ...]) -> tuple[bytes | None, ...]:
+    """Return the first command and those after it that fit into one update."""
+    total = 0
+    for count, data in enumerate(commands):
+        total += _size(data)
+        if count > 0 and total > _MAX_TAIL_BYTES:
+            return commands[:count]
+    return commands
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -24,7 +24,9 @@
 )
 from sassafraspin.control.messages import CommandEntry, ReplicaMessage
 from sassafraspin.control.replica import ControlReplica, ReplicaTimings, Role
+from sassafraspin.control.transfers import ConfigTransfers
 from sassafraspin.membership import (
+    ConfigUpdate,
     HeartbeatReply,
     MemberHeartbeat,
     MemberIdentity,
@@ -141,6 +143,7 @@
             started_at,
         )
         self._member_table: MemberTable | None = None
+        self._transfers = ConfigTransfers(configuration)
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
         self._execute_all(self._replica.start())
@@ -170,6 +173,7 @@
             return
         if self._member_table is None:
             self._member_table = MemberTable(self._settings.members, now)
+            self._transfers = ConfigTransfers(self._configuration)
             _log.info(
                 "This instance acquired the leader lease in term {}.",
                 self._replica.term,
@@ -184,14 +188,20 @@
     def heartbeat(
         self, identity: MemberIdentity, heartbeat: MemberHeartbeat, now: float
     ) -> HeartbeatReply:
-        """Answer a member's heartbeat; only the leader grants a lease."""
+        """Answer a member's heartbeat.
+
+        Only the leader grants a lease and sends configuration updates.
+        """
         lease = 0.0
+        update: ConfigUpdate | None = None
         voters: tuple[str, ...] = ()
         leader = self._replica.leader
         if self._member_table is not None and self.leads(now):
             view = self._configuration.state.view
             lease = self._member_table.grant(identity, heartbeat, view, now)
             voters = tuple(voter.name for voter in self._replica.log.voters)
+            index = heartbeat.config_index
+            update = self._transfers.reply_update(identity, index, now)
         elif leader == self._settings.name:
             leader = None
         return HeartbeatReply(
@@ -199,10 +209,26 @@
             int(lease * 1000),
             self._replica.commit_index,
             heartbeat.sent_at,
-            self._configuration.update_since(heartbeat.config_index),
+            update,
             voters,
         )
 
+    def push_update(
+        self, identity: MemberIdentity, index: int, now: float
+    ) -> ConfigUpdate | None:
+        """Return an update for a member that has not asked for it, if one is due.
+
+        Parameters
+        ----------
+        identity : MemberIdentity
+            The member.
+        index : int
+            Index to assume for a member that has not sent a heartbeat yet.
+        now : float
+            Monotonic time in seconds.
+        """
+        return self._transfers.push_update(identity, index, now)
+
     def is_proposed(self, change_id: str) -> bool:
         """Return whether a command proposed here still waits for its outcome."""
         return change_id in self._proposals
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -34,9 +34,6 @@
 _MS_PER_SECOND = 1000
 _HEARTBEATS_PER_TIMEOUT = 4
 
-_MAX_PUSHED_COMMANDS = 16
-"""Most commands in one push; members further behind catch up by heartbeat."""
-
 _log = part_logger("control")
 _moves_log = part_logger("moves")
 
@@ -110,7 +107,7 @@
         if not control_node.leads(now):
             self._pushed_index = None
         else:
-            self._push_committed()
+            self._push_committed(control_node, now)
             self._advance_moves(control_node, now)
 
     def on_heartbeat(
@@ -174,27 +171,25 @@
             self._node.started_at,
         )
 
-    def _push_committed(self) -> None:
+    def _push_committed(self, control_node: ControlNode, now: float) -> None:
         """Send newly committed commands to all members without waiting for heartbeats.
 
         A new leader does not push older commands: members that lack them ask. Pushing
         them to every member would saturate the links while members wait for
         heartbeats.
         """
-        view = self._node.view
         index = self._node.configuration.index
-        if self._pushed_index is None:
-            self._pushed_index = index
-        if index == self._pushed_index:
-            return
-        update = self._node.configuration.update_since(
-            max(self._pushed_index, index - _MAX_PUSHED_COMMANDS)
-        )
+        pushed_index = index if self._pushed_index is None else self._pushed_index
         self._pushed_index = index
-        reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
-        for member in view.members:
-            if member.name != self._node.name:
-                self._set_peer_address(member.address)
+        if index == pushed_index:
+            return
+        for member in self._node.view.members:
+            if member.name == self._node.name:
+                continue
+            self._set_peer_address(member.address)
+            update = control_node.push_update(member.identity, pushed_index, now)
+            if update is not None:
+                reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
                 self._node.send(member.name, reply)
 
     def _advance_moves(self, control_node: ControlNode, now: float) -> None:
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -124,6 +124,9 @@
         if reply.leader == self._target:
             if config_index >= reply.commit_index:
                 self._confirmed_at = max(self._confirmed_at, reply.sent_at)
+            elif reply.update is not None:
+                # The update was a part of what this member lacks.
+                self._next_heartbeat_at = float("-inf")
         elif reply.leader in self._control_names:
             self._target = reply.leader
 
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -45,6 +45,16 @@
     first_index: int
     commands: tuple[bytes | None, ...]
 
+    @property
+    def last_index(self) -> int:
+        """Return the index that the receiver reaches."""
+        return self.first_index + len(self.commands) - 1
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of the commands."""
+        return sum(len(data) for data in self.commands if data is not None)
+
 
 class ConfigImage(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Snapshot of the whole configuration."""
@@ -52,6 +62,16 @@
     index: int
     data: bytes
 
+    @property
+    def last_index(self) -> int:
+        """Return the index that the receiver reaches."""
+        return self.index
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of the snapshot."""
+        return len(self.data)
+
 
 ConfigUpdate = ConfigTail | ConfigImage
 
