Bound the messages queued for other instances in bytes

Callers saw streams cut when voters of the control log ended for memory. The fault fixed here let it come to that: the queue to a peer held up to 10,000 messages of any size, and a frame took 256 of them, so a peer that reads slowly could hold gigabytes.

A frame holds 64 KiB. A larger message is sent alone. Queues hold encoded messages, and a message for many peers is encoded once. Senders repeat what matters, as before.

--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -13,7 +13,7 @@
 from sassafraspin.daemon.messages import PeerMessage
 from sassafraspin.ledger import ClaimDecision, LedgerMessage, RecordKey, RecordState
 from sassafraspin.membership import MemberTimings
-from sassafraspin.rpc import Frame, MessageCodec
+from sassafraspin.rpc import MessageCodec
 
 _INSTANCES = 11
 _MEMBER_TIMINGS = MemberTimings(lease=3.0, clock_drift=0.04)
@@ -38,7 +38,9 @@
     def count(source: str, target: str, envelope: tuple) -> None:
         identity, message = envelope
         if isinstance(message, LedgerMessage) and source != target:
-            data = codec.encode(Frame(identity.name, identity.incarnation, [message]))
+            data = codec.encode_frame(
+                identity.name, identity.incarnation, [codec.encode_message(message)]
+            )
             sizes.setdefault(type(message).__name__, []).append(len(data))
         send(source, target, envelope)
 
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -21,7 +21,7 @@
 )
 from sassafraspin.ledger.store import RecordStore
 from sassafraspin.membership import Member, View
-from sassafraspin.rpc import Frame, MessageCodec
+from sassafraspin.rpc import MessageCodec
 
 _MEMBERS = (11, 100, 390)
 _RECORDS = (1_000, 5_000, 20_000)
@@ -42,7 +42,11 @@
         click.echo(f"{count} records: {allocated / count:.0f} bytes each")
     codec = MessageCodec(PeerMessage)
     for message in (SyncRequest(300, 1), SyncReply(300, 1, 0, True, ())):
-        size = len(codec.encode(Frame("entry-123", _INCARNATION, [message])))
+        size = len(
+            codec.encode_frame(
+                "entry-123", _INCARNATION, [codec.encode_message(message)]
+            )
+        )
         click.echo(f"{type(message).__name__} without records: {size} bytes")
 
 
--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -27,6 +27,7 @@
         self._recent_commands: deque[bytes | None] = deque()
         self._retained_bytes = 0
         self._image: ConfigImage | None = None
+        self._tail: ConfigTail | None = None
 
     @property
     def state(self) -> ControlState:
@@ -59,6 +60,7 @@
         self._state = ControlState.from_bytes(index, data)
         self._recent_commands.clear()
         self._retained_bytes = 0
+        self._tail = None
 
     def update_since(self, index: int) -> ConfigUpdate | None:
         """Return an update for an instance at ``index``, ``None`` if it lacks nothing.
@@ -71,14 +73,13 @@
             return None
         if missing > len(self._recent_commands):
             return self._current_image()
-        commands = tuple(self._recent_commands)[-missing:]
-        tail = ConfigTail(index + 1, commands)
+        tail = self._tail_from(index + 1)
         if tail.size <= _MAX_TAIL_BYTES:
             return tail
         image = self._current_image()
         if image.size <= tail.size:
             return image
-        return ConfigTail(index + 1, _leading_commands(commands))
+        return ConfigTail(index + 1, _leading_commands(tail.commands))
 
     def _retain(self, data: bytes | None) -> None:
         """Retain a command for updates; drop the oldest ones above the limits."""
@@ -90,6 +91,19 @@
         ):
             self._retained_bytes -= _size(commands.popleft())
 
+    def _tail_from(self, first_index: int) -> ConfigTail:
+        """Return all commands from an index on; most members lack the same ones."""
+        tail = self._tail
+        last_index = self._state.index
+        if tail is None or (tail.first_index, tail.last_index) != (
+            first_index,
+            last_index,
+        ):
+            missing = last_index - first_index + 1
+            tail = ConfigTail(first_index, tuple(self._recent_commands)[-missing:])
+            self._tail = tail
+        return tail
+
     def _current_image(self) -> ConfigImage:
         if self._image is None or self._image.index != self._state.index:
             self._image = ConfigImage(self._state.index, self._state.to_bytes())
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -183,14 +183,18 @@
         self._pushed_index = index
         if index == pushed_index:
             return
+        reply: HeartbeatReply | None = None
         for member in self._node.view.members:
             if member.name == self._node.name:
                 continue
             self._set_peer_address(member.address)
             update = control_node.push_update(member.identity, pushed_index, now)
-            if update is not None:
+            if update is None:
+                continue
+            # Reused while members lack the same commands, so that it is encoded once.
+            if reply is None or reply.update is not update:
                 reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
-                self._node.send(member.name, reply)
+            self._node.send(member.name, reply)
 
     def _advance_moves(self, control_node: ControlNode, now: float) -> None:
         def propose(command: AdvanceMove) -> None:
--- a/src/sassafraspin/rpc/frames.py
+++ b/src/sassafraspin/rpc/frames.py
@@ -45,12 +45,31 @@
 
     def __init__(self, message_type: Any) -> None:
         self._encoder = msgspec.msgpack.Encoder()
+        self._last_message: M | None = None
+        self._last_encoded = b""
         self._decoder = msgspec.msgpack.Decoder(Frame[message_type])
         self._ack_decoder = msgspec.msgpack.Decoder(Acknowledgement)
 
-    def encode(self, value: "Frame[M] | Acknowledgement") -> bytes:
-        """Return the bytes of a frame or an acknowledgement."""
-        return self._encoder.encode(value)
+    def encode_message(self, message: M) -> bytes:
+        """Return the bytes of a message.
+
+        The last result is cached, because a message often goes to many peers.
+        """
+        if message is not self._last_message:
+            self._last_encoded = self._encoder.encode(message)
+            self._last_message = message
+        return self._last_encoded
+
+    def encode_frame(
+        self, source: str, incarnation: int, messages: list[bytes]
+    ) -> bytes:
+        """Return the bytes of a frame with encoded messages."""
+        raw = [msgspec.Raw(message) for message in messages]
+        return self._encoder.encode(Frame(source, incarnation, raw))
+
+    def encode_acknowledgement(self, acknowledgement: Acknowledgement) -> bytes:
+        """Return the bytes of an acknowledgement."""
+        return self._encoder.encode(acknowledgement)
 
     def decode_frame(self, data: bytes) -> Frame[M]:
         """Return the frame in ``data``; raises ``msgspec.DecodeError``."""
--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel, Stream, StreamStreamMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from sassafraspin.rpc.frames import Frame, MessageCodec, RawCodec
+from sassafraspin.rpc.frames import MessageCodec, RawCodec
 from sassafraspin.settings import NamedAddress
 from sassafraspin.telemetry import part_logger
 
@@ -17,8 +17,9 @@
 
 EXCHANGE_PATH = "/sassafraspin.Peer/Exchange"
 
-_MAX_QUEUED_MESSAGES = 10_000
-_MAX_FRAME_MESSAGES = 256
+_MAX_QUEUED_BYTES = 1024 * 1024
+_MAX_FRAME_BYTES = 64 * 1024
+"""Limits of the queue and of a frame, unless a single message is larger."""
 
 _log = part_logger("rpc")
 
@@ -65,12 +66,6 @@
 )
 
 
-@dataclass(frozen=True)
-class _QueuedMessage:
-    message: Any
-    size: int
-
-
 class PeerLink:
     """Sends messages to one peer in order, without delivery guarantee.
 
@@ -104,7 +99,7 @@
         self._incarnation = incarnation
         self._codec = codec
         self._timeouts = timeouts
-        self._queue: deque[_QueuedMessage] = deque()
+        self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._sending_bytes = 0
         self._dropped_messages = 0
@@ -124,6 +119,11 @@
         """Return the bytes of all frames sent, without transport headers."""
         return self._sent_bytes
 
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of messages that wait for an earlier frame to be sent."""
+        return self._queued_bytes
+
     @property
     def pending_bytes(self) -> int:
         """Return the bytes of messages that are queued or being sent."""
@@ -134,23 +134,22 @@
         """Return the number of messages that were discarded without being sent."""
         return self._dropped_messages
 
-    def send(self, message: Any, size: int) -> None:
-        """Queue a message; drop the oldest one when the queue is full.
-
-        Parameters
-        ----------
-        message : object
-            The message.
-        size : int
-            Bytes of the encoded message.
-        """
-        if len(self._queue) >= _MAX_QUEUED_MESSAGES:
-            self._take_oldest()
-            self._dropped_messages += 1
-        self._queue.append(_QueuedMessage(message, size))
-        self._queued_bytes += size
+    def send(self, message: bytes) -> None:
+        """Queue an encoded message; drop the oldest ones when the queue is full."""
+        self._queue.append(message)
+        self._queued_bytes += len(message)
+        while self._queued_bytes > _MAX_QUEUED_BYTES and len(self._queue) > 1:
+            self.drop_oldest()
         self._queued.set()
 
+    def drop_oldest(self) -> bool:
+        """Discard the oldest queued message; return whether there was one."""
+        if not self._queue:
+            return False
+        self._take_oldest()
+        self._dropped_messages += 1
+        return True
+
     async def run(self) -> None:
         """Maintain a stream while there is traffic, until cancelled."""
         while True:
@@ -241,14 +240,17 @@
                 raise _IdleTimeout
 
     def _next_frame(self) -> bytes:
-        count = min(len(self._queue), _MAX_FRAME_MESSAGES)
-        messages = [self._take_oldest() for _ in range(count)]
-        return self._codec.encode(Frame(self._source, self._incarnation, messages))
-
-    def _take_oldest(self) -> Any:
-        queued = self._queue.popleft()
-        self._queued_bytes -= queued.size
-        return queued.message
+        messages = [self._take_oldest()]
+        size = len(messages[0])
+        while self._queue and size + len(self._queue[0]) <= _MAX_FRAME_BYTES:
+            size += len(self._queue[0])
+            messages.append(self._take_oldest())
+        return self._codec.encode_frame(self._source, self._incarnation, messages)
+
+    def _take_oldest(self) -> bytes:
+        message = self._queue.popleft()
+        self._queued_bytes -= len(message)
+        return message
 
     async def _read_acknowledgements(self, stream: Stream[bytes, bytes]) -> None:
         while True:
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -15,7 +15,7 @@
 from grpclib.server import Server, Stream
 
 from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
-from sassafraspin.rpc.frames import Acknowledgement, Frame, MessageCodec, RawCodec
+from sassafraspin.rpc.frames import Acknowledgement, MessageCodec, RawCodec
 from sassafraspin.rpc.link import EXCHANGE_PATH, LinkTimeouts, PeerLink
 from sassafraspin.settings import Address, NamedAddress
 from sassafraspin.telemetry import part_logger
@@ -27,6 +27,9 @@
 
 _ACKNOWLEDGE_INTERVAL_SECONDS = 0.25
 
+_MAX_PENDING_BYTES = 12 * 1024 * 1024
+"""Limit of the bytes queued for all peers together."""
+
 _log = part_logger("rpc")
 
 
@@ -150,15 +153,18 @@
         address = self._addresses.get(peer)
         if address is None:
             return
-        data = self._codec.encode(Frame(self._name, self._incarnation, [message]))
+        data = self._codec.encode_message(message)
         self._sent_bytes_by_type[type(message).__name__] += len(data)
         if len(data) <= MAX_DATAGRAM_BYTES:
-            self._sent_bytes += len(data)
-            self._datagrams.send(address.host, address.port, data)
-            return
+            frame = self._codec.encode_frame(self._name, self._incarnation, [data])
+            if len(frame) <= MAX_DATAGRAM_BYTES:
+                self._sent_bytes += len(frame)
+                self._datagrams.send(address.host, address.port, frame)
+                return
         link = self._links.get(peer) or self._open_link(address)
         if link is not None:
-            link.send(message, len(data))
+            link.send(data)
+            self._limit_pending_bytes()
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen for peers until cancelled."""
@@ -184,6 +190,17 @@
         handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
         return {EXCHANGE_PATH: handler}
 
+    def _limit_pending_bytes(self) -> None:
+        """Drop the oldest message of the longest queue while the limit is exceeded."""
+        links = self._links.values()
+        total = sum(link.pending_bytes for link in links)
+        while total > _MAX_PENDING_BYTES:
+            longest = max(links, key=lambda link: link.queued_bytes)
+            before = longest.queued_bytes
+            if not longest.drop_oldest():
+                return
+            total -= before - longest.queued_bytes
+
     def _open_link(self, address: NamedAddress) -> PeerLink | None:
         if self._loop is None:
             return None
@@ -251,7 +268,9 @@
             await counter.wait()
             if counter.frames != sent:
                 sent = counter.frames
-                await stream.send_message(self._codec.encode(Acknowledgement(sent)))
+                acknowledgement = Acknowledgement(sent)
+                data = self._codec.encode_acknowledgement(acknowledgement)
+                await stream.send_message(data)
             await asyncio.sleep(_ACKNOWLEDGE_INTERVAL_SECONDS)
 
 
