Send log entries to a voter once, and stop and wait for their acknowledgement

Cause: a large entry goes over a stream, and the leader's next heartbeat goes as a datagram that refers to the entry before it has arrived. The follower rejected the heartbeat, and the leader sent the same entries again, up to 256 of them without a limit in bytes.

Change: the leader probes with empty appends until it knows where the logs match. Then one batch of at most 256 KiB is in transit to a voter, heartbeats refer to what the voter is known to have, and a batch is sent again only after three heartbeats without progress, which doubles. Entries appended meanwhile go with the next batch, one round trip later.

--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -12,15 +12,45 @@
 __all__ = ["Leadership"]
 
 _SNAPSHOT_INTERVAL_HEARTBEATS = 5
+_FIRST_RETRANSMIT_HEARTBEATS = 3
+_MAX_RETRANSMIT_HEARTBEATS = 24
 
 
 @dataclass
 class _Progress:
+    """Replication progress of one peer.
+
+    Parameters
+    ----------
+    next_index : int
+        Index of the first entry that was not sent yet. While probing, the index after
+        the one at which the logs may match.
+    match_index : int
+        Last index known to be stored by the peer.
+    is_probing : bool
+        Whether it is still unknown where the logs match.
+    contact : float
+        Send time of the last message that the peer answered, in seconds.
+    sent_at : float
+        Time at which entries were last sent, in seconds.
+    retransmit_heartbeats : int
+        Heartbeats without progress after which entries count as lost.
+    snapshot_sent : float
+        Time at which a snapshot was last sent, in seconds.
+    """
+
     next_index: int
     match_index: int = 0
+    is_probing: bool = True
     contact: float = float("-inf")
+    sent_at: float = float("-inf")
+    retransmit_heartbeats: int = _FIRST_RETRANSMIT_HEARTBEATS
     snapshot_sent: float = float("-inf")
 
+    @property
+    def is_sending(self) -> bool:
+        return not self.is_probing and self.next_index > self.match_index + 1
+
 
 class Leadership:
     """Replication progress of each peer, the leader lease and the quorum check.
@@ -83,19 +113,47 @@
         """Return the last index known to be stored on the peer's disk."""
         return self._progress_of(peer).match_index
 
-    def record_sent(self, peer: Voter, next_index: int) -> None:
-        """Advance the next index optimistically; a rejection moves it back."""
-        self._progress_of(peer).next_index = next_index
+    def is_probing(self, peer: Voter) -> bool:
+        """Return whether it is still unknown where the peer's log matches."""
+        return self._progress_of(peer).is_probing
+
+    def is_in_transit(self, peer: Voter, now: float) -> bool:
+        """Return whether entries were sent that may still arrive at the peer."""
+        progress = self._progress_of(peer)
+        timeout = progress.retransmit_heartbeats * self._timings.heartbeat
+        return progress.is_sending and now - progress.sent_at < timeout
+
+    def record_sent(self, peer: Voter, next_index: int, now: float) -> None:
+        """Record that the entries before ``next_index`` are being sent."""
+        progress = self._progress_of(peer)
+        progress.next_index = next_index
+        progress.sent_at = now
+
+    def expire_sent(self, peer: Voter) -> None:
+        """Record that entries sent to the peer are lost, if there are any."""
+        progress = self._progress_of(peer)
+        if progress.is_sending:
+            progress.next_index = progress.match_index + 1
+            progress.retransmit_heartbeats = min(
+                2 * progress.retransmit_heartbeats, _MAX_RETRANSMIT_HEARTBEATS
+            )
 
     def record_match(self, peer: Voter, index: int) -> None:
         """Record the last index that a peer has stored."""
         progress = self._progress_of(peer)
+        if index > progress.match_index:
+            progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.match_index = max(progress.match_index, index)
-        progress.next_index = max(progress.next_index, index + 1)
+        if progress.is_probing:
+            progress.is_probing = False
+            progress.next_index = progress.match_index + 1
+        else:
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
 
     def rewind(self, peer: Voter, hint: int) -> None:
-        """Move the next index back after a rejection."""
+        """Probe from an earlier index after a rejection."""
         progress = self._progress_of(peer)
+        progress.is_probing = True
         progress.next_index = max(
             progress.match_index + 1, min(hint, progress.next_index)
         )
--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -1,5 +1,7 @@
 """In-memory replicated log: a snapshot and the entries after it."""
 
+import math
+
 from sassafraspin.control.messages import (
     CommandEntry,
     Entry,
@@ -53,12 +55,7 @@
     @property
     def bytes(self) -> int:
         """Return the bytes of the snapshot and of the commands after it."""
-        commands = (
-            len(entry.data)
-            for entry in self._entries
-            if isinstance(entry, CommandEntry)
-        )
-        return len(self._snapshot.data) + sum(commands)
+        return len(self._snapshot.data) + sum(map(_command_bytes, self._entries))
 
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at ``index``, ``None`` if the log lacks it."""
@@ -72,11 +69,34 @@
         """Return the entry at ``index``."""
         return self._entries[index - self._snapshot.index - 1]
 
-    def entries_from(self, index: int, limit: int | None = None) -> tuple[Entry, ...]:
-        """Return up to ``limit`` entries, starting at ``index``."""
+    def entries_from(
+        self, index: int, limit: int | None = None, max_bytes: float = math.inf
+    ) -> tuple[Entry, ...]:
+        """Return the entries from an index on.
+
+        Parameters
+        ----------
+        index : int
+            Index of the first entry.
+        limit : int or None
+            Maximum number of entries.
+        max_bytes : float
+            Maximum bytes of their commands; the first entry may exceed it alone.
+
+        Returns
+        -------
+        tuple of Entry
+            The entries; empty if the log ends before ``index``.
+        """
         start = index - self._snapshot.index - 1
         stop = None if limit is None else start + limit
-        return tuple(self._entries[start:stop])
+        entries = self._entries[start:stop]
+        total = 0
+        for count, entry in enumerate(entries):
+            total += _command_bytes(entry)
+            if count > 0 and total > max_bytes:
+                return tuple(entries[:count])
+        return tuple(entries)
 
     def write(self, first_index: int, entries: tuple[Entry, ...]) -> None:
         """Replace all entries from ``first_index`` on with ``entries``."""
@@ -145,3 +165,7 @@
                 self._voters = entry.voters
                 self._voters_index = self._snapshot.index + 1 + offset
                 return
+
+
+def _command_bytes(entry: Entry) -> int:
+    return len(entry.data) if isinstance(entry, CommandEntry) else 0
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -41,6 +41,8 @@
 __all__ = ["ControlReplica", "PersistentState", "ReplicaTimings", "Role"]
 
 _MAX_ENTRIES_PER_APPEND = 256
+_MAX_BYTES_PER_APPEND = 256 * 1024
+"""Bytes of commands in one append, unless a single command is larger."""
 
 
 class Role(StrEnum):
@@ -460,18 +462,38 @@
     def _send_entries(self, peer: Voter, now: float) -> None:
         leadership = self._leadership
         assert leadership is not None
+        if leadership.is_in_transit(peer, now):
+            self._send_append(peer, leadership.match_index(peer), (), now)
+            return
+        leadership.expire_sent(peer)
         next_index = leadership.next_index(peer)
-        previous_term = self._log.term_at(next_index - 1)
-        if previous_term is None:
+        if self._log.term_at(next_index - 1) is None:
             snapshot = InstallSnapshot(self._term, self._log.snapshot, now)
             if leadership.may_send_snapshot(peer, now):
                 self._send(peer.name, snapshot)
             return
-        entries = self._log.entries_from(next_index, _MAX_ENTRIES_PER_APPEND)
-        leadership.record_sent(peer, next_index + len(entries))
+        entries: tuple[Entry, ...] = ()
+        if not leadership.is_probing(peer):
+            entries = self._log.entries_from(
+                next_index, _MAX_ENTRIES_PER_APPEND, _MAX_BYTES_PER_APPEND
+            )
+            leadership.record_sent(peer, next_index + len(entries), now)
+        self._send_append(peer, next_index - 1, entries, now)
+
+    def _send_append(
+        self, peer: Voter, previous_index: int, entries: tuple[Entry, ...], now: float
+    ) -> None:
+        """Send entries after an index, or a heartbeat if there are none.
+
+        If the log no longer has the previous entry, a heartbeat refers to the start of
+        the log, where all logs match.
+        """
+        previous_term = self._log.term_at(previous_index)
+        if previous_term is None:
+            previous_index, previous_term = 0, 0
         request = AppendRequest(
             self._term,
-            next_index - 1,
+            previous_index,
             previous_term,
             entries,
             self._commit_index,
@@ -491,13 +513,15 @@
             return
         leadership.record_contact(peer, reply.sent_at)
         if not reply.success:
-            leadership.rewind(peer, reply.match_index)
-            self._send_entries(peer, now)
+            if not leadership.is_in_transit(peer, now):
+                leadership.rewind(peer, reply.match_index)
+                self._send_entries(peer, now)
             return
         leadership.record_match(peer, min(reply.match_index, self._log.last_index))
         self._advance_commit()
         self._admit_learner(peer, now)
-        if leadership.next_index(peer) <= self._log.last_index:
+        has_more = leadership.next_index(peer) <= self._log.last_index
+        if has_more and not leadership.is_in_transit(peer, now):
             self._send_entries(peer, now)
 
     def _advance_commit(self) -> None:
