Compact the control log by bytes too

Evidence: test_log_is_compacted_before_large_tables_fill_the_disk held 8.8 MB after some 220 changes of 40 KB, and grew. The setting control.snapshot_after_bytes defaults to 4 MiB.

--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -23,6 +23,7 @@
     ) -> None:
         self._snapshot = snapshot
         self._entries = list(entries)
+        self._entry_bytes = sum(map(_command_bytes, self._entries))
         self._update_voters()
 
     @property
@@ -55,7 +56,12 @@
     @property
     def bytes(self) -> int:
         """Return the bytes of the snapshot and of the commands after it."""
-        return len(self._snapshot.data) + sum(map(_command_bytes, self._entries))
+        return len(self._snapshot.data) + self._entry_bytes
+
+    @property
+    def entry_bytes(self) -> int:
+        """Return the bytes of the commands after the snapshot."""
+        return self._entry_bytes
 
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at ``index``, ``None`` if the log lacks it."""
@@ -100,8 +106,11 @@
 
     def write(self, first_index: int, entries: tuple[Entry, ...]) -> None:
         """Replace all entries from ``first_index`` on with ``entries``."""
-        del self._entries[first_index - self._snapshot.index - 1 :]
+        start = first_index - self._snapshot.index - 1
+        self._entry_bytes -= sum(map(_command_bytes, self._entries[start:]))
+        del self._entries[start:]
         self._entries.extend(entries)
+        self._entry_bytes += sum(map(_command_bytes, entries))
         self._update_voters()
 
     def merge(self, previous_index: int, entries: tuple[Entry, ...]) -> int | None:
@@ -145,6 +154,7 @@
             kept = self.entries_from(snapshot.index + 1)
         self._snapshot = snapshot
         self._entries = list(kept)
+        self._entry_bytes = sum(map(_command_bytes, kept))
         self._update_voters()
 
     def voters_at(self, index: int) -> tuple[Voter, ...]:
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -60,6 +60,8 @@
         Timings of member leases.
     snapshot_after_entries : int
         Number of applied log entries after which the log is compacted.
+    snapshot_after_bytes : int
+        Bytes of log entries after which the log is compacted.
     """
 
     name: str
@@ -67,6 +69,7 @@
     replica: ReplicaTimings
     members: MemberTimings
     snapshot_after_entries: int
+    snapshot_after_bytes: int = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -342,8 +345,9 @@
     def _compact_if_due(self) -> None:
         log = self._replica.log
         applied = self._configuration.index
-        if applied - log.snapshot.index < self._settings.snapshot_after_entries:
+        if applied == log.snapshot.index or applied != self._replica.applied_index:
             return
-        if applied != self._replica.applied_index:
+        is_long = applied - log.snapshot.index >= self._settings.snapshot_after_entries
+        if not is_long and log.entry_bytes < self._settings.snapshot_after_bytes:
             return
         self._execute_all(self._replica.compact(self._configuration.state.to_bytes()))
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -93,7 +93,8 @@
     responded for ``replace_after_ms``. If ``replace_after_ms`` is not set, only the
     listed instances can be part of the quorum. ``data_folder`` is required on control
     instances and spares; it is relative to the folder of the settings file. The log is
-    compacted into a snapshot after ``snapshot_after_entries`` applied entries.
+    compacted into a snapshot after ``snapshot_after_entries`` applied entries, or
+    once its entries take ``snapshot_after_bytes``.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -104,6 +105,7 @@
     member_lease_ms: _Milliseconds = 3000
     election_timeout_ms: _Milliseconds = 1000
     snapshot_after_entries: _Count = 1000
+    snapshot_after_bytes: _Count = 4 * 1024 * 1024
     spare: bool = False
     replace_after_ms: _Milliseconds | None = None
 
