Compress the configuration updates of members

Callers were not served while the configuration changed on the grown deployments: each change went to 66 members as the whole table and its document, some 43 KB each (2.8 MB a change at 63 routes) over the leader's link of 6 MB a second, which also carries the grants of slots; a starting member also gets all views of the last hour, 8 KB each.

Change: an update of 1 KB or more is sent as PackedUpdate, compressed by zlib once for all members that lack the same. A member says in its heartbeat that it understands it, so older builds get plain updates and newer ones understand both.

--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -4,14 +4,24 @@
 
 from sassafraspin.control.commands import CommandOutcome, decode_command
 from sassafraspin.control.state import ControlState
-from sassafraspin.membership import ConfigImage, ConfigTail, ConfigUpdate
+from sassafraspin.membership import (
+    ConfigImage,
+    ConfigTail,
+    ConfigUpdate,
+    InvalidUpdate,
+    PackedUpdate,
+    unpack_update,
+)
+from sassafraspin.telemetry import part_logger
 
 __all__ = ["Configuration"]
 
+_log = part_logger("control")
+
 _RETAINED_COMMANDS = 1_000
 _RETAINED_BYTES = 4 * 1024 * 1024
 
-_MAX_TAIL_BYTES = 64 * 1024
+_MAX_TAIL_BYTES = 128 * 1024
 """Bytes of commands in one update, unless a single command is larger."""
 
 
@@ -62,7 +72,7 @@
         self._retained_bytes = 0
         self._tail = None
 
-    def update_since(self, index: int) -> ConfigUpdate | None:
+    def update_since(self, index: int) -> ConfigTail | ConfigImage | None:
         """Return an update for an instance at ``index``, ``None`` if it lacks nothing.
 
         The update is a log tail if that is short. Otherwise it is a snapshot, unless
@@ -81,6 +91,12 @@
             return image
         return ConfigTail(index + 1, _leading_commands(tail.commands))
 
+    def _apply_packed(self, packed: PackedUpdate) -> None:
+        try:
+            self.apply_update(unpack_update(packed))
+        except InvalidUpdate as error:
+            _log.warning("Ignored a configuration update: {}.", error)
+
     def _retain(self, data: bytes | None) -> None:
         """Retain a command for updates; drop the oldest ones above the limits."""
         commands = self._recent_commands
@@ -112,6 +128,8 @@
     def apply_update(self, update: ConfigUpdate) -> None:
         """Apply an update; a log tail that would leave a gap is ignored."""
         match update:
+            case PackedUpdate():
+                self._apply_packed(update)
             case ConfigImage():
                 self.restore(update.index, update.data)
             case ConfigTail():
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -203,8 +203,7 @@
             view = self._configuration.state.view
             lease = self._member_table.grant(identity, heartbeat, view, now)
             voters = tuple(voter.name for voter in self._replica.log.voters)
-            index = heartbeat.config_index
-            update = self._transfers.reply_update(identity, index, now)
+            update = self._transfers.reply_update(identity, heartbeat, now)
         elif leader == self._settings.name:
             leader = None
         return HeartbeatReply(
--- a/src/sassafraspin/control/transfers.py
+++ b/src/sassafraspin/control/transfers.py
@@ -4,13 +4,26 @@
 from dataclasses import dataclass, field
 
 from sassafraspin.control.config import Configuration
-from sassafraspin.membership import ConfigUpdate, MemberIdentity
+from sassafraspin.membership import (
+    ConfigImage,
+    ConfigTail,
+    ConfigUpdate,
+    MemberHeartbeat,
+    MemberIdentity,
+    PackedUpdate,
+    pack_update,
+)
 
 __all__ = ["ConfigTransfers"]
 
 _WINDOW_BYTES = 128 * 1024
 """Bytes in transit to one member above which it is sent no newer update."""
 
+_MIN_PACKED_BYTES = 1_000
+"""Size from which an update is compressed; smaller ones fit into a datagram."""
+
+_CACHED_UPDATES = 4
+
 _FIRST_RETRY_SECONDS = 0.4
 _MAX_RETRY_SECONDS = 3.2
 
@@ -30,6 +43,8 @@
         Index that the member reaches once all updates in transit have arrived.
     is_reported : bool
         Whether the member has reported its index.
+    accepts_packed : bool
+        Whether the member understands compressed updates.
     sent_at : float
         Time at which an update was last sent, in seconds.
     retry_after : float
@@ -42,6 +57,7 @@
     index: int
     sent_index: int
     is_reported: bool = False
+    accepts_packed: bool = False
     sent_at: float = float("-inf")
     retry_after: float = _FIRST_RETRY_SECONDS
     in_transit: deque[tuple[int, int]] = field(default_factory=deque)
@@ -86,9 +102,10 @@
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._transfers: dict[str, _Transfer] = {}
+        self._packed: dict[int, tuple[ConfigTail | ConfigImage, PackedUpdate]] = {}
 
     def reply_update(
-        self, identity: MemberIdentity, index: int, now: float
+        self, identity: MemberIdentity, heartbeat: MemberHeartbeat, now: float
     ) -> ConfigUpdate | None:
         """Return the update to send in reply to a heartbeat, if one is due.
 
@@ -96,12 +113,14 @@
         ----------
         identity : MemberIdentity
             The member.
-        index : int
-            Index of its configuration.
+        heartbeat : MemberHeartbeat
+            The heartbeat, with the index of the member's configuration.
         now : float
             Monotonic time in seconds.
         """
+        index = heartbeat.config_index
         transfer = self._transfer(identity, index)
+        transfer.accepts_packed = heartbeat.accepts_packed
         transfer.acknowledge(index)
         transfer.expire(now)
         if transfer.in_transit:
@@ -135,10 +154,24 @@
         return transfer
 
     def _next_update(self, transfer: _Transfer, now: float) -> ConfigUpdate | None:
-        update = self._configuration.update_since(transfer.sent_index)
-        if update is None:
+        plain = self._configuration.update_since(transfer.sent_index)
+        if plain is None:
             return None
+        update: ConfigUpdate = plain
+        if transfer.accepts_packed and plain.size >= _MIN_PACKED_BYTES:
+            update = self._pack(plain)
         transfer.sent_index = update.last_index
         transfer.sent_at = now
         transfer.in_transit.append((update.last_index, update.size))
         return update
+
+    def _pack(self, update: ConfigTail | ConfigImage) -> PackedUpdate:
+        """Compress an update; the results are cached, as most members lack the same."""
+        key = id(update)
+        cached = self._packed.get(key)
+        if cached is None or cached[0] is not update:
+            if len(self._packed) >= _CACHED_UPDATES:
+                self._packed.clear()
+            cached = update, pack_update(update)
+            self._packed[key] = cached
+        return cached[1]
--- a/src/sassafraspin/membership/__init__.py
+++ b/src/sassafraspin/membership/__init__.py
@@ -8,6 +8,12 @@
     HeartbeatReply,
     MemberHeartbeat,
     MembershipMessage,
+    PackedUpdate,
+)
+from sassafraspin.membership.packing import (
+    InvalidUpdate,
+    pack_update,
+    unpack_update,
 )
 from sassafraspin.membership.table import MemberTable, MemberTimings
 from sassafraspin.membership.view import Member, MemberIdentity, View
@@ -17,6 +23,7 @@
     "ConfigTail",
     "ConfigUpdate",
     "HeartbeatReply",
+    "InvalidUpdate",
     "Member",
     "MemberHeartbeat",
     "MemberIdentity",
@@ -24,6 +31,9 @@
     "MemberTable",
     "MemberTimings",
     "MembershipMessage",
+    "PackedUpdate",
     "SendHeartbeat",
     "View",
+    "pack_update",
+    "unpack_update",
 ]
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -104,7 +104,7 @@
             self._try_next_target()
         member = None if view.contains(self._member.identity) else self._member
         heartbeat = MemberHeartbeat(
-            member, config_index, synced_view, self._leaving, now
+            member, config_index, synced_view, self._leaving, now, accepts_packed=True
         )
         return SendHeartbeat(self._target, heartbeat)
 
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -11,6 +11,7 @@
     "HeartbeatReply",
     "MemberHeartbeat",
     "MembershipMessage",
+    "PackedUpdate",
 ]
 
 
@@ -30,6 +31,8 @@
         Whether the sender has stopped serving and requests its removal.
     sent_at : float
         Time of the sender's clock; returned in the reply.
+    accepts_packed : bool
+        Whether the sender understands ``PackedUpdate``; older builds do not.
     """
 
     member: Member | None
@@ -37,6 +40,7 @@
     synced_view: int
     leaving: bool
     sent_at: float
+    accepts_packed: bool = False
 
 
 class ConfigTail(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -73,7 +77,19 @@
         return len(self.data)
 
 
-ConfigUpdate = ConfigTail | ConfigImage
+class PackedUpdate(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A compressed ``ConfigTail`` or ``ConfigImage`` that ends at ``last_index``."""
+
+    last_index: int
+    data: bytes
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of the compressed update."""
+        return len(self.data)
+
+
+ConfigUpdate = ConfigTail | ConfigImage | PackedUpdate
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -89,7 +105,7 @@
         Last log index that the sender knows to be committed.
     sent_at : float
         Time of the member's clock, copied from the heartbeat.
-    update : ConfigTail, ConfigImage or None
+    update : ConfigTail, ConfigImage, PackedUpdate or None
         Configuration that the member lacks.
     voters : tuple of str
         Names of the voting control instances; empty if the sender is not the leader.
--- a/tests/test_config_transfer.py
+++ b/tests/test_config_transfer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sassafraspin.control import (
+    ChangeView,
     Configuration,
     ControlNode,
     ControlNodeSettings,
@@ -20,6 +21,9 @@
     MemberHeartbeat,
     MemberIdentity,
     MemberTimings,
+    PackedUpdate,
+    View,
+    unpack_update,
 )
 from sassafraspin.routes import CallerLimits, DeclaredTable, RoutingTable
 from tests.quorum_model import QuorumModel
@@ -176,3 +180,49 @@
             leader.change(20)
             self.assertLess(leader.node.replica.log.bytes, MAX_LOG_BYTES)
             self.assertLess(leader.configuration.retained_bytes, MAX_LOG_BYTES)
+
+
+class TestPackedUpdates(unittest.TestCase):
+    """Compressed updates, and members that do not understand them."""
+
+    def views(self) -> SingleLeader:
+        """Return a leader after sixty changes of a view with sixty members."""
+        leader = SingleLeader()
+        for number in range(60):
+            members = tuple(
+                Member(f"m{name}", 1 + number * (name == number), "s", "a", "h", 7400)
+                for name in range(60)
+            )
+            view = View(leader.configuration.state.view.number + 1, 0, members)
+            command = ChangeView(f"view-{view.number}", 0, view)
+            leader.node.propose(command, lambda result: None, leader.now)
+        return leader
+
+    def reply(self, leader: SingleLeader, accepts_packed: bool) -> HeartbeatReply:
+        heartbeat = MemberHeartbeat(
+            MEMBER, 0, 0, False, leader.now, accepts_packed=accepts_packed
+        )
+        return leader.node.heartbeat(IDENTITY, heartbeat, leader.now)
+
+    def test_repeated_views_take_a_fraction_of_their_bytes(self):
+        plain = self.reply(self.views(), False)
+        packed = self.reply(self.views(), True)
+        self.assertLess(10 * encoded_size(packed), encoded_size(plain))
+        self.assertEqual(unpack_update(packed.update), plain.update)
+
+    def test_builds_that_do_not_know_packed_updates_get_plain_ones(self):
+        heartbeat = msgspec.msgpack.encode(MemberHeartbeat(MEMBER, 0, 0, False, 0.0))
+        *old_fields, accepts_packed = msgspec.msgpack.decode(heartbeat)
+        self.assertIs(accepts_packed, False)
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(old_fields), type=MemberHeartbeat
+        )
+        self.assertFalse(decoded.accepts_packed)
+        self.assertNotIsInstance(self.reply(self.views(), False).update, PackedUpdate)
+
+    def test_damaged_update_is_ignored(self):
+        packed = self.reply(self.views(), True).update
+        member = Configuration()
+        for data in (b"", packed.data[:-9], b"x" + packed.data, packed.data[::-1]):
+            member.apply_update(PackedUpdate(packed.last_index, data))
+        self.assertEqual(member.index, 0)
