Replicate to a new disk that is known only from its answers

Callers saw a control quorum that stayed at two working voters after one control instance lost its disk, until a leader change or a restart happened to help.

Cause: entries are sent to the name of a voter, so an instance with a new disk hears the leader. It sends no Hello while it hears one. The leader ignored answers with a disk that is neither a voter's nor a learner's. A learner known only to an earlier leader therefore stayed unknown, and the lost disk stayed a voter.

Evidence: test_new_disk_known_only_from_its_answers_becomes_a_voter fails before this change (the lost disk is still a voter after 3 s) and passes with it.

An answer with an unknown disk now registers the instance as a learner, as Hello does, under the same condition on its name. Answers are sent for every append, so the registration repeats under every leader. Weighed: Hello from every non-voter even while it hears a leader; that costs messages all the time.

--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -274,7 +274,7 @@
             self._send(name, Hello(self._own.disk_id))
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
-        if source not in self._configured and not self._admits_spares:
+        if not self._may_learn(source):
             return
         sender = Voter(source, message.disk_id)
         if self._log.voters:
@@ -488,6 +488,8 @@
             return
         peer = Voter(source, reply.disk_id)
         if not leadership.replicates_to(peer, self._log.voters):
+            # A replica that hears the leader does not announce a new disk.
+            self._register_learner(peer, now)
             return
         leadership.record_contact(peer, reply.sent_at)
         if not reply.success:
@@ -509,11 +511,15 @@
         leadership.record_term_committed()
         self._advance_commit_to(index)
 
+    def _may_learn(self, name: str) -> bool:
+        """Return whether an instance may become a learner."""
+        return self._admits_spares or name in self._configured
+
     def _register_learner(self, learner: Voter, now: float) -> None:
         """Replicate to a non-voter, and remove the voter that it replaces, if any."""
         leadership = self._leadership
         voters = self._log.voters
-        if leadership is None or learner in voters:
+        if leadership is None or learner in voters or not self._may_learn(learner.name):
             return
         leadership.add_learner(learner, self._log.last_index)
         superseded = [
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -13,16 +13,25 @@
     run_state_machine_as_test,
 )
 
-from sassafraspin.control import ControlReplica, PersistentState, ReplicaDisk, Voter
-from sassafraspin.control.effects import AppendToDisk, SendToReplica
+from sassafraspin.control import (
+    ControlReplica,
+    PersistentState,
+    ReplicaDisk,
+    ReplicaMessage,
+    ReplicaTimings,
+    Voter,
+)
+from sassafraspin.control.effects import AppendToDisk, Effect, SendToReplica
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
     CommandEntry,
     Snapshot,
+    VoteReply,
+    VoteRequest,
 )
 from tests.fuzz import fuzz_settings
-from tests.quorum_model import TIMINGS, QuorumModel
+from tests.quorum_model import TICK_SECONDS, TIMINGS, QuorumModel
 from tests.simulation import MemoryFiles, NetworkConditions
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
@@ -338,6 +347,81 @@
     model.run(10.0)
 
 
+class LeaderHarness:
+    """A leader ``c0`` whose peers acknowledge every append with a given disk.
+
+    Parameters
+    ----------
+    timings : ReplicaTimings
+        Timeouts of the leader.
+    """
+
+    def __init__(self, timings: ReplicaTimings = TIMINGS) -> None:
+        names = ("c0", "c1", "c2")
+        self.now = 0.0
+        self.disks = {name: f"{name}-first" for name in names}
+        voters = tuple(Voter(name, disk) for name, disk in self.disks.items())
+        persistent_state = PersistentState(
+            self.disks["c0"], 1, None, Snapshot(10, 1, voters, b"state")
+        )
+        self.replica = ControlReplica(
+            "c0", names, persistent_state, timings, random.Random(1), self.now
+        )
+        self.history = [voters]
+        self.run(3.0)
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """Return the voters that the leader has appended last."""
+        return self.replica.log.voters
+
+    def voter(self, name: str) -> Voter:
+        """Return an instance with its current disk."""
+        return Voter(name, self.disks[name])
+
+    def run(self, seconds: float) -> None:
+        """Tick the leader and answer its messages."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            self.answer(self.replica.tick(self.now))
+
+    def receive(self, source: str, message: ReplicaMessage) -> None:
+        """Deliver a message to the leader and answer what it sends."""
+        self.answer(self.replica.receive(source, message, self.now))
+
+    def answer(self, effects: list[Effect]) -> None:
+        """Answer the leader's messages in the name of the running peers."""
+        if self.voters != self.history[-1]:
+            self.history.append(self.voters)
+        for effect in effects:
+            if isinstance(effect, SendToReplica) and effect.name in self.disks:
+                self._answer_message(effect.name, effect.message)
+
+    def _answer_message(self, name: str, message: ReplicaMessage) -> None:
+        disk = self.disks[name]
+        match message:
+            case VoteRequest(term, pre):
+                current = term - 1 if pre else term
+                self.receive(name, VoteReply(term, pre, True, disk, current))
+            case AppendRequest():
+                end = message.previous_index + len(message.entries)
+                reply = AppendReply(message.term, True, end, disk, message.sent_at)
+                self.receive(name, reply)
+
+
+class TestVoterChanges(unittest.TestCase):
+    """Voters that a leader adds and removes."""
+
+    def test_new_disk_known_only_from_its_answers_becomes_a_voter(self):
+        """A replica that hears the leader sends no ``Hello`` with its new disk."""
+        harness = LeaderHarness()
+        lost = harness.voter("c1")
+        harness.disks["c1"] = "c1-second"
+        harness.run(3.0)
+        self.assertNotIn(lost, harness.voters)
+        self.assertIn(harness.voter("c1"), harness.voters)
+
+
 class TestFollower(unittest.TestCase):
     """Appends that overlap with the snapshot of a follower."""
 
