Add a voter's replacement before removing it, by one rule for all changes

Callers saw a control quorum without a leader for good after one frozen instance and one lost disk, and a quorum of two voters after an instance lost its disk repeatedly.

VoterPolicy in control/voters.py now holds the one rule, checked at each tick of the leader: previous change and an entry of the term committed; a majority of the new voters confirmed (answered within the election timeout, all committed entries stored); a voter with a proven newer disk is removed at once; any other voter is removed only while there are more than 2f+1, so its replacement is added first. 2f+2 voters still have a majority of f+2 after f lost disks. A removed voter with its disk stays a learner.

A disk is newer only if it has answered a message sent after its registration. A late Hello of an older disk removed the voter with the current one before (test_late_message_of_an_older_disk_removes_no_voter).

Ruled out: a check of recent answers alone. Ruled out too: adding a new disk beside the lost one of the same name, as the loss of one machine would then count twice.

--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -17,6 +17,7 @@
 @dataclass
 class _Progress:
     next_index: int
+    since: float = float("-inf")
     match_index: int = 0
     contact: float = float("-inf")
     snapshot_sent: float = float("-inf")
@@ -69,11 +70,11 @@
         """Return whether entries are replicated to this peer and disk."""
         return peer in voters or self._learners.get(peer.name) == peer
 
-    def add_learner(self, peer: Voter, last_index: int) -> None:
+    def add_learner(self, peer: Voter, last_index: int, now: float) -> None:
         """Start to replicate to a peer that does not vote."""
         if self._learners.get(peer.name) != peer:
             self._learners[peer.name] = peer
-            self._progress[peer] = _Progress(last_index + 1)
+            self._progress[peer] = _Progress(last_index + 1, now)
 
     def next_index(self, peer: Voter) -> int:
         """Return the index of the first entry to send to a peer."""
@@ -110,8 +111,13 @@
         return True
 
     def record_contact(self, peer: Voter, sent_at: float) -> None:
-        """Record that a peer answered a message sent at ``sent_at``."""
+        """Record that a peer answered a message sent at ``sent_at``.
+
+        An answer to a message sent before the peer became a learner is ignored.
+        """
         progress = self._progress_of(peer)
+        if sent_at < progress.since:
+            return
         progress.contact = max(progress.contact, sent_at)
         self._cached_contact = None
 
@@ -141,16 +147,29 @@
         """Return the seconds since a peer last answered, or since the term started."""
         return now - max(self._progress_of(peer).contact, self._since)
 
-    def has_current_learner(
+    def confirmed_peers(
         self, voters: tuple[Voter, ...], commit_index: int, now: float
-    ) -> bool:
-        """Return whether a live learner has stored every committed entry."""
-        return any(
-            peer not in voters
+    ) -> set[Voter]:
+        """Return the peers that are alive and have stored every committed entry."""
+        alive_since = now - self._timings.election_timeout
+        return {
+            peer
+            for peer in self.peers(voters)
+            if self._progress_of(peer).contact > alive_since
             and self._progress_of(peer).match_index >= commit_index
-            and self.silent_for(peer, now) < self._timings.election_timeout
-            for peer in self._learners.values()
-        )
+        }
+
+    def is_disk_lost(self, voter: Voter) -> bool:
+        """Return whether the voter's instance has answered with a newer disk.
+
+        A learner of the same name is registered after the voter was added. If it has
+        answered a message sent since, its disk is newer than the voter's. A delayed
+        message of an older disk is no such answer.
+        """
+        learner = self._learners.get(voter.name)
+        if learner is None or learner == voter:
+            return False
+        return self._progress_of(learner).contact > float("-inf")
 
     def has_lost_quorum(self, voters: tuple[Voter, ...], now: float) -> bool:
         """Return whether no majority has answered for two election timeouts."""
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -37,6 +37,7 @@
     VotersEntry,
     Welcome,
 )
+from sassafraspin.control.voters import VoterPolicy
 
 __all__ = ["ControlReplica", "PersistentState", "ReplicaTimings", "Role"]
 
@@ -130,6 +131,9 @@
             self._own, timings, generator, now, process_started_at
         )
         self._bootstrap = QuorumBootstrap(self._own, configured, timings.heartbeat, now)
+        self._voter_policy = VoterPolicy(
+            self._own, configured, len(configured), timings.replace_after
+        )
         self._term = persistent_state.term
         self._voted_for = persistent_state.voted_for
         self._log = ReplicatedLog(persistent_state.snapshot, persistent_state.entries)
@@ -274,7 +278,7 @@
             self._send(name, Hello(self._own.disk_id))
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
-        if not self._may_learn(source):
+        if not self._voter_policy.may_learn(source):
             return
         sender = Voter(source, message.disk_id)
         if self._log.voters:
@@ -438,8 +442,7 @@
             self._leader = None
             self._election.postpone(now)
             return
-        if self._admits_spares:
-            self._remove_lost_voter(leadership, now)
+        self._change_voters(leadership, now)
         if leadership.heartbeat_due(now):
             self._replicate(now)
 
@@ -498,7 +501,6 @@
             return
         leadership.record_match(peer, min(reply.match_index, self._log.last_index))
         self._advance_commit()
-        self._admit_learner(peer, now)
         if leadership.next_index(peer) <= self._log.last_index:
             self._send_entries(peer, now)
 
@@ -511,73 +513,26 @@
         leadership.record_term_committed()
         self._advance_commit_to(index)
 
-    def _may_learn(self, name: str) -> bool:
-        """Return whether an instance may become a learner."""
-        return self._admits_spares or name in self._configured
-
     def _register_learner(self, learner: Voter, now: float) -> None:
-        """Replicate to a non-voter, and remove the voter that it replaces, if any."""
+        """Replicate to an instance that is not a voter with this disk."""
         leadership = self._leadership
-        voters = self._log.voters
-        if leadership is None or learner in voters or not self._may_learn(learner.name):
-            return
-        leadership.add_learner(learner, self._log.last_index)
-        superseded = [
-            voter
-            for voter in voters
-            if voter != self._own and self._is_superseded(voter, learner)
-        ]
-        if superseded and self._can_change_voters():
-            remaining = tuple(voter for voter in voters if voter != superseded[0])
-            self._append(VotersEntry(self._term, remaining), now)
-
-    def _is_superseded(self, voter: Voter, learner: Voter) -> bool:
-        """Return whether a voter has a new disk or is no longer configured."""
-        if voter.name == learner.name:
-            return True
-        return not self._admits_spares and voter.name not in self._configured
-
-    def _remove_lost_voter(self, leadership: Leadership, now: float) -> None:
-        """Remove the voter that has been silent longest if a spare is up to date.
-
-        The voter must have been silent for ``replace_after``. The spare becomes a
-        voter with its next reply. Of two lost voters the one heard from last stays,
-        since it is more likely to return.
-        """
-        replace_after = self._timings.replace_after
-        if replace_after is None or not self._can_change_voters():
-            return
-        voters = self._log.voters
-        if not leadership.has_current_learner(voters, self._commit_index, now):
+        if leadership is None or learner in self._log.voters:
             return
-        silent = [
-            (leadership.silent_for(voter, now), voter)
-            for voter in voters
-            if voter != self._own
-        ]
-        longest, lost = max(silent, default=(0.0, None))
-        if lost is None or longest < replace_after:
-            return
-        remaining = tuple(voter for voter in voters if voter != lost)
-        self._append(VotersEntry(self._term, remaining), now)
-
-    def _admit_learner(self, peer: Voter, now: float) -> None:
-        leadership = self._leadership
-        voters = self._log.voters
-        if leadership is None or peer in voters or not self._can_change_voters():
-            return
-        if any(voter.name == peer.name for voter in voters):
+        if self._voter_policy.may_learn(learner.name):
+            leadership.add_learner(learner, self._log.last_index, now)
+
+    def _change_voters(self, leadership: Leadership, now: float) -> None:
+        """Add or remove one voter if the policy allows it."""
+        before = self._log.voters
+        voters = self._voter_policy.next_voters(
+            self._log, self._commit_index, leadership, now
+        )
+        if voters is None:
             return
-        has_room = len(voters) < len(self._configured)
-        if has_room and leadership.match_index(peer) >= self._commit_index:
-            enlarged = tuple(sorted((*voters, peer)))
-            self._append(VotersEntry(self._term, enlarged), now)
-
-    def _can_change_voters(self) -> bool:
-        leadership = self._leadership
-        if leadership is None or not leadership.term_committed:
-            return False
-        return self._log.voters_index <= self._commit_index
+        self._append(VotersEntry(self._term, voters), now)
+        for removed in set(before).difference(voters):
+            if not leadership.is_disk_lost(removed):
+                self._register_learner(removed, now)
 
     # Follower
 
--- /dev/null
+++ b/src/sassafraspin/control/voters.py
@@ -0,0 +1,117 @@
+"""Rule for changes of the voters: which voter the leader may add or remove next."""
+
+from collections.abc import Iterator
+
+from sassafraspin.control.leadership import Leadership
+from sassafraspin.control.log import ReplicatedLog
+from sassafraspin.control.messages import Voter
+
+__all__ = ["VoterPolicy"]
+
+
+class VoterPolicy:
+    """Chooses the next change of the voters by one voter.
+
+    - A change starts once the previous one and an entry of the term are committed.
+    - The new voters must be able to commit the change. Only those that have answered
+      within the election timeout and have stored every committed entry are counted.
+    - A voter is known to be lost if its instance has answered with another disk since.
+      It is removed at once, because it can never vote again.
+    - Every other voter may return with its disk, however long it is silent. It is
+      removed only while there are more than ``size`` voters, so its replacement is
+      added first.
+    - A learner is added if it is counted as above, no voter has its name, and there
+      are fewer than ``size`` voters or one of them is to be replaced.
+
+    At each step, a majority of the voters remains if as many disks are lost as ``size``
+    voters tolerate and all other voters return.
+
+    Parameters
+    ----------
+    own : Voter
+        The leader, which is never removed.
+    configured : tuple of str
+        Names of all control instances in the settings.
+    size : int
+        Number of voters to keep.
+    replace_after : float or None
+        Time without an answer after which a spare replaces a voter, in seconds;
+        ``None`` if only the configured instances may be voters.
+    """
+
+    def __init__(
+        self,
+        own: Voter,
+        configured: tuple[str, ...],
+        size: int,
+        replace_after: float | None,
+    ) -> None:
+        self._own = own
+        self._configured = configured
+        self._size = size
+        self._replace_after = replace_after
+
+    def may_learn(self, name: str) -> bool:
+        """Return whether an instance may become a learner."""
+        return self._replace_after is not None or name in self._configured
+
+    def next_voters(
+        self,
+        log: ReplicatedLog,
+        commit_index: int,
+        leadership: Leadership,
+        now: float,
+    ) -> tuple[Voter, ...] | None:
+        """Return the voters after the next change, ``None`` if none is allowed."""
+        if not leadership.term_committed or log.voters_index > commit_index:
+            return None
+        confirmed = {self._own} | leadership.confirmed_peers(
+            log.voters, commit_index, now
+        )
+        for voters in self._candidates(log.voters, confirmed, leadership, now):
+            if 2 * len(confirmed.intersection(voters)) > len(voters):
+                return voters
+        return None
+
+    def _candidates(
+        self,
+        voters: tuple[Voter, ...],
+        confirmed: set[Voter],
+        leadership: Leadership,
+        now: float,
+    ) -> Iterator[tuple[Voter, ...]]:
+        others = [voter for voter in voters if voter != self._own]
+        lost = [voter for voter in others if leadership.is_disk_lost(voter)]
+        for voter in lost:
+            yield _without(voters, voter)
+        if len(voters) > self._size and not lost:
+            yield _without(voters, self._least_needed(others, leadership, now))
+        replaceable = any(
+            self._is_replaceable(voter, leadership, now) for voter in others
+        )
+        if len(voters) < self._size + replaceable:
+            names = {voter.name for voter in voters}
+            for learner in sorted(confirmed.difference(voters)):
+                if learner.name not in names:
+                    yield tuple(sorted((*voters, learner)))
+
+    def _is_replaceable(self, voter: Voter, leadership: Leadership, now: float) -> bool:
+        """Return whether another instance may take the place of a voter."""
+        if self._replace_after is None:
+            return voter.name not in self._configured
+        return leadership.silent_for(voter, now) >= self._replace_after
+
+    def _least_needed(
+        self, others: list[Voter], leadership: Leadership, now: float
+    ) -> Voter:
+        """Return a replaceable voter, the one silent longest."""
+
+        def rank(voter: Voter) -> tuple[bool, float]:
+            is_replaceable = self._is_replaceable(voter, leadership, now)
+            return is_replaceable, leadership.silent_for(voter, now)
+
+        return max(others, key=rank)
+
+
+def _without(voters: tuple[Voter, ...], removed: Voter) -> tuple[Voter, ...]:
+    return tuple(voter for voter in voters if voter != removed)
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -26,12 +26,13 @@
     AppendReply,
     AppendRequest,
     CommandEntry,
+    Hello,
     Snapshot,
     VoteReply,
     VoteRequest,
 )
 from tests.fuzz import fuzz_settings
-from tests.quorum_model import TICK_SECONDS, TIMINGS, QuorumModel
+from tests.quorum_model import SPARE_TIMINGS, TICK_SECONDS, TIMINGS, QuorumModel
 from tests.simulation import MemoryFiles, NetworkConditions
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
@@ -421,6 +422,48 @@
         self.assertNotIn(lost, harness.voters)
         self.assertIn(harness.voter("c1"), harness.voters)
 
+    def test_spare_is_added_before_a_silent_voter_is_removed(self):
+        """Two voters out of three would not survive the loss of a disk."""
+        harness = LeaderHarness(SPARE_TIMINGS)
+        silent = harness.voter("c1")
+        del harness.disks["c1"]
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        harness.run(5.0)
+        self.assertIn(harness.voter("s0"), harness.voters)
+        self.assertNotIn(silent, harness.voters)
+        self.assertEqual([len(voters) for voters in harness.history], [3, 4, 3])
+
+    def test_voters_stay_while_a_majority_of_the_new_ones_is_silent(self):
+        harness = LeaderHarness(SPARE_TIMINGS)
+        before = harness.voters
+        del harness.disks["c1"]
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        harness.run(0.9)
+        del harness.disks["c2"]
+        harness.run(5.0)
+        self.assertEqual(harness.voters, before)
+
+    def test_late_message_of_an_older_disk_removes_no_voter(self):
+        harness = LeaderHarness()
+        harness.receive("c1", Hello("c1-older"))
+        harness.run(3.0)
+        self.assertEqual(len(harness.history), 1)
+
+    def test_voters_are_complete_after_a_replaced_voter_returns(self):
+        """A voter that returns while its replacement is being added leaves again."""
+        harness = LeaderHarness(SPARE_TIMINGS)
+        disk = harness.disks.pop("c1")
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        while len(harness.history) == 1:
+            harness.run(TICK_SECONDS)
+            self.assertLess(harness.now, 20.0)
+        harness.disks["c1"] = disk
+        harness.run(3.0)
+        self.assertEqual(len(harness.voters), 3)
+
 
 class TestFollower(unittest.TestCase):
     """Appends that overlap with the snapshot of a follower."""
