Repair lost updates within a heartbeat while changes follow each other

The oldest update in transit decides now, after 0.15 s if it fits a datagram, and a member that sees a gap asks at once. - A new leader assumed that members had what it had pushed (9 s behind). A report below the oldest update in transit rewinds it. - A member's heartbeat was confirmed only if its reply found it current, so one that was always one change behind stayed unconfirmed (10.3 s). It is confirmed now when it reaches what the leader had committed by the reply. - Transfers were kept by name, so pushes to the old incarnation of a restarted member and heartbeats of the new one forgot each other (15 full updates, 1.28 MB, in 3 s). An older incarnation is sent nothing now.

The retry time of a large update grows with its size: 420 KB on a link of 5 Mbit/s were sent twice. A late reply of a follower no longer confirms an older index: the member confirms by the leader's own replies only.

--- a/src/sassafraspin/control/transfers.py
+++ b/src/sassafraspin/control/transfers.py
@@ -19,13 +19,38 @@
 _WINDOW_BYTES = 128 * 1024
 """Bytes in transit to one member above which it is sent no newer update."""
 
-_MIN_PACKED_BYTES = 1_000
-"""Size from which an update is compressed; smaller ones fit into a datagram."""
+_LARGE_BYTES = 1_000
+"""Size from which an update is compressed and may go over a stream; smaller ones fit
+into a datagram."""
 
 _CACHED_UPDATES = 4
 
-_FIRST_RETRY_SECONDS = 0.4
-_MAX_RETRY_SECONDS = 3.2
+_SMALL_RETRY_SECONDS = 0.15
+_LARGE_RETRY_SECONDS = 0.4
+_SLOW_BYTES_PER_SECOND = 400_000
+"""Rate of a slow link that other messages share. An update may be in transit for the
+retry time and for as long as its bytes take at this rate."""
+
+_MAX_BACKOFF = 8
+
+
+@dataclass(frozen=True)
+class _Transit:
+    """An update on its way: where it begins and ends, its size, and when it was sent.
+
+    ``first_index`` is 0 for a snapshot, which applies at any index.
+    """
+
+    first_index: int
+    last_index: int
+    size: int
+    sent_at: float
+
+    def is_overdue(self, backoff: int, now: float) -> bool:
+        if self.size < _LARGE_BYTES:
+            return now - self.sent_at >= _SMALL_RETRY_SECONDS
+        retry_after = backoff * _LARGE_RETRY_SECONDS
+        return now - self.sent_at >= retry_after + self.size / _SLOW_BYTES_PER_SECOND
 
 
 @dataclass
@@ -39,51 +64,52 @@
     index : int
         Index of the member's configuration: the last one reported, or an assumption
         until the first report.
-    sent_index : int
-        Index that the member reaches once all updates in transit have arrived.
     is_reported : bool
         Whether the member has reported its index.
     accepts_packed : bool
         Whether the member understands compressed updates.
-    sent_at : float
-        Time at which an update was last sent, in seconds.
-    retry_after : float
-        Time without progress after which updates count as lost, in seconds.
-    in_transit : deque of (int, int)
-        Index after each update in transit, and its size in bytes.
+    backoff : int
+        Factor of the retry time of large updates; doubles while there is no progress.
+    in_transit : deque of _Transit
+        Updates in transit, oldest first.
     """
 
     identity: MemberIdentity
     index: int
-    sent_index: int
     is_reported: bool = False
     accepts_packed: bool = False
-    sent_at: float = float("-inf")
-    retry_after: float = _FIRST_RETRY_SECONDS
-    in_transit: deque[tuple[int, int]] = field(default_factory=deque)
+    backoff: int = 1
+    in_transit: deque[_Transit] = field(default_factory=deque)
+
+    @property
+    def sent_index(self) -> int:
+        """Return the index that the member reaches with what is in transit."""
+        return self.in_transit[-1].last_index if self.in_transit else self.index
 
     @property
     def bytes_in_transit(self) -> int:
-        return sum(size for _, size in self.in_transit)
+        return sum(transit.size for transit in self.in_transit)
 
     def acknowledge(self, index: int) -> None:
         """Record the index that the member reports."""
         if index > self.index:
-            self.retry_after = _FIRST_RETRY_SECONDS
+            self.backoff = 1
         # Heartbeats may arrive out of order.
         self.index = max(self.index, index) if self.is_reported else index
         self.is_reported = True
-        while self.in_transit and self.in_transit[0][0] <= self.index:
+        while self.in_transit and self.in_transit[0].last_index <= self.index:
             self.in_transit.popleft()
-        if not self.in_transit:
-            self.sent_index = self.index
 
     def expire(self, now: float) -> None:
-        """Drop the updates in transit if the member has made no progress."""
-        if self.in_transit and now - self.sent_at >= self.retry_after:
+        """Drop the updates in transit if the oldest one is lost or leaves a gap."""
+        if not self.in_transit:
+            return
+        oldest = self.in_transit[0]
+        if oldest.first_index > self.index + 1:
+            self.in_transit.clear()
+        elif oldest.is_overdue(self.backoff, now):
             self.in_transit.clear()
-            self.sent_index = self.index
-            self.retry_after = min(2 * self.retry_after, _MAX_RETRY_SECONDS)
+            self.backoff = min(2 * self.backoff, _MAX_BACKOFF)
 
 
 class ConfigTransfers:
@@ -118,10 +144,11 @@
         now : float
             Monotonic time in seconds.
         """
-        index = heartbeat.config_index
-        transfer = self._transfer(identity, index)
+        transfer = self._transfer(identity, heartbeat.config_index)
+        if transfer is None:
+            return None
         transfer.accepts_packed = heartbeat.accepts_packed
-        transfer.acknowledge(index)
+        transfer.acknowledge(heartbeat.config_index)
         transfer.expire(now)
         if transfer.in_transit:
             return None
@@ -132,6 +159,9 @@
     ) -> ConfigUpdate | None:
         """Return the update to send without a heartbeat, if the member has room.
 
+        A member that has not sent a heartbeat to this leader gets small updates only,
+        because it is not known whether it understands compressed ones.
+
         Parameters
         ----------
         identity : MemberIdentity
@@ -142,15 +172,20 @@
             Monotonic time in seconds.
         """
         transfer = self._transfer(identity, index)
-        if transfer.bytes_in_transit >= _WINDOW_BYTES:
+        if transfer is None or transfer.bytes_in_transit >= _WINDOW_BYTES:
             return None
         return self._next_update(transfer, now)
 
-    def _transfer(self, identity: MemberIdentity, index: int) -> _Transfer:
+    def _transfer(self, identity: MemberIdentity, index: int) -> _Transfer | None:
+        """Return the transfer of a member, ``None`` if it has restarted since."""
         transfer = self._transfers.get(identity.name)
-        if transfer is None or transfer.identity != identity:
-            transfer = _Transfer(identity, index, index)
-            self._transfers[identity.name] = transfer
+        if transfer is not None:
+            if transfer.identity == identity:
+                return transfer
+            if transfer.identity.incarnation > identity.incarnation:
+                return None
+        transfer = _Transfer(identity, index)
+        self._transfers[identity.name] = transfer
         return transfer
 
     def _next_update(self, transfer: _Transfer, now: float) -> ConfigUpdate | None:
@@ -158,11 +193,14 @@
         if plain is None:
             return None
         update: ConfigUpdate = plain
-        if transfer.accepts_packed and plain.size >= _MIN_PACKED_BYTES:
-            update = self._pack(plain)
-        transfer.sent_index = update.last_index
-        transfer.sent_at = now
-        transfer.in_transit.append((update.last_index, update.size))
+        if plain.size >= _LARGE_BYTES:
+            if not transfer.is_reported:
+                return None
+            if transfer.accepts_packed:
+                update = self._pack(plain)
+        first_index = plain.first_index if isinstance(plain, ConfigTail) else 0
+        transit = _Transit(first_index, plain.last_index, update.size, now)
+        transfer.in_transit.append(transit)
         return update
 
     def _pack(self, update: ConfigTail | ConfigImage) -> PackedUpdate:
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -189,9 +189,8 @@
                 continue
             self._set_peer_address(member.address)
             update = control_node.push_update(member.identity, pushed_index, now)
-            if update is None:
-                continue
             # Reused while members lack the same commands, so that it is encoded once.
+            # Without an update it still announces the leader.
             if reply is None or reply.update is not update:
                 reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
             self._node.send(member.name, reply)
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -323,7 +323,7 @@
                     MemberIdentity(source, incarnation), message, now
                 )
             case HeartbeatReply():
-                self._on_heartbeat_reply(message, now)
+                self._on_heartbeat_reply(source, message, now)
             case Claim() | CloseClaim() | CopyRecords() | CopyAck():
                 self._on_ledger_message(
                     MemberIdentity(source, incarnation), message, now
@@ -351,12 +351,15 @@
             case _:
                 self._control.on_replica_message(source, message, now)
 
-    def _on_heartbeat_reply(self, reply: HeartbeatReply, now: float) -> None:
+    def _on_heartbeat_reply(
+        self, source: str, reply: HeartbeatReply, now: float
+    ) -> None:
         configuration = self._node.configuration
         if reply.update is not None:
             configuration.apply_update(reply.update)
+            self._node.lease.on_update(configuration.index, reply.update.last_index)
         if reply.sent_at > 0:
-            self._node.lease.on_reply(reply, configuration.index, now)
+            self._node.lease.on_reply(source, reply, configuration.index, now)
         self._apply_view()
 
     def _on_ledger_message(
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -24,6 +24,14 @@
     heartbeat: MemberHeartbeat
 
 
+@dataclass(frozen=True)
+class _UnconfirmedCommit:
+    """Index that the leader had committed, and when the member asked for it."""
+
+    index: int
+    sent_at: float
+
+
 class MemberLease:
     """Renews the lease of one instance with the control leader.
 
@@ -54,6 +62,7 @@
         self._next_heartbeat_at = float("-inf")
         self._lease_until = float("-inf")
         self._confirmed_at = float("-inf")
+        self._unconfirmed: _UnconfirmedCommit | None = None
         self._last_reply_at = float("-inf")
         self._leader: str | None = None
         self._leaving = False
@@ -108,8 +117,39 @@
         )
         return SendHeartbeat(self._target, heartbeat)
 
-    def on_reply(self, reply: HeartbeatReply, config_index: int, now: float) -> None:
-        """Process a heartbeat reply after its configuration update was applied."""
+    def on_update(self, config_index: int, last_index: int) -> None:
+        """Process an update of the configuration, asked for or not.
+
+        Parameters
+        ----------
+        config_index : int
+            Index of the configuration after the update was applied.
+        last_index : int
+            Index at which the update ends; higher if the update left a gap.
+        """
+        pending = self._unconfirmed
+        if pending is not None and config_index >= pending.index:
+            self._confirmed_at = max(self._confirmed_at, pending.sent_at)
+            self._unconfirmed = None
+        if config_index < last_index:
+            self._next_heartbeat_at = float("-inf")
+
+    def on_reply(
+        self, source: str, reply: HeartbeatReply, config_index: int, now: float
+    ) -> None:
+        """Process a heartbeat reply after its configuration update was applied.
+
+        Parameters
+        ----------
+        source : str
+            Name of the control instance that replied.
+        reply : HeartbeatReply
+            The reply.
+        config_index : int
+            Index of the configuration.
+        now : float
+            Monotonic time in seconds.
+        """
         self._last_reply_at = now
         if reply.voters:
             self._control_names = reply.voters
@@ -121,15 +161,22 @@
         if reply.leader is None:
             return
         self._leader = reply.leader
-        if reply.leader == self._target:
-            if config_index >= reply.commit_index:
-                self._confirmed_at = max(self._confirmed_at, reply.sent_at)
-            elif reply.update is not None:
-                # The update was a part of what this member lacks.
-                self._next_heartbeat_at = float("-inf")
-        elif reply.leader in self._control_names:
+        if reply.leader == source:
+            self._on_leader_reply(reply, config_index)
+        if reply.leader in self._control_names:
             self._target = reply.leader
 
+    def _on_leader_reply(self, reply: HeartbeatReply, config_index: int) -> None:
+        if config_index >= reply.commit_index:
+            self._confirmed_at = max(self._confirmed_at, reply.sent_at)
+            self._unconfirmed = None
+            return
+        if self._unconfirmed is None:
+            self._unconfirmed = _UnconfirmedCommit(reply.commit_index, reply.sent_at)
+        if reply.update is not None:
+            # The update was a part of what this member lacks.
+            self._next_heartbeat_at = float("-inf")
+
     def set_leader(self, leader: str) -> None:
         """Send heartbeats to a leader that has announced itself."""
         self._leader = leader
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -247,9 +247,10 @@
             self._slots.on_dispatcher_active()
         if reply.update is not None:
             configuration.apply_update(reply.update)
+            self.node.lease.on_update(configuration.index, reply.update.last_index)
         # ``sent_at`` is 0 if the leader sends newly committed commands unasked.
         if reply.sent_at > 0:
-            self.node.lease.on_reply(reply, configuration.index, now)
+            self.node.lease.on_reply(source, reply, configuration.index, now)
         elif reply.leader is not None:
             self.node.lease.set_leader(reply.leader)
         self._update_peer_addresses()
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -302,7 +302,7 @@
         if update.views[-1].number > node.views[-1].number:
             node.views = update.views
         now = self._now(node)
-        node.lease.on_reply(update.reply, node.views[-1].number, now)
+        node.lease.on_reply(CONTROL, update.reply, node.views[-1].number, now)
         self._run_effects(node, node.ledger.install_views(node.views, now))
 
     def _on_answer(self, node: LedgerNode, answer: ClaimAnswer) -> None:
