Let large messages through slow links, and drop none for other peers

- A message that a link does not carry within a second was never delivered: its only frame was not acknowledged in time, and the stream was replaced.
Bytes that are not acknowledged extend the time limit now.
- The byte limits dropped a waiting message of over 1 MiB for any later one, and frames to silent peers used up the limit for all, so that a healthy peer lost its only message.
The oldest message of each queue is outside the limits now, and frames being sent are not counted.

--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -19,7 +19,11 @@
 
 _MAX_QUEUED_BYTES = 1024 * 1024
 _MAX_FRAME_BYTES = 64 * 1024
-"""Limits of the queue and of a frame, unless a single message is larger."""
+"""Limits of a frame and of the queue after its first message. A single message may be
+larger."""
+
+_SLOW_BYTES_PER_SECOND = 250_000
+"""Rate of a slow link that other messages share."""
 
 _log = part_logger("rpc")
 
@@ -33,7 +37,8 @@
     connect : float
         Opening a connection.
     acknowledge : float
-        Acknowledgement of a frame; the stream is replaced when it is exceeded.
+        Acknowledgement of a frame; the stream is replaced when it is exceeded. Bytes
+        that are not acknowledged extend it by the time they take on a slow link.
     idle : float
         Time without traffic after which the stream is closed.
     retry : float
@@ -45,6 +50,10 @@
     idle: float = 4.0
     retry: float = 0.1
 
+    def acknowledge_within(self, unacknowledged_bytes: int) -> float:
+        """Return the time limit of an acknowledgement, in seconds."""
+        return self.acknowledge + unacknowledged_bytes / _SLOW_BYTES_PER_SECOND
+
 
 class _AcknowledgeTimeout(Exception):
     """The peer did not acknowledge a frame in time, or ended the stream."""
@@ -104,7 +113,7 @@
         self._sending_bytes = 0
         self._dropped_messages = 0
         self._queued = asyncio.Event()
-        self._sent_frames = 0
+        self._unacknowledged: deque[int] = deque()
         self._acknowledged_frames = 0
         self._last_progress_at = 0.0
         self._sent_bytes = 0
@@ -120,9 +129,9 @@
         return self._sent_bytes
 
     @property
-    def queued_bytes(self) -> int:
-        """Return the bytes of messages that wait for an earlier frame to be sent."""
-        return self._queued_bytes
+    def excess_bytes(self) -> int:
+        """Return the bytes of queued messages without the oldest one."""
+        return self._queued_bytes - len(self._queue[0]) if self._queue else 0
 
     @property
     def pending_bytes(self) -> int:
@@ -138,17 +147,14 @@
         """Queue an encoded message; drop the oldest ones when the queue is full."""
         self._queue.append(message)
         self._queued_bytes += len(message)
-        while self._queued_bytes > _MAX_QUEUED_BYTES and len(self._queue) > 1:
+        while self.excess_bytes > _MAX_QUEUED_BYTES:
             self.drop_oldest()
         self._queued.set()
 
-    def drop_oldest(self) -> bool:
-        """Discard the oldest queued message; return whether there was one."""
-        if not self._queue:
-            return False
+    def drop_oldest(self) -> None:
+        """Discard the oldest queued message."""
         self._take_oldest()
         self._dropped_messages += 1
-        return True
 
     async def run(self) -> None:
         """Maintain a stream while there is traffic, until cancelled."""
@@ -189,7 +195,7 @@
         One task watches the time limits, because a timer for each message would cost
         more than sending the message.
         """
-        self._sent_frames = 0
+        self._unacknowledged.clear()
         self._acknowledged_frames = 0
         self._last_progress_at = asyncio.get_running_loop().time()
         tasks = [
@@ -216,9 +222,9 @@
                 self._queued.clear()
                 await self._queued.wait()
             frame = self._next_frame()
-            if self._acknowledged_frames == self._sent_frames:
+            if not self._unacknowledged:
                 self._last_progress_at = loop.time()
-            self._sent_frames += 1
+            self._unacknowledged.append(len(frame))
             self._sending_bytes = len(frame)
             try:
                 await stream.send_message(frame)
@@ -229,12 +235,14 @@
     async def _watch_timeouts(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            is_waiting = self._acknowledged_frames < self._sent_frames
-            pause = self._timeouts.acknowledge if is_waiting else self._timeouts.idle
+            pause = self._timeouts.idle
+            if self._unacknowledged:
+                pause = self._timeouts.acknowledge
             await asyncio.sleep(pause / 2)
             since_progress = loop.time() - self._last_progress_at
-            if self._acknowledged_frames < self._sent_frames:
-                if since_progress > self._timeouts.acknowledge:
+            if self._unacknowledged:
+                limit = self._timeouts.acknowledge_within(sum(self._unacknowledged))
+                if since_progress > limit:
                     raise _AcknowledgeTimeout
             elif since_progress > self._timeouts.idle and not self._queue:
                 raise _IdleTimeout
@@ -257,5 +265,10 @@
             data = await stream.recv_message()
             if data is None:
                 raise _AcknowledgeTimeout
-            self._acknowledged_frames = self._codec.decode_acknowledgement(data).frames
+            frames = self._codec.decode_acknowledgement(data).frames
+            for _ in range(
+                min(frames - self._acknowledged_frames, len(self._unacknowledged))
+            ):
+                self._unacknowledged.popleft()
+            self._acknowledged_frames = frames
             self._last_progress_at = asyncio.get_running_loop().time()
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -27,8 +27,9 @@
 
 _ACKNOWLEDGE_INTERVAL_SECONDS = 0.25
 
-_MAX_PENDING_BYTES = 12 * 1024 * 1024
-"""Limit of the bytes queued for all peers together."""
+_MAX_EXCESS_BYTES = 8 * 1024 * 1024
+"""Limit of the bytes queued for all peers together, without the oldest message of each,
+so that no peer loses its only message to the others."""
 
 _log = part_logger("rpc")
 
@@ -193,13 +194,12 @@
     def _limit_pending_bytes(self) -> None:
         """Drop the oldest message of the longest queue while the limit is exceeded."""
         links = self._links.values()
-        total = sum(link.pending_bytes for link in links)
-        while total > _MAX_PENDING_BYTES:
-            longest = max(links, key=lambda link: link.queued_bytes)
-            before = longest.queued_bytes
-            if not longest.drop_oldest():
-                return
-            total -= before - longest.queued_bytes
+        total = sum(link.excess_bytes for link in links)
+        while total > _MAX_EXCESS_BYTES:
+            longest = max(links, key=lambda link: link.excess_bytes)
+            before = longest.excess_bytes
+            longest.drop_oldest()
+            total -= before - longest.excess_bytes
 
     def _open_link(self, address: NamedAddress) -> PeerLink | None:
         if self._loop is None:
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -2,7 +2,7 @@
 
 import socket
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import msgspec
 import trio
@@ -14,11 +14,35 @@
 
 HOST = "127.0.0.1"
 LARGE = "x" * (40 * MAX_DATAGRAM_BYTES)
+VERY_LARGE = "x" * 1_200_000
+LINK_BYTES_PER_SECOND = 625_000
 MAX_PEER_BYTES = 2 * 1024 * 1024
 MAX_NETWORK_BYTES = 16 * 1024 * 1024
 TIMEOUTS = LinkTimeouts(connect=0.5, acknowledge=0.4, idle=0.4, retry=0.02)
 
 
+async def _serve_slow_link(port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Relay connections to a port at ``LINK_BYTES_PER_SECOND`` until cancelled."""
+
+    async def relay(source, target, seconds_per_byte: float) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await source.receive_some(16_384):
+                await trio.sleep(seconds_per_byte * len(data))
+                await target.send_all(data)
+
+    async def handle(stream) -> None:
+        other = await trio.open_tcp_stream(HOST, port)
+        async with stream, other, trio.open_nursery() as nursery:
+            nursery.start_soon(relay, other, stream, 0.0)
+            await relay(stream, other, 1 / LINK_BYTES_PER_SECOND)
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host=HOST)
+        task_status.started(listener.socket.getsockname()[1])
+        nursery.start_soon(trio.serve_listeners, handle, [listener])
+
+
 class Note(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A test message."""
 
@@ -147,6 +171,49 @@
         self.assertLessEqual(usage.pending_bytes, MAX_NETWORK_BYTES)
         self.assertGreater(usage.dropped_messages, 0)
 
+    def test_small_message_does_not_displace_the_only_large_one(self):
+        async def run():
+            first = self.network(0)
+            async with self.serving(first):
+                first.send("b", Note(1, VERY_LARGE))
+                first.send("b", Note(2, LARGE))
+                return first.usage()
+
+        self.assertEqual(trio.run(run).dropped_messages, 0)
+
+    def test_silent_peers_do_not_displace_messages_for_a_healthy_one(self):
+        async def run():
+            first, second = self.network(0), self.network(1)
+            with socket.create_server((HOST, 0), backlog=64) as silent:
+                port = silent.getsockname()[1]
+                async with self.serving(first, second):
+                    for peer in range(14):
+                        first.set_peer_address(NamedAddress(f"p{peer}", HOST, port))
+                        for _ in range(20):
+                            first.send(f"p{peer}", Note(1, LARGE))
+                    first.send("b", Note(77, LARGE))
+                    with trio.fail_after(20):
+                        await self.arrived.wait()
+
+        trio.run(run)
+        self.assertEqual(self.received, [("a", 1, 77)])
+
+    def test_message_that_takes_seconds_on_a_slow_link_arrives(self):
+        async def run():
+            first, second = self.network(0), self.network(1)
+            first._timeouts = LinkTimeouts()
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(_serve_slow_link, self.ports[1])
+                async with self.serving(first, second):
+                    first.set_peer_address(NamedAddress("b", HOST, port))
+                    first.send("b", Note(1, VERY_LARGE))
+                    with trio.fail_after(20):
+                        await self.arrived.wait()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        self.assertEqual(self.received, [("a", 1, 1)])
+
     def test_message_to_the_own_instance(self):
         async def run():
             first = self.network(0)
