--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from sassafraspin.control.commands import CommandOutcome, decode_command
-from sassafraspin.control.state import ControlState
+from sassafraspin.control.state import VIEW_RETENTION_MS, ControlState
 from sassafraspin.membership import (
     ConfigImage,
     ConfigTail,
@@ -30,10 +30,16 @@
 
     Control instances apply entries of their own log. All other instances apply the
     updates that control instances send.
+
+    Parameters
+    ----------
+    view_retention_ms : int
+        Time for which a view is retained after it was replaced, in milliseconds.
     """
 
-    def __init__(self) -> None:
-        self._state = ControlState()
+    def __init__(self, view_retention_ms: int = VIEW_RETENTION_MS) -> None:
+        self._view_retention_ms = view_retention_ms
+        self._state = ControlState(view_retention_ms=view_retention_ms)
         self._recent_commands: deque[bytes | None] = deque()
         self._retained_bytes = 0
         self._image: ConfigImage | None = None
@@ -67,7 +73,7 @@
         """Replace the state with a newer snapshot; an older snapshot is ignored."""
         if index <= self._state.index:
             return
-        self._state = ControlState.from_bytes(index, data)
+        self._state = ControlState.from_bytes(index, data, self._view_retention_ms)
         self._recent_commands.clear()
         self._retained_bytes = 0
         self._tail = None
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -15,6 +15,13 @@
 _FIRST_RETRANSMIT_HEARTBEATS = 3
 _MAX_RETRANSMIT_HEARTBEATS = 24
 
+_LARGE_BYTES = 1_000
+"""Size from which entries may go over a stream; smaller ones fit into a datagram and
+are sent again after one heartbeat."""
+
+_SLOW_BYTES_PER_SECOND = 400_000
+"""Rate of a slow link that other messages share."""
+
 
 @dataclass
 class _Progress:
@@ -35,8 +42,11 @@
         Send time of the last message that the peer answered, in seconds.
     sent_at : float
         Time at which entries were last sent, in seconds.
+    sent_bytes : int
+        Bytes of these entries.
     retransmit_heartbeats : int
-        Heartbeats without progress after which entries count as lost.
+        Heartbeats without progress after which large entries count as lost, besides
+        the time that they take on a slow link.
     snapshot_sent : float
         Time at which a snapshot was last sent, in seconds.
     """
@@ -47,6 +57,7 @@
     is_probing: bool = True
     contact: float = float("-inf")
     sent_at: float = float("-inf")
+    sent_bytes: int = 0
     retransmit_heartbeats: int = _FIRST_RETRANSMIT_HEARTBEATS
     snapshot_sent: float = float("-inf")
 
@@ -123,13 +134,17 @@
     def is_in_transit(self, peer: Voter, now: float) -> bool:
         """Return whether entries were sent that may still arrive at the peer."""
         progress = self._progress_of(peer)
-        timeout = progress.retransmit_heartbeats * self._timings.heartbeat
+        timeout = self._timings.heartbeat
+        if progress.sent_bytes >= _LARGE_BYTES:
+            timeout *= progress.retransmit_heartbeats
+            timeout += progress.sent_bytes / _SLOW_BYTES_PER_SECOND
         return progress.is_sending and now - progress.sent_at < timeout
 
-    def record_sent(self, peer: Voter, next_index: int, now: float) -> None:
-        """Record that the entries before ``next_index`` are being sent."""
+    def record_sent(self, peer: Voter, next_index: int, size: int, now: float) -> None:
+        """Record that entries before ``next_index`` are sent, ``size`` bytes in all."""
         progress = self._progress_of(peer)
         progress.next_index = next_index
+        progress.sent_bytes = size
         progress.sent_at = now
 
     def expire_sent(self, peer: Voter) -> None:
@@ -141,10 +156,11 @@
                 2 * progress.retransmit_heartbeats, _MAX_RETRANSMIT_HEARTBEATS
             )
 
-    def record_match(self, peer: Voter, index: int) -> None:
-        """Record the last index that a peer has stored."""
+    def record_match(self, peer: Voter, index: int) -> bool:
+        """Record what a peer has stored; return whether that was not known."""
         progress = self._progress_of(peer)
-        if index > progress.match_index:
+        is_news = progress.is_probing or index > progress.match_index
+        if is_news:
             progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.match_index = max(progress.match_index, index)
         if progress.is_probing:
@@ -152,6 +168,7 @@
             progress.next_index = progress.match_index + 1
         else:
             progress.next_index = max(progress.next_index, progress.match_index + 1)
+        return is_news
 
     def rewind(self, peer: Voter, hint: int) -> None:
         """Probe from an earlier index after a rejection."""
@@ -161,10 +178,21 @@
             progress.match_index + 1, min(hint, progress.next_index)
         )
 
-    def may_send_snapshot(self, peer: Voter, now: float) -> bool:
-        """Return whether a snapshot may be sent now, and record that it is sent."""
+    def may_send_snapshot(self, peer: Voter, size: int, now: float) -> bool:
+        """Return whether a snapshot may be sent now, and record that it is sent.
+
+        Parameters
+        ----------
+        peer : Voter
+            The receiver.
+        size : int
+            Bytes of the snapshot.
+        now : float
+            Monotonic time in seconds.
+        """
         progress = self._progress_of(peer)
         interval = _SNAPSHOT_INTERVAL_HEARTBEATS * self._timings.heartbeat
+        interval += size / _SLOW_BYTES_PER_SECOND
         if now - progress.snapshot_sent < interval:
             return False
         progress.snapshot_sent = now
--- a/src/sassafraspin/control/log.py
+++ b/src/sassafraspin/control/log.py
@@ -1,6 +1,7 @@
 """In-memory replicated log: a snapshot and the entries after it."""
 
 import math
+from collections.abc import Iterable
 
 from sassafraspin.control.messages import (
     CommandEntry,
@@ -10,7 +11,7 @@
     VotersEntry,
 )
 
-__all__ = ["EMPTY_SNAPSHOT", "ReplicatedLog"]
+__all__ = ["EMPTY_SNAPSHOT", "ReplicatedLog", "command_bytes"]
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, (), b"")
 
@@ -23,7 +24,7 @@
     ) -> None:
         self._snapshot = snapshot
         self._entries = list(entries)
-        self._entry_bytes = sum(map(_command_bytes, self._entries))
+        self._entry_bytes = command_bytes(self._entries)
         self._update_voters()
 
     @property
@@ -99,7 +100,7 @@
         entries = self._entries[start:stop]
         total = 0
         for count, entry in enumerate(entries):
-            total += _command_bytes(entry)
+            total += command_bytes((entry,))
             if count > 0 and total > max_bytes:
                 return tuple(entries[:count])
         return tuple(entries)
@@ -107,10 +108,10 @@
     def write(self, first_index: int, entries: tuple[Entry, ...]) -> None:
         """Replace all entries from ``first_index`` on with ``entries``."""
         start = first_index - self._snapshot.index - 1
-        self._entry_bytes -= sum(map(_command_bytes, self._entries[start:]))
+        self._entry_bytes -= command_bytes(self._entries[start:])
         del self._entries[start:]
         self._entries.extend(entries)
-        self._entry_bytes += sum(map(_command_bytes, entries))
+        self._entry_bytes += command_bytes(entries)
         self._update_voters()
 
     def merge(self, previous_index: int, entries: tuple[Entry, ...]) -> int | None:
@@ -154,7 +155,7 @@
             kept = self.entries_from(snapshot.index + 1)
         self._snapshot = snapshot
         self._entries = list(kept)
-        self._entry_bytes = sum(map(_command_bytes, kept))
+        self._entry_bytes = command_bytes(kept)
         self._update_voters()
 
     def voters_at(self, index: int) -> tuple[Voter, ...]:
@@ -177,5 +178,6 @@
                 return
 
 
-def _command_bytes(entry: Entry) -> int:
-    return len(entry.data) if isinstance(entry, CommandEntry) else 0
+def command_bytes(entries: Iterable[Entry]) -> int:
+    """Return the bytes of the commands in some entries."""
+    return sum(len(entry.data) for entry in entries if isinstance(entry, CommandEntry))
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -20,7 +20,7 @@
 )
 from sassafraspin.control.election import Election
 from sassafraspin.control.leadership import Leadership
-from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog
+from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog, command_bytes
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
@@ -471,18 +471,27 @@
         leadership.expire_sent(peer)
         next_index = leadership.next_index(peer)
         if self._log.term_at(next_index - 1) is None:
-            snapshot = InstallSnapshot(self._term, self._log.snapshot, now)
-            if leadership.may_send_snapshot(peer, now):
-                self._send(peer.name, snapshot)
+            self._send_snapshot(peer, now)
             return
         entries: tuple[Entry, ...] = ()
         if not leadership.is_probing(peer):
             entries = self._log.entries_from(
                 next_index, _MAX_ENTRIES_PER_APPEND, _MAX_BYTES_PER_APPEND
             )
-            leadership.record_sent(peer, next_index + len(entries), now)
+            size = command_bytes(entries)
+            leadership.record_sent(peer, next_index + len(entries), size, now)
         self._send_append(peer, next_index - 1, entries, now)
 
+    def _send_snapshot(self, peer: Voter, now: float) -> None:
+        """Send the snapshot, or a heartbeat while it may still be in transit."""
+        leadership = self._leadership
+        assert leadership is not None
+        snapshot = self._log.snapshot
+        if leadership.may_send_snapshot(peer, len(snapshot.data), now):
+            self._send(peer.name, InstallSnapshot(self._term, snapshot, now))
+        else:
+            self._send_append(peer, 0, (), now)
+
     def _send_append(
         self, peer: Voter, previous_index: int, entries: tuple[Entry, ...], now: float
     ) -> None:
@@ -522,10 +531,11 @@
                 leadership.rewind(peer, reply.match_index)
                 self._send_entries(peer, now)
             return
-        leadership.record_match(peer, min(reply.match_index, self._log.last_index))
+        match_index = min(reply.match_index, self._log.last_index)
+        is_news = leadership.record_match(peer, match_index)
         self._advance_commit()
         has_more = leadership.next_index(peer) <= self._log.last_index
-        if has_more and not leadership.is_in_transit(peer, now):
+        if is_news and has_more and not leadership.is_in_transit(peer, now):
             self._send_entries(peer, now)
 
     def _advance_commit(self) -> None:
--- a/src/sassafraspin/control/state.py
+++ b/src/sassafraspin/control/state.py
@@ -34,7 +34,7 @@
 """Number of newest outcomes kept; a resend of an older command is applied again."""
 
 VIEW_RETENTION_MS = 3_600_000
-"""Time for which a view is retained after it was replaced."""
+"""Time for which a replaced view is retained if records are placed by it."""
 
 
 @dataclass(frozen=True)
@@ -68,10 +68,16 @@
     ----------
     index : int
         Index of the last log entry applied.
+    view_retention_ms : int
+        Time for which a view is retained after it was replaced, in milliseconds; 0 if
+        nothing is placed by earlier views.
     """
 
-    def __init__(self, index: int = 0) -> None:
+    def __init__(
+        self, index: int = 0, view_retention_ms: int = VIEW_RETENTION_MS
+    ) -> None:
         self._index = index
+        self._view_retention_ms = view_retention_ms
         self._profiles = ProfileStore()
         self._moves = MoveStore()
         self._views = (_TimedView(View(), 0),)
@@ -154,10 +160,12 @@
         return msgspec.msgpack.encode(snapshot)
 
     @classmethod
-    def from_bytes(cls, index: int, data: bytes) -> "ControlState":
+    def from_bytes(
+        cls, index: int, data: bytes, view_retention_ms: int = VIEW_RETENTION_MS
+    ) -> "ControlState":
         """Restore the state from a snapshot; raises ``msgspec.DecodeError``."""
         snapshot = msgspec.msgpack.decode(data, type=_StateSnapshot)
-        state = cls(index)
+        state = cls(index, view_retention_ms)
         state._profiles = ProfileStore(snapshot.profiles)
         state._moves = MoveStore(snapshot.moves, snapshot.versions)
         state._views = snapshot.views
@@ -212,7 +220,7 @@
         return tuple(
             item
             for item, until_ms in zip(self._views, replaced_at, strict=True)
-            if now_ms - until_ms < VIEW_RETENTION_MS
+            if now_ms - until_ms < self._view_retention_ms
         )
 
     def _store_outcome(self, change_id: str, outcome: CommandOutcome) -> None:
--- a/src/sassafraspin/routed/setup.py
+++ b/src/sassafraspin/routed/setup.py
@@ -29,6 +29,9 @@
 
 _MS_PER_SECOND = 1000
 
+_VIEW_RETENTION_MS = 0
+"""Earlier views place request records, which this daemon does not keep."""
+
 _log = part_logger("daemon")
 
 
@@ -44,7 +47,7 @@
     return Node(
         settings,
         member,
-        Configuration(),
+        Configuration(view_retention_ms=_VIEW_RETENTION_MS),
         lease,
         Metrics(f"sassafraspin.{member.name}"),
         steady_time,
--- a/tests/test_config_transfer.py
+++ b/tests/test_config_transfer.py
@@ -14,7 +14,8 @@
     ReplicaDisk,
     ReplicaTimings,
 )
-from sassafraspin.control.messages import AppendRequest
+from sassafraspin.control.commands import encode_command
+from sassafraspin.control.messages import AppendRequest, InstallSnapshot
 from sassafraspin.membership import (
     HeartbeatReply,
     Member,
@@ -31,6 +32,7 @@
 
 TABLE_BYTES = 40_000
 MAX_LOG_BYTES = 8 * 1024 * 1024
+MAX_COMMIT_SECONDS = 2.0
 MAX_REPLY_BYTES = 256 * 1024
 
 MEMBER = Member("m1", 1, "south", "a", "10.0.0.9", 7400)
@@ -165,11 +167,72 @@
                 send(source, target, message)
 
         model.network.send = send_slowly
-        model.propose(leader.name)
+        decided = []
+        leader.control.propose(table_change(1), decided.append, leader.clock.now())
         model.run(3.0)
-        self.assertEqual(len(model.acknowledged), 1)
+        self.assertEqual([item.outcome.kind for item in decided], ["accepted"])
         self.assertEqual(sent, dict.fromkeys(model.nodes.keys() - {leader.name}, 1))
 
+    def test_commits_with_a_bare_majority_survive_the_loss_of_datagrams(self):
+        for seed in range(3):
+            self.assertLess(max(self.commit_times(0.03, seed)), MAX_COMMIT_SECONDS)
+
+    def commit_times(self, loss: float, seed: int) -> list[float]:
+        """Return the seconds that commits take while two of five voters are down."""
+        model = QuorumModel(5, seed=seed)
+        model.run(5.0)
+        leader = model.leader()
+        for name in [name for name in model.nodes if name != leader.name][:2]:
+            model.crash(name)
+        model.run(2.0)
+        generator = random.Random(seed)
+        send = model.network.send
+
+        def send_with_loss(source: str, target: str, message: object) -> None:
+            if generator.random() >= loss:
+                send(source, target, message)
+
+        model.network.send = send_with_loss
+        times = []
+        for _ in range(30):
+            before = len(model.acknowledged)
+            started_at = model.network.now
+            model.propose(model.leader().name)
+            while len(model.acknowledged) == before:
+                model.run(0.05)
+                if model.network.now > started_at + MAX_COMMIT_SECONDS:
+                    break
+            times.append(model.network.now - started_at)
+            model.run(0.3)
+        return times
+
+    def test_leader_keeps_its_lease_while_the_majority_needs_a_snapshot(self):
+        model = QuorumModel(3)
+        model.run(5.0)
+        leader = model.leader()
+        behind, other = [name for name in model.nodes if name != leader.name]
+        model.crash(behind)
+        for _ in range(10):
+            model.propose(leader.name)
+            model.run(0.3)
+        deliver = model.network._deliver
+        send = model.network.send
+
+        def send_slowly(source: str, target: str, message: object) -> None:
+            if isinstance(message, InstallSnapshot):
+                model.schedule(4.0, lambda: deliver(source, target, message))
+            else:
+                send(source, target, message)
+
+        model.network.send = send_slowly
+        model.crash(other)
+        model.restart(behind)
+        without_leader = 0
+        for _ in range(80):
+            model.run(0.1)
+            without_leader += model.leader() is None
+        self.assertLess(without_leader, 12)
+
 
 class TestLogSize(unittest.TestCase):
     """Memory and disk of the control log under many changes of a large table."""
@@ -181,6 +244,20 @@
             self.assertLess(leader.node.replica.log.bytes, MAX_LOG_BYTES)
             self.assertLess(leader.configuration.retained_bytes, MAX_LOG_BYTES)
 
+    def test_state_of_declared_routes_does_not_grow_with_each_view(self):
+        sizes = []
+        for count in (1, 60):
+            configuration = Configuration(view_retention_ms=0)
+            for number in range(1, count + 1):
+                members = tuple(
+                    Member(f"m{name}", number, "s", "a", "h", 7400)
+                    for name in range(60)
+                )
+                command = ChangeView(f"v{number}", number, View(number, 0, members))
+                configuration.apply(number, encode_command(command))
+            sizes.append(len(configuration.state.to_bytes()))
+        self.assertLess(sizes[1], 2 * sizes[0])
+
 
 class TestPackedUpdates(unittest.TestCase):
     """Compressed updates, and members that do not understand them."""
