--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -55,6 +55,7 @@
     address: Address
     service: str = "desk"
     version: str = "v1"
+    slots: int = 4
     behaviour: Behaviour = answer
     requests: list[Request] = field(default_factory=list)
     cancelled_requests: int = 0
@@ -98,7 +99,7 @@
             "address": f"{runner.address.host}:{runner.address.port}",
             "zone": "a",
             "version": runner.version,
-            "slots": 4,
+            "slots": runner.slots,
             "state": state,
             "sequence": self._sequence,
             "born": 1,
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import trio
 import trio.testing
@@ -26,10 +27,10 @@
 
 
 @asynccontextmanager
-async def _serving():
+async def _serving(limits: HttpLimits = LIMITS):
     """Run a server and yield its port."""
     [port] = free_ports(1)
-    server = HttpServer(Address("127.0.0.1", port), LIMITS, as_handler(_echo))
+    server = HttpServer(Address("127.0.0.1", port), limits, as_handler(_echo))
     async with trio.open_nursery() as nursery:
         await nursery.start(server.serve)
         yield port
@@ -128,3 +129,27 @@
             return answer
 
         self.assertIn(b"200", trio.run(run))
+
+    def test_reading_small_chunks_leaves_turns_to_other_tasks(self):
+        """50,000 chunks; a read of the socket alone holds about 10,000 of them."""
+        turns = []
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        limits = replace(LIMITS, body_bytes=100_000, body_timeout_ms=60_000)
+
+        async def run_beside() -> None:
+            while True:
+                turns.append(1)
+                await trio.lowlevel.checkpoint()
+
+        async def run() -> bytes:
+            async with _serving(limits) as port, trio.open_nursery() as nursery:
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                nursery.start_soon(run_beside)
+                await stream.send_all(head + b"1\r\nb\r\n" * 50_000 + b"0\r\n\r\n")
+                answer = await stream.receive_some(1000)
+                nursery.cancel_scope.cancel()
+                await stream.aclose()
+            return answer
+
+        self.assertIn(b"200", trio.run(run))
+        self.assertGreater(len(turns), 250)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,13 +1,34 @@
 """The HTTP client against servers that violate the protocol."""
 
+import socket
+import threading
+import time
+import tracemalloc
 import unittest
+from collections.abc import Callable, Iterable
+from unittest import mock
 
 import trio
 
-from sassafraspin.http import ClientTimeouts, Headers, HttpClient, Request
+from sassafraspin.cli import operator_client
+from sassafraspin.cli.operator_client import OperatorClient
+from sassafraspin.errors import CommandError
+from sassafraspin.http import (
+    ClientTimeouts,
+    ConnectionLost,
+    Headers,
+    HttpClient,
+    Request,
+    Response,
+)
 from sassafraspin.settings import Address
 
 TIMEOUTS = ClientTimeouts(connect=5.0, progress=20.0)
+REQUEST = Request("GET", "/", Headers((("host", "h"),)))
+GUARD_SECONDS = 60.0
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+CHUNKED_END = b"0\r\n\r\n"
 
 
 def response(body: bytes) -> bytes:
@@ -44,3 +65,119 @@
             return bodies
 
         self.assertEqual(trio.run(run), [b"own 1", b"own 2"])
+
+
+class TestEndlessAnswers(unittest.TestCase):
+    """An answer without end costs bounded memory and leaves time for other tasks."""
+
+    def exchange(
+        self, pieces: Iterable[bytes], beside: Callable[[], object] | None = None
+    ) -> Response:
+        """Return the response that consists of the pieces.
+
+        ``beside`` is called at each turn of another task while the client reads.
+        """
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            try:
+                for piece in pieces:
+                    await stream.send_all(piece)
+            except trio.BrokenResourceError:
+                return
+
+        async def run_beside() -> None:
+            while beside is not None:
+                beside()
+                await trio.lowlevel.checkpoint()
+
+        async def run() -> Response:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient(TIMEOUTS)
+                nursery.start_soon(run_beside)
+                with trio.fail_after(GUARD_SECONDS):
+                    answer = await client.send(Address("127.0.0.1", port), REQUEST)
+                client.close()
+                nursery.cancel_scope.cancel()
+            return answer
+
+        try:
+            return trio.run(run)
+        except BaseExceptionGroup as group:
+            raise group.exceptions[0] from None
+
+    def test_informational_responses_without_end(self):
+        early = b"HTTP/1.1 103 Early\r\n\r\n"
+        with self.assertRaises(ConnectionLost):
+            self.exchange([early * 1000, response(b"late")])
+
+    def test_some_informational_responses_are_accepted(self):
+        early = b"HTTP/1.1 103 Early\r\n\r\n"
+        self.assertEqual(self.exchange([early * 3, response(b"a")]).body, b"a")
+
+    def test_chunked_body_without_end(self):
+        piece = b"100000\r\n%s\r\n" % (b"b" * 1_048_576)
+        with self.assertRaises(ConnectionLost):
+            self.exchange([CHUNKED_HEAD, *[piece] * 64, CHUNKED_END])
+
+    def test_large_declared_length_is_rejected_before_the_body(self):
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n"
+        with self.assertRaisesRegex(ConnectionLost, "exceeds"):
+            self.exchange([head])
+
+    def test_body_in_small_chunks_takes_little_memory(self):
+        """A body of 64 KiB; as one object per chunk it would take 2 MiB."""
+        chunks = b"2\r\nbb\r\n" * 32_768
+        pieces = [CHUNKED_HEAD, chunks, CHUNKED_END]
+        tracemalloc.start()
+        try:
+            body = self.exchange(pieces).body
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertEqual(len(body), 65_536)
+        self.assertLess(peak_bytes, 1_048_576)
+
+    def test_reading_small_chunks_leaves_turns_to_other_tasks(self):
+        """50,000 chunks; a read of the socket alone holds about 10,000 of them."""
+        turns = []
+        chunks = b"1\r\nb\r\n" * 50_000
+        self.exchange([CHUNKED_HEAD, chunks, CHUNKED_END], lambda: turns.append(1))
+        self.assertGreater(len(turns), 250)
+
+
+class TestOperatorClient(unittest.TestCase):
+    """A command ends although its server goes on sending."""
+
+    def test_slow_answer_without_end(self):
+        """A byte every 50 ms for 10 s, against a time limit of 0.5 s."""
+        closed = threading.Event()
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nx-long: ")
+                for _ in range(200):
+                    try:
+                        connection.sendall(b"a")
+                    except OSError:
+                        closed.set()
+                        return
+                    time.sleep(0.05)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            server = threading.Thread(target=serve)
+            server.start()
+            port = listener.getsockname()[1]
+            client = OperatorClient(f"http://127.0.0.1:{port}", "token")
+            with (
+                mock.patch.object(operator_client, "_RESPONSE_TIMEOUT_SECONDS", 0.5),
+                self.assertRaises(CommandError),
+            ):
+                client.get("/v1/status", dict)
+            server.join()
+        self.assertTrue(closed.is_set(), "the client waited for the end")
