Bound the body of an answer that is read as a whole

Callers saw: an error answer without a length, a chunked body or a success that did not end was read into memory until the deadline; one of 64 MiB was sent on as the server's answer, and nothing smaller than the deadline bounded it. Cause: OpenResponse.read joined a list of all chunks, without a limit. Why it works: the body goes into one bytearray, and reading ends with AnswerTooLarge, a ConnectionLost and so 502 answer-lost, at ClientLimits.body_bytes (16 MiB) or before the body if the declared length is larger. An incomplete response closes its connection when the iteration over its chunks stops, not only at the end of the call.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -2,6 +2,8 @@
 
 from sassafraspin.http.bodies import read_body
 from sassafraspin.http.client import (
+    AnswerTooLarge,
+    ClientLimits,
     ClientTimeouts,
     ConnectFailed,
     ConnectionLost,
@@ -27,8 +29,10 @@
 from sassafraspin.http.server import HttpServer
 
 __all__ = [
+    "AnswerTooLarge",
     "BadRequest",
     "BodyTooLarge",
+    "ClientLimits",
     "ClientTimeouts",
     "ConnectFailed",
     "ConnectionLost",
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -15,6 +15,8 @@
 from sassafraspin.settings import Address
 
 __all__ = [
+    "AnswerTooLarge",
+    "ClientLimits",
     "ClientTimeouts",
     "ConnectFailed",
     "ConnectionLost",
@@ -24,6 +26,7 @@
 
 _READ_CHUNK_BYTES = 65_536
 _MAX_IDLE_PER_ADDRESS = 16
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 @dataclass(frozen=True)
@@ -46,6 +49,20 @@
     idle: float = 5.0
 
 
+@dataclass(frozen=True)
+class ClientLimits:
+    """Size limits of responses.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Largest body that is read as a whole; four times the default limit of callers'
+        requests on the platform. Bodies that are read in chunks have no limit.
+    """
+
+    body_bytes: int = 16_777_216
+
+
 class ConnectFailed(RemoteFailure):
     """No connection was opened, so the server cannot have received the request."""
 
@@ -54,31 +71,75 @@
     """No valid complete response arrived; part of the request may have been sent."""
 
 
+class AnswerTooLarge(ConnectionLost):
+    """The body of a response exceeds the size limit."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(f"the answer exceeds {limit_bytes} bytes")
+
+
 class OpenResponse:
-    """A response whose head was received and whose body is read in chunks."""
+    """A response whose head was received and whose body is read in chunks.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : Headers
+        Header fields.
+    connection : _Connection
+        Connection from which the body is read.
+    limits : ClientLimits
+        Size limits of the body.
+    """
 
-    def __init__(self, status: int, headers: Headers, connection: "_Connection"):
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        connection: "_Connection",
+        limits: ClientLimits,
+    ) -> None:
         self._connection = connection
+        self._limits = limits
         self.status = status
         self.headers = headers
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks until its end.
 
+        The connection is closed if the iteration stops before.
+
         Raises
         ------
         ConnectionLost
             If the body is truncated or no byte arrives within the progress timeout.
         """
-        while True:
-            chunk = await self._connection.read_chunk()
-            if chunk is None:
-                return
-            yield chunk
+        try:
+            while (chunk := await self._connection.read_chunk()) is not None:
+                yield chunk
+        finally:
+            self._connection.close_unless_complete()
 
     async def read(self) -> bytes:
-        """Read the rest of the body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        """Read the rest of the body.
+
+        Raises
+        ------
+        AnswerTooLarge
+            If the body, or its declared length, exceeds the limit.
+        ConnectionLost
+            If the body is truncated or no byte arrives within the progress timeout.
+        """
+        limit_bytes = self._limits.body_bytes
+        if self._connection.declared_body_bytes > limit_bytes:
+            raise AnswerTooLarge(limit_bytes)
+        body = bytearray()
+        while (chunk := await self._connection.read_chunk()) is not None:
+            body += chunk
+            if len(body) > limit_bytes:
+                raise AnswerTooLarge(limit_bytes)
+        return bytes(body)
 
 
 class HttpClient:
@@ -88,10 +149,15 @@
     ----------
     timeouts : ClientTimeouts
         Time limits of requests and of pooled connections.
+    limits : ClientLimits
+        Size limits of responses.
     """
 
-    def __init__(self, timeouts: ClientTimeouts) -> None:
+    def __init__(
+        self, timeouts: ClientTimeouts, limits: ClientLimits = ClientLimits()
+    ) -> None:
         self._timeouts = timeouts
+        self._limits = limits
         self._idle: dict[Address, list[_Connection]] = {}
 
     @asynccontextmanager
@@ -110,7 +176,7 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             status, headers = await connection.send_and_read_head(request)
-            yield OpenResponse(status, headers, connection)
+            yield OpenResponse(status, headers, connection, self._limits)
         finally:
             self._release(address, connection)
 
@@ -160,6 +226,12 @@
         self._timeouts = timeouts
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
+        self._declared_body_bytes = 0
+
+    @property
+    def declared_body_bytes(self) -> int:
+        """Return the declared length of the body of the response, 0 without one."""
+        return self._declared_body_bytes
 
     def is_reusable(self) -> bool:
         """Return whether the connection was used recently and is still open."""
@@ -182,6 +254,11 @@
             return False
         return True
 
+    def close_unless_complete(self) -> None:
+        """Close the connection unless the response was received completely."""
+        if self._protocol.their_state is not h11.DONE:
+            self.close()
+
     def close(self) -> None:
         """Close the connection without waiting."""
         self._stream.socket.close()
@@ -203,7 +280,9 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer")
-        return event.status_code, Headers.from_wire(event.headers)
+        headers = Headers.from_wire(event.headers)
+        self._declared_body_bytes = _declared_body_bytes(request, event, headers)
+        return event.status_code, headers
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end."""
@@ -249,6 +328,15 @@
     return stream.socket.is_readable()
 
 
+def _declared_body_bytes(
+    request: Request, response: h11.Response, headers: Headers
+) -> int:
+    """Return the declared length of the body, 0 if there is none or no body follows."""
+    if request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return 0
+    return int(headers.get("content-length") or 0)
+
+
 def _headers_with_length(request: Request) -> list[tuple[str, str]]:
     headers = list(request.headers.items)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
