Let the head of a refusal decide, whatever becomes of its body

Callers saw: 504 or 502 with an unknown outcome although the runner's complete head stated that the request was not run, if the body of the refusal was truncated or did not end; a slow one held the slot until the deadline (15 s in the test), and a fast one was read into memory without a limit. Cause: the exchange read the whole body, which it does not use, before it took the refusal; any failure of that read replaced the outcome. Evidence: 4 tests of test_endless_answers.TestEndlessRefusals failed before and pass now; an endless head that would be a refusal is still an unknown outcome. Why it works: OpenResponse.discard reads the rest only to keep the connection, at most 64 KiB (ClientLimits) and 0.25 s (ClientTimeouts); otherwise it closes the connection and logs the reason.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -13,6 +13,7 @@
 from sassafraspin.errors import RemoteFailure
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.settings import Address
+from sassafraspin.telemetry import part_logger
 
 __all__ = [
     "AnswerTooLarge",
@@ -28,6 +29,8 @@
 _MAX_IDLE_PER_ADDRESS = 16
 _STATUSES_WITHOUT_BODY = (204, 304)
 
+_log = part_logger("http")
+
 
 @dataclass(frozen=True)
 class ClientTimeouts:
@@ -42,11 +45,14 @@
         response.
     idle : float
         Time after which an idle pooled connection is no longer reused.
+    discard : float
+        Limit for reading the rest of a response whose body is not needed.
     """
 
     connect: float = 1.0
     progress: float = 10.0
     idle: float = 5.0
+    discard: float = 0.25
 
 
 @dataclass(frozen=True)
@@ -58,9 +64,12 @@
     body_bytes : int
         Largest body that is read as a whole; four times the default limit of callers'
         requests on the platform. Bodies that are read in chunks have no limit.
+    discarded_bytes : int
+        Largest rest of a body that is read only to keep the connection.
     """
 
     body_bytes: int = 16_777_216
+    discarded_bytes: int = 65_536
 
 
 class ConnectFailed(RemoteFailure):
@@ -89,6 +98,8 @@
         Header fields.
     connection : _Connection
         Connection from which the body is read.
+    timeouts : ClientTimeouts
+        Time limits.
     limits : ClientLimits
         Size limits of the body.
     """
@@ -98,9 +109,11 @@
         status: int,
         headers: Headers,
         connection: "_Connection",
+        timeouts: ClientTimeouts,
         limits: ClientLimits,
     ) -> None:
         self._connection = connection
+        self._timeouts = timeouts
         self._limits = limits
         self.status = status
         self.headers = headers
@@ -141,6 +154,28 @@
                 raise AnswerTooLarge(limit_bytes)
         return bytes(body)
 
+    async def discard(self) -> None:
+        """Read the rest of a body that is not needed, so that the connection is kept.
+
+        The connection is closed if the rest is invalid, large or slow.
+        """
+        reason = "it takes too long"
+        with trio.move_on_after(self._timeouts.discard):
+            try:
+                await self._read_rest()
+                return
+            except ConnectionLost as error:
+                reason = str(error)
+        _log.debug("Closing a connection instead of reading its rest: {}.", reason)
+        self._connection.close()
+
+    async def _read_rest(self) -> None:
+        size = 0
+        while (chunk := await self._connection.read_chunk()) is not None:
+            size += len(chunk)
+            if size > self._limits.discarded_bytes:
+                raise AnswerTooLarge(self._limits.discarded_bytes)
+
 
 class HttpClient:
     """Sends requests over pooled connections.
@@ -176,7 +211,9 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             status, headers = await connection.send_and_read_head(request)
-            yield OpenResponse(status, headers, connection, self._limits)
+            yield OpenResponse(
+                status, headers, connection, self._timeouts, self._limits
+            )
         finally:
             self._release(address, connection)
 
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -227,7 +227,9 @@
     ) -> AttemptOutcome:
         metadata = self._adapter.read_response(response.status, response.headers)
         if metadata.not_run:
-            await response.read()
+            # The head decides alone, whatever becomes of the body.
+            self._may_have_run = False
+            await response.discard()
             return NotRun()
         if metadata.request_id != self._call.metadata.request_id:
             raise ConnectionLost("the answer belongs to another request")
