End a call with a typed failure when an event exceeds its limit

Callers saw: 500 internal-failure, or a stream cut with that reason in the log, when a server sent an event of more than 1 MiB; the slot was released as if the caller had cancelled. The other daemon ended its streams with internal-failure. Cause: EventTooLarge was a ValueError, which no one handles as a lost answer. Evidence: test_event_in_a_resumable_stream, its variant after other events and TestOtherDaemon.test_endless_event failed before and pass now. Why it works: EventTooLarge is a ConnectionLost (no valid complete answer arrived), so both daemons treat it as every broken answer: attempt failed, resumed elsewhere where the route allows it, otherwise 502 or a cut stream. Both tests of resumable streams have two faulty servers now: with one, the second attempt rightly waits for another server until the deadline and the outcome is 504. The expected outcome and all checks stay; both failed on the old code in this form too.

--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from sassafraspin.http.client import ConnectionLost
+
 __all__ = [
     "EventBlock",
     "EventParser",
@@ -38,9 +40,12 @@
     return ("\n".join(lines) + "\n\n").encode()
 
 
-class EventTooLarge(ValueError):
+class EventTooLarge(ConnectionLost):
     """An incomplete event exceeds the size limit."""
 
+    def __init__(self) -> None:
+        super().__init__(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+
 
 class EventParser:
     """Parses events from a byte stream, buffering incomplete ones.
@@ -56,7 +61,7 @@
         received = (self._buffer + data).replace(b"\r\n", b"\n")
         *blocks, self._buffer = received.split(b"\n\n")
         if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+            raise EventTooLarge
         return [event for block in blocks if (event := _parse_block(block))]
 
 
@@ -96,7 +101,7 @@
         """Append received bytes and return the events completed by them."""
         *blocks, self._buffer = (self._buffer + data).split(_EVENT_END)
         if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+            raise EventTooLarge
         return [EventBlock(block + _EVENT_END, _event_id(block)) for block in blocks]
 
     def take_remainder(self) -> bytes:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -84,11 +84,14 @@
         Correct answer, sent once ``fault`` is ``None``.
     fault : Fault or None
         Fault of the answers.
+    port_count : int
+        Number of ports on which it listens, each as if it were a server of its own.
     """
 
     answer: bytes
     fault: Fault | None = None
-    address: Address = Address(HOST, 1)
+    port_count: int = 1
+    addresses: list[Address] = field(default_factory=list)
     requests_by_connection: list[int] = field(default_factory=list)
     completed_faults: int = 0
     sent_bytes: int = 0
@@ -96,8 +99,11 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
-        self.address = Address(HOST, listeners[0].socket.getsockname()[1])
+        listeners = []
+        for _ in range(self.port_count):
+            listeners += await trio.open_tcp_listeners(0, host=HOST)
+        for listener in listeners:
+            self.addresses.append(Address(HOST, listener.socket.getsockname()[1]))
         task_status.started()
         await trio.serve_listeners(self._serve, listeners)
 
@@ -158,6 +164,7 @@
     """Calls through a routed daemon to one faulty server with a single slot."""
 
     answer = SUCCESS + b"content-length: 6\r\n\r\nanswer"
+    runner_count = 1
 
     def run_scenario(
         self,
@@ -165,15 +172,16 @@
         scenario: Callable[[RoutedDeployment, FaultyServer], Awaitable[None]],
     ) -> None:
         async def run() -> None:
-            server = FaultyServer(self.answer, fault)
+            server = FaultyServer(self.answer, fault, self.runner_count)
             with trio.fail_after(GUARD_SECONDS):
                 async with (
                     routed_deployment(runners=0) as deployment,
                     trio.open_nursery() as nursery,
                 ):
                     await nursery.start(server.run)
-                    runner = FakeRunner("i-1", server.address, slots=1)
-                    await deployment.register(runner)
+                    for number, address in enumerate(server.addresses):
+                        runner = FakeRunner(f"i-{number}", address, slots=1)
+                        await deployment.register(runner)
                     await scenario(deployment, server)
                     nursery.cancel_scope.cancel()
 
@@ -365,10 +373,12 @@
         self.check_logged("unknown:no-answer-in-time")
 
     def test_event_in_a_resumable_stream(self):
+        self.runner_count = 2
         fault = Fault(SUCCESS + CHUNKED + chunk(b"data: "), chunk(b"e" * 65_536))
         self.check_call(fault, 502, "unknown:answer-lost", path="/resumed/1")
 
     def test_event_in_a_resumable_stream_after_other_events(self):
+        self.runner_count = 2
         lead = SUCCESS + CHUNKED + chunk(b"id: 1\ndata: e\n\ndata: ")
         fault = Fault(lead, chunk(b"e" * 65_536))
 
@@ -494,7 +504,7 @@
         self, client: HttpClient, operators: Address, server: FaultyServer
     ) -> None:
         profile = Profile("quick-question", 1, "sorter-model", 0, 15_000, 16)
-        announced = announcement(1, service="sorter-model", address=server.address)
+        announced = announcement(1, service="sorter-model", address=server.addresses[0])
         for method, target, token, document in (
             ("PUT", "/v1/profiles/quick-question", OPERATOR_TOKEN, profile),
             ("POST", "/v1/backend-servers", BACKEND_TOKEN, announced),
