Split events in time proportional to their bytes

Seen: an event that arrives in small pieces took quadratic time: 268,000 of 1,048,566 single bytes in 60 s for the splitter, 180,000 for the parser. A server that sends such chunks held the event loop, and so all other calls, for seconds at a time. Cause: each piece copied and searched the whole incomplete event. Why it works: one buffer for both readers is extended in place and searched once; the parser keeps a carriage return at the end of a piece until the next byte is known.

--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -47,6 +47,44 @@
         super().__init__(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
 
 
+class _EventBuffer:
+    """Divides a byte stream at event ends; searches each byte once."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._searched_bytes = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Append bytes; return the events completed by them, with their ends.
+
+        Raises
+        ------
+        EventTooLarge
+            If the event that is not complete yet exceeds the limit.
+        """
+        self._data += data
+        events = []
+        start = 0
+        # The last byte searched may be the first one of an event end.
+        search = max(0, self._searched_bytes - 1)
+        while (found := self._data.find(_EVENT_END, search)) >= 0:
+            search = found + len(_EVENT_END)
+            events.append(bytes(self._data[start:search]))
+            start = search
+        del self._data[:start]
+        self._searched_bytes = len(self._data)
+        if len(self._data) > _MAX_EVENT_BYTES:
+            raise EventTooLarge
+        return events
+
+    def take_remainder(self) -> bytes:
+        """Return and clear the bytes after the last complete event."""
+        remainder = bytes(self._data)
+        self._data.clear()
+        self._searched_bytes = 0
+        return remainder
+
+
 class EventParser:
     """Parses events from a byte stream, buffering incomplete ones.
 
@@ -54,14 +92,16 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = _EventBuffer()
+        self._carriage_return = b""
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Append received bytes and return the events completed by them."""
-        received = (self._buffer + data).replace(b"\r\n", b"\n")
-        *blocks, self._buffer = received.split(b"\n\n")
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge
+        received = self._carriage_return + data
+        # A line feed may follow in the next piece.
+        self._carriage_return = received[-1:] if received.endswith(b"\r") else b""
+        received = received.removesuffix(b"\r").replace(b"\r\n", b"\n")
+        blocks = self._buffer.feed(received)
         return [event for block in blocks if (event := _parse_block(block))]
 
 
@@ -95,19 +135,15 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = _EventBuffer()
 
     def feed(self, data: bytes) -> list[EventBlock]:
         """Append received bytes and return the events completed by them."""
-        *blocks, self._buffer = (self._buffer + data).split(_EVENT_END)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge
-        return [EventBlock(block + _EVENT_END, _event_id(block)) for block in blocks]
+        return [EventBlock(raw, _event_id(raw)) for raw in self._buffer.feed(data)]
 
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+        return self._buffer.take_remainder()
 
 
 def _event_id(block: bytes) -> str | None:
