Bound the informational responses before a response

Callers saw: 504 at the deadline while the daemon read 1xx responses at full speed. Cause: the client skipped informational responses without a count, and h11's limit of 16 KiB holds for each of them alone. Evidence: test_informational_responses (504 after 15 s before) and test_informational_responses_without_end failed before and pass now; three 1xx responses are accepted as before. Why it works: after 32 of them (ClientLimits) the answer is a ConnectionLost, 502.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -66,10 +66,13 @@
         requests on the platform. Bodies that are read in chunks have no limit.
     discarded_bytes : int
         Largest rest of a body that is read only to keep the connection.
+    informational_responses : int
+        Largest number of informational responses (1xx) before a response.
     """
 
     body_bytes: int = 16_777_216
     discarded_bytes: int = 65_536
+    informational_responses: int = 32
 
 
 class ConnectFailed(RemoteFailure):
@@ -235,7 +238,7 @@
                 stream = await trio.open_tcp_stream(address.host, address.port)
             except OSError as error:
                 raise ConnectFailed(f"cannot connect: {error}") from error
-            return _Connection(stream, self._timeouts)
+            return _Connection(stream, self._timeouts, self._limits)
         raise ConnectFailed("connect timed out")
 
     def _take_idle(self, address: Address) -> "_Connection | None":
@@ -258,9 +261,15 @@
 class _Connection:
     """One HTTP/1.1 connection to a server."""
 
-    def __init__(self, stream: trio.SocketStream, timeouts: ClientTimeouts) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        timeouts: ClientTimeouts,
+        limits: ClientLimits,
+    ) -> None:
         self._stream = stream
         self._timeouts = timeouts
+        self._limits = limits
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
@@ -313,7 +322,11 @@
         data += self._protocol.send(h11.EndOfMessage())
         await self._write(data)
         event = await self._next_event()
+        informational_responses = 0
         while isinstance(event, h11.InformationalResponse):
+            informational_responses += 1
+            if informational_responses > self._limits.informational_responses:
+                raise ConnectionLost("the server sends too many 1xx responses")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer")
