Leave turns to other tasks while small protocol events are read

Seen: while one connection delivered 50,000 chunks of one byte, another task of the process got 11 turns (client) or 7 (server); each read of 64 KiB holds about 10,000 chunks, which take more than 100 ms in h11. Cause: only reads of the socket were checkpoints.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -26,6 +26,11 @@
 ]
 
 _READ_CHUNK_BYTES = 65_536
+
+_EVENTS_PER_CHECKPOINT = 64
+"""Protocol events that are handled before other tasks get a turn. One read of the
+socket may hold ten thousand."""
+
 _MAX_IDLE_PER_ADDRESS = 16
 _STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -273,6 +278,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
+        self._events_since_checkpoint = 0
 
     @property
     def declared_body_bytes(self) -> int:
@@ -355,6 +361,10 @@
         raise ConnectionLost("the server does not read")
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        self._events_since_checkpoint += 1
+        if self._events_since_checkpoint >= _EVENTS_PER_CHECKPOINT:
+            self._events_since_checkpoint = 0
+            await trio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._protocol.next_event()
