Take only short runs of ASCII digits for sequence numbers of events

Callers saw: internal-failure when a server sent an event identifier of more than 4300 digits, or of digits of another script; the attempt was released as cancelled. Cause: both daemons passed every identifier with isdigit to int, which raises ValueError for both kinds. Why it works: sequence_number accepts at most 18 ASCII digits; any other identifier counts as none, as letters did before, so that it is never sent to another server.

--- a/src/sassafraspin/daemon/relay.py
+++ b/src/sassafraspin/daemon/relay.py
@@ -20,6 +20,7 @@
     Response,
     ServerSentEvent,
 )
+from sassafraspin.http.events import sequence_number
 from sassafraspin.settings import Address
 from sassafraspin.telemetry import part_logger
 
@@ -186,8 +187,8 @@
     def _accept(self, event: ServerSentEvent) -> bool:
         if self._done:
             return False
-        if event.id is not None and event.id.isdigit():
-            sequence = int(event.id)
+        sequence = sequence_number(event.id)
+        if sequence is not None:
             if sequence <= self._last_sequence:
                 return False
             if sequence != self._last_sequence + 1:
--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -11,9 +11,11 @@
     "EventTooLarge",
     "ServerSentEvent",
     "format_event",
+    "sequence_number",
 ]
 
 _MAX_EVENT_BYTES = 1_048_576
+_MAX_SEQUENCE_DIGITS = 18
 _EVENT_END = b"\n\n"
 
 
@@ -40,6 +42,18 @@
     return ("\n".join(lines) + "\n\n").encode()
 
 
+def sequence_number(event_id: str | None) -> int | None:
+    """Return the sequence number in an event identifier, ``None`` if it is none.
+
+    It consists of ASCII digits, of at most ``_MAX_SEQUENCE_DIGITS`` of them.
+    """
+    if event_id is None or len(event_id) > _MAX_SEQUENCE_DIGITS:
+        return None
+    if not (event_id.isascii() and event_id.isdigit()):
+        return None
+    return int(event_id)
+
+
 class EventTooLarge(ConnectionLost):
     """An incomplete event exceeds the size limit."""
 
--- a/src/sassafraspin/routed/stream.py
+++ b/src/sassafraspin/routed/stream.py
@@ -1,7 +1,7 @@
 """Relay of event streams to the caller, complete and in order."""
 
 from sassafraspin.http import Headers, Responder
-from sassafraspin.http.events import EventBlock, EventSplitter
+from sassafraspin.http.events import EventBlock, EventSplitter, sequence_number
 
 __all__ = ["StreamRelay"]
 
@@ -74,10 +74,11 @@
 
         An event without a numeric identifier always counts as new.
         """
-        if block.id is None or not block.id.isdigit():
+        number = sequence_number(block.id)
+        if number is None:
             return True
-        last = self._last_event_id
-        if last is not None and last.isdigit() and int(block.id) <= int(last):
+        last = sequence_number(self._last_event_id)
+        if last is not None and number <= last:
             return False
         self._last_event_id = block.id
         return True
