Forward an answer whose JSON is nested too deeply to count its tokens

Callers saw: 500 internal-failure instead of a complete answer whose body is JSON nested beyond the decoder's recursion limit. Cause: the token count of the body handled decode errors, but not RecursionError. Evidence: TestOtherDaemon.test_deeply_nested_answer_is_forwarded failed before and passes now. Why it works: such a body counts as without usage, like any other that is no JSON.

--- a/src/sassafraspin/daemon/relay.py
+++ b/src/sassafraspin/daemon/relay.py
@@ -240,7 +240,7 @@
     """Return the answer tokens that the body reports in ``usage``, or 0."""
     try:
         usage = msgspec.json.decode(body, type=_UsageDocument).usage
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
         return 0
     return usage.completion_tokens
 
