--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -27,10 +27,10 @@
 
 
 @asynccontextmanager
-async def _serving(limits: HttpLimits = LIMITS):
+async def _serving(limits: HttpLimits = LIMITS, handler=_echo):
     """Run a server and yield its port."""
     [port] = free_ports(1)
-    server = HttpServer(Address("127.0.0.1", port), limits, as_handler(_echo))
+    server = HttpServer(Address("127.0.0.1", port), limits, as_handler(handler))
     async with trio.open_nursery() as nursery:
         await nursery.start(server.serve)
         yield port
@@ -153,3 +153,27 @@
 
         self.assertIn(b"200", trio.run(run))
         self.assertGreater(len(turns), 250)
+
+
+class TestHandlerFailure(unittest.TestCase):
+    """An unexpected error of a handler ends its connection only."""
+
+    def test_other_connections_go_on(self):
+        async def fail_first(request):
+            if request.path == "/fail":
+                raise ValueError(request.path)
+            return Response(200)
+
+        async def run() -> tuple[bytes, bytes]:
+            async with _serving(handler=fail_first) as port:
+                answers = []
+                for path in (b"/fail", b"/other"):
+                    stream = await trio.open_tcp_stream("127.0.0.1", port)
+                    await stream.send_all(b"GET %s HTTP/1.1\r\nHost: a\r\n\r\n" % path)
+                    answers.append(await stream.receive_some(1000))
+                    await stream.aclose()
+            return tuple(answers)
+
+        failed, other = trio.run(run)
+        self.assertEqual(failed, b"")
+        self.assertIn(b"200", other)
--- a/tests/test_routed_daemon.py
+++ b/tests/test_routed_daemon.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from sassafraspin.http import Headers, HttpClient, Response
+from sassafraspin.http import Headers, HttpClient, Request, Response
 from sassafraspin.http.client import ConnectionLost
 from sassafraspin.routed.routing_view import RoutingView
 from tests.routed_deployment import (
@@ -20,6 +20,7 @@
     runner_headers,
 )
 
+CONTROL_HEADERS = Headers((("host", "control"),))
 EVENTS = [f"id: {number}\ndata: e{number}\n\n".encode() for number in range(1, 6)]
 
 
@@ -320,6 +321,28 @@
 
         self.run_scenario(scenario)
 
+    def test_deeply_nested_document_is_refused(self):
+        """Such a document must not end the daemon."""
+        body = b'{"unknown":' + b"[" * 100_000
+
+        async def scenario(deployment):
+            for method, path in (
+                ("PUT", "config"),
+                ("PUT", "instances/i-9"),
+                ("POST", "rollouts"),
+            ):
+                request = Request(
+                    method, f"/sassafraspin/{path}", CONTROL_HEADERS, body
+                )
+                response = await deployment.client.send(
+                    deployment.listen.control, request
+                )
+                self.assertEqual(response.status, 400, path)
+            response = await deployment.call("/safe/1")
+            self.assertEqual(response.status, 200)
+
+        self.run_scenario(scenario)
+
 
 class TestReadiness(RoutedTestCase):
     """Readiness endpoint for the load balancer."""
