Refuse a roll-out order that is nested too deeply

Seen: POST /sassafraspin/rollouts with an unknown member nested 100,000 deep (100 KB, no credentials) ended the daemon with RecursionError. Cause: the decoder of this document alone did not handle RecursionError; configurations and registrations do. Evidence: test_deeply_nested_document_is_refused failed before and passes now. Why it works: the error becomes BadRequest, 400.

--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -115,7 +115,7 @@
     async def _start_rollout(self, request: Request) -> Response:
         try:
             order = _ROLLOUT_DECODER.decode(request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise BadRequest(str(error)) from error
         await self._operations.start_rollout(
             order.service, order.target, order.duration_s
