Close the connection alone when a handler raises an unexpected error

Seen: any unexpected error in a handler of the HTTP server, or in reading a request, ended the server and with it the daemon and all calls in flight. Cause: the task of a connection handled connection errors only; all others ended the nursery of the server. Evidence: TestHandlerFailure.test_other_connections_go_on failed before and passes now. Why it works: the error is logged with its traceback and its connection is closed, which tells the peer nothing about the outcome, as it must be; cancellation passes on.

--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -97,6 +97,8 @@
                 await connection.run()
         except* _CONNECTION_ERRORS as group:
             _log.debug("Connection failed: {!r}.", group.exceptions[0])
+        except* Exception:
+            _log.exception("Unexpected error on a connection; it is closed.")
         finally:
             self._connections.discard(connection)
             with trio.move_on_after(1) as scope:
