Limit the time of a whole exchange made with HttpClient.send

Seen: a command of the operator waited as long as its server sent a byte now and then: 10 s, the end of the test's server, against a limit of 0.5 s. Announcements of stand-ins and load orders, which are sent one at a time, had no bound either. Cause: the time limits held for each wait for bytes, and only calls have a deadline. Evidence: TestOperatorClient.test_slow_answer_without_end failed before and passes now. Why it works: ClientTimeouts.exchange (60 s, for commands 10 s as for their progress) ends the exchange with a ConnectionLost and closes the connection. Calls use HttpClient.open and keep their deadlines.

--- a/src/sassafraspin/cli/operator_client.py
+++ b/src/sassafraspin/cli/operator_client.py
@@ -78,7 +78,11 @@
 
     async def _exchange(self, request: Request) -> Response:
         client = HttpClient(
-            ClientTimeouts(connect=2.0, progress=_RESPONSE_TIMEOUT_SECONDS)
+            ClientTimeouts(
+                connect=2.0,
+                progress=_RESPONSE_TIMEOUT_SECONDS,
+                exchange=_RESPONSE_TIMEOUT_SECONDS,
+            )
         )
         try:
             return await client.send(self._address, request)
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -52,12 +52,16 @@
         Time after which an idle pooled connection is no longer reused.
     discard : float
         Limit for reading the rest of a response whose body is not needed.
+    exchange : float
+        Limit for a whole exchange made with ``HttpClient.send``; exchanges made with
+        ``HttpClient.open`` are limited by their caller.
     """
 
     connect: float = 1.0
     progress: float = 10.0
     idle: float = 5.0
     discard: float = 0.25
+    exchange: float = 60.0
 
 
 @dataclass(frozen=True)
@@ -226,9 +230,20 @@
             self._release(address, connection)
 
     async def send(self, address: Address, request: Request) -> Response:
-        """Send a request and return the complete response."""
-        async with self.open(address, request) as response:
-            return Response(response.status, response.headers, await response.read())
+        """Send a request and return the complete response.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection could be opened, so nothing was sent.
+        ConnectionLost
+            If no valid response was complete within the time limit of an exchange.
+        """
+        with trio.move_on_after(self._timeouts.exchange):
+            async with self.open(address, request) as response:
+                body = await response.read()
+                return Response(response.status, response.headers, body)
+        raise ConnectionLost("the exchange took too long")
 
     def close(self) -> None:
         """Close every idle connection."""
