Close idle connections on which a server goes on sending

Seen: bytes without end after a complete answer were noticed only by the next call to the same server; without one, the connection stayed open (60 s guard of the test), as did idle connections that were too old or closed by the server. Cause: the state of an idle connection was checked only when it was taken. Evidence: TestEndlessSurplus.test_later_bytes failed before and passes now. Why it works: both daemons check their idle connections once a second and close those that would not be reused; addresses without connections are forgotten.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -297,6 +297,7 @@
         self._send_ledger_effects(self._ledger.tick(node.is_active_member(), now))
         self._slots.tick()
         self._dispatch.tick()
+        self._backend_client.close_unusable()
 
     def _apply_view(self) -> None:
         state = self._node.configuration.state
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -32,6 +32,7 @@
 socket may hold ten thousand."""
 
 _MAX_IDLE_PER_ADDRESS = 16
+_CHECK_INTERVAL_SECONDS = 1.0
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 _log = part_logger("http")
@@ -206,6 +207,7 @@
         self._timeouts = timeouts
         self._limits = limits
         self._idle: dict[Address, list[_Connection]] = {}
+        self._next_check_at = 0.0
 
     @asynccontextmanager
     async def open(
@@ -245,6 +247,28 @@
                 return Response(response.status, response.headers, body)
         raise ConnectionLost("the exchange took too long")
 
+    def close_unusable(self) -> None:
+        """Close the idle connections that are old, were closed or have surplus bytes.
+
+        A server may send surplus bytes until its connection is closed. Checks are made
+        at most once per ``_CHECK_INTERVAL_SECONDS``.
+        """
+        now = trio.current_time()
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + _CHECK_INTERVAL_SECONDS
+        for address, connections in list(self._idle.items()):
+            usable = []
+            for connection in connections:
+                if connection.is_reusable():
+                    usable.append(connection)
+                else:
+                    connection.close()
+            if usable:
+                self._idle[address] = usable
+            else:
+                del self._idle[address]
+
     def close(self) -> None:
         """Close every idle connection."""
         for connections in self._idle.values():
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -150,6 +150,7 @@
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._client.close_unusable()
         if self._control.leads(now):
             self._broadcast_backends(now)
             self._send_usage_reports()
