--- a/tests/test_routed_daemon.py
+++ b/tests/test_routed_daemon.py
@@ -163,6 +163,19 @@
 
         self.run_scenario(scenario)
 
+    def test_refusal_of_another_request_is_not_taken_for_this_one(self):
+        async def refuse_other(request, responder):
+            headers = Headers((("x-request-id", "other"), ("x-not-executed", "full")))
+            await responder.send(Response(503, headers))
+
+        async def scenario(deployment):
+            self.set_behaviour(deployment, refuse_other)
+            response = await deployment.call("/unsafe/1")
+            self.assertEqual(response.status, 502)
+            self.assertEqual(json.loads(response.body)["execution"], "unknown")
+
+        self.run_scenario(scenario)
+
     def test_success_without_seal_is_not_forwarded(self):
         async def unsealed(request, responder):
             headers = Headers((("x-request-id", "id-1"),))
