Compare the identifier of a refusal with that of the request

Callers saw: 503 not-run, a promise, when the refusal of another request arrived where the answer was due; the request itself may have run. Cause: a refusal was taken before its identifier was compared, unlike an answer. Evidence: test_refusal_of_another_request_is_not_taken_for_this_one failed before and passes now. Why it works: a refusal counts if it bears the request's identifier or none (a request without one is refused so); any other is an answer to another request, 502.

--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -226,12 +226,14 @@
         self, response: OpenResponse, timing: _AttemptTiming
     ) -> AttemptOutcome:
         metadata = self._adapter.read_response(response.status, response.headers)
-        if metadata.not_run:
+        own_id = self._call.metadata.request_id
+        # A request that was refused unread has no identifier to return.
+        if metadata.not_run and metadata.request_id in (None, own_id):
             # The head decides alone, whatever becomes of the body.
             self._may_have_run = False
             await response.discard()
             return NotRun()
-        if metadata.request_id != self._call.metadata.request_id:
+        if metadata.request_id != own_id:
             raise ConnectionLost("the answer belongs to another request")
         is_success = 200 <= response.status < 300
         # Callers reject a success without the seal header.
