--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -71,11 +71,15 @@
     """An answer without end costs bounded memory and leaves time for other tasks."""
 
     def exchange(
-        self, pieces: Iterable[bytes], beside: Callable[[], object] | None = None
+        self,
+        pieces: Iterable[bytes],
+        beside: Callable[[], object] | None = None,
+        in_chunks: bool = False,
     ) -> Response:
         """Return the response that consists of the pieces.
 
         ``beside`` is called at each turn of another task while the client reads.
+        ``in_chunks`` reads the body in chunks instead of as a whole.
         """
 
         async def serve(stream: trio.SocketStream) -> None:
@@ -86,6 +90,8 @@
             except trio.BrokenResourceError:
                 return
 
+        client = HttpClient(TIMEOUTS)
+
         async def run_beside() -> None:
             while beside is not None:
                 beside()
@@ -96,14 +102,19 @@
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
                 port = listeners[0].socket.getsockname()[1]
-                client = HttpClient(TIMEOUTS)
                 nursery.start_soon(run_beside)
                 with trio.fail_after(GUARD_SECONDS):
-                    answer = await client.send(Address("127.0.0.1", port), REQUEST)
+                    send = send_and_read_chunks if in_chunks else client.send
+                    answer = await send(Address("127.0.0.1", port), REQUEST)
                 client.close()
                 nursery.cancel_scope.cancel()
             return answer
 
+        async def send_and_read_chunks(address: Address, request: Request) -> Response:
+            async with client.open(address, request) as opened:
+                body = b"".join([chunk async for chunk in opened.chunks()])
+            return Response(opened.status, opened.headers, body)
+
         try:
             return trio.run(run)
         except BaseExceptionGroup as group:
@@ -148,6 +159,14 @@
         self.exchange([CHUNKED_HEAD, chunks, CHUNKED_END], lambda: turns.append(1))
         self.assertGreater(len(turns), 250)
 
+    def test_large_chunks_are_handed_over_in_parts_between_turns(self):
+        """1 MiB; 64 KiB at once may hold 30,000 events, which take 0.2 s."""
+        turns = []
+        body = b"\n" * 1_048_576
+        answer = self.exchange([response(body)], lambda: turns.append(1), True)
+        self.assertEqual(len(answer.body), len(body))
+        self.assertGreater(len(turns), 128)
+
 
 class TestOperatorClient(unittest.TestCase):
     """A command ends although its server goes on sending."""
