Hand over large chunks of a stream in parts, with turns for other tasks

Seen: 64 KiB of events handed over at once kept all other tasks waiting, 0.28 s for empty events on a loaded machine. Cause: whatever one read returned was split into events without a checkpoint. Evidence: test_large_chunks_are_handed_over_in_parts_between_turns failed before (25 turns during 1 MiB) and passes now (more than 128). Why it works: OpenResponse.chunks yields at most 4 KiB between two checkpoints. Bodies that are read as a whole are not affected.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -31,6 +31,10 @@
 """Protocol events that are handled before other tasks get a turn. One read of the
 socket may hold ten thousand."""
 
+_STREAM_PART_BYTES = 4096
+"""Largest part of a streamed chunk that is handed over before other tasks get a turn;
+it may hold two thousand empty events."""
+
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
 _STATUSES_WITHOUT_BODY = (204, 304)
@@ -132,7 +136,7 @@
         self.headers = headers
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body in chunks until its end.
+        """Yield the body in chunks until its end, in parts if they are large.
 
         The connection is closed if the iteration stops before.
 
@@ -143,7 +147,10 @@
         """
         try:
             while (chunk := await self._connection.read_chunk()) is not None:
-                yield chunk
+                yield chunk[:_STREAM_PART_BYTES]
+                for start in range(_STREAM_PART_BYTES, len(chunk), _STREAM_PART_BYTES):
+                    await trio.lowlevel.checkpoint()
+                    yield chunk[start : start + _STREAM_PART_BYTES]
         finally:
             self._connection.close_unless_complete()
 
