--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -13,8 +13,11 @@
 from sassafraspin.errors import RemoteFailure
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.settings import Address
+from sassafraspin.telemetry import part_logger
 
 __all__ = [
+    "AnswerTooLarge",
+    "ClientLimits",
     "ClientTimeouts",
     "ConnectFailed",
     "ConnectionLost",
@@ -23,7 +26,20 @@
 ]
 
 _READ_CHUNK_BYTES = 65_536
+
+_EVENTS_PER_CHECKPOINT = 64
+"""Protocol events that are handled before other tasks get a turn. One read of the
+socket may hold ten thousand."""
+
+_STREAM_PART_BYTES = 4096
+"""Largest part of a streamed chunk that is handed over before other tasks get a turn;
+it may hold two thousand empty events."""
+
 _MAX_IDLE_PER_ADDRESS = 16
+_CHECK_INTERVAL_SECONDS = 1.0
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+_log = part_logger("http")
 
 
 @dataclass(frozen=True)
@@ -39,11 +55,38 @@
         response.
     idle : float
         Time after which an idle pooled connection is no longer reused.
+    discard : float
+        Limit for reading the rest of a response whose body is not needed.
+    exchange : float
+        Limit for a whole exchange made with ``HttpClient.send``; exchanges made with
+        ``HttpClient.open`` are limited by their caller.
     """
 
     connect: float = 1.0
     progress: float = 10.0
     idle: float = 5.0
+    discard: float = 0.25
+    exchange: float = 60.0
+
+
+@dataclass(frozen=True)
+class ClientLimits:
+    """Size limits of responses.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Largest body that is read as a whole; four times the default limit of callers'
+        requests on the platform. Bodies that are read in chunks have no limit.
+    discarded_bytes : int
+        Largest rest of a body that is read only to keep the connection.
+    informational_responses : int
+        Largest number of informational responses (1xx) before a response.
+    """
+
+    body_bytes: int = 16_777_216
+    discarded_bytes: int = 65_536
+    informational_responses: int = 32
 
 
 class ConnectFailed(RemoteFailure):
@@ -54,31 +97,104 @@
     """No valid complete response arrived; part of the request may have been sent."""
 
 
+class AnswerTooLarge(ConnectionLost):
+    """The body of a response exceeds the size limit."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(f"the answer exceeds {limit_bytes} bytes")
+
+
 class OpenResponse:
-    """A response whose head was received and whose body is read in chunks."""
+    """A response whose head was received and whose body is read in chunks.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : Headers
+        Header fields.
+    connection : _Connection
+        Connection from which the body is read.
+    timeouts : ClientTimeouts
+        Time limits.
+    limits : ClientLimits
+        Size limits of the body.
+    """
 
-    def __init__(self, status: int, headers: Headers, connection: "_Connection"):
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        connection: "_Connection",
+        timeouts: ClientTimeouts,
+        limits: ClientLimits,
+    ) -> None:
         self._connection = connection
+        self._timeouts = timeouts
+        self._limits = limits
         self.status = status
         self.headers = headers
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body in chunks until its end.
+        """Yield the body in chunks until its end, in parts if they are large.
+
+        The connection is closed if the iteration stops before.
 
         Raises
         ------
         ConnectionLost
             If the body is truncated or no byte arrives within the progress timeout.
         """
-        while True:
-            chunk = await self._connection.read_chunk()
-            if chunk is None:
-                return
-            yield chunk
+        try:
+            while (chunk := await self._connection.read_chunk()) is not None:
+                yield chunk[:_STREAM_PART_BYTES]
+                for start in range(_STREAM_PART_BYTES, len(chunk), _STREAM_PART_BYTES):
+                    await trio.lowlevel.checkpoint()
+                    yield chunk[start : start + _STREAM_PART_BYTES]
+        finally:
+            self._connection.close_unless_complete()
 
     async def read(self) -> bytes:
-        """Read the rest of the body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        """Read the rest of the body.
+
+        Raises
+        ------
+        AnswerTooLarge
+            If the body, or its declared length, exceeds the limit.
+        ConnectionLost
+            If the body is truncated or no byte arrives within the progress timeout.
+        """
+        limit_bytes = self._limits.body_bytes
+        if self._connection.declared_body_bytes > limit_bytes:
+            raise AnswerTooLarge(limit_bytes)
+        body = bytearray()
+        while (chunk := await self._connection.read_chunk()) is not None:
+            body += chunk
+            if len(body) > limit_bytes:
+                raise AnswerTooLarge(limit_bytes)
+        return bytes(body)
+
+    async def discard(self) -> None:
+        """Read the rest of a body that is not needed, so that the connection is kept.
+
+        The connection is closed if the rest is invalid, large or slow.
+        """
+        reason = "it takes too long"
+        with trio.move_on_after(self._timeouts.discard):
+            try:
+                await self._read_rest()
+                return
+            except ConnectionLost as error:
+                reason = str(error)
+        _log.debug("Closing a connection instead of reading its rest: {}.", reason)
+        self._connection.close()
+
+    async def _read_rest(self) -> None:
+        size = 0
+        while (chunk := await self._connection.read_chunk()) is not None:
+            size += len(chunk)
+            if size > self._limits.discarded_bytes:
+                raise AnswerTooLarge(self._limits.discarded_bytes)
 
 
 class HttpClient:
@@ -88,11 +204,17 @@
     ----------
     timeouts : ClientTimeouts
         Time limits of requests and of pooled connections.
+    limits : ClientLimits
+        Size limits of responses.
     """
 
-    def __init__(self, timeouts: ClientTimeouts) -> None:
+    def __init__(
+        self, timeouts: ClientTimeouts, limits: ClientLimits = ClientLimits()
+    ) -> None:
         self._timeouts = timeouts
+        self._limits = limits
         self._idle: dict[Address, list[_Connection]] = {}
+        self._next_check_at = 0.0
 
     @asynccontextmanager
     async def open(
@@ -110,14 +232,49 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             status, headers = await connection.send_and_read_head(request)
-            yield OpenResponse(status, headers, connection)
+            yield OpenResponse(
+                status, headers, connection, self._timeouts, self._limits
+            )
         finally:
             self._release(address, connection)
 
     async def send(self, address: Address, request: Request) -> Response:
-        """Send a request and return the complete response."""
-        async with self.open(address, request) as response:
-            return Response(response.status, response.headers, await response.read())
+        """Send a request and return the complete response.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection could be opened, so nothing was sent.
+        ConnectionLost
+            If no valid response was complete within the time limit of an exchange.
+        """
+        with trio.move_on_after(self._timeouts.exchange):
+            async with self.open(address, request) as response:
+                body = await response.read()
+                return Response(response.status, response.headers, body)
+        raise ConnectionLost("the exchange took too long")
+
+    def close_unusable(self) -> None:
+        """Close the idle connections that are old, were closed or have surplus bytes.
+
+        A server may send surplus bytes until its connection is closed. Checks are made
+        at most once per ``_CHECK_INTERVAL_SECONDS``.
+        """
+        now = trio.current_time()
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + _CHECK_INTERVAL_SECONDS
+        for address, connections in list(self._idle.items()):
+            usable = []
+            for connection in connections:
+                if connection.is_reusable():
+                    usable.append(connection)
+                else:
+                    connection.close()
+            if usable:
+                self._idle[address] = usable
+            else:
+                del self._idle[address]
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -132,7 +289,7 @@
                 stream = await trio.open_tcp_stream(address.host, address.port)
             except OSError as error:
                 raise ConnectFailed(f"cannot connect: {error}") from error
-            return _Connection(stream, self._timeouts)
+            return _Connection(stream, self._timeouts, self._limits)
         raise ConnectFailed("connect timed out")
 
     def _take_idle(self, address: Address) -> "_Connection | None":
@@ -155,11 +312,24 @@
 class _Connection:
     """One HTTP/1.1 connection to a server."""
 
-    def __init__(self, stream: trio.SocketStream, timeouts: ClientTimeouts) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        timeouts: ClientTimeouts,
+        limits: ClientLimits,
+    ) -> None:
         self._stream = stream
         self._timeouts = timeouts
+        self._limits = limits
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
+        self._declared_body_bytes = 0
+        self._events_since_checkpoint = 0
+
+    @property
+    def declared_body_bytes(self) -> int:
+        """Return the declared length of the body of the response, 0 without one."""
+        return self._declared_body_bytes
 
     def is_reusable(self) -> bool:
         """Return whether the connection was used recently and is still open."""
@@ -182,6 +352,11 @@
             return False
         return True
 
+    def close_unless_complete(self) -> None:
+        """Close the connection unless the response was received completely."""
+        if self._protocol.their_state is not h11.DONE:
+            self.close()
+
     def close(self) -> None:
         """Close the connection without waiting."""
         self._stream.socket.close()
@@ -199,11 +374,17 @@
         data += self._protocol.send(h11.EndOfMessage())
         await self._write(data)
         event = await self._next_event()
+        informational_responses = 0
         while isinstance(event, h11.InformationalResponse):
+            informational_responses += 1
+            if informational_responses > self._limits.informational_responses:
+                raise ConnectionLost("the server sends too many 1xx responses")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer")
-        return event.status_code, Headers.from_wire(event.headers)
+        headers = Headers.from_wire(event.headers)
+        self._declared_body_bytes = _declared_body_bytes(request, event, headers)
+        return event.status_code, headers
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end."""
@@ -226,6 +407,10 @@
         raise ConnectionLost("the server does not read")
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        self._events_since_checkpoint += 1
+        if self._events_since_checkpoint >= _EVENTS_PER_CHECKPOINT:
+            self._events_since_checkpoint = 0
+            await trio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._protocol.next_event()
@@ -249,6 +434,15 @@
     return stream.socket.is_readable()
 
 
+def _declared_body_bytes(
+    request: Request, response: h11.Response, headers: Headers
+) -> int:
+    """Return the declared length of the body, 0 if there is none or no body follows."""
+    if request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return 0
+    return int(headers.get("content-length") or 0)
+
+
 def _headers_with_length(request: Request) -> list[tuple[str, str]]:
     headers = list(request.headers.items)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from sassafraspin.http.client import ConnectionLost
+
 __all__ = [
     "EventBlock",
     "EventParser",
@@ -9,9 +11,11 @@
     "EventTooLarge",
     "ServerSentEvent",
     "format_event",
+    "sequence_number",
 ]
 
 _MAX_EVENT_BYTES = 1_048_576
+_MAX_SEQUENCE_DIGITS = 18
 _EVENT_END = b"\n\n"
 
 
@@ -38,9 +42,62 @@
     return ("\n".join(lines) + "\n\n").encode()
 
 
-class EventTooLarge(ValueError):
+def sequence_number(event_id: str | None) -> int | None:
+    """Return the sequence number in an event identifier, ``None`` if it is none.
+
+    It consists of ASCII digits, of at most ``_MAX_SEQUENCE_DIGITS`` of them.
+    """
+    if event_id is None or len(event_id) > _MAX_SEQUENCE_DIGITS:
+        return None
+    if not (event_id.isascii() and event_id.isdigit()):
+        return None
+    return int(event_id)
+
+
+class EventTooLarge(ConnectionLost):
     """An incomplete event exceeds the size limit."""
 
+    def __init__(self) -> None:
+        super().__init__(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+
+
+class _EventBuffer:
+    """Divides a byte stream at event ends; searches each byte once."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._searched_bytes = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Append bytes; return the events completed by them, with their ends.
+
+        Raises
+        ------
+        EventTooLarge
+            If the event that is not complete yet exceeds the limit.
+        """
+        self._data += data
+        events = []
+        start = 0
+        # The last byte searched may be the first one of an event end.
+        search = max(0, self._searched_bytes - 1)
+        while (found := self._data.find(_EVENT_END, search)) >= 0:
+            search = found + len(_EVENT_END)
+            events.append(bytes(self._data[start:search]))
+            start = search
+        del self._data[:start]
+        self._searched_bytes = len(self._data)
+        if len(self._data) > _MAX_EVENT_BYTES:
+            raise EventTooLarge
+        return events
+
+    def take_remainder(self) -> bytes:
+        """Return and clear the bytes after the last complete event."""
+        remainder = bytes(self._data)
+        self._data.clear()
+        self._searched_bytes = 0
+        return remainder
+
 
 class EventParser:
     """Parses events from a byte stream, buffering incomplete ones.
@@ -49,14 +106,16 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = _EventBuffer()
+        self._carriage_return = b""
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Append received bytes and return the events completed by them."""
-        received = (self._buffer + data).replace(b"\r\n", b"\n")
-        *blocks, self._buffer = received.split(b"\n\n")
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+        received = self._carriage_return + data
+        # A line feed may follow in the next piece.
+        self._carriage_return = received[-1:] if received.endswith(b"\r") else b""
+        received = received.removesuffix(b"\r").replace(b"\r\n", b"\n")
+        blocks = self._buffer.feed(received)
         return [event for block in blocks if (event := _parse_block(block))]
 
 
@@ -90,19 +149,15 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = _EventBuffer()
 
     def feed(self, data: bytes) -> list[EventBlock]:
         """Append received bytes and return the events completed by them."""
-        *blocks, self._buffer = (self._buffer + data).split(_EVENT_END)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EventTooLarge(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
-        return [EventBlock(block + _EVENT_END, _event_id(block)) for block in blocks]
+        return [EventBlock(raw, _event_id(raw)) for raw in self._buffer.feed(data)]
 
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+        return self._buffer.take_remainder()
 
 
 def _event_id(block: bytes) -> str | None:
