Complete a rollback before the deadline of its roll-out

Cause: a rollback waits for the running requests of the new version, and these are the slow ones.

Now running requests get the first half of the time that is reserved for the rollback; the second half (1 s, less for short moves) is left for the commit and for operators to read the outcome. They keep running after it.

--- a/src/sassafraspin/moves/transitions.py
+++ b/src/sassafraspin/moves/transitions.py
@@ -37,10 +37,12 @@
         Minimum duration of a stage of the ramp, in milliseconds.
     rollback_ms : int
         Time reserved for a rollback before the deadline, in milliseconds; at most a
-        quarter of the move's ``finish_within_ms`` is reserved.
+        quarter of the move's ``finish_within_ms`` is reserved. Requests that are still
+        running may take its first half. The second half is left for the commit, so that
+        operators see the outcome by the deadline.
     drain_timeout_ms : int
         Time after which a rollback completes although requests are still running, in
-        milliseconds. At the move's deadline it completes in any case.
+        milliseconds. It completes earlier if the deadline is close.
     """
 
     ramp_shares: tuple[float, ...] = (0.1, 0.25, 0.5)
@@ -180,8 +182,11 @@
     is_drained = (
         evidence is not None and _is_current(evidence, move) and evidence.in_flight == 0
     )
-    is_overdue = now_ms - move.phase_since_ms >= settings.drain_timeout_ms
-    if not is_drained and not is_overdue and now_ms < move.deadline_ms:
+    complete_at_ms = min(
+        move.phase_since_ms + settings.drain_timeout_ms,
+        move.deadline_ms - _rollback_reserve_ms(move, settings) // 2,
+    )
+    if not is_drained and now_ms < complete_at_ms:
         return None
     return MoveStep(
         move.spec.name,
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -17,6 +17,7 @@
 from sassafraspin.moves import (
     Evidence,
     MoveAccepted,
+    MoveEvidence,
     MovePhase,
     MoveRefusal,
     MoveRefused,
@@ -246,6 +247,35 @@
         self.assertNotIn(MovePhase.DONE, phases)
 
 
+class TestRollback(unittest.TestCase):
+    """End of a rollback while requests of the new version are still running."""
+
+    def completed_at(self, rollback_at_ms: int, finish_within_ms: int) -> int:
+        """Return when a rollback completes although a request never ends."""
+        store = MoveStore()
+        store.declare(spec(finish_within_ms=finish_within_ms), "ayse", 0)
+        store.undo("move", "ayse", rollback_at_ms)
+        move = store.get("move")
+        evidence = MoveEvidence(
+            "move", move.phase, 0.0, 1, 0, 1, 1, SERVERS, RollbackReason.SLOWNESS, ""
+        )
+        for now_ms in range(rollback_at_ms, 2 * finish_within_ms, 10):
+            step = decide_step(move, evidence, now_ms, RolloutSettings())
+            if step is not None:
+                self.assertEqual(step.phase, MovePhase.ROLLED_BACK)
+                return now_ms
+        self.fail("the rollback never completes")
+
+    def test_rollback_with_running_requests_is_complete_before_the_deadline(self):
+        self.assertLessEqual(self.completed_at(10_700, 15_000), 14_000)
+        self.assertLessEqual(self.completed_at(13_000, 15_000), 14_000)
+        self.assertLess(self.completed_at(750, 1_000), 1_000)
+
+    def test_running_requests_have_time_to_end(self):
+        self.assertGreaterEqual(self.completed_at(1_000, 60_000), 11_000)
+        self.assertGreaterEqual(self.completed_at(13_000, 15_000), 14_000)
+
+
 class TestVersionGate(unittest.TestCase):
     """Share of the new version while its servers are often full."""
 
