Count slow requests in a roll-out before they end

A version whose requests became several times slower only at a larger share of the traffic could be kept: the ramp and the soak ask for a number of ended requests, and the slow ones had not ended yet or had been cancelled by their callers, which did not count at all.

Cause: the evidence was made of outcomes only. Now the dispatcher counts a running request as slow before each report, once its time is over the limit for twice its estimated length, and a cancelled one if its time so far is over the limit. It counts once, it is no ended request, and the same rule applies to the old version, first, so that a delay of both versions raises the baseline. Each test fails without its part of the change.

--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -259,6 +259,7 @@
             return
         self._next_report_at = now + _REPORT_INTERVAL_SECONDS
         for pool in self._pools.values():
+            pool.record_overdue(now)
             evidence = pool.gate.report(pool.server_counts())
             if evidence is not None:
                 self._node.send(leader, evidence)
--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -34,6 +34,9 @@
         Monotonic time at which the request was preempted by a higher tier.
     had_idle_prefill : bool
         Whether the server had no other prompt to prefill at the time of the grant.
+    counts_as_slow : bool
+        Whether the request was counted as slow, while running, in the comparison of a
+        new version with the old one.
     """
 
     entry: str
@@ -44,6 +47,7 @@
     expected_end: float
     revoked_at: float | None = None
     had_idle_prefill: bool = True
+    counts_as_slow: bool = False
 
     @property
     def revoked(self) -> bool:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -263,6 +263,29 @@
         self._overload.expire_late(now)
         return self._grant_free_slots(now)
 
+    def record_overdue(self, now: float) -> None:
+        """Count the running requests that are slow already during a move.
+
+        The old version's come first: a delay of both versions raises the baseline
+        before the new version is compared with it.
+        """
+        move = self._gate.move
+        if move is None:
+            return
+        new_version = move.spec.to_version
+        for grant in sorted(
+            self._grants, key=lambda item: item.message.version == new_version
+        ):
+            backend = self._servers.get(grant.message.backend_id)
+            if grant.counts_as_slow or backend is None:
+                continue
+            grant.counts_as_slow = self._gate.record_unfinished(
+                grant.message.version,
+                grant.request,
+                now - grant.granted_at,
+                _server_time(backend, grant.request, 0),
+            )
+
     def server_counts(self) -> ServerCounts:
         """Count the servers that accept work: all, and those with the new version."""
         accepting = self._servers.accepting
@@ -389,10 +412,11 @@
         backend = self._servers.get(grant.message.backend_id)
         server = None
         if backend is not None:
-            nominal = nominal_seconds(backend, grant.request, release.answer_tokens)
-            server = ServerTime(backend.announcement.hardware, nominal)
+            server = _server_time(backend, grant.request, release.answer_tokens)
         version = grant.message.version
-        self._gate.record_outcome(version, grant.request, release, server)
+        self._gate.record_outcome(
+            version, grant.request, release, server, grant.counts_as_slow
+        )
         if backend is None:
             return
         match release.result:
@@ -417,3 +441,10 @@
     def _drain_effects(self) -> list[SendToEntry]:
         effects, self._effects = self._effects, []
         return effects
+
+
+def _server_time(
+    backend: Backend, request: SlotRequest, answer_tokens: int
+) -> ServerTime:
+    nominal = nominal_seconds(backend, request, answer_tokens)
+    return ServerTime(backend.announcement.hardware, nominal)
--- a/src/sassafraspin/dispatch/versions.py
+++ b/src/sassafraspin/dispatch/versions.py
@@ -163,6 +163,7 @@
         request: SlotRequest,
         release: SlotRelease,
         server: ServerTime | None,
+        counts_as_slow: bool = False,
     ) -> None:
         """Record the outcome of a request.
 
@@ -176,13 +177,21 @@
             Its outcome.
         server : ServerTime or None
             Predicted time on the server, ``None`` if the server is no longer known.
+        counts_as_slow : bool
+            Whether ``record_unfinished`` has counted the request.
         """
         if self._move is None:
             return
-        if release.result in (ReleaseResult.CANCELLED, ReleaseResult.NOT_SENT):
+        if release.result is ReleaseResult.NOT_SENT:
+            return
+        if release.result is ReleaseResult.CANCELLED:
+            if server is not None and not counts_as_slow:
+                seconds = release.total_ms / 1000
+                is_estimate = release.answer_tokens == 0
+                self.record_unfinished(version, request, seconds, server, is_estimate)
             return
         failed = release.result is ReleaseResult.FAILED
-        if failed or server is None:
+        if failed or server is None or counts_as_slow:
             hardware = "" if server is None else server.hardware
             observation = Observation(request.route, hardware, failed, None)
         else:
@@ -196,6 +205,45 @@
         else:
             self._evidence.observe_old(observation)
 
+    def record_unfinished(
+        self,
+        version: str,
+        request: SlotRequest,
+        seconds: float,
+        server: ServerTime,
+        is_estimate: bool = True,
+    ) -> bool:
+        """Record a running or cancelled request if it is slow already.
+
+        Parameters
+        ----------
+        version : str
+            Version that serves the request.
+        request : SlotRequest
+            The request.
+        seconds : float
+            Time since the request was sent, in seconds.
+        server : ServerTime
+            Predicted time on the server.
+        is_estimate : bool
+            Whether the prediction uses the estimated length of the answer, not the
+            length of what has arrived.
+
+        Returns
+        -------
+        bool
+            Whether the request counts as slow.
+        """
+        if self._move is None:
+            return False
+        nominal = server.nominal_seconds
+        if is_estimate:
+            nominal *= self._settings.estimate_factor
+        observation = Observation(
+            request.route, server.hardware, False, seconds / nominal, nominal
+        )
+        return self._evidence.observe_unfinished(observation, self._is_new(version))
+
     def report(self, counts: ServerCounts) -> MoveEvidence | None:
         """Return the evidence on the running move for the control leader."""
         move = self._move
--- a/src/sassafraspin/moves/evidence.py
+++ b/src/sassafraspin/moves/evidence.py
@@ -38,6 +38,10 @@
         Additional time that a request may take, in seconds. On requests of a few
         milliseconds, delays of a busy machine would otherwise count against the new
         version.
+    estimate_factor : float
+        Tolerated error of the estimated answer length: a request whose length is not
+        known yet counts as slow only if its time so far exceeds the limit by this
+        factor.
     """
 
     false_alarm: float = 0.01
@@ -46,6 +50,7 @@
     slow_margin: float = 0.05
     slow_factor: float = 1.25
     slow_slack: float = 0.05
+    estimate_factor: float = 2.0
 
     @property
     def threshold(self) -> float:
@@ -66,7 +71,8 @@
     failed : bool
         Whether the request failed.
     relative_time : float or None
-        Time divided by the predicted time; ``None`` if the request failed.
+        Time divided by the predicted time; ``None`` if the request failed or already
+        counts as slow. For an unfinished request, the time so far.
     nominal_seconds : float
         Time predicted from the size of the request and the server, in seconds.
     """
@@ -242,6 +248,37 @@
         if observation.relative_time is not None:
             self._observe_time(observation, observation.relative_time)
 
+    def observe_unfinished(self, observation: Observation, is_new: bool) -> bool:
+        """Count a running or cancelled request if it is slow already.
+
+        Without it, the slowest requests would not count before they end, and not at
+        all if their callers leave. The rule is the same for both versions.
+
+        Parameters
+        ----------
+        observation : Observation
+            The request so far.
+        is_new : bool
+            Whether the new version serves it.
+
+        Returns
+        -------
+        bool
+            Whether it counts as slow.
+        """
+        reference = self._time_baseline(observation)
+        value = observation.relative_time
+        if value is None or not reference.is_usable:
+            return False
+        slack = self._relative_slack(observation)
+        if value - slack <= reference.slow_limit(self._settings.slow_factor):
+            return False
+        if is_new:
+            self._observe_time(observation, value)
+        else:
+            reference.add(value, slack)
+        return True
+
     def _observe_time(self, observation: Observation, value: float) -> None:
         reference = self._time_baseline(observation)
         if not reference.is_usable:
--- a/tests/pool_model.py
+++ b/tests/pool_model.py
@@ -152,6 +152,19 @@
             if item.revoked:
                 self._release(item, ReleaseResult.CANCELLED)
 
+    def end_cancelled(self, item: Running, seconds: float) -> None:
+        """Release a request whose caller left after some time without an answer."""
+        del self.running[item.request.request_id]
+        release = SlotRelease(
+            SERVICE,
+            item.request.request_id,
+            item.grant.grant_id,
+            item.grant.backend_id,
+            ReleaseResult.CANCELLED,
+            total_ms=int(seconds * 1000),
+        )
+        self._run(self.pool.release(release, self.now))
+
     def _release(self, item: Running, result: ReleaseResult) -> None:
         del self.running[item.request.request_id]
         release = SlotRelease(
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,5 +1,6 @@
 """Tests of moves: phases, exposure limit and evidence."""
 
+import math
 import random
 import unittest
 from unittest import mock
@@ -30,6 +31,7 @@
     decide_step,
 )
 from tests.fuzz import fuzz_settings
+from tests.pool_model import SERVICE, PoolModel
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=60)
 
@@ -297,6 +299,86 @@
         self.assertLess(gate.shown, 230)
 
 
+class TestUnfinishedRequests(unittest.TestCase):
+    """Requests that are slow before they end, or whose callers leave."""
+
+    def setUp(self):
+        self.model = PoolModel(servers=0)
+        self.model.announce(0, slots=100)
+        self.model.announce(1, slots=100, versions=("v2",))
+        self.store = MoveStore()
+        fields = {"exposed_requests": 40, "exposed_share": 0.5, "service": SERVICE}
+        self.store.declare(spec(**fields), "ayse", 0)
+        self.set_move()
+        for _ in range(30):
+            self.ask()
+        self.model.advance(1.0)
+        for phase in (MovePhase.LOADING, MovePhase.SAMPLING):
+            before = self.store.get("move").phase
+            step = MoveStep("move", before, phase, 0.5, RollbackReason.NONE, "")
+            self.store.advance(step, 0)
+        self.set_move()
+
+    def set_move(self) -> None:
+        self.model.pool.gate.set_move("v1", self.store.running(SERVICE))
+
+    def ask(self, hanging: tuple[str, ...] = ()) -> None:
+        """Send a request that never ends on the versions given."""
+        request = self.model.ask(0, 10, 60_000)
+        running = self.model.running[request.request_id]
+        if running.grant.version in hanging:
+            running.ends_at = math.inf
+
+    def evidence(self) -> MoveEvidence:
+        self.model.pool.record_overdue(self.model.now)
+        return self.model.pool.gate.report(self.model.pool.server_counts())
+
+    def test_requests_that_never_end_count_as_slow(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+        self.assertEqual(evidence.ended, 0)
+
+    def test_slow_requests_whose_callers_leave_count_as_slow(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        for running in list(self.model.running.values()):
+            self.model.end_cancelled(running, 1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+
+    def test_requests_whose_callers_leave_early_do_not_count(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        for running in list(self.model.running.values()):
+            self.model.end_cancelled(running, 0.1)
+        self.assertEqual(self.evidence().reason, RollbackReason.NONE)
+
+    def test_delay_of_both_versions_does_not_count(self):
+        for _ in range(80):
+            self.ask(hanging=("v1", "v2"))
+        self.model.advance(1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.NONE, evidence.detail)
+
+    def test_slow_request_counts_once(self):
+        for _ in range(5):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        details = {self.evidence().detail for _ in range(10)}
+        self.assertEqual(len(details), 1)
+        for running in list(self.model.running.values()):
+            running.ends_at = self.model.now
+        self.model.advance(0.1)
+        slow = [
+            detail.rpartition(", ")[2] for detail in (*details, self.evidence().detail)
+        ]
+        self.assertEqual(slow[0], slow[1])
+
+
 class TestEvidence(unittest.TestCase):
     """Verdicts of the sequential test."""
 
