Detect a regression by several times in fewer requests

Cause: the only limit is 1.25 times the old version's median. Where servers differ by a factor of three, many requests of the old version are over it too, so each slow request says little, and it takes 12 to 16 of them.

A second test, with a limit of three times the median, which the old version seldom exceeds, needs about half.

A running request counts for each limit as soon as it exceeds that one.

--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -34,9 +34,9 @@
         Monotonic time at which the request was preempted by a higher tier.
     had_idle_prefill : bool
         Whether the server had no other prompt to prefill at the time of the grant.
-    counts_as_slow : bool
-        Whether the request was counted as slow, while running, in the comparison of a
-        new version with the old one.
+    limits_counted : int
+        Number of slow limits for which the request was counted, while running, in the
+        comparison of a new version with the old one.
     """
 
     entry: str
@@ -47,7 +47,7 @@
     expected_end: float
     revoked_at: float | None = None
     had_idle_prefill: bool = True
-    counts_as_slow: bool = False
+    limits_counted: int = 0
 
     @property
     def revoked(self) -> bool:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -277,13 +277,14 @@
             self._grants, key=lambda item: item.message.version == new_version
         ):
             backend = self._servers.get(grant.message.backend_id)
-            if grant.counts_as_slow or backend is None:
+            if backend is None:
                 continue
-            grant.counts_as_slow = self._gate.record_unfinished(
+            grant.limits_counted = self._gate.record_unfinished(
                 grant.message.version,
                 grant.request,
                 now - grant.granted_at,
                 _server_time(backend, grant.request, 0),
+                grant.limits_counted,
             )
 
     def server_counts(self) -> ServerCounts:
@@ -415,7 +416,7 @@
             server = _server_time(backend, grant.request, release.answer_tokens)
         version = grant.message.version
         self._gate.record_outcome(
-            version, grant.request, release, server, grant.counts_as_slow
+            version, grant.request, release, server, grant.limits_counted
         )
         if backend is None:
             return
--- a/src/sassafraspin/dispatch/versions.py
+++ b/src/sassafraspin/dispatch/versions.py
@@ -163,7 +163,7 @@
         request: SlotRequest,
         release: SlotRelease,
         server: ServerTime | None,
-        counts_as_slow: bool = False,
+        limits_counted: int = 0,
     ) -> None:
         """Record the outcome of a request.
 
@@ -177,28 +177,38 @@
             Its outcome.
         server : ServerTime or None
             Predicted time on the server, ``None`` if the server is no longer known.
-        counts_as_slow : bool
-            Whether ``record_unfinished`` has counted the request.
+        limits_counted : int
+            Number of slow limits for which ``record_unfinished`` has counted it.
         """
         if self._move is None:
             return
         if release.result is ReleaseResult.NOT_SENT:
             return
         if release.result is ReleaseResult.CANCELLED:
-            if server is not None and not counts_as_slow:
-                seconds = release.total_ms / 1000
-                is_estimate = release.answer_tokens == 0
-                self.record_unfinished(version, request, seconds, server, is_estimate)
+            if server is not None:
+                self.record_unfinished(
+                    version,
+                    request,
+                    release.total_ms / 1000,
+                    server,
+                    limits_counted,
+                    is_estimate=release.answer_tokens == 0,
+                )
             return
         failed = release.result is ReleaseResult.FAILED
-        if failed or server is None or counts_as_slow:
+        if failed or server is None:
             hardware = "" if server is None else server.hardware
             observation = Observation(request.route, hardware, failed, None)
         else:
             nominal = server.nominal_seconds
             relative = release.total_ms / 1000 / nominal
             observation = Observation(
-                request.route, server.hardware, False, relative, nominal
+                request.route,
+                server.hardware,
+                False,
+                relative,
+                nominal,
+                limits_counted,
             )
         if self._is_new(version):
             self._evidence.observe_new(observation)
@@ -211,8 +221,9 @@
         request: SlotRequest,
         seconds: float,
         server: ServerTime,
+        limits_counted: int,
         is_estimate: bool = True,
-    ) -> bool:
+    ) -> int:
         """Record a running or cancelled request if it is slow already.
 
         Parameters
@@ -225,22 +236,29 @@
             Time since the request was sent, in seconds.
         server : ServerTime
             Predicted time on the server.
+        limits_counted : int
+            Result of the previous call for this request, 0 for the first one.
         is_estimate : bool
             Whether the prediction uses the estimated length of the answer, not the
             length of what has arrived.
 
         Returns
         -------
-        bool
-            Whether the request counts as slow.
+        int
+            Number of slow limits for which the request was counted.
         """
         if self._move is None:
-            return False
+            return limits_counted
         nominal = server.nominal_seconds
         if is_estimate:
             nominal *= self._settings.estimate_factor
         observation = Observation(
-            request.route, server.hardware, False, seconds / nominal, nominal
+            request.route,
+            server.hardware,
+            False,
+            seconds / nominal,
+            nominal,
+            limits_counted,
         )
         return self._evidence.observe_unfinished(observation, self._is_new(version))
 
--- a/src/sassafraspin/moves/evidence.py
+++ b/src/sassafraspin/moves/evidence.py
@@ -31,9 +31,11 @@
     failure_margin, slow_margin : float
         Tolerated increase of the share of failed or slow requests over the old
         version.
-    slow_factor : float
+    slow_factors : tuple of float
         A request is slow if its time, relative to the prediction for its size and
-        server, exceeds the old version's median by this factor.
+        server, exceeds the old version's median by the first factor. A test for each
+        factor: with the larger one, the spread between the servers does not hide a
+        regression by several times.
     slow_slack : float
         Additional time that a request may take, in seconds. On requests of a few
         milliseconds, delays of a busy machine would otherwise count against the new
@@ -48,7 +50,7 @@
     horizon: int = 500
     failure_margin: float = 0.005
     slow_margin: float = 0.05
-    slow_factor: float = 1.25
+    slow_factors: tuple[float, ...] = (1.25, 3.0)
     slow_slack: float = 0.05
     estimate_factor: float = 2.0
 
@@ -71,10 +73,13 @@
     failed : bool
         Whether the request failed.
     relative_time : float or None
-        Time divided by the predicted time; ``None`` if the request failed or already
-        counts as slow. For an unfinished request, the time so far.
+        Time divided by the predicted time; ``None`` if the request failed. For an
+        unfinished request, the time so far.
     nominal_seconds : float
         Time predicted from the size of the request and the server, in seconds.
+    limits_counted : int
+        Number of slow limits, in ascending order, for which the request was counted
+        while it was running.
     """
 
     route: str
@@ -82,6 +87,7 @@
     failed: bool
     relative_time: float | None
     nominal_seconds: float = math.inf
+    limits_counted: int = 0
 
 
 class ShiryaevRobertsTest:
@@ -154,7 +160,8 @@
 class _TimeBaseline:
     """Recent request times of the old version on one route and hardware generation.
 
-    The window is short because the load changes during a move.
+    The window is short because the load changes during a move. Each slow limit has its
+    own times: a running request is added to those of the limits that it exceeds.
     """
 
     _WINDOW = 100
@@ -199,9 +206,9 @@
     def __init__(self, settings: EvidenceSettings | None = None) -> None:
         self._settings = settings or EvidenceSettings()
         self._failures: dict[str, _FailureBaseline] = {}
-        self._times: dict[tuple[str, str], _TimeBaseline] = {}
+        self._times: dict[tuple[str, str, float], _TimeBaseline] = {}
         self._failure_tests: dict[str, ShiryaevRobertsTest] = {}
-        self._slow_tests: dict[str, ShiryaevRobertsTest] = {}
+        self._slow_tests: dict[tuple[str, float], ShiryaevRobertsTest] = {}
         self._new_ended = 0
         self._new_failed = 0
         self._new_slow = 0
@@ -231,8 +238,8 @@
         """Add a request of the old version to the baseline."""
         self._failure_baseline(observation).add(observation.failed)
         if observation.relative_time is not None:
-            slack = self._relative_slack(observation)
-            self._time_baseline(observation).add(observation.relative_time, slack)
+            for factor in self._settings.slow_factors[observation.limits_counted :]:
+                self._add_time(observation, observation.relative_time, factor)
 
     def observe_new(self, observation: Observation) -> None:
         """Test a request of the new version against the baseline."""
@@ -246,10 +253,11 @@
             test.observe(observation.failed, min(baseline, _MAX_BASELINE_RATE))
             self._check_threshold(test, RollbackReason.FAILURES, group)
         if observation.relative_time is not None:
-            self._observe_time(observation, observation.relative_time)
+            for factor in self._settings.slow_factors[observation.limits_counted :]:
+                self._test_time(observation, observation.relative_time, factor)
 
-    def observe_unfinished(self, observation: Observation, is_new: bool) -> bool:
-        """Count a running or cancelled request if it is slow already.
+    def observe_unfinished(self, observation: Observation, is_new: bool) -> int:
+        """Count a running or cancelled request for the slow limits that it exceeds.
 
         Without it, the slowest requests would not count before they end, and not at
         all if their callers leave. The rule is the same for both versions.
@@ -263,32 +271,44 @@
 
         Returns
         -------
-        bool
-            Whether it counts as slow.
+        int
+            Number of limits for which it was counted, now or before.
         """
-        reference = self._time_baseline(observation)
+        counted = observation.limits_counted
         value = observation.relative_time
-        if value is None or not reference.is_usable:
-            return False
+        if value is None:
+            return counted
+        for factor in self._settings.slow_factors[counted:]:
+            if not self._is_slow(observation, value, factor):
+                break
+            if is_new:
+                self._test_time(observation, value, factor)
+            else:
+                self._add_time(observation, value, factor)
+            counted += 1
+        return counted
+
+    def _add_time(self, observation: Observation, value: float, factor: float) -> None:
         slack = self._relative_slack(observation)
-        if value - slack <= reference.slow_limit(self._settings.slow_factor):
+        self._time_baseline(observation, factor).add(value, slack)
+
+    def _is_slow(self, observation: Observation, value: float, factor: float) -> bool:
+        reference = self._time_baseline(observation, factor)
+        if not reference.is_usable:
             return False
-        if is_new:
-            self._observe_time(observation, value)
-        else:
-            reference.add(value, slack)
-        return True
-
-    def _observe_time(self, observation: Observation, value: float) -> None:
-        reference = self._time_baseline(observation)
+        return value - self._relative_slack(observation) > reference.slow_limit(factor)
+
+    def _test_time(self, observation: Observation, value: float, factor: float) -> None:
+        reference = self._time_baseline(observation, factor)
         if not reference.is_usable:
             return
-        limit = reference.slow_limit(self._settings.slow_factor)
-        is_slow = value - self._relative_slack(observation) > limit
-        self._new_slow += is_slow
+        is_slow = self._is_slow(observation, value, factor)
+        if factor == self._settings.slow_factors[0]:
+            self._new_slow += is_slow
+        limit = reference.slow_limit(factor)
         baseline = reference.slow_rate(limit) + self._settings.slow_margin
         for group in (observation.route, _ALL_ROUTES):
-            test = self._slow_tests.setdefault(group, ShiryaevRobertsTest())
+            test = self._slow_tests.setdefault((group, factor), ShiryaevRobertsTest())
             test.observe(is_slow, min(baseline, _MAX_BASELINE_RATE))
             self._check_threshold(test, RollbackReason.SLOWNESS, group)
 
@@ -311,6 +331,6 @@
     def _failure_baseline(self, observation: Observation) -> _FailureBaseline:
         return self._failures.setdefault(observation.route, _FailureBaseline())
 
-    def _time_baseline(self, observation: Observation) -> _TimeBaseline:
-        group = (observation.route, observation.hardware)
+    def _time_baseline(self, observation: Observation, factor: float) -> _TimeBaseline:
+        group = (observation.route, observation.hardware, factor)
         return self._times.setdefault(group, _TimeBaseline())
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -364,6 +364,20 @@
         evidence = self.evidence()
         self.assertEqual(evidence.reason, RollbackReason.NONE, evidence.detail)
 
+    def test_running_request_counts_for_each_limit_that_it_exceeds(self):
+        evidence = Evidence()
+        generator = random.Random(1)
+        for _ in range(100):
+            time = generator.choice([0.6, 1.7, 1.7]) * generator.lognormvariate(0, 0.4)
+            evidence.observe_old(Observation("/r", "gen1", False, time))
+        for _ in range(10):
+            counted = 0
+            for time in (1.0, 3.0, 4.0, 10.0, 11.0):
+                seen = Observation("/r", "gen1", False, time, limits_counted=counted)
+                counted = evidence.observe_unfinished(seen, is_new=True)
+            self.assertEqual(counted, 2)
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+
     def test_slow_request_counts_once(self):
         for _ in range(5):
             self.ask(hanging=("v2",))
@@ -408,6 +422,35 @@
         self.assertEqual(evidence.reason, RollbackReason.SLOWNESS)
         self.assertLessEqual(evidence.ended, 20)
 
+    def test_regression_by_several_times_is_detected_although_servers_differ(self):
+        for seed in range(20):
+            generator = random.Random(seed)
+            evidence = Evidence()
+            for position in range(130):
+                spread = generator.lognormvariate(0.0, 0.4)
+                old = generator.choice([0.6, 1.7, 1.7]) * spread
+                evidence.observe_old(Observation("/r", "gen1", False, old))
+                if position >= 100 and evidence.reason is RollbackReason.NONE:
+                    new = 5 * 1.7 * spread
+                    evidence.observe_new(Observation("/r", "gen1", False, new))
+            self.assertEqual(evidence.reason, RollbackReason.SLOWNESS)
+            self.assertLessEqual(evidence.ended, 10)
+
+    def test_differences_between_servers_do_not_count_as_slowness(self):
+        for seed in range(20):
+            generator = random.Random(seed)
+            evidence = Evidence()
+            for position in range(600):
+                time = generator.choice([0.6, 1.7, 1.7]) * generator.lognormvariate(
+                    0.0, 0.4
+                )
+                seen = Observation("/r", "gen1", False, time)
+                if position < 100 or position % 2:
+                    evidence.observe_old(seen)
+                else:
+                    evidence.observe_new(seen)
+            self.assertEqual(evidence.reason, RollbackReason.NONE, evidence.detail)
+
     def test_overhead_of_a_busy_machine_does_not_count_as_slowness(self):
         for seed in range(20):
             generator = random.Random(seed)
