Read the memory of the process twice a second, not with each tick

The event ResourceUsage read /proc/self/statm ten times a second in each process; its reports are half a second apart at least. Seen when reading the change; no figure was measured.

--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -186,6 +186,8 @@
                     self.node.send(name, report)
 
     def _report_resources(self, now: float) -> None:
+        if not self._report_schedule.is_check_due(now):
+            return
         try:
             resident = resident_bytes()
         except OSError as error:
--- a/src/sassafraspin/telemetry/resources.py
+++ b/src/sassafraspin/telemetry/resources.py
@@ -10,7 +10,8 @@
 _GROWTH_BYTES = 16 * 1024 * 1024
 """Growth since the last report that is reported without waiting for the interval."""
 
-_MIN_INTERVAL_SECONDS = 0.5
+_CHECK_SECONDS = 0.5
+"""Interval at which the memory is read."""
 
 _STATM = Path("/proc/self/statm")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -31,9 +32,17 @@
     """
 
     def __init__(self, now: float) -> None:
+        self._next_check_at = now + _CHECK_SECONDS
         self._reported_at = now
         self._reported_bytes = 0
 
+    def is_check_due(self, now: float) -> bool:
+        """Return whether to read the memory now, and schedule the next time."""
+        if now < self._next_check_at:
+            return False
+        self._next_check_at = now + _CHECK_SECONDS
+        return True
+
     def is_due(self, resident: int, now: float) -> bool:
         """Return whether to report now, and record the report if so.
 
@@ -44,11 +53,8 @@
         now : float
             Monotonic time in seconds.
         """
-        elapsed = now - self._reported_at
         has_grown = resident - self._reported_bytes >= _GROWTH_BYTES
-        if elapsed < _INTERVAL_SECONDS and not (
-            has_grown and elapsed >= _MIN_INTERVAL_SECONDS
-        ):
+        if not has_grown and now - self._reported_at < _INTERVAL_SECONDS:
             return False
         self._reported_at = now
         self._reported_bytes = resident
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -50,7 +50,9 @@
     def test_interval_and_growth(self):
         schedule = ReportSchedule(0.0)
         small, large = 20 << 20, 60 << 20
-        self.assertFalse(schedule.is_due(small, 0.1))
+        self.assertFalse(schedule.is_check_due(0.1))
+        self.assertTrue(schedule.is_check_due(0.5))
+        self.assertFalse(schedule.is_check_due(0.6))
         self.assertTrue(schedule.is_due(small, 1.0))
         self.assertFalse(schedule.is_due(small, 5.0))
         self.assertTrue(schedule.is_due(large, 5.1))
