Split the HTTP client: connection, limits and errors in a module of their own

The pool and the open response stay; ClientConnection, the time and size limits and the errors move to http/client_connection.py. No behaviour changes.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -1,14 +1,13 @@
 """HTTP/1.1 server and client, server-sent events and problem documents."""
 
 from sassafraspin.http.bodies import read_body
-from sassafraspin.http.client import (
+from sassafraspin.http.client import HttpClient, OpenResponse
+from sassafraspin.http.client_connection import (
     AnswerTooLarge,
     ClientLimits,
     ClientTimeouts,
     ConnectFailed,
     ConnectionLost,
-    HttpClient,
-    OpenResponse,
 )
 from sassafraspin.http.events import EventParser, ServerSentEvent, format_event
 from sassafraspin.http.messages import Headers, Request, Response
--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sassafraspin.http.client import ConnectionLost
+from sassafraspin.http.client_connection import ConnectionLost
 
 __all__ = [
     "EventBlock",
--- a/tests/test_routed_daemon.py
+++ b/tests/test_routed_daemon.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from sassafraspin.http import Headers, HttpClient, Request, Response
-from sassafraspin.http.client import ConnectionLost
+from sassafraspin.http.client_connection import ConnectionLost
 from sassafraspin.routed.routing_view import RoutingView
 from tests.routed_deployment import (
     SEAL,
