--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -220,14 +220,7 @@
     ) -> ConfigUpdate | None:
         """Return an update for a member that has not asked for it, if one is due.
 
-        Parameters
-        ----------
-        identity : MemberIdentity
-            The member.
-        index : int
-            Index to assume for a member that has not sent a heartbeat yet.
-        now : float
-            Monotonic time in seconds.
+        See ``ConfigTransfers.push_update``.
         """
         return self._transfers.push_update(identity, index, now)
 
