--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -137,10 +137,10 @@
     """
 
     def __init__(
-        self, timeouts: ClientTimeouts, limits: ClientLimits = ClientLimits()
+        self, timeouts: ClientTimeouts, limits: ClientLimits | None = None
     ) -> None:
         self._timeouts = timeouts
-        self._limits = limits
+        self._limits = limits or ClientLimits()
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._next_check_at = 0.0
 
