Bootstrap the quorum only from disks announced as empty

Callers would see two control quorums: two leaders, and acknowledged changes gone for those who reach the second one.

Cause: with spares, voters without a leader send Hello too, and an instance with an empty log took every Hello for that of an empty disk. Trace of the test: c0 is a voter with entries up to 10 in term 3; c1 and c2 were replaced by s0 and s1 and then lost their disks. c0 has no leader and sends Hello. c1 and c2 hear it and each other, so all configured instances have announced. Both install (c0, c1, c2) at index 0, c2 is elected in term 4 by c1, and c0 follows it. At no time was a voter's disk lost.

Evidence: test_empty_disks_form_no_second_quorum_with_a_voter_without_a_leader fails on the parent commit (c1 and c2 are voters, c2 is the leader) and passes now; test_empty_disks_form_the_first_quorum passes before and after.

Hello now says whether the log is empty, and only such disks count. An older instance sends no such field; it counts as not empty, so a mixed start forms no quorum. An instance whose log has entries no longer bootstraps either: a leader sent them.

Not covered: a Hello that was sent before the first quorum formed and arrives after the receiver lost its disk.

--- a/src/sassafraspin/control/bootstrap.py
+++ b/src/sassafraspin/control/bootstrap.py
@@ -6,12 +6,12 @@
 
 
 class QuorumBootstrap:
-    """Collects the disk identities of all configured instances before bootstrap.
+    """Collects the identities of the empty disks of all configured instances.
 
     The initial voters are all configured instances, not only a majority of them. An
-    instance whose log names no voters announces its disk with ``Hello``. Every disk
-    announced before bootstrap is taken to be empty: it has an identity, but no log
-    entries and no snapshot.
+    instance whose log names no voters announces its disk with ``Hello``. Only disks
+    announced as empty are collected: they have an identity, but no log entries and no
+    snapshot.
 
     Parameters
     ----------
@@ -53,7 +53,7 @@
         return True
 
     def record_announced_disk(self, name: str, disk_id: str) -> None:
-        """Record the disk identity that another instance has announced."""
+        """Record the empty disk that another instance has announced."""
         self._announced_disks[name] = disk_id
 
     def initial_voters(self) -> tuple[Voter, ...] | None:
--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -129,10 +129,12 @@
     """Announces the disk identity of a replica that is not a voter.
 
     If spares are admitted, voters without a leader send it too: they may have been
-    replaced without knowing it.
+    replaced without knowing it. ``is_empty`` is set if the log has no entries and names
+    no voters. Only such disks may bootstrap the quorum.
     """
 
     disk_id: str
+    is_empty: bool = False
 
 
 class Welcome(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -148,6 +148,10 @@
     def _admits_spares(self) -> bool:
         return self._timings.replace_after is not None
 
+    @property
+    def _is_empty(self) -> bool:
+        return not self._log.voters and self._log.last_index == 0
+
     @property
     def role(self) -> Role:
         """Return the current role."""
@@ -275,7 +279,7 @@
 
     def _send_hello(self) -> None:
         for name in self._bootstrap.others:
-            self._send(name, Hello(self._own.disk_id))
+            self._send(name, Hello(self._own.disk_id, self._is_empty))
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
         if not self._voter_policy.may_learn(source):
@@ -285,7 +289,7 @@
             self._send(source, Welcome(self._initial_voters_for(sender)))
             self._register_learner(sender, now)
             return
-        if source in self._configured:
+        if source in self._configured and message.is_empty:
             self._bootstrap.record_announced_disk(source, message.disk_id)
             self._bootstrap_quorum(now)
 
@@ -299,11 +303,14 @@
         return voters if sender in voters else ()
 
     def _bootstrap_quorum(self, now: float) -> None:
-        """Bootstrap the log once all configured instances have announced a disk."""
-        if self._name not in self._configured:
+        """Bootstrap the log once all configured instances have announced empty disks.
+
+        A log with entries comes from a leader, so the quorum exists already.
+        """
+        if self._name not in self._configured or not self._is_empty:
             return
         voters = self._bootstrap.initial_voters()
-        if voters is not None and not self._log.voters:
+        if voters is not None:
             self._install_initial_voters(voters, now)
 
     def _on_welcome(self, message: Welcome, now: float) -> None:
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 import unittest
+from collections import deque
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -19,9 +20,11 @@
     ReplicaDisk,
     ReplicaMessage,
     ReplicaTimings,
+    Role,
     Voter,
 )
 from sassafraspin.control.effects import AppendToDisk, Effect, SendToReplica
+from sassafraspin.control.log import EMPTY_SNAPSHOT
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
@@ -465,6 +468,56 @@
         self.assertEqual(len(harness.voters), 3)
 
 
+class TestBootstrap(unittest.TestCase):
+    """Empty disks form the first quorum, and never a second one."""
+
+    NAMES = ("c0", "c1", "c2")
+
+    def replica(
+        self, name: str, disk: str, snapshot: Snapshot = EMPTY_SNAPSHOT
+    ) -> ControlReplica:
+        """Return a replica with a spare's timings."""
+        persistent_state = PersistentState(disk, snapshot.term, None, snapshot)
+        generator = random.Random(name)
+        return ControlReplica(
+            name, self.NAMES, persistent_state, SPARE_TIMINGS, generator, 0.0
+        )
+
+    def run_replicas(self, replicas: dict[str, ControlReplica], seconds: float) -> None:
+        """Tick replicas and deliver what they send to each other."""
+        for step in range(round(seconds / TICK_SECONDS)):
+            now = step * TICK_SECONDS
+            queue = deque()
+            for name, replica in replicas.items():
+                queue.extend((name, effect) for effect in replica.tick(now))
+            while queue:
+                source, effect = queue.popleft()
+                if isinstance(effect, SendToReplica) and effect.name in replicas:
+                    target = replicas[effect.name]
+                    effects = target.receive(source, effect.message, now)
+                    queue.extend((effect.name, item) for item in effects)
+
+    def test_empty_disks_form_no_second_quorum_with_a_voter_without_a_leader(self):
+        """Two replaced voters lose their disks and hear a voter without a leader."""
+        voters = (Voter("c0", "d0"), Voter("s0", "d1"), Voter("s1", "d2"))
+        replicas = {
+            "c0": self.replica("c0", "d0", Snapshot(10, 3, voters, b"state")),
+            "c1": self.replica("c1", "d3"),
+            "c2": self.replica("c2", "d4"),
+        }
+        self.run_replicas(replicas, 10.0)
+        self.assertEqual(replicas["c0"].log.voters, voters)
+        self.assertFalse(any(replicas[name].is_voter for name in ("c1", "c2")))
+        roles = {replica.role for replica in replicas.values()}
+        self.assertNotIn(Role.LEADER, roles)
+
+    def test_empty_disks_form_the_first_quorum(self):
+        replicas = {name: self.replica(name, f"d-{name}") for name in self.NAMES}
+        self.run_replicas(replicas, 10.0)
+        roles = sorted(replica.role for replica in replicas.values())
+        self.assertEqual(roles, [Role.FOLLOWER, Role.FOLLOWER, Role.LEADER])
+
+
 class TestFollower(unittest.TestCase):
     """Appends that overlap with the snapshot of a follower."""
 
