Keep the acknowledged entries of a learner that becomes a voter

A control instance lost log entries that it had acknowledged, without any fault of its disk, and counted as a voter. In the simulation the leader then sent it appends without end, each refused (match index 2, log empty).

Cause: a learner that starts at the first entry has no voters in its log and sends Hello at each heartbeat interval. Once the leader has appended the entry that makes it a voter, the reply (Welcome) names the latest voters with it among them. After a restart it had voters and no entries, under the same disk identity, and would have voted for any candidate.

Evidence: test_learner_that_became_a_voter_does_not_start_again and test_initial_voter_keeps_entries_received_before_the_voters fail on the parent commit.

Welcome now names the voters before the first entry, and only to one of them, if the sender's log still starts there.

Ruled out: dropping Welcome, as an initial voter without the voters could never start an election.

--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -140,7 +140,7 @@
 class Welcome(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Reply to ``Hello``: the voters to start with.
 
-    ``voters`` is empty unless the announced disk is one of the voters.
+    ``voters`` is empty unless the announced disk is one of the initial voters.
     """
 
     voters: tuple[Voter, ...]
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -296,11 +296,14 @@
     def _initial_voters_for(self, sender: Voter) -> tuple[Voter, ...]:
         """Return the voters that the sender of a ``Hello`` may start with.
 
-        A voter with an empty disk has stored nothing since the quorum was formed, so
-        it has not voted or acknowledged anything either.
+        They are the voters before the first entry, if this log still has them and the
+        sender is one of them. Voters that were added later receive entries or a
+        snapshot that name them.
         """
-        voters = self._log.voters
-        return voters if sender in voters else ()
+        snapshot = self._log.snapshot
+        if snapshot.index == 0 and sender in snapshot.voters:
+            return snapshot.voters
+        return ()
 
     def _bootstrap_quorum(self, now: float) -> None:
         """Bootstrap the log once all configured instances have announced empty disks.
@@ -314,13 +317,16 @@
             self._install_initial_voters(voters, now)
 
     def _on_welcome(self, message: Welcome, now: float) -> None:
-        if not self._log.voters and self._own in message.voters:
+        if self._log.snapshot.index > 0 or self._log.voters:
+            return
+        if self._own in message.voters:
             self._install_initial_voters(message.voters, now)
 
     def _install_initial_voters(self, voters: tuple[Voter, ...], now: float) -> None:
+        """Store the voters before the first entry; entries after them are kept."""
         snapshot = Snapshot(0, 0, voters, b"")
         self._log.compact(snapshot)
-        self._effects.append(SaveSnapshot(snapshot, ()))
+        self._effects.append(SaveSnapshot(snapshot, self._log.entries_from(1)))
         self._election.postpone(now)
 
     # Elections
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -23,16 +23,24 @@
     Role,
     Voter,
 )
-from sassafraspin.control.effects import AppendToDisk, Effect, SendToReplica
+from sassafraspin.control.effects import (
+    AppendToDisk,
+    Effect,
+    SaveSnapshot,
+    SendToReplica,
+)
 from sassafraspin.control.log import EMPTY_SNAPSHOT
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
     CommandEntry,
     Hello,
+    NoopEntry,
     Snapshot,
     VoteReply,
     VoteRequest,
+    VotersEntry,
+    Welcome,
 )
 from tests.fuzz import fuzz_settings
 from tests.quorum_model import SPARE_TIMINGS, TICK_SECONDS, TIMINGS, QuorumModel
@@ -518,6 +526,50 @@
         self.assertEqual(roles, [Role.FOLLOWER, Role.FOLLOWER, Role.LEADER])
 
 
+class TestWelcome(unittest.TestCase):
+    """Replies to ``Hello`` never make a disk drop entries that it has acknowledged."""
+
+    INITIAL = (Voter("c0", "d0"), Voter("c1", "d1"), Voter("c2", "d2"))
+    ENTRIES = (NoopEntry(1), CommandEntry(1, b"acknowledged"))
+
+    def replica(
+        self, own: Voter, snapshot: Snapshot = EMPTY_SNAPSHOT
+    ) -> ControlReplica:
+        """Return a replica that has received ``ENTRIES`` from a leader."""
+        names = tuple(voter.name for voter in self.INITIAL)
+        persistent_state = PersistentState(own.disk_id, 1, None, snapshot)
+        replica = ControlReplica(
+            own.name, names, persistent_state, SPARE_TIMINGS, random.Random(1), 0.0
+        )
+        replica.receive("c0", AppendRequest(1, 0, 0, self.ENTRIES, 2, 0.0), 1.0)
+        return replica
+
+    def welcome(self, member: ControlReplica, hello: Voter) -> Welcome:
+        """Return the reply of a voter to ``Hello``."""
+        effects = member.receive(hello.name, Hello(hello.disk_id), 1.1)
+        [message] = [item.message for item in effects if item.name == hello.name]
+        return message
+
+    def test_learner_that_became_a_voter_does_not_start_again(self):
+        learner = Voter("s0", "d3")
+        member = self.replica(self.INITIAL[1], Snapshot(0, 0, self.INITIAL, b""))
+        enlarged = VotersEntry(1, (*self.INITIAL, learner))
+        member.receive("c0", AppendRequest(1, 2, 1, (enlarged,), 2, 0.0), 1.0)
+        message = self.welcome(member, learner)
+        effects = self.replica(learner).receive("c1", message, 1.2)
+        self.assertEqual(
+            [], [item for item in effects if isinstance(item, SaveSnapshot)]
+        )
+
+    def test_initial_voter_keeps_entries_received_before_the_voters(self):
+        member = self.replica(self.INITIAL[1], Snapshot(0, 0, self.INITIAL, b""))
+        message = self.welcome(member, self.INITIAL[2])
+        late = self.replica(self.INITIAL[2])
+        [saved] = late.receive("c1", message, 1.2)
+        self.assertEqual(saved.snapshot.voters, self.INITIAL)
+        self.assertEqual(saved.entries, self.ENTRIES)
+
+
 class TestFollower(unittest.TestCase):
     """Appends that overlap with the snapshot of a follower."""
 
