Announce the disk to a spare that leads

A control instance that was replaced while it was down stayed outside the quorum for good if the spare in its place had become the leader: it neither followed the log nor could it replace the next lost voter.

Cause: Hello goes to the configured instances only, and only the leader registers its sender as a learner.

Welcome now names the leader that its sender knows, and a replica without a recent leader announces its disk to it. A Welcome from the leader itself is not answered, so no loop arises. An older instance sends no such field.

Not run on real processes.

--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -138,12 +138,14 @@
 
 
 class Welcome(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Reply to ``Hello``: the voters to start with.
+    """Reply to ``Hello``: the voters to start with, and the leader if one is known.
 
-    ``voters`` is empty unless the announced disk is one of the initial voters.
+    ``voters`` is empty unless the announced disk is one of the initial voters. The
+    receiver announces its disk to ``leader`` too, which may be a spare.
     """
 
     voters: tuple[Voter, ...]
+    leader: str | None = None
 
 
 ReplicaMessage = (
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -265,7 +265,7 @@
             case Hello():
                 self._on_hello(source, message, now)
             case Welcome():
-                self._on_welcome(message, now)
+                self._on_welcome(source, message, now)
         return self._take_effects()
 
     # Quorum bootstrap
@@ -286,7 +286,8 @@
             return
         sender = Voter(source, message.disk_id)
         if self._log.voters:
-            self._send(source, Welcome(self._initial_voters_for(sender)))
+            initial = self._initial_voters_for(sender)
+            self._send(source, Welcome(initial, self._leader))
             self._register_learner(sender, now)
             return
         if source in self._configured and message.is_empty:
@@ -316,7 +317,12 @@
         if voters is not None:
             self._install_initial_voters(voters, now)
 
-    def _on_welcome(self, message: Welcome, now: float) -> None:
+    def _on_welcome(self, source: str, message: Welcome, now: float) -> None:
+        leader = message.leader
+        is_unknown = not self._election.has_recent_leader(now)
+        if leader is not None and leader not in (source, self._name) and is_unknown:
+            # A spare that leads is not among the configured instances.
+            self._send(leader, Hello(self._own.disk_id, self._is_empty))
         if self._log.snapshot.index > 0 or self._log.voters:
             return
         if self._own in message.voters:
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -193,6 +193,18 @@
         model.run(8.0)
         self.assertIn(lost, self.voters(model))
 
+    def test_replaced_voter_finds_a_spare_that_leads(self):
+        """A replaced voter restarts after the spare in its place became the leader."""
+        machine = SpareMachine()
+        machine.start(seed=6432)
+        machine.crash(node="c2")
+        machine.let_time_pass(loss=0, milliseconds=3000)
+        machine.restart_all()
+        machine.let_time_pass(loss=0.05, milliseconds=50)
+        machine.restart_all()
+        machine.restart_all()
+        machine.teardown()
+
     def test_voter_is_not_replaced_after_a_short_silence(self):
         model = QuorumModel(3, spares=1)
         model.run(4.0)
