Take the number of voters from the settings, not from the known instances

The control quorum could keep two voters for good, or four, after a restart in the middle of a change of the voters.

Cause: with spares, an instance starts with the control instances that it saved or asked for last, which are the voters of that moment, and the leader took their number for the size of the quorum. Two names come from a removal under way; four from a replacement, which adds the spare first. With the rule on changes, a leader that knows two names even removed a third voter.

Evidence: test_number_of_voters_does_not_follow_the_known_instances; with the length of the known instances as the size, three voters become two and four.

ControlSettings.voters is 2f+1 on instances that serve declared routes, as the first choice of the control instances was already. Elsewhere the size stays the number of listed instances. A quorum that bootstrapped with fewer instances than 2f+1, because some were late, now grows to 2f+1; it stayed at its first size before.

Not run on real processes.

--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -58,6 +58,8 @@
         Timings of member leases.
     snapshot_after_entries : int
         Number of applied log entries after which the log is compacted.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     name: str
@@ -65,6 +67,7 @@
     replica: ReplicaTimings
     members: MemberTimings
     snapshot_after_entries: int
+    voters: int | None = None
 
 
 @dataclass(frozen=True)
@@ -139,6 +142,7 @@
             generator,
             now,
             started_at,
+            settings.voters,
         )
         self._member_table: MemberTable | None = None
         self._proposals: dict[str, _Proposal] = {}
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -110,6 +110,8 @@
         Monotonic time in seconds.
     started_at : float or None
         Monotonic time at which this process started; ``now`` if unknown.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         generator: random.Random,
         now: float,
         started_at: float | None = None,
+        voters: int | None = None,
     ) -> None:
         self._name = name
         self._configured = configured
@@ -132,7 +135,7 @@
         )
         self._bootstrap = QuorumBootstrap(self._own, configured, timings.heartbeat, now)
         self._voter_policy = VoterPolicy(
-            self._own, configured, len(configured), timings.replace_after
+            self._own, configured, voters or len(configured), timings.replace_after
         )
         self._term = persistent_state.term
         self._voted_for = persistent_state.voted_for
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -240,4 +240,5 @@
         ),
         MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
         control.snapshot_after_entries,
+        control.voters,
     )
--- a/src/sassafraspin/routed/setup.py
+++ b/src/sassafraspin/routed/setup.py
@@ -68,6 +68,7 @@
             instances=control,
             data_folder=None if folder is None else folder.name,
             spare=folder is not None,
+            voters=_voters(settings),
         ),
         access=AccessSettings((), (), ""),
         services=(),
@@ -78,11 +79,10 @@
 
 def discovery_settings(settings: RoutedSettings) -> DiscoverySettings:
     """Return the settings for discovering the control instances."""
-    instances = 2 * settings.tolerated_losses + 1
     return DiscoverySettings(
         settings.seeds,
         settings.founds,
-        instances,
+        _voters(settings),
         settle=settings.founding_settle_ms / _MS_PER_SECOND,
     )
 
@@ -107,3 +107,8 @@
     except StorageError as error:
         _log.error("Cannot open the data folder: {}.", error)
         return None
+
+
+def _voters(settings: RoutedSettings) -> int:
+    """Return the number of voters that tolerate the losses in the settings."""
+    return 2 * settings.tolerated_losses + 1
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -94,6 +94,7 @@
     listed instances can be part of the quorum. ``data_folder`` is required on control
     instances and spares; it is relative to the folder of the settings file. The log is
     compacted into a snapshot after ``snapshot_after_entries`` applied entries.
+    ``voters`` is the size of the quorum, by default the number of ``instances``.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -106,6 +107,7 @@
     snapshot_after_entries: _Count = 1000
     spare: bool = False
     replace_after_ms: _Milliseconds | None = None
+    voters: Annotated[int, Field(ge=1, le=7)] | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -378,9 +378,15 @@
     ----------
     timings : ReplicaTimings
         Timeouts of the leader.
+    configured : tuple of str or None
+        Control instances known to the leader; ``None`` for the voters.
     """
 
-    def __init__(self, timings: ReplicaTimings = TIMINGS) -> None:
+    def __init__(
+        self,
+        timings: ReplicaTimings = TIMINGS,
+        configured: tuple[str, ...] | None = None,
+    ) -> None:
         names = ("c0", "c1", "c2")
         self.now = 0.0
         self.disks = {name: f"{name}-first" for name in names}
@@ -389,7 +395,13 @@
             self.disks["c0"], 1, None, Snapshot(10, 1, voters, b"state")
         )
         self.replica = ControlReplica(
-            "c0", names, persistent_state, timings, random.Random(1), self.now
+            "c0",
+            configured or names,
+            persistent_state,
+            timings,
+            random.Random(1),
+            self.now,
+            voters=len(names),
         )
         self.history = [voters]
         self.run(3.0)
@@ -474,6 +486,16 @@
         harness.run(3.0)
         self.assertEqual(len(harness.history), 1)
 
+    def test_number_of_voters_does_not_follow_the_known_instances(self):
+        """A restart during a change of the voters knows one name fewer or more."""
+        for configured in (("c0", "c1"), ("c0", "c1", "c2", "s0")):
+            with self.subTest(configured=configured):
+                harness = LeaderHarness(SPARE_TIMINGS, configured)
+                harness.disks["s0"] = "s0-first"
+                harness.receive("s0", Hello("s0-first"))
+                harness.run(3.0)
+                self.assertEqual(len(harness.history), 1)
+
     def test_voters_are_complete_after_a_replaced_voter_returns(self):
         """A voter that returns while its replacement is being added leaves again."""
         harness = LeaderHarness(SPARE_TIMINGS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from sassafraspin.platform.registration import decode_registration
 from sassafraspin.routed import BackendTarget
 from sassafraspin.routed.problems import AnswerLost, NotDispatched
+from sassafraspin.routed.setup import daemon_settings
 from sassafraspin.routes import RouteKind
 from sassafraspin.settings import Address
 from tests.fuzz import fuzz_settings
@@ -158,6 +159,10 @@
         self.assertEqual(settings.dispatch.retry_share, 0.4)
         self.assertEqual(settings.dispatch.retry_allowance, 48)
 
+    def test_tolerated_losses_set_the_number_of_voters(self):
+        settings = decode_boot_settings(BOOT.encode(), "boot.toml")
+        self.assertEqual(daemon_settings(settings, ()).control.voters, 5)
+
     def test_only_the_first_seed_bootstraps(self):
         self.assertFalse(decode_boot_settings(BOOT.encode(), "boot.toml").founds)
         first = BOOT.replace('ip = "10.2.0.7"', 'ip = "10.1.0.5"').encode()
