Check every committed change of the voters in the fuzz of the quorum

The model now checks that voters have different names, that they are at most 2f+2, that a change adds or removes exactly one, and that a removal that leaves fewer than 2f+1 takes out a disk that is lost. test_removal_of_an_intact_voter_is_caught shows that a leader which removes a voter first is caught.

--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -13,7 +13,9 @@
     PutProfile,
     ReplicaDisk,
     ReplicaTimings,
+    Voter,
 )
+from sassafraspin.control.messages import VotersEntry
 from sassafraspin.control.state import ControlState
 from sassafraspin.membership import MemberTimings
 from sassafraspin.profiles import Profile
@@ -265,8 +267,31 @@
             entry = replica.log.entry(index)
             known = self._applied.setdefault(index, entry)
             assert known == entry, f"{node.name} applied a different entry at {index}"
+            if isinstance(entry, VotersEntry):
+                self._check_voters(replica.log.voters_at(index - 1), entry.voters)
         self._checked_index[node.name] = replica.commit_index
 
+    def _check_voters(
+        self, before: tuple[Voter, ...], after: tuple[Voter, ...]
+    ) -> None:
+        """Check a committed change of the voters.
+
+        Only a disk that is lost leaves less than the configured number of voters.
+        """
+        names = {voter.name for voter in after}
+        assert len(names) == len(after), f"two voters of one name: {after}"
+        assert len(after) <= len(self._names) + 1, f"too many voters: {after}"
+        if not before:
+            return
+        assert len(set(before) ^ set(after)) == 1, f"{before} changed to {after}"
+        if len(after) >= len(self._names):
+            return
+        for removed in set(before).difference(after):
+            node = self.nodes.get(removed.name)
+            if node is not None and node.control is not None:
+                is_intact = node.control.replica.disk_id == removed.disk_id
+                assert not is_intact, f"removed {removed}, left {after}"
+
     def _check_acknowledged(self, state: ControlState, name: str) -> None:
         for change_id in self.acknowledged:
             assert state.outcome(change_id) is not None, f"{name} lost {change_id}"
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -4,6 +4,7 @@
 import statistics
 import unittest
 from collections import deque
+from copy import copy
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -42,6 +43,7 @@
     VotersEntry,
     Welcome,
 )
+from sassafraspin.control.voters import VoterPolicy
 from tests.fuzz import fuzz_settings
 from tests.quorum_model import SPARE_TIMINGS, TICK_SECONDS, TIMINGS, QuorumModel
 from tests.simulation import MemoryFiles, NetworkConditions
@@ -179,6 +181,21 @@
         model.run(2.0)
         self.assertEqual(len(model.acknowledged), 2)
 
+    def test_removal_of_an_intact_voter_is_caught(self):
+        original = VoterPolicy._candidates
+        self.addCleanup(setattr, VoterPolicy, "_candidates", original)
+
+        def remove_first(policy, voters, *arguments):
+            if len(voters) == policy._size:
+                policy = copy(policy)
+                policy._size -= 1
+            return original(policy, voters, *arguments)
+
+        VoterPolicy._candidates = remove_first
+        model = QuorumModel(3, spares=1)
+        with self.assertRaisesRegex(AssertionError, "removed"):
+            model.run(8.0)
+
     def test_replaced_voter_comes_back_as_a_spare(self):
         model = QuorumModel(3, spares=1)
         model.run(4.0)
