--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -62,6 +62,8 @@
         Number of applied log entries after which the log is compacted.
     snapshot_after_bytes : int
         Bytes of log entries after which the log is compacted.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     name: str
@@ -70,6 +72,7 @@
     members: MemberTimings
     snapshot_after_entries: int
     snapshot_after_bytes: int = 4 * 1024 * 1024
+    voters: int | None = None
 
 
 @dataclass(frozen=True)
@@ -144,6 +147,7 @@
             generator,
             now,
             started_at,
+            settings.voters,
         )
         self._member_table: MemberTable | None = None
         self._transfers = ConfigTransfers(configuration)
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -112,6 +112,8 @@
         Monotonic time in seconds.
     started_at : float or None
         Monotonic time at which this process started; ``now`` if unknown.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         generator: random.Random,
         now: float,
         started_at: float | None = None,
+        voters: int | None = None,
     ) -> None:
         self._name = name
         self._configured = configured
@@ -134,7 +137,7 @@
         )
         self._bootstrap = QuorumBootstrap(self._own, configured, timings.heartbeat, now)
         self._voter_policy = VoterPolicy(
-            self._own, configured, len(configured), timings.replace_after
+            self._own, configured, voters or len(configured), timings.replace_after
         )
         self._term = persistent_state.term
         self._voted_for = persistent_state.voted_for
@@ -150,6 +153,10 @@
     def _admits_spares(self) -> bool:
         return self._timings.replace_after is not None
 
+    @property
+    def _is_empty(self) -> bool:
+        return not self._log.voters and self._log.last_index == 0
+
     @property
     def role(self) -> Role:
         """Return the current role."""
@@ -263,7 +270,7 @@
             case Hello():
                 self._on_hello(source, message, now)
             case Welcome():
-                self._on_welcome(message, now)
+                self._on_welcome(source, message, now)
         return self._take_effects()
 
     # Quorum bootstrap
@@ -277,45 +284,60 @@
 
     def _send_hello(self) -> None:
         for name in self._bootstrap.others:
-            self._send(name, Hello(self._own.disk_id))
+            self._send(name, Hello(self._own.disk_id, self._is_empty))
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
         if not self._voter_policy.may_learn(source):
             return
         sender = Voter(source, message.disk_id)
         if self._log.voters:
-            self._send(source, Welcome(self._initial_voters_for(sender)))
+            initial = self._initial_voters_for(sender)
+            self._send(source, Welcome(initial, self._leader))
             self._register_learner(sender, now)
             return
-        if source in self._configured:
+        if source in self._configured and message.is_empty:
             self._bootstrap.record_announced_disk(source, message.disk_id)
             self._bootstrap_quorum(now)
 
     def _initial_voters_for(self, sender: Voter) -> tuple[Voter, ...]:
         """Return the voters that the sender of a ``Hello`` may start with.
 
-        A voter with an empty disk has stored nothing since the quorum was formed, so
-        it has not voted or acknowledged anything either.
+        They are the voters before the first entry, if this log still has them and the
+        sender is one of them. Voters that were added later receive entries or a
+        snapshot that name them.
         """
-        voters = self._log.voters
-        return voters if sender in voters else ()
+        snapshot = self._log.snapshot
+        if snapshot.index == 0 and sender in snapshot.voters:
+            return snapshot.voters
+        return ()
 
     def _bootstrap_quorum(self, now: float) -> None:
-        """Bootstrap the log once all configured instances have announced a disk."""
-        if self._name not in self._configured:
+        """Bootstrap the log once all configured instances have announced empty disks.
+
+        A log with entries comes from a leader, so the quorum exists already.
+        """
+        if self._name not in self._configured or not self._is_empty:
             return
         voters = self._bootstrap.initial_voters()
-        if voters is not None and not self._log.voters:
+        if voters is not None:
             self._install_initial_voters(voters, now)
 
-    def _on_welcome(self, message: Welcome, now: float) -> None:
-        if not self._log.voters and self._own in message.voters:
+    def _on_welcome(self, source: str, message: Welcome, now: float) -> None:
+        leader = message.leader
+        is_unknown = not self._election.has_recent_leader(now)
+        if leader is not None and leader not in (source, self._name) and is_unknown:
+            # A spare that leads is not among the configured instances.
+            self._send(leader, Hello(self._own.disk_id, self._is_empty))
+        if self._log.snapshot.index > 0 or self._log.voters:
+            return
+        if self._own in message.voters:
             self._install_initial_voters(message.voters, now)
 
     def _install_initial_voters(self, voters: tuple[Voter, ...], now: float) -> None:
+        """Store the voters before the first entry; entries after them are kept."""
         snapshot = Snapshot(0, 0, voters, b"")
         self._log.compact(snapshot)
-        self._effects.append(SaveSnapshot(snapshot, ()))
+        self._effects.append(SaveSnapshot(snapshot, self._log.entries_from(1)))
         self._election.postpone(now)
 
     # Elections
