Search longer for the planted defects of the ledger

A run ends at the first find, so 3,000 examples cost time only where 500 would have missed the defect.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -31,7 +31,7 @@
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
 
-MUTANT_SETTINGS = settings(FUZZ_SETTINGS, max_examples=500)
+MUTANT_SETTINGS = settings(FUZZ_SETTINGS, max_examples=3_000)
 
 KEYS = st.integers(0, 2)
 NODES = st.sampled_from([f"entry-{number}" for number in range(5)])
