Ask for the records of a member one part at a time

Seen: with 12,000 records a member never synchronized with a healthy peer after a view change. Its peer sent all 60 parts in one loop, the queue for a peer (1 MiB) dropped the oldest 17, and each retry repeated that, because an attempt needs all its parts. As a primary such a member answers NOT_READY.

Now a request names the part wanted and the next one is asked for after a part has arrived, so one part is in transit from a member (one more for each repeated request). A lost part is asked for again with the backoff there was, for each member by itself. Its first delay is twice the time of the last answer, within the same limits, so that a part that takes long is not repeated in transit; answers are matched with requests by the attempt. Parts received are kept across attempts. A repeated reply causes no request.

Why it is safe to read the parts at different times: the answering member pins the list of keys at the first request in the view, hence after it has installed that view. From then on it acknowledges no copy of an older view, so each claim granted on its copy in an older view is in the list.

Claims of the current view need not be in it: their primary copies them to their backups in this view, and a primary that synced as a backup syncs again. A member counts once all parts of one pinned list were received in order: each list has a number, a newer list starts at part 0, and parts of another list or incarnation do not count. A list is released at the next view change or after 15 s without a request (three times the longest backoff); then the answer is part 0 of a new list. Bound: one list for each asking member, together at most one reference to a key for each copy of a record.

Messages: trailing fields with defaults.

--- a/src/sassafraspin/ledger/ledger.py
+++ b/src/sassafraspin/ledger/ledger.py
@@ -147,9 +147,9 @@
             case CopyAck():
                 self._on_copy_ack(source, message, lease, now)
             case SyncRequest():
-                self._effects += self._sync.on_request(source.name, message)
+                self._effects += self._sync.on_request(source.name, message, now)
             case SyncReply():
-                self._sync.on_reply(source, message, now)
+                self._effects += self._sync.on_reply(source, message, now)
             case ClaimAnswer():
                 pass
         return self._take_effects()
--- a/src/sassafraspin/ledger/messages.py
+++ b/src/sassafraspin/ledger/messages.py
@@ -71,17 +71,25 @@
 
 
 class SyncRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Asks a member for the records that the sender must store in a view."""
+    """Asks a member for one part of the records that the sender must store in a view.
+
+    ``part`` counts from 0 within ``snapshot``; snapshot 0 asks for part 0 of any. The
+    build of 642a6d5 sends no ``part`` and gets all parts; it ignores these fields in a
+    request and sends all parts.
+    """
 
     view_number: int
     attempt: int
+    part: int | None = None
+    snapshot: int = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Records of the sender that the receiver must store as primary or backup.
 
-    A reply is split into parts. ``part`` counts from 0 within the ``attempt`` of the
-    request; ``last`` marks the final part.
+    A reply is split into parts. ``part`` counts from 0 within the ``snapshot``, and
+    ``last`` marks the final part. The build of 642a6d5 sends no ``snapshot``: all parts
+    of its reply to an ``attempt`` come unasked, and ``part`` counts within the attempt.
     """
 
     view_number: int
@@ -89,6 +97,7 @@
     part: int
     last: bool
     records: tuple[RequestRecord, ...]
+    snapshot: int = 0
 
 
 LedgerMessage = (
--- a/src/sassafraspin/ledger/sync.py
+++ b/src/sassafraspin/ledger/sync.py
@@ -1,19 +1,32 @@
-"""Synchronization of records between the members of a new view."""
+"""Synchronization of records between the members of a new view.
 
+A member asks every other member for its records, one part at a time: it asks for the
+next part once it has received one. At most one part is in transit between two members,
+apart from repeated requests.
+"""
+
+import itertools
+from collections import deque
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from sassafraspin.ledger.messages import LedgerMessage, SyncReply, SyncRequest
 from sassafraspin.ledger.placement import Placement
-from sassafraspin.ledger.record import RequestRecord
+from sassafraspin.ledger.record import RecordKey
 from sassafraspin.ledger.store import RecordStore
 from sassafraspin.membership import MemberIdentity
 
-__all__ = ["RecordSync", "SendToMember", "SyncProgress", "batches"]
+__all__ = ["RecordSync", "SendToMember", "batches"]
 
 _MIN_RETRY_SECONDS = 0.3
 _MAX_RETRY_SECONDS = 5.0
 _MAX_RECORDS_PER_PART = 200
+_MAX_REQUEST_TIMES = 8
+_UNUSED_SNAPSHOT_SECONDS = 3 * _MAX_RETRY_SECONDS
+_ANY_SNAPSHOT = 0
+
+_Item = TypeVar("_Item")
 
 
 @dataclass(frozen=True)
@@ -24,12 +37,10 @@
     message: LedgerMessage
 
 
-def batches(
-    records: Sequence[RequestRecord], size: int
-) -> Iterator[tuple[RequestRecord, ...]]:
-    """Yield the records in batches of at most ``size``."""
-    for start in range(0, len(records), size):
-        yield tuple(records[start : start + size])
+def batches(items: Sequence[_Item], size: int) -> Iterator[tuple[_Item, ...]]:
+    """Yield the items in batches of at most ``size``."""
+    for start in range(0, len(items), size):
+        yield tuple(items[start : start + size])
 
 
 @dataclass
@@ -42,61 +53,75 @@
         return self.count is not None and len(self.received) == self.count
 
 
-class SyncProgress:
-    """Tracks which members have sent all their records for one view.
-
-    A retry starts a new attempt. The parts of each attempt are counted separately,
-    because the records of a member may have changed in between.
+@dataclass
+class _MemberProgress:
+    """Progress with one member that has not sent all its records.
 
-    Parameters
-    ----------
-    view_number : int
-        Number of the view.
-    members : frozenset of str
-        Names of the members that must send their records.
+    Of a member that sends one part at a time, parts of one snapshot are received in
+    order. Of a member that sends all parts unasked, the parts of each attempt are
+    counted separately, because its records may have changed in between.
     """
 
-    def __init__(self, view_number: int, members: frozenset[str]) -> None:
-        self._view_number = view_number
-        self._missing = set(members)
-        self._parts: dict[tuple[str, int], _ReceivedParts] = {}
-        self._attempt = 0
-
-    @property
-    def view_number(self) -> int:
-        """Return the number of the view."""
-        return self._view_number
+    attempt: int = 0
+    snapshot: int = _ANY_SNAPSHOT
+    next_part: int = 0
+    request_times: deque[float] = field(
+        default_factory=lambda: deque(maxlen=_MAX_REQUEST_TIMES)
+    )
+    retry_delay: float = _MIN_RETRY_SECONDS
+    next_retry_at: float = 0.0
+    unasked: dict[int, _ReceivedParts] = field(default_factory=dict)
+
+    def request(self, view_number: int, now: float) -> SyncRequest:
+        """Return a request for the next part; a repetition doubles the delay."""
+        self.attempt += 1
+        self.request_times.append(now)
+        self.next_retry_at = now + self.retry_delay
+        self.retry_delay = min(2 * self.retry_delay, _MAX_RETRY_SECONDS)
+        return SyncRequest(view_number, self.attempt, self.next_part, self.snapshot)
+
+    def receive(self, reply: SyncReply, now: float) -> bool:
+        """Return whether a reply contains the next part, and expect the one after it.
+
+        The first part of a newer snapshot replaces an older one, which the member does
+        not keep any more.
+        """
+        if reply.snapshot > self.snapshot and reply.part == 0:
+            self.snapshot = reply.snapshot
+            self.next_part = 0
+        if (reply.snapshot, reply.part) != (self.snapshot, self.next_part):
+            return False
+        self.next_part += 1
+        self._reset_delay(reply.attempt, now)
+        return True
+
+    def receive_unasked(self, reply: SyncReply) -> bool:
+        """Return whether a reply completes the parts of an attempt."""
+        parts = self.unasked.setdefault(reply.attempt, _ReceivedParts())
+        parts.received.add(reply.part)
+        if reply.last:
+            parts.count = reply.part + 1
+        return parts.is_complete
+
+    def _reset_delay(self, attempt: int, now: float) -> None:
+        """Set the delay to twice the time of an answer, within the limits.
+
+        A part that takes long is then not requested again while it is in transit.
+        """
+        position = attempt - self.attempt - 1
+        delay = _MAX_RETRY_SECONDS
+        if -len(self.request_times) <= position < 0:
+            delay = min(delay, 2 * (now - self.request_times[position]))
+        self.retry_delay = max(delay, _MIN_RETRY_SECONDS)
 
-    @property
-    def attempt(self) -> int:
-        """Return the number of the newest attempt."""
-        return self._attempt
 
-    @property
-    def missing(self) -> frozenset[str]:
-        """Return the members that have not sent all their records."""
-        return frozenset(self._missing)
+@dataclass
+class _Snapshot:
+    """Keys of the records for one member, pinned while it asks for the parts."""
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether every member has sent all its records."""
-        return not self._missing
-
-    def start_attempt(self) -> int:
-        """Start the next attempt and return its number."""
-        self._attempt += 1
-        return self._attempt
-
-    def record_part(self, name: str, attempt: int, part: int, last: bool) -> None:
-        """Record the arrival of one part of a reply."""
-        if name not in self._missing:
-            return
-        parts = self._parts.setdefault((name, attempt), _ReceivedParts())
-        parts.received.add(part)
-        if last:
-            parts.count = part + 1
-        if parts.is_complete:
-            self._missing.discard(name)
+    number: int
+    parts: tuple[tuple[RecordKey, ...], ...]
+    used_at: float
 
 
 class RecordSync:
@@ -118,8 +143,9 @@
         self._own = own
         self._placement = placement
         self._records = records
-        self._progress: SyncProgress | None = None
-        self._next_retry_at = 0.0
+        self._missing: dict[str, _MemberProgress] = {}
+        self._snapshots: dict[str, _Snapshot] = {}
+        self._snapshot_numbers = itertools.count(_ANY_SNAPSHOT + 1)
         self._deferred_requests: dict[str, SyncRequest] = {}
 
     def start(self, now: float) -> list[SendToMember]:
@@ -127,31 +153,39 @@
 
         Also answers the deferred requests of members that installed this view earlier.
         """
+        self._snapshots.clear()
+        self._missing.clear()
         answers = [
             effect
             for name, request in list(self._deferred_requests.items())
-            for effect in self.on_request(name, request)
+            for effect in self.on_request(name, request, now)
         ]
         view = self._placement.view
-        self._progress = None
         if not view.contains(self._own):
             return answers
-        others = frozenset(
-            member.name for member in view.members if member.name != self._own.name
-        )
-        if not others:
+        self._missing = {
+            member.name: _MemberProgress()
+            for member in sorted(view.members, key=lambda member: member.name)
+            if member.name != self._own.name
+        }
+        if not self._missing:
             self._placement.mark_synced()
-            return answers
-        self._progress = SyncProgress(view.number, others)
-        return [*answers, *self._send_requests(now)]
+        return [*answers, *self.tick(now)]
 
     def tick(self, now: float) -> list[SendToMember]:
-        """Retry requests to members that have not sent all their records."""
-        if self._progress is None or now < self._next_retry_at:
-            return []
-        return self._send_requests(now)
+        """Repeat requests that were not answered in time; release unused snapshots."""
+        for name, snapshot in list(self._snapshots.items()):
+            if now - snapshot.used_at >= _UNUSED_SNAPSHOT_SECONDS:
+                del self._snapshots[name]
+        return [
+            self._ask(name, progress, now)
+            for name, progress in self._missing.items()
+            if now >= progress.next_retry_at
+        ]
 
-    def on_request(self, name: str, request: SyncRequest) -> list[SendToMember]:
+    def on_request(
+        self, name: str, request: SyncRequest, now: float
+    ) -> list[SendToMember]:
         """Send a member its records; defer the answer if its view is newer."""
         view = self._placement.view
         if request.view_number > view.number:
@@ -160,7 +194,77 @@
         self._deferred_requests.pop(name, None)
         if request.view_number < view.number:
             return []
-        parts = list(batches(self._records_for(name), _MAX_RECORDS_PER_PART)) or [()]
+        if request.part is None:
+            return self._all_parts(name, request)
+        return self._one_part(name, request, request.part, now)
+
+    def on_reply(
+        self, source: MemberIdentity, reply: SyncReply, now: float
+    ) -> list[SendToMember]:
+        """Merge records; only a reply from a member of the view counts as its answer.
+
+        A restarted process under the name of a member has another incarnation and has
+        lost its records, so its reply must not complete the synchronization.
+        """
+        for record in reply.records:
+            self._records.merge(record, now)
+        view = self._placement.view
+        progress = self._missing.get(source.name)
+        if progress is None or reply.view_number != view.number:
+            return []
+        if not view.contains(source):
+            return []
+        if reply.snapshot == _ANY_SNAPSHOT:
+            is_complete = progress.receive_unasked(reply)
+        elif not progress.receive(reply, now):
+            return []
+        elif not reply.last:
+            return [self._ask(source.name, progress, now)]
+        else:
+            is_complete = True
+        if is_complete:
+            del self._missing[source.name]
+            if not self._missing:
+                self._placement.mark_synced()
+        return []
+
+    def _ask(self, name: str, progress: _MemberProgress, now: float) -> SendToMember:
+        request = progress.request(self._placement.view.number, now)
+        return SendToMember(name, request)
+
+    def _one_part(
+        self, name: str, request: SyncRequest, part: int, now: float
+    ) -> list[SendToMember]:
+        """Send one part of a snapshot, or the first part if it is not kept any more.
+
+        Records are read when their part is sent, so they may be newer than the
+        snapshot, and expired ones are left out.
+        """
+        snapshot = self._snapshots.get(name)
+        if snapshot is None:
+            snapshot = _Snapshot(
+                next(self._snapshot_numbers), self._parts_for(name), now
+            )
+            self._snapshots[name] = snapshot
+        snapshot.used_at = now
+        if request.snapshot != snapshot.number:
+            part = 0
+        if not 0 <= part < len(snapshot.parts):
+            return []
+        records = [self._records.get(key) for key in snapshot.parts[part]]
+        reply = SyncReply(
+            request.view_number,
+            request.attempt,
+            part,
+            part == len(snapshot.parts) - 1,
+            tuple(record for record in records if record is not None),
+            snapshot.number,
+        )
+        return [SendToMember(name, reply)]
+
+    def _all_parts(self, name: str, request: SyncRequest) -> list[SendToMember]:
+        """Send all parts to a member of build 642a6d5, which cannot ask for one."""
+        parts = self._parts_for(name)
         return [
             SendToMember(
                 name,
@@ -169,42 +273,17 @@
                     request.attempt,
                     number,
                     number == len(parts) - 1,
-                    part,
+                    tuple(self._records.get(key) for key in keys),
                 ),
             )
-            for number, part in enumerate(parts)
+            for number, keys in enumerate(parts)
         ]
 
-    def on_reply(self, source: MemberIdentity, reply: SyncReply, now: float) -> None:
-        """Merge records; only a reply from a member of the view counts as its answer.
-
-        A restarted process under the name of a member has another incarnation and has
-        lost its records, so its reply must not complete the synchronization.
-        """
-        for record in reply.records:
-            self._records.merge(record, now)
-        progress = self._progress
-        if progress is None or reply.view_number != progress.view_number:
-            return
-        if not self._placement.view.contains(source):
-            return
-        progress.record_part(source.name, reply.attempt, reply.part, reply.last)
-        if progress.is_complete:
-            self._progress = None
-            self._placement.mark_synced()
-
-    def _send_requests(self, now: float) -> list[SendToMember]:
-        progress = self._progress
-        assert progress is not None
-        attempt = progress.start_attempt()
-        delay = _MIN_RETRY_SECONDS * 2 ** (attempt - 1)
-        self._next_retry_at = now + min(delay, _MAX_RETRY_SECONDS)
-        request = SyncRequest(progress.view_number, attempt)
-        return [SendToMember(name, request) for name in sorted(progress.missing)]
-
-    def _records_for(self, name: str) -> list[RequestRecord]:
-        return [
-            record
+    def _parts_for(self, name: str) -> tuple[tuple[RecordKey, ...], ...]:
+        """Return the keys of the records that a member must store, in parts."""
+        keys = [
+            record.key
             for record in self._records
             if any(item.name == name for item in self._placement.holders(record.key))
         ]
+        return tuple(batches(keys, _MAX_RECORDS_PER_PART)) or ((),)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -136,6 +136,10 @@
     def test_fuzz(self):
         run_state_machine_as_test(LedgerMachine, settings=FUZZ_SETTINGS)
 
+    def test_fuzz_with_one_record_in_a_part(self):
+        with mock.patch("sassafraspin.ledger.sync._MAX_RECORDS_PER_PART", 1):
+            run_state_machine_as_test(LedgerMachine, settings=FUZZ_SETTINGS)
+
     def assert_caught(self, message: str = "dispatched more than once"):
         with self.assertRaisesRegex(AssertionError, message):
             run_state_machine_as_test(LedgerMachine, settings=MUTANT_SETTINGS)
