Send all parts to a member of an older build a few at a time

Seen (test only): a member of build that asks this build for 12,000 records does not synchronize. It cannot ask for one part, so it got all 60 in one loop, and the queue for a peer, 1 MiB here and counted in messages in that build, dropped the oldest. A rolling update would leave such members unsynchronized until they are replaced.

Requests that arrive meanwhile are not answered. The member counts the parts of each attempt, so the first answer completes its attempt. Safe as the parts asked for one by one: the keys are pinned after this member installed the view, the records are read when they are sent, and the answer ends with the view. A lost part still costs the whole answer again, as in that build.

The new network test has the requester leave out the new fields: not synchronized after 5 s before, passes now.

--- a/src/sassafraspin/ledger/sync.py
+++ b/src/sassafraspin/ledger/sync.py
@@ -13,7 +13,7 @@
 
 from sassafraspin.ledger.messages import LedgerMessage, SyncReply, SyncRequest
 from sassafraspin.ledger.placement import Placement
-from sassafraspin.ledger.record import RecordKey
+from sassafraspin.ledger.record import RecordKey, RequestRecord
 from sassafraspin.ledger.store import RecordStore
 from sassafraspin.membership import MemberIdentity
 
@@ -25,6 +25,7 @@
 _MAX_REQUEST_TIMES = 8
 _UNUSED_SNAPSHOT_SECONDS = 3 * _MAX_RETRY_SECONDS
 _ANY_SNAPSHOT = 0
+_UNASKED_PARTS_PER_TICK = 2
 
 _Item = TypeVar("_Item")
 
@@ -124,6 +125,15 @@
     used_at: float
 
 
+@dataclass
+class _UnaskedAnswer:
+    """Answer to a member of build 642a6d5, which cannot ask for a part."""
+
+    request: SyncRequest
+    parts: tuple[tuple[RecordKey, ...], ...]
+    next_part: int = 0
+
+
 class RecordSync:
     """Requests the records of every member of a new view, and answers such requests.
 
@@ -145,6 +155,7 @@
         self._records = records
         self._missing: dict[str, _MemberProgress] = {}
         self._snapshots: dict[str, _Snapshot] = {}
+        self._unasked_answers: dict[str, _UnaskedAnswer] = {}
         self._snapshot_numbers = itertools.count(_ANY_SNAPSHOT + 1)
         self._deferred_requests: dict[str, SyncRequest] = {}
 
@@ -154,6 +165,7 @@
         Also answers the deferred requests of members that installed this view earlier.
         """
         self._snapshots.clear()
+        self._unasked_answers.clear()
         self._missing.clear()
         answers = [
             effect
@@ -173,15 +185,21 @@
         return [*answers, *self.tick(now)]
 
     def tick(self, now: float) -> list[SendToMember]:
-        """Repeat requests that were not answered in time; release unused snapshots."""
+        """Repeat requests that were not answered in time, and send unasked parts."""
         for name, snapshot in list(self._snapshots.items()):
             if now - snapshot.used_at >= _UNUSED_SNAPSHOT_SECONDS:
                 del self._snapshots[name]
-        return [
+        requests = [
             self._ask(name, progress, now)
             for name, progress in self._missing.items()
             if now >= progress.next_retry_at
         ]
+        parts = [
+            effect
+            for name in list(self._unasked_answers)
+            for effect in self._unasked_parts(name)
+        ]
+        return [*requests, *parts]
 
     def on_request(
         self, name: str, request: SyncRequest, now: float
@@ -195,7 +213,7 @@
         if request.view_number < view.number:
             return []
         if request.part is None:
-            return self._all_parts(name, request)
+            return self._start_unasked(name, request)
         return self._one_part(name, request, request.part, now)
 
     def on_reply(
@@ -251,34 +269,57 @@
             part = 0
         if not 0 <= part < len(snapshot.parts):
             return []
-        records = [self._records.get(key) for key in snapshot.parts[part]]
+        is_last = part == len(snapshot.parts) - 1
+        records = self._current_records(snapshot.parts[part])
         reply = SyncReply(
             request.view_number,
             request.attempt,
             part,
-            part == len(snapshot.parts) - 1,
-            tuple(record for record in records if record is not None),
+            is_last,
+            records,
             snapshot.number,
         )
         return [SendToMember(name, reply)]
 
-    def _all_parts(self, name: str, request: SyncRequest) -> list[SendToMember]:
-        """Send all parts to a member of build 642a6d5, which cannot ask for one."""
-        parts = self._parts_for(name)
+    def _start_unasked(self, name: str, request: SyncRequest) -> list[SendToMember]:
+        """Send the first unasked parts, unless an earlier attempt is being answered.
+
+        The member counts the parts of each attempt, so the earlier answer completes.
+        """
+        if name in self._unasked_answers:
+            return []
+        self._unasked_answers[name] = _UnaskedAnswer(request, self._parts_for(name))
+        return self._unasked_parts(name)
+
+    def _unasked_parts(self, name: str) -> list[SendToMember]:
+        """Send the next unasked parts, few at a time because queues are bounded."""
+        answer = self._unasked_answers[name]
+        start = answer.next_part
+        answer.next_part = min(start + _UNASKED_PARTS_PER_TICK, len(answer.parts))
+        last = len(answer.parts) - 1
+        if answer.next_part > last:
+            del self._unasked_answers[name]
+        request = answer.request
         return [
             SendToMember(
                 name,
                 SyncReply(
                     request.view_number,
                     request.attempt,
-                    number,
-                    number == len(parts) - 1,
-                    tuple(self._records.get(key) for key in keys),
+                    part,
+                    part == last,
+                    self._current_records(answer.parts[part]),
                 ),
             )
-            for number, keys in enumerate(parts)
+            for part in range(start, answer.next_part)
         ]
 
+    def _current_records(
+        self, keys: tuple[RecordKey, ...]
+    ) -> tuple[RequestRecord, ...]:
+        records = [self._records.get(key) for key in keys]
+        return tuple(record for record in records if record is not None)
+
     def _parts_for(self, name: str) -> tuple[tuple[RecordKey, ...], ...]:
         """Return the keys of the records that a member must store, in parts."""
         keys = [
--- a/tests/test_ledger_sync.py
+++ b/tests/test_ledger_sync.py
@@ -20,6 +20,7 @@
     SyncReply,
     SyncRequest,
 )
+from sassafraspin.ledger.sync import _MemberProgress
 from sassafraspin.loopback import free_ports
 from sassafraspin.membership import Member, MemberIdentity, View
 from sassafraspin.rpc import PeerNetwork
@@ -240,7 +241,8 @@
 
     def test_old_requester_gets_all_parts(self):
         data = msgspec.msgpack.encode(OldSyncRequest(1, 7))
-        replies = self.answer(msgspec.msgpack.decode(data, type=SyncRequest))
+        request = msgspec.msgpack.decode(data, type=SyncRequest)
+        replies = [*self.answer(request), *self.unasked_parts()]
         decoded = [
             msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=OldSyncReply)
             for reply in replies
@@ -251,6 +253,28 @@
         records = [record for item in decoded for record in item.records]
         self.assertEqual(records, [make_record(n) for n in range(self.records)])
 
+    def unasked_parts(self) -> list[SyncReply]:
+        """Return the parts that the responder sends within the next second."""
+        return [
+            effect.message
+            for _ in range(10)
+            for effect in self.responder.tick(True, self.now)
+        ]
+
+    def test_repeated_request_of_an_old_requester_finishes_the_first_answer(self):
+        replies = self.answer(SyncRequest(1, 1))
+        self.assertEqual(self.answer(SyncRequest(1, 2)), [])
+        replies += self.unasked_parts()
+        self.assertEqual([item.part for item in replies], list(range(self.parts)))
+        self.assertEqual({item.attempt for item in replies}, {1})
+        self.assertEqual({item.attempt for item in self.answer(SyncRequest(1, 3))}, {3})
+
+    def test_unasked_parts_do_not_outlive_their_view(self):
+        self.answer(SyncRequest(1, 1))
+        views = (View(1, 0, self.members), View(2, 1, self.members))
+        self.responder.install_views(views, self.now)
+        self.assertFalse(any(type(i) is SyncReply for i in self.unasked_parts()))
+
     def old_answer(self, request: SyncRequest) -> list[SyncReply]:
         """Return the answer of a responder of build 642a6d5."""
         data = msgspec.msgpack.encode(request)
@@ -354,6 +378,21 @@
         dropped = [item.usage().dropped_messages for item in self.networks.values()]
         self.assertEqual(dropped, [0, 0])
 
+    def test_old_requester_receives_records_larger_than_the_queue(self):
+        count = 12_000
+        for number in range(count):
+            self.ledgers["a"]._records.store(make_record(number), time.monotonic())
+        request = _MemberProgress.request
+
+        def old_request(progress, view_number, now):
+            new = request(progress, view_number, now)
+            return SyncRequest(new.view_number, new.attempt)
+
+        with mock.patch.object(_MemberProgress, "request", old_request):
+            trio.run(self.synchronize)
+        self.assertEqual(self.ledgers["b"].synced_view, 1)
+        self.assertEqual(self.ledgers["b"].record_count, count)
+
 
 if __name__ == "__main__":
     unittest.main()
