Read the change as a newcomer: names and order in the control log

record_match says whether the peer has advanced, _send_entries says what it sends, and the public methods of Configuration stand before the private ones. No behaviour changes.

--- a/src/sassafraspin/control/config.py
+++ b/src/sassafraspin/control/config.py
@@ -97,6 +97,19 @@
             return image
         return ConfigTail(index + 1, _leading_commands(tail.commands))
 
+    def apply_update(self, update: ConfigUpdate) -> None:
+        """Apply an update; a log tail that would leave a gap is ignored."""
+        match update:
+            case PackedUpdate():
+                self._apply_packed(update)
+            case ConfigImage():
+                self.restore(update.index, update.data)
+            case ConfigTail():
+                if update.first_index > self._state.index + 1:
+                    return
+                for offset, data in enumerate(update.commands):
+                    self.apply(update.first_index + offset, data)
+
     def _apply_packed(self, packed: PackedUpdate) -> None:
         try:
             self.apply_update(unpack_update(packed))
@@ -131,19 +144,6 @@
             self._image = ConfigImage(self._state.index, self._state.to_bytes())
         return self._image
 
-    def apply_update(self, update: ConfigUpdate) -> None:
-        """Apply an update; a log tail that would leave a gap is ignored."""
-        match update:
-            case PackedUpdate():
-                self._apply_packed(update)
-            case ConfigImage():
-                self.restore(update.index, update.data)
-            case ConfigTail():
-                if update.first_index > self._state.index + 1:
-                    return
-                for offset, data in enumerate(update.commands):
-                    self.apply(update.first_index + offset, data)
-
 
 def _size(data: bytes | None) -> int:
     return 0 if data is None else len(data)
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -157,10 +157,10 @@
             )
 
     def record_match(self, peer: Voter, index: int) -> bool:
-        """Record what a peer has stored; return whether that was not known."""
+        """Record what a peer has stored; return whether it has advanced."""
         progress = self._progress_of(peer)
-        is_news = progress.is_probing or index > progress.match_index
-        if is_news:
+        has_advanced = progress.is_probing or index > progress.match_index
+        if has_advanced:
             progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.match_index = max(progress.match_index, index)
         if progress.is_probing:
@@ -168,7 +168,7 @@
             progress.next_index = progress.match_index + 1
         else:
             progress.next_index = max(progress.next_index, progress.match_index + 1)
-        return is_news
+        return has_advanced
 
     def rewind(self, peer: Voter, hint: int) -> None:
         """Probe from an earlier index after a rejection."""
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -485,6 +485,11 @@
             self._send_entries(peer, now)
 
     def _send_entries(self, peer: Voter, now: float) -> None:
+        """Send a peer the next batch of entries, or the snapshot that it needs.
+
+        It is sent a heartbeat while earlier ones are in transit, and a probe, which is
+        an append without entries, while it is unknown where the logs match.
+        """
         leadership = self._leadership
         assert leadership is not None
         if leadership.is_in_transit(peer, now):
@@ -554,10 +559,10 @@
                 self._send_entries(peer, now)
             return
         match_index = min(reply.match_index, self._log.last_index)
-        is_news = leadership.record_match(peer, match_index)
+        has_advanced = leadership.record_match(peer, match_index)
         self._advance_commit()
         has_more = leadership.next_index(peer) <= self._log.last_index
-        if is_news and has_more and not leadership.is_in_transit(peer, now):
+        if has_advanced and has_more and not leadership.is_in_transit(peer, now):
             self._send_entries(peer, now)
 
     def _advance_commit(self) -> None:
