--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -15,6 +15,13 @@
 _FIRST_RETRANSMIT_HEARTBEATS = 3
 _MAX_RETRANSMIT_HEARTBEATS = 24
 
+_LARGE_BYTES = 1_000
+"""Size from which entries may go over a stream; smaller ones fit into a datagram and
+are sent again after one heartbeat."""
+
+_SLOW_BYTES_PER_SECOND = 400_000
+"""Rate of a slow link that other messages share."""
+
 
 @dataclass
 class _Progress:
@@ -25,6 +32,8 @@
     next_index : int
         Index of the first entry that was not sent yet. While probing, the index after
         the one at which the logs may match.
+    since : float
+        Time at which the peer became a learner, in seconds.
     match_index : int
         Last index known to be stored by the peer.
     is_probing : bool
@@ -33,17 +42,22 @@
         Send time of the last message that the peer answered, in seconds.
     sent_at : float
         Time at which entries were last sent, in seconds.
+    sent_bytes : int
+        Bytes of these entries.
     retransmit_heartbeats : int
-        Heartbeats without progress after which entries count as lost.
+        Heartbeats without progress after which large entries count as lost, besides
+        the time that they take on a slow link.
     snapshot_sent : float
         Time at which a snapshot was last sent, in seconds.
     """
 
     next_index: int
+    since: float = float("-inf")
     match_index: int = 0
     is_probing: bool = True
     contact: float = float("-inf")
     sent_at: float = float("-inf")
+    sent_bytes: int = 0
     retransmit_heartbeats: int = _FIRST_RETRANSMIT_HEARTBEATS
     snapshot_sent: float = float("-inf")
 
@@ -99,11 +113,11 @@
         """Return whether entries are replicated to this peer and disk."""
         return peer in voters or self._learners.get(peer.name) == peer
 
-    def add_learner(self, peer: Voter, last_index: int) -> None:
+    def add_learner(self, peer: Voter, last_index: int, now: float) -> None:
         """Start to replicate to a peer that does not vote."""
         if self._learners.get(peer.name) != peer:
             self._learners[peer.name] = peer
-            self._progress[peer] = _Progress(last_index + 1)
+            self._progress[peer] = _Progress(last_index + 1, now)
 
     def next_index(self, peer: Voter) -> int:
         """Return the index of the first entry to send to a peer."""
@@ -120,13 +134,17 @@
     def is_in_transit(self, peer: Voter, now: float) -> bool:
         """Return whether entries were sent that may still arrive at the peer."""
         progress = self._progress_of(peer)
-        timeout = progress.retransmit_heartbeats * self._timings.heartbeat
+        timeout = self._timings.heartbeat
+        if progress.sent_bytes >= _LARGE_BYTES:
+            timeout *= progress.retransmit_heartbeats
+            timeout += progress.sent_bytes / _SLOW_BYTES_PER_SECOND
         return progress.is_sending and now - progress.sent_at < timeout
 
-    def record_sent(self, peer: Voter, next_index: int, now: float) -> None:
-        """Record that the entries before ``next_index`` are being sent."""
+    def record_sent(self, peer: Voter, next_index: int, size: int, now: float) -> None:
+        """Record that entries before ``next_index`` are sent, ``size`` bytes in all."""
         progress = self._progress_of(peer)
         progress.next_index = next_index
+        progress.sent_bytes = size
         progress.sent_at = now
 
     def expire_sent(self, peer: Voter) -> None:
@@ -138,10 +156,11 @@
                 2 * progress.retransmit_heartbeats, _MAX_RETRANSMIT_HEARTBEATS
             )
 
-    def record_match(self, peer: Voter, index: int) -> None:
-        """Record the last index that a peer has stored."""
+    def record_match(self, peer: Voter, index: int) -> bool:
+        """Record what a peer has stored; return whether that was not known."""
         progress = self._progress_of(peer)
-        if index > progress.match_index:
+        is_news = progress.is_probing or index > progress.match_index
+        if is_news:
             progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.match_index = max(progress.match_index, index)
         if progress.is_probing:
@@ -149,6 +168,7 @@
             progress.next_index = progress.match_index + 1
         else:
             progress.next_index = max(progress.next_index, progress.match_index + 1)
+        return is_news
 
     def rewind(self, peer: Voter, hint: int) -> None:
         """Probe from an earlier index after a rejection."""
@@ -158,18 +178,34 @@
             progress.match_index + 1, min(hint, progress.next_index)
         )
 
-    def may_send_snapshot(self, peer: Voter, now: float) -> bool:
-        """Return whether a snapshot may be sent now, and record that it is sent."""
+    def may_send_snapshot(self, peer: Voter, size: int, now: float) -> bool:
+        """Return whether a snapshot may be sent now, and record that it is sent.
+
+        Parameters
+        ----------
+        peer : Voter
+            The receiver.
+        size : int
+            Bytes of the snapshot.
+        now : float
+            Monotonic time in seconds.
+        """
         progress = self._progress_of(peer)
         interval = _SNAPSHOT_INTERVAL_HEARTBEATS * self._timings.heartbeat
+        interval += size / _SLOW_BYTES_PER_SECOND
         if now - progress.snapshot_sent < interval:
             return False
         progress.snapshot_sent = now
         return True
 
     def record_contact(self, peer: Voter, sent_at: float) -> None:
-        """Record that a peer answered a message sent at ``sent_at``."""
+        """Record that a peer answered a message sent at ``sent_at``.
+
+        An answer to a message sent before the peer became a learner is ignored.
+        """
         progress = self._progress_of(peer)
+        if sent_at < progress.since:
+            return
         progress.contact = max(progress.contact, sent_at)
         self._cached_contact = None
 
@@ -199,16 +235,29 @@
         """Return the seconds since a peer last answered, or since the term started."""
         return now - max(self._progress_of(peer).contact, self._since)
 
-    def has_current_learner(
+    def confirmed_peers(
         self, voters: tuple[Voter, ...], commit_index: int, now: float
-    ) -> bool:
-        """Return whether a live learner has stored every committed entry."""
-        return any(
-            peer not in voters
+    ) -> set[Voter]:
+        """Return the peers that are alive and have stored every committed entry."""
+        alive_since = now - self._timings.election_timeout
+        return {
+            peer
+            for peer in self.peers(voters)
+            if self._progress_of(peer).contact > alive_since
             and self._progress_of(peer).match_index >= commit_index
-            and self.silent_for(peer, now) < self._timings.election_timeout
-            for peer in self._learners.values()
-        )
+        }
+
+    def is_disk_lost(self, voter: Voter) -> bool:
+        """Return whether the voter's instance has answered with a newer disk.
+
+        A learner of the same name is registered after the voter was added. If it has
+        answered a message sent since, its disk is newer than the voter's. A delayed
+        message of an older disk is no such answer.
+        """
+        learner = self._learners.get(voter.name)
+        if learner is None or learner == voter:
+            return False
+        return self._progress_of(learner).contact > float("-inf")
 
     def has_lost_quorum(self, voters: tuple[Voter, ...], now: float) -> bool:
         """Return whether no majority has answered for two election timeouts."""
--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -129,19 +129,23 @@
     """Announces the disk identity of a replica that is not a voter.
 
     If spares are admitted, voters without a leader send it too: they may have been
-    replaced without knowing it.
+    replaced without knowing it. ``is_empty`` is set if the log has no entries and names
+    no voters. Only such disks may bootstrap the quorum.
     """
 
     disk_id: str
+    is_empty: bool = False
 
 
 class Welcome(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Reply to ``Hello``: the voters to start with.
+    """Reply to ``Hello``: the voters to start with, and the leader if one is known.
 
-    ``voters`` is empty unless the announced disk is one of the voters.
+    ``voters`` is empty unless the announced disk is one of the initial voters. The
+    receiver announces its disk to ``leader`` too, which may be a spare.
     """
 
     voters: tuple[Voter, ...]
+    leader: str | None = None
 
 
 ReplicaMessage = (
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -62,6 +62,8 @@
         Number of applied log entries after which the log is compacted.
     snapshot_after_bytes : int
         Bytes of log entries after which the log is compacted.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     name: str
@@ -70,6 +72,7 @@
     members: MemberTimings
     snapshot_after_entries: int
     snapshot_after_bytes: int = 4 * 1024 * 1024
+    voters: int | None = None
 
 
 @dataclass(frozen=True)
@@ -144,6 +147,7 @@
             generator,
             now,
             started_at,
+            settings.voters,
         )
         self._member_table: MemberTable | None = None
         self._transfers = ConfigTransfers(configuration)
@@ -220,14 +224,7 @@
     ) -> ConfigUpdate | None:
         """Return an update for a member that has not asked for it, if one is due.
 
-        Parameters
-        ----------
-        identity : MemberIdentity
-            The member.
-        index : int
-            Index to assume for a member that has not sent a heartbeat yet.
-        now : float
-            Monotonic time in seconds.
+        See ``ConfigTransfers.push_update``.
         """
         return self._transfers.push_update(identity, index, now)
 
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -20,7 +20,7 @@
 )
 from sassafraspin.control.election import Election
 from sassafraspin.control.leadership import Leadership
-from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog
+from sassafraspin.control.log import EMPTY_SNAPSHOT, ReplicatedLog, command_bytes
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
@@ -37,6 +37,7 @@
     VotersEntry,
     Welcome,
 )
+from sassafraspin.control.voters import VoterPolicy
 
 __all__ = ["ControlReplica", "PersistentState", "ReplicaTimings", "Role"]
 
@@ -111,6 +112,8 @@
         Monotonic time in seconds.
     started_at : float or None
         Monotonic time at which this process started; ``now`` if unknown.
+    voters : int or None
+        Number of voters to keep; ``None`` for as many as are configured.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         generator: random.Random,
         now: float,
         started_at: float | None = None,
+        voters: int | None = None,
     ) -> None:
         self._name = name
         self._configured = configured
@@ -132,6 +136,9 @@
             self._own, timings, generator, now, process_started_at
         )
         self._bootstrap = QuorumBootstrap(self._own, configured, timings.heartbeat, now)
+        self._voter_policy = VoterPolicy(
+            self._own, configured, voters or len(configured), timings.replace_after
+        )
         self._term = persistent_state.term
         self._voted_for = persistent_state.voted_for
         self._log = ReplicatedLog(persistent_state.snapshot, persistent_state.entries)
@@ -146,6 +153,10 @@
     def _admits_spares(self) -> bool:
         return self._timings.replace_after is not None
 
+    @property
+    def _is_empty(self) -> bool:
+        return not self._log.voters and self._log.last_index == 0
+
     @property
     def role(self) -> Role:
         """Return the current role."""
@@ -259,7 +270,7 @@
             case Hello():
                 self._on_hello(source, message, now)
             case Welcome():
-                self._on_welcome(message, now)
+                self._on_welcome(source, message, now)
         return self._take_effects()
 
     # Quorum bootstrap
@@ -273,45 +284,60 @@
 
     def _send_hello(self) -> None:
         for name in self._bootstrap.others:
-            self._send(name, Hello(self._own.disk_id))
+            self._send(name, Hello(self._own.disk_id, self._is_empty))
 
     def _on_hello(self, source: str, message: Hello, now: float) -> None:
-        if source not in self._configured and not self._admits_spares:
+        if not self._voter_policy.may_learn(source):
             return
         sender = Voter(source, message.disk_id)
         if self._log.voters:
-            self._send(source, Welcome(self._initial_voters_for(sender)))
+            initial = self._initial_voters_for(sender)
+            self._send(source, Welcome(initial, self._leader))
             self._register_learner(sender, now)
             return
-        if source in self._configured:
+        if source in self._configured and message.is_empty:
             self._bootstrap.record_announced_disk(source, message.disk_id)
             self._bootstrap_quorum(now)
 
     def _initial_voters_for(self, sender: Voter) -> tuple[Voter, ...]:
         """Return the voters that the sender of a ``Hello`` may start with.
 
-        A voter with an empty disk has stored nothing since the quorum was formed, so
-        it has not voted or acknowledged anything either.
+        They are the voters before the first entry, if this log still has them and the
+        sender is one of them. Voters that were added later receive entries or a
+        snapshot that name them.
         """
-        voters = self._log.voters
-        return voters if sender in voters else ()
+        snapshot = self._log.snapshot
+        if snapshot.index == 0 and sender in snapshot.voters:
+            return snapshot.voters
+        return ()
 
     def _bootstrap_quorum(self, now: float) -> None:
-        """Bootstrap the log once all configured instances have announced a disk."""
-        if self._name not in self._configured:
+        """Bootstrap the log once all configured instances have announced empty disks.
+
+        A log with entries comes from a leader, so the quorum exists already.
+        """
+        if self._name not in self._configured or not self._is_empty:
             return
         voters = self._bootstrap.initial_voters()
-        if voters is not None and not self._log.voters:
+        if voters is not None:
             self._install_initial_voters(voters, now)
 
-    def _on_welcome(self, message: Welcome, now: float) -> None:
-        if not self._log.voters and self._own in message.voters:
+    def _on_welcome(self, source: str, message: Welcome, now: float) -> None:
+        leader = message.leader
+        is_unknown = not self._election.has_recent_leader(now)
+        if leader is not None and leader not in (source, self._name) and is_unknown:
+            # A spare that leads is not among the configured instances.
+            self._send(leader, Hello(self._own.disk_id, self._is_empty))
+        if self._log.snapshot.index > 0 or self._log.voters:
+            return
+        if self._own in message.voters:
             self._install_initial_voters(message.voters, now)
 
     def _install_initial_voters(self, voters: tuple[Voter, ...], now: float) -> None:
+        """Store the voters before the first entry; entries after them are kept."""
         snapshot = Snapshot(0, 0, voters, b"")
         self._log.compact(snapshot)
-        self._effects.append(SaveSnapshot(snapshot, ()))
+        self._effects.append(SaveSnapshot(snapshot, self._log.entries_from(1)))
         self._election.postpone(now)
 
     # Elections
@@ -440,8 +466,7 @@
             self._leader = None
             self._election.postpone(now)
             return
-        if self._admits_spares:
-            self._remove_lost_voter(leadership, now)
+        self._change_voters(leadership, now)
         if leadership.heartbeat_due(now):
             self._replicate(now)
 
@@ -468,18 +493,27 @@
         leadership.expire_sent(peer)
         next_index = leadership.next_index(peer)
         if self._log.term_at(next_index - 1) is None:
-            snapshot = InstallSnapshot(self._term, self._log.snapshot, now)
-            if leadership.may_send_snapshot(peer, now):
-                self._send(peer.name, snapshot)
+            self._send_snapshot(peer, now)
             return
         entries: tuple[Entry, ...] = ()
         if not leadership.is_probing(peer):
             entries = self._log.entries_from(
                 next_index, _MAX_ENTRIES_PER_APPEND, _MAX_BYTES_PER_APPEND
             )
-            leadership.record_sent(peer, next_index + len(entries), now)
+            size = command_bytes(entries)
+            leadership.record_sent(peer, next_index + len(entries), size, now)
         self._send_append(peer, next_index - 1, entries, now)
 
+    def _send_snapshot(self, peer: Voter, now: float) -> None:
+        """Send the snapshot, or a heartbeat while it may still be in transit."""
+        leadership = self._leadership
+        assert leadership is not None
+        snapshot = self._log.snapshot
+        if leadership.may_send_snapshot(peer, len(snapshot.data), now):
+            self._send(peer.name, InstallSnapshot(self._term, snapshot, now))
+        else:
+            self._send_append(peer, 0, (), now)
+
     def _send_append(
         self, peer: Voter, previous_index: int, entries: tuple[Entry, ...], now: float
     ) -> None:
@@ -510,6 +544,8 @@
             return
         peer = Voter(source, reply.disk_id)
         if not leadership.replicates_to(peer, self._log.voters):
+            # A replica that hears the leader does not announce a new disk.
+            self._register_learner(peer, now)
             return
         leadership.record_contact(peer, reply.sent_at)
         if not reply.success:
@@ -517,11 +553,11 @@
                 leadership.rewind(peer, reply.match_index)
                 self._send_entries(peer, now)
             return
-        leadership.record_match(peer, min(reply.match_index, self._log.last_index))
+        match_index = min(reply.match_index, self._log.last_index)
+        is_news = leadership.record_match(peer, match_index)
         self._advance_commit()
-        self._admit_learner(peer, now)
         has_more = leadership.next_index(peer) <= self._log.last_index
-        if has_more and not leadership.is_in_transit(peer, now):
+        if is_news and has_more and not leadership.is_in_transit(peer, now):
             self._send_entries(peer, now)
 
     def _advance_commit(self) -> None:
@@ -534,68 +570,25 @@
         self._advance_commit_to(index)
 
     def _register_learner(self, learner: Voter, now: float) -> None:
-        """Replicate to a non-voter, and remove the voter that it replaces, if any."""
-        leadership = self._leadership
-        voters = self._log.voters
-        if leadership is None or learner in voters:
-            return
-        leadership.add_learner(learner, self._log.last_index)
-        superseded = [
-            voter
-            for voter in voters
-            if voter != self._own and self._is_superseded(voter, learner)
-        ]
-        if superseded and self._can_change_voters():
-            remaining = tuple(voter for voter in voters if voter != superseded[0])
-            self._append(VotersEntry(self._term, remaining), now)
-
-    def _is_superseded(self, voter: Voter, learner: Voter) -> bool:
-        """Return whether a voter has a new disk or is no longer configured."""
-        if voter.name == learner.name:
-            return True
-        return not self._admits_spares and voter.name not in self._configured
-
-    def _remove_lost_voter(self, leadership: Leadership, now: float) -> None:
-        """Remove the voter that has been silent longest if a spare is up to date.
-
-        The voter must have been silent for ``replace_after``. The spare becomes a
-        voter with its next reply. Of two lost voters the one heard from last stays,
-        since it is more likely to return.
-        """
-        replace_after = self._timings.replace_after
-        if replace_after is None or not self._can_change_voters():
-            return
-        voters = self._log.voters
-        if not leadership.has_current_learner(voters, self._commit_index, now):
-            return
-        silent = [
-            (leadership.silent_for(voter, now), voter)
-            for voter in voters
-            if voter != self._own
-        ]
-        longest, lost = max(silent, default=(0.0, None))
-        if lost is None or longest < replace_after:
-            return
-        remaining = tuple(voter for voter in voters if voter != lost)
-        self._append(VotersEntry(self._term, remaining), now)
-
-    def _admit_learner(self, peer: Voter, now: float) -> None:
+        """Replicate to an instance that is not a voter with this disk."""
         leadership = self._leadership
-        voters = self._log.voters
-        if leadership is None or peer in voters or not self._can_change_voters():
+        if leadership is None or learner in self._log.voters:
             return
-        if any(voter.name == peer.name for voter in voters):
+        if self._voter_policy.may_learn(learner.name):
+            leadership.add_learner(learner, self._log.last_index, now)
+
+    def _change_voters(self, leadership: Leadership, now: float) -> None:
+        """Add or remove one voter if the policy allows it."""
+        before = self._log.voters
+        voters = self._voter_policy.next_voters(
+            self._log, self._commit_index, leadership, now
+        )
+        if voters is None:
             return
-        has_room = len(voters) < len(self._configured)
-        if has_room and leadership.match_index(peer) >= self._commit_index:
-            enlarged = tuple(sorted((*voters, peer)))
-            self._append(VotersEntry(self._term, enlarged), now)
-
-    def _can_change_voters(self) -> bool:
-        leadership = self._leadership
-        if leadership is None or not leadership.term_committed:
-            return False
-        return self._log.voters_index <= self._commit_index
+        self._append(VotersEntry(self._term, voters), now)
+        for removed in set(before).difference(voters):
+            if not leadership.is_disk_lost(removed):
+                self._register_learner(removed, now)
 
     # Follower
 
--- a/src/sassafraspin/dispatch/versions.py
+++ b/src/sassafraspin/dispatch/versions.py
@@ -163,6 +163,7 @@
         request: SlotRequest,
         release: SlotRelease,
         server: ServerTime | None,
+        limits_counted: int = 0,
     ) -> None:
         """Record the outcome of a request.
 
@@ -176,10 +177,23 @@
             Its outcome.
         server : ServerTime or None
             Predicted time on the server, ``None`` if the server is no longer known.
+        limits_counted : int
+            Number of slow limits for which ``record_unfinished`` has counted it.
         """
         if self._move is None:
             return
-        if release.result in (ReleaseResult.CANCELLED, ReleaseResult.NOT_SENT):
+        if release.result is ReleaseResult.NOT_SENT:
+            return
+        if release.result is ReleaseResult.CANCELLED:
+            if server is not None:
+                self.record_unfinished(
+                    version,
+                    request,
+                    release.total_ms / 1000,
+                    server,
+                    limits_counted,
+                    is_estimate=release.answer_tokens == 0,
+                )
             return
         failed = release.result is ReleaseResult.FAILED
         if failed or server is None:
@@ -189,13 +203,65 @@
             nominal = server.nominal_seconds
             relative = release.total_ms / 1000 / nominal
             observation = Observation(
-                request.route, server.hardware, False, relative, nominal
+                request.route,
+                server.hardware,
+                False,
+                relative,
+                nominal,
+                limits_counted,
             )
         if self._is_new(version):
             self._evidence.observe_new(observation)
         else:
             self._evidence.observe_old(observation)
 
+    def record_unfinished(
+        self,
+        version: str,
+        request: SlotRequest,
+        seconds: float,
+        server: ServerTime,
+        limits_counted: int,
+        is_estimate: bool = True,
+    ) -> int:
+        """Record a running or cancelled request if it is slow already.
+
+        Parameters
+        ----------
+        version : str
+            Version that serves the request.
+        request : SlotRequest
+            The request.
+        seconds : float
+            Time since the request was sent, in seconds.
+        server : ServerTime
+            Predicted time on the server.
+        limits_counted : int
+            Result of the previous call for this request, 0 for the first one.
+        is_estimate : bool
+            Whether the prediction uses the estimated length of the answer, not the
+            length of what has arrived.
+
+        Returns
+        -------
+        int
+            Number of slow limits for which the request was counted.
+        """
+        if self._move is None:
+            return limits_counted
+        nominal = server.nominal_seconds
+        if is_estimate:
+            nominal *= self._settings.estimate_factor
+        observation = Observation(
+            request.route,
+            server.hardware,
+            False,
+            seconds / nominal,
+            nominal,
+            limits_counted,
+        )
+        return self._evidence.observe_unfinished(observation, self._is_new(version))
+
     def report(self, counts: ServerCounts) -> MoveEvidence | None:
         """Return the evidence on the running move for the control leader."""
         move = self._move
--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -1,12 +1,13 @@
 """HTTP/1.1 server and client, server-sent events and problem documents."""
 
 from sassafraspin.http.bodies import read_body
-from sassafraspin.http.client import (
+from sassafraspin.http.client import HttpClient, OpenResponse
+from sassafraspin.http.client_connection import (
+    AnswerTooLarge,
+    ClientLimits,
     ClientTimeouts,
     ConnectFailed,
     ConnectionLost,
-    HttpClient,
-    OpenResponse,
 )
 from sassafraspin.http.events import EventParser, ServerSentEvent, format_event
 from sassafraspin.http.messages import Headers, Request, Response
@@ -27,8 +28,10 @@
 from sassafraspin.http.server import HttpServer
 
 __all__ = [
+    "AnswerTooLarge",
     "BadRequest",
     "BodyTooLarge",
+    "ClientLimits",
     "ClientTimeouts",
     "ConnectFailed",
     "ConnectionLost",
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -1,84 +1,128 @@
-"""HTTP/1.1 client on trio and h11.
+"""HTTP/1.1 client with pooled connections.
 
 Its errors distinguish requests that were never sent from those that may have been.
 """
 
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
-import h11
 import trio
 
-from sassafraspin.errors import RemoteFailure
+from sassafraspin.http.client_connection import (
+    AnswerTooLarge,
+    ClientConnection,
+    ClientLimits,
+    ClientTimeouts,
+    ConnectFailed,
+    ConnectionLost,
+)
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.settings import Address
+from sassafraspin.telemetry import part_logger
 
-__all__ = [
-    "ClientTimeouts",
-    "ConnectFailed",
-    "ConnectionLost",
-    "HttpClient",
-    "OpenResponse",
-]
+__all__ = ["HttpClient", "OpenResponse"]
+
+_STREAM_PART_BYTES = 4096
+"""Largest part of a streamed chunk that is handed over before other tasks get a turn;
+it may hold two thousand empty events."""
 
-_READ_CHUNK_BYTES = 65_536
 _MAX_IDLE_PER_ADDRESS = 16
+_CHECK_INTERVAL_SECONDS = 1.0
+
+_log = part_logger("http")
 
 
-@dataclass(frozen=True)
-class ClientTimeouts:
-    """Time limits of requests and of pooled connections, in seconds.
+class OpenResponse:
+    """A response whose head was received and whose body is read in chunks.
 
     Parameters
     ----------
-    connect : float
-        Limit for opening a connection.
-    progress : float
-        Limit for sending the whole request, and for each wait for further bytes of the
-        response.
-    idle : float
-        Time after which an idle pooled connection is no longer reused.
+    status : int
+        Status code.
+    headers : Headers
+        Header fields.
+    connection : ClientConnection
+        Connection from which the body is read.
+    timeouts : ClientTimeouts
+        Time limits.
+    limits : ClientLimits
+        Size limits of the body.
     """
 
-    connect: float = 1.0
-    progress: float = 10.0
-    idle: float = 5.0
-
-
-class ConnectFailed(RemoteFailure):
-    """No connection was opened, so the server cannot have received the request."""
-
-
-class ConnectionLost(RemoteFailure):
-    """No valid complete response arrived; part of the request may have been sent."""
-
-
-class OpenResponse:
-    """A response whose head was received and whose body is read in chunks."""
-
-    def __init__(self, status: int, headers: Headers, connection: "_Connection"):
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        connection: ClientConnection,
+        timeouts: ClientTimeouts,
+        limits: ClientLimits,
+    ) -> None:
         self._connection = connection
+        self._timeouts = timeouts
+        self._limits = limits
         self.status = status
         self.headers = headers
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body in chunks until its end.
+        """Yield the body in chunks until its end, in parts if they are large.
+
+        The connection is closed if the iteration stops before.
 
         Raises
         ------
         ConnectionLost
             If the body is truncated or no byte arrives within the progress timeout.
         """
-        while True:
-            chunk = await self._connection.read_chunk()
-            if chunk is None:
-                return
-            yield chunk
+        try:
+            while (chunk := await self._connection.read_chunk()) is not None:
+                yield chunk[:_STREAM_PART_BYTES]
+                for start in range(_STREAM_PART_BYTES, len(chunk), _STREAM_PART_BYTES):
+                    await trio.lowlevel.checkpoint()
+                    yield chunk[start : start + _STREAM_PART_BYTES]
+        finally:
+            self._connection.close_unless_complete()
 
     async def read(self) -> bytes:
-        """Read the rest of the body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        """Read the rest of the body.
+
+        Raises
+        ------
+        AnswerTooLarge
+            If the body, or its declared length, exceeds the limit.
+        ConnectionLost
+            If the body is truncated or no byte arrives within the progress timeout.
+        """
+        limit_bytes = self._limits.body_bytes
+        if self._connection.declared_body_bytes > limit_bytes:
+            raise AnswerTooLarge(limit_bytes)
+        body = bytearray()
+        while (chunk := await self._connection.read_chunk()) is not None:
+            body += chunk
+            if len(body) > limit_bytes:
+                raise AnswerTooLarge(limit_bytes)
+        return bytes(body)
+
+    async def discard(self) -> None:
+        """Read the rest of a body that is not needed, so that the connection is kept.
+
+        The connection is closed if the rest is invalid, large or slow.
+        """
+        reason = "it takes too long"
+        with trio.move_on_after(self._timeouts.discard):
+            try:
+                await self._read_rest()
+                return
+            except ConnectionLost as error:
+                reason = str(error)
+        _log.debug("Closing a connection instead of reading its rest: {}.", reason)
+        self._connection.close()
+
+    async def _read_rest(self) -> None:
+        size = 0
+        while (chunk := await self._connection.read_chunk()) is not None:
+            size += len(chunk)
+            if size > self._limits.discarded_bytes:
+                raise AnswerTooLarge(self._limits.discarded_bytes)
 
 
 class HttpClient:
@@ -88,11 +132,17 @@
     ----------
     timeouts : ClientTimeouts
         Time limits of requests and of pooled connections.
+    limits : ClientLimits
+        Size limits of responses.
     """
 
-    def __init__(self, timeouts: ClientTimeouts) -> None:
+    def __init__(
+        self, timeouts: ClientTimeouts, limits: ClientLimits | None = None
+    ) -> None:
         self._timeouts = timeouts
-        self._idle: dict[Address, list[_Connection]] = {}
+        self._limits = limits or ClientLimits()
+        self._idle: dict[Address, list[ClientConnection]] = {}
+        self._next_check_at = 0.0
 
     @asynccontextmanager
     async def open(
@@ -110,14 +160,49 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             status, headers = await connection.send_and_read_head(request)
-            yield OpenResponse(status, headers, connection)
+            yield OpenResponse(
+                status, headers, connection, self._timeouts, self._limits
+            )
         finally:
             self._release(address, connection)
 
     async def send(self, address: Address, request: Request) -> Response:
-        """Send a request and return the complete response."""
-        async with self.open(address, request) as response:
-            return Response(response.status, response.headers, await response.read())
+        """Send a request and return the complete response.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection could be opened, so nothing was sent.
+        ConnectionLost
+            If no valid response was complete within the time limit of an exchange.
+        """
+        with trio.move_on_after(self._timeouts.exchange):
+            async with self.open(address, request) as response:
+                body = await response.read()
+                return Response(response.status, response.headers, body)
+        raise ConnectionLost("the exchange took too long")
+
+    def close_unusable(self) -> None:
+        """Close the idle connections that are old, were closed or have surplus bytes.
+
+        A server may send surplus bytes until its connection is closed. Checks are made
+        at most once per ``_CHECK_INTERVAL_SECONDS``.
+        """
+        now = trio.current_time()
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + _CHECK_INTERVAL_SECONDS
+        for address, connections in list(self._idle.items()):
+            usable = []
+            for connection in connections:
+                if connection.is_reusable():
+                    usable.append(connection)
+                else:
+                    connection.close()
+            if usable:
+                self._idle[address] = usable
+            else:
+                del self._idle[address]
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -126,16 +211,16 @@
                 connection.close()
         self._idle.clear()
 
-    async def _connect(self, address: Address) -> "_Connection":
+    async def _connect(self, address: Address) -> ClientConnection:
         with trio.move_on_after(self._timeouts.connect):
             try:
                 stream = await trio.open_tcp_stream(address.host, address.port)
             except OSError as error:
                 raise ConnectFailed(f"cannot connect: {error}") from error
-            return _Connection(stream, self._timeouts)
+            return ClientConnection(stream, self._timeouts, self._limits)
         raise ConnectFailed("connect timed out")
 
-    def _take_idle(self, address: Address) -> "_Connection | None":
+    def _take_idle(self, address: Address) -> ClientConnection | None:
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
@@ -144,113 +229,9 @@
             connection.close()
         return None
 
-    def _release(self, address: Address, connection: "_Connection") -> None:
+    def _release(self, address: Address, connection: ClientConnection) -> None:
         idle = self._idle.setdefault(address, [])
         if connection.try_reset() and len(idle) < _MAX_IDLE_PER_ADDRESS:
             idle.append(connection)
             return
         connection.close()
-
-
-class _Connection:
-    """One HTTP/1.1 connection to a server."""
-
-    def __init__(self, stream: trio.SocketStream, timeouts: ClientTimeouts) -> None:
-        self._stream = stream
-        self._timeouts = timeouts
-        self._protocol = h11.Connection(h11.CLIENT)
-        self._last_used = trio.current_time()
-
-    def is_reusable(self) -> bool:
-        """Return whether the connection was used recently and is still open."""
-        if trio.current_time() - self._last_used > self._timeouts.idle:
-            return False
-        return not _is_readable(self._stream)
-
-    def try_reset(self) -> bool:
-        """Prepare the connection for another request; return whether that is possible.
-
-        A connection with surplus bytes after a complete response is not reused: they
-        would be taken for the response to the next request.
-        """
-        self._last_used = trio.current_time()
-        if self._protocol.trailing_data[0]:
-            return False
-        try:
-            self._protocol.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
-
-    def close(self) -> None:
-        """Close the connection without waiting."""
-        self._stream.socket.close()
-
-    async def send_and_read_head(self, request: Request) -> tuple[int, Headers]:
-        """Send the request and return the status and headers of the response."""
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=_headers_with_length(request),
-        )
-        data = self._protocol.send(head)
-        if request.body:
-            data += self._protocol.send(h11.Data(data=request.body))
-        data += self._protocol.send(h11.EndOfMessage())
-        await self._write(data)
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise ConnectionLost("the server closed before its answer")
-        return event.status_code, Headers.from_wire(event.headers)
-
-    async def read_chunk(self) -> bytes | None:
-        """Return the next chunk of the body, or ``None`` at its end."""
-        event = await self._next_event()
-        match event:
-            case h11.Data():
-                return bytes(event.data)
-            case h11.EndOfMessage():
-                return None
-            case _:
-                raise ConnectionLost("the server closed inside its answer")
-
-    async def _write(self, data: bytes) -> None:
-        with trio.move_on_after(self._timeouts.progress):
-            try:
-                await self._stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost("the server closed the connection") from error
-            return
-        raise ConnectionLost("the server does not read")
-
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ConnectionLost(f"broken answer: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
-            self._protocol.receive_data(await self._read())
-
-    async def _read(self) -> bytes:
-        with trio.move_on_after(self._timeouts.progress):
-            try:
-                return await self._stream.receive_some(_READ_CHUNK_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost("the connection was reset") from error
-        raise ConnectionLost("the server made no progress")
-
-
-def _is_readable(stream: trio.SocketStream) -> bool:
-    """Return whether a close or unexpected bytes are pending on an idle connection."""
-    return stream.socket.is_readable()
-
-
-def _headers_with_length(request: Request) -> list[tuple[str, str]]:
-    headers = list(request.headers.items)
-    if request.body or request.method in ("POST", "PUT", "PATCH"):
-        headers.append(("content-length", str(len(request.body))))
-    return headers
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -157,6 +157,7 @@
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._client.close_unusable()
         if self._control.leads(now):
             self._broadcast_backends(now)
             self._send_usage_reports()
@@ -185,6 +186,8 @@
                     self.node.send(name, report)
 
     def _report_resources(self, now: float) -> None:
+        if not self._report_schedule.is_check_due(now):
+            return
         try:
             resident = resident_bytes()
         except OSError as error:
@@ -247,9 +250,10 @@
             self._slots.on_dispatcher_active()
         if reply.update is not None:
             configuration.apply_update(reply.update)
+            self.node.lease.on_update(configuration.index, reply.update.last_index)
         # ``sent_at`` is 0 if the leader sends newly committed commands unasked.
         if reply.sent_at > 0:
-            self.node.lease.on_reply(reply, configuration.index, now)
+            self.node.lease.on_reply(source, reply, configuration.index, now)
         elif reply.leader is not None:
             self.node.lease.set_leader(reply.leader)
         self._update_peer_addresses()
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -95,6 +95,7 @@
     instances and spares; it is relative to the folder of the settings file. The log is
     compacted into a snapshot after ``snapshot_after_entries`` applied entries, or
     once its entries take ``snapshot_after_bytes``.
+    ``voters`` is the size of the quorum, by default the number of ``instances``.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -108,6 +109,7 @@
     snapshot_after_bytes: _Count = 4 * 1024 * 1024
     spare: bool = False
     replace_after_ms: _Milliseconds | None = None
+    voters: Annotated[int, Field(ge=1, le=7)] | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -3,6 +3,8 @@
 import random
 import statistics
 import unittest
+from collections import deque
+from copy import copy
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -13,16 +15,37 @@
     run_state_machine_as_test,
 )
 
-from sassafraspin.control import ControlReplica, PersistentState, ReplicaDisk, Voter
-from sassafraspin.control.effects import AppendToDisk, SendToReplica
+from sassafraspin.control import (
+    ControlReplica,
+    PersistentState,
+    ReplicaDisk,
+    ReplicaMessage,
+    ReplicaTimings,
+    Role,
+    Voter,
+)
+from sassafraspin.control.effects import (
+    AppendToDisk,
+    Effect,
+    SaveSnapshot,
+    SendToReplica,
+)
+from sassafraspin.control.log import EMPTY_SNAPSHOT
 from sassafraspin.control.messages import (
     AppendReply,
     AppendRequest,
     CommandEntry,
+    Hello,
+    NoopEntry,
     Snapshot,
+    VoteReply,
+    VoteRequest,
+    VotersEntry,
+    Welcome,
 )
+from sassafraspin.control.voters import VoterPolicy
 from tests.fuzz import fuzz_settings
-from tests.quorum_model import TIMINGS, QuorumModel
+from tests.quorum_model import SPARE_TIMINGS, TICK_SECONDS, TIMINGS, QuorumModel
 from tests.simulation import MemoryFiles, NetworkConditions
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=40)
@@ -158,6 +181,21 @@
         model.run(2.0)
         self.assertEqual(len(model.acknowledged), 2)
 
+    def test_removal_of_an_intact_voter_is_caught(self):
+        original = VoterPolicy._candidates
+        self.addCleanup(setattr, VoterPolicy, "_candidates", original)
+
+        def remove_first(policy, voters, *arguments):
+            if len(voters) == policy._size:
+                policy = copy(policy)
+                policy._size -= 1
+            return original(policy, voters, *arguments)
+
+        VoterPolicy._candidates = remove_first
+        model = QuorumModel(3, spares=1)
+        with self.assertRaisesRegex(AssertionError, "removed"):
+            model.run(8.0)
+
     def test_replaced_voter_comes_back_as_a_spare(self):
         model = QuorumModel(3, spares=1)
         model.run(4.0)
@@ -172,6 +210,18 @@
         model.run(8.0)
         self.assertIn(lost, self.voters(model))
 
+    def test_replaced_voter_finds_a_spare_that_leads(self):
+        """A replaced voter restarts after the spare in its place became the leader."""
+        machine = SpareMachine()
+        machine.start(seed=6432)
+        machine.crash(node="c2")
+        machine.let_time_pass(loss=0, milliseconds=3000)
+        machine.restart_all()
+        machine.let_time_pass(loss=0.05, milliseconds=50)
+        machine.restart_all()
+        machine.restart_all()
+        machine.teardown()
+
     def test_voter_is_not_replaced_after_a_short_silence(self):
         model = QuorumModel(3, spares=1)
         model.run(4.0)
@@ -338,6 +388,239 @@
     model.run(10.0)
 
 
+class LeaderHarness:
+    """A leader ``c0`` whose peers acknowledge every append with a given disk.
+
+    Parameters
+    ----------
+    timings : ReplicaTimings
+        Timeouts of the leader.
+    configured : tuple of str or None
+        Control instances known to the leader; ``None`` for the voters.
+    """
+
+    def __init__(
+        self,
+        timings: ReplicaTimings = TIMINGS,
+        configured: tuple[str, ...] | None = None,
+    ) -> None:
+        names = ("c0", "c1", "c2")
+        self.now = 0.0
+        self.disks = {name: f"{name}-first" for name in names}
+        voters = tuple(Voter(name, disk) for name, disk in self.disks.items())
+        persistent_state = PersistentState(
+            self.disks["c0"], 1, None, Snapshot(10, 1, voters, b"state")
+        )
+        self.replica = ControlReplica(
+            "c0",
+            configured or names,
+            persistent_state,
+            timings,
+            random.Random(1),
+            self.now,
+            voters=len(names),
+        )
+        self.history = [voters]
+        self.run(3.0)
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """Return the voters that the leader has appended last."""
+        return self.replica.log.voters
+
+    def voter(self, name: str) -> Voter:
+        """Return an instance with its current disk."""
+        return Voter(name, self.disks[name])
+
+    def run(self, seconds: float) -> None:
+        """Tick the leader and answer its messages."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            self.answer(self.replica.tick(self.now))
+
+    def receive(self, source: str, message: ReplicaMessage) -> None:
+        """Deliver a message to the leader and answer what it sends."""
+        self.answer(self.replica.receive(source, message, self.now))
+
+    def answer(self, effects: list[Effect]) -> None:
+        """Answer the leader's messages in the name of the running peers."""
+        if self.voters != self.history[-1]:
+            self.history.append(self.voters)
+        for effect in effects:
+            if isinstance(effect, SendToReplica) and effect.name in self.disks:
+                self._answer_message(effect.name, effect.message)
+
+    def _answer_message(self, name: str, message: ReplicaMessage) -> None:
+        disk = self.disks[name]
+        match message:
+            case VoteRequest(term, pre):
+                current = term - 1 if pre else term
+                self.receive(name, VoteReply(term, pre, True, disk, current))
+            case AppendRequest():
+                end = message.previous_index + len(message.entries)
+                reply = AppendReply(message.term, True, end, disk, message.sent_at)
+                self.receive(name, reply)
+
+
+class TestVoterChanges(unittest.TestCase):
+    """Voters that a leader adds and removes."""
+
+    def test_new_disk_known_only_from_its_answers_becomes_a_voter(self):
+        """A replica that hears the leader sends no ``Hello`` with its new disk."""
+        harness = LeaderHarness()
+        lost = harness.voter("c1")
+        harness.disks["c1"] = "c1-second"
+        harness.run(3.0)
+        self.assertNotIn(lost, harness.voters)
+        self.assertIn(harness.voter("c1"), harness.voters)
+
+    def test_spare_is_added_before_a_silent_voter_is_removed(self):
+        """Two voters out of three would not survive the loss of a disk."""
+        harness = LeaderHarness(SPARE_TIMINGS)
+        silent = harness.voter("c1")
+        del harness.disks["c1"]
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        harness.run(5.0)
+        self.assertIn(harness.voter("s0"), harness.voters)
+        self.assertNotIn(silent, harness.voters)
+        self.assertEqual([len(voters) for voters in harness.history], [3, 4, 3])
+
+    def test_voters_stay_while_a_majority_of_the_new_ones_is_silent(self):
+        harness = LeaderHarness(SPARE_TIMINGS)
+        before = harness.voters
+        del harness.disks["c1"]
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        harness.run(0.9)
+        del harness.disks["c2"]
+        harness.run(5.0)
+        self.assertEqual(harness.voters, before)
+
+    def test_late_message_of_an_older_disk_removes_no_voter(self):
+        harness = LeaderHarness()
+        harness.receive("c1", Hello("c1-older"))
+        harness.run(3.0)
+        self.assertEqual(len(harness.history), 1)
+
+    def test_number_of_voters_does_not_follow_the_known_instances(self):
+        """A restart during a change of the voters knows one name fewer or more."""
+        for configured in (("c0", "c1"), ("c0", "c1", "c2", "s0")):
+            with self.subTest(configured=configured):
+                harness = LeaderHarness(SPARE_TIMINGS, configured)
+                harness.disks["s0"] = "s0-first"
+                harness.receive("s0", Hello("s0-first"))
+                harness.run(3.0)
+                self.assertEqual(len(harness.history), 1)
+
+    def test_voters_are_complete_after_a_replaced_voter_returns(self):
+        """A voter that returns while its replacement is being added leaves again."""
+        harness = LeaderHarness(SPARE_TIMINGS)
+        disk = harness.disks.pop("c1")
+        harness.disks["s0"] = "s0-first"
+        harness.receive("s0", Hello("s0-first"))
+        while len(harness.history) == 1:
+            harness.run(TICK_SECONDS)
+            self.assertLess(harness.now, 20.0)
+        harness.disks["c1"] = disk
+        harness.run(3.0)
+        self.assertEqual(len(harness.voters), 3)
+
+
+class TestBootstrap(unittest.TestCase):
+    """Empty disks form the first quorum, and never a second one."""
+
+    NAMES = ("c0", "c1", "c2")
+
+    def replica(
+        self, name: str, disk: str, snapshot: Snapshot = EMPTY_SNAPSHOT
+    ) -> ControlReplica:
+        """Return a replica with a spare's timings."""
+        persistent_state = PersistentState(disk, snapshot.term, None, snapshot)
+        generator = random.Random(name)
+        return ControlReplica(
+            name, self.NAMES, persistent_state, SPARE_TIMINGS, generator, 0.0
+        )
+
+    def run_replicas(self, replicas: dict[str, ControlReplica], seconds: float) -> None:
+        """Tick replicas and deliver what they send to each other."""
+        for step in range(round(seconds / TICK_SECONDS)):
+            now = step * TICK_SECONDS
+            queue = deque()
+            for name, replica in replicas.items():
+                queue.extend((name, effect) for effect in replica.tick(now))
+            while queue:
+                source, effect = queue.popleft()
+                if isinstance(effect, SendToReplica) and effect.name in replicas:
+                    target = replicas[effect.name]
+                    effects = target.receive(source, effect.message, now)
+                    queue.extend((effect.name, item) for item in effects)
+
+    def test_empty_disks_form_no_second_quorum_with_a_voter_without_a_leader(self):
+        """Two replaced voters lose their disks and hear a voter without a leader."""
+        voters = (Voter("c0", "d0"), Voter("s0", "d1"), Voter("s1", "d2"))
+        replicas = {
+            "c0": self.replica("c0", "d0", Snapshot(10, 3, voters, b"state")),
+            "c1": self.replica("c1", "d3"),
+            "c2": self.replica("c2", "d4"),
+        }
+        self.run_replicas(replicas, 10.0)
+        self.assertEqual(replicas["c0"].log.voters, voters)
+        self.assertFalse(any(replicas[name].is_voter for name in ("c1", "c2")))
+        roles = {replica.role for replica in replicas.values()}
+        self.assertNotIn(Role.LEADER, roles)
+
+    def test_empty_disks_form_the_first_quorum(self):
+        replicas = {name: self.replica(name, f"d-{name}") for name in self.NAMES}
+        self.run_replicas(replicas, 10.0)
+        roles = sorted(replica.role for replica in replicas.values())
+        self.assertEqual(roles, [Role.FOLLOWER, Role.FOLLOWER, Role.LEADER])
+
+
+class TestWelcome(unittest.TestCase):
+    """Replies to ``Hello`` never make a disk drop entries that it has acknowledged."""
+
+    INITIAL = (Voter("c0", "d0"), Voter("c1", "d1"), Voter("c2", "d2"))
+    ENTRIES = (NoopEntry(1), CommandEntry(1, b"acknowledged"))
+
+    def replica(
+        self, own: Voter, snapshot: Snapshot = EMPTY_SNAPSHOT
+    ) -> ControlReplica:
+        """Return a replica that has received ``ENTRIES`` from a leader."""
+        names = tuple(voter.name for voter in self.INITIAL)
+        persistent_state = PersistentState(own.disk_id, 1, None, snapshot)
+        replica = ControlReplica(
+            own.name, names, persistent_state, SPARE_TIMINGS, random.Random(1), 0.0
+        )
+        replica.receive("c0", AppendRequest(1, 0, 0, self.ENTRIES, 2, 0.0), 1.0)
+        return replica
+
+    def welcome(self, member: ControlReplica, hello: Voter) -> Welcome:
+        """Return the reply of a voter to ``Hello``."""
+        effects = member.receive(hello.name, Hello(hello.disk_id), 1.1)
+        [message] = [item.message for item in effects if item.name == hello.name]
+        return message
+
+    def test_learner_that_became_a_voter_does_not_start_again(self):
+        learner = Voter("s0", "d3")
+        member = self.replica(self.INITIAL[1], Snapshot(0, 0, self.INITIAL, b""))
+        enlarged = VotersEntry(1, (*self.INITIAL, learner))
+        member.receive("c0", AppendRequest(1, 2, 1, (enlarged,), 2, 0.0), 1.0)
+        message = self.welcome(member, learner)
+        effects = self.replica(learner).receive("c1", message, 1.2)
+        self.assertEqual(
+            [], [item for item in effects if isinstance(item, SaveSnapshot)]
+        )
+
+    def test_initial_voter_keeps_entries_received_before_the_voters(self):
+        member = self.replica(self.INITIAL[1], Snapshot(0, 0, self.INITIAL, b""))
+        message = self.welcome(member, self.INITIAL[2])
+        late = self.replica(self.INITIAL[2])
+        [saved] = late.receive("c1", message, 1.2)
+        self.assertEqual(saved.snapshot.voters, self.INITIAL)
+        self.assertEqual(saved.entries, self.ENTRIES)
+
+
 class TestFollower(unittest.TestCase):
     """Appends that overlap with the snapshot of a follower."""
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,5 +1,6 @@
 """Tests of moves: phases, exposure limit and evidence."""
 
+import math
 import random
 import unittest
 from unittest import mock
@@ -17,6 +18,7 @@
 from sassafraspin.moves import (
     Evidence,
     MoveAccepted,
+    MoveEvidence,
     MovePhase,
     MoveRefusal,
     MoveRefused,
@@ -29,6 +31,7 @@
     decide_step,
 )
 from tests.fuzz import fuzz_settings
+from tests.pool_model import SERVICE, PoolModel
 
 FUZZ_SETTINGS = fuzz_settings(examples=150, steps=60)
 
@@ -246,6 +249,35 @@
         self.assertNotIn(MovePhase.DONE, phases)
 
 
+class TestRollback(unittest.TestCase):
+    """End of a rollback while requests of the new version are still running."""
+
+    def completed_at(self, rollback_at_ms: int, finish_within_ms: int) -> int:
+        """Return when a rollback completes although a request never ends."""
+        store = MoveStore()
+        store.declare(spec(finish_within_ms=finish_within_ms), "ayse", 0)
+        store.undo("move", "ayse", rollback_at_ms)
+        move = store.get("move")
+        evidence = MoveEvidence(
+            "move", move.phase, 0.0, 1, 0, 1, 1, SERVERS, RollbackReason.SLOWNESS, ""
+        )
+        for now_ms in range(rollback_at_ms, 2 * finish_within_ms, 10):
+            step = decide_step(move, evidence, now_ms, RolloutSettings())
+            if step is not None:
+                self.assertEqual(step.phase, MovePhase.ROLLED_BACK)
+                return now_ms
+        self.fail("the rollback never completes")
+
+    def test_rollback_with_running_requests_is_complete_before_the_deadline(self):
+        self.assertLessEqual(self.completed_at(10_700, 15_000), 14_000)
+        self.assertLessEqual(self.completed_at(13_000, 15_000), 14_000)
+        self.assertLess(self.completed_at(750, 1_000), 1_000)
+
+    def test_running_requests_have_time_to_end(self):
+        self.assertGreaterEqual(self.completed_at(1_000, 60_000), 11_000)
+        self.assertGreaterEqual(self.completed_at(13_000, 15_000), 14_000)
+
+
 class TestVersionGate(unittest.TestCase):
     """Share of the new version while its servers are often full."""
 
@@ -267,6 +299,100 @@
         self.assertLess(gate.shown, 230)
 
 
+class TestUnfinishedRequests(unittest.TestCase):
+    """Requests that are slow before they end, or whose callers leave."""
+
+    def setUp(self):
+        self.model = PoolModel(servers=0)
+        self.model.announce(0, slots=100)
+        self.model.announce(1, slots=100, versions=("v2",))
+        self.store = MoveStore()
+        fields = {"exposed_requests": 40, "exposed_share": 0.5, "service": SERVICE}
+        self.store.declare(spec(**fields), "ayse", 0)
+        self.set_move()
+        for _ in range(30):
+            self.ask()
+        self.model.advance(1.0)
+        for phase in (MovePhase.LOADING, MovePhase.SAMPLING):
+            before = self.store.get("move").phase
+            step = MoveStep("move", before, phase, 0.5, RollbackReason.NONE, "")
+            self.store.advance(step, 0)
+        self.set_move()
+
+    def set_move(self) -> None:
+        self.model.pool.gate.set_move("v1", self.store.running(SERVICE))
+
+    def ask(self, hanging: tuple[str, ...] = ()) -> None:
+        """Send a request that never ends on the versions given."""
+        request = self.model.ask(0, 10, 60_000)
+        running = self.model.running[request.request_id]
+        if running.grant.version in hanging:
+            running.ends_at = math.inf
+
+    def evidence(self) -> MoveEvidence:
+        self.model.pool.record_overdue(self.model.now)
+        return self.model.pool.gate.report(self.model.pool.server_counts())
+
+    def test_requests_that_never_end_count_as_slow(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+        self.assertEqual(evidence.ended, 0)
+
+    def test_slow_requests_whose_callers_leave_count_as_slow(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        for running in list(self.model.running.values()):
+            self.model.end_cancelled(running, 1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+
+    def test_requests_whose_callers_leave_early_do_not_count(self):
+        for _ in range(40):
+            self.ask(hanging=("v2",))
+        for running in list(self.model.running.values()):
+            self.model.end_cancelled(running, 0.1)
+        self.assertEqual(self.evidence().reason, RollbackReason.NONE)
+
+    def test_delay_of_both_versions_does_not_count(self):
+        for _ in range(80):
+            self.ask(hanging=("v1", "v2"))
+        self.model.advance(1.0)
+        evidence = self.evidence()
+        self.assertEqual(evidence.reason, RollbackReason.NONE, evidence.detail)
+
+    def test_running_request_counts_for_each_limit_that_it_exceeds(self):
+        evidence = Evidence()
+        generator = random.Random(1)
+        for _ in range(100):
+            time = generator.choice([0.6, 1.7, 1.7]) * generator.lognormvariate(0, 0.4)
+            evidence.observe_old(Observation("/r", "gen1", False, time))
+        for _ in range(10):
+            counted = 0
+            for time in (1.0, 3.0, 4.0, 10.0, 11.0):
+                seen = Observation("/r", "gen1", False, time, limits_counted=counted)
+                counted = evidence.observe_unfinished(seen, is_new=True)
+            self.assertEqual(counted, 2)
+        self.assertEqual(evidence.reason, RollbackReason.SLOWNESS, evidence.detail)
+
+    def test_slow_request_counts_once(self):
+        for _ in range(5):
+            self.ask(hanging=("v2",))
+        self.model.advance(1.0)
+        details = {self.evidence().detail for _ in range(10)}
+        self.assertEqual(len(details), 1)
+        for running in list(self.model.running.values()):
+            running.ends_at = self.model.now
+        self.model.advance(0.1)
+        slow = [
+            detail.rpartition(", ")[2] for detail in (*details, self.evidence().detail)
+        ]
+        self.assertEqual(slow[0], slow[1])
+
+
 class TestEvidence(unittest.TestCase):
     """Verdicts of the sequential test."""
 
@@ -296,6 +422,35 @@
         self.assertEqual(evidence.reason, RollbackReason.SLOWNESS)
         self.assertLessEqual(evidence.ended, 20)
 
+    def test_regression_by_several_times_is_detected_although_servers_differ(self):
+        for seed in range(20):
+            generator = random.Random(seed)
+            evidence = Evidence()
+            for position in range(130):
+                spread = generator.lognormvariate(0.0, 0.4)
+                old = generator.choice([0.6, 1.7, 1.7]) * spread
+                evidence.observe_old(Observation("/r", "gen1", False, old))
+                if position >= 100 and evidence.reason is RollbackReason.NONE:
+                    new = 5 * 1.7 * spread
+                    evidence.observe_new(Observation("/r", "gen1", False, new))
+            self.assertEqual(evidence.reason, RollbackReason.SLOWNESS)
+            self.assertLessEqual(evidence.ended, 10)
+
+    def test_differences_between_servers_do_not_count_as_slowness(self):
+        for seed in range(20):
+            generator = random.Random(seed)
+            evidence = Evidence()
+            for position in range(600):
+                time = generator.choice([0.6, 1.7, 1.7]) * generator.lognormvariate(
+                    0.0, 0.4
+                )
+                seen = Observation("/r", "gen1", False, time)
+                if position < 100 or position % 2:
+                    evidence.observe_old(seen)
+                else:
+                    evidence.observe_new(seen)
+            self.assertEqual(evidence.reason, RollbackReason.NONE, evidence.detail)
+
     def test_overhead_of_a_busy_machine_does_not_count_as_slowness(self):
         for seed in range(20):
             generator = random.Random(seed)
--- a/tests/test_routed_daemon.py
+++ b/tests/test_routed_daemon.py
@@ -8,8 +8,8 @@
 import trio
 import trio.testing
 
-from sassafraspin.http import Headers, HttpClient, Response
-from sassafraspin.http.client import ConnectionLost
+from sassafraspin.http import Headers, HttpClient, Request, Response
+from sassafraspin.http.client_connection import ConnectionLost
 from sassafraspin.routed.routing_view import RoutingView
 from tests.routed_deployment import (
     SEAL,
@@ -20,6 +20,7 @@
     runner_headers,
 )
 
+CONTROL_HEADERS = Headers((("host", "control"),))
 EVENTS = [f"id: {number}\ndata: e{number}\n\n".encode() for number in range(1, 6)]
 
 
@@ -162,6 +163,19 @@
 
         self.run_scenario(scenario)
 
+    def test_refusal_of_another_request_is_not_taken_for_this_one(self):
+        async def refuse_other(request, responder):
+            headers = Headers((("x-request-id", "other"), ("x-not-executed", "full")))
+            await responder.send(Response(503, headers))
+
+        async def scenario(deployment):
+            self.set_behaviour(deployment, refuse_other)
+            response = await deployment.call("/unsafe/1")
+            self.assertEqual(response.status, 502)
+            self.assertEqual(json.loads(response.body)["execution"], "unknown")
+
+        self.run_scenario(scenario)
+
     def test_success_without_seal_is_not_forwarded(self):
         async def unsealed(request, responder):
             headers = Headers((("x-request-id", "id-1"),))
@@ -320,6 +334,28 @@
 
         self.run_scenario(scenario)
 
+    def test_deeply_nested_document_is_refused(self):
+        """Such a document must not end the daemon."""
+        body = b'{"unknown":' + b"[" * 100_000
+
+        async def scenario(deployment):
+            for method, path in (
+                ("PUT", "config"),
+                ("PUT", "instances/i-9"),
+                ("POST", "rollouts"),
+            ):
+                request = Request(
+                    method, f"/sassafraspin/{path}", CONTROL_HEADERS, body
+                )
+                response = await deployment.client.send(
+                    deployment.listen.control, request
+                )
+                self.assertEqual(response.status, 400, path)
+            response = await deployment.call("/safe/1")
+            self.assertEqual(response.status, 200)
+
+        self.run_scenario(scenario)
+
 
 class TestReadiness(RoutedTestCase):
     """Readiness endpoint for the load balancer."""
