--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -6,6 +6,7 @@
 import trio
 
 from sassafraspin.errors import RemoteFailure
+from sassafraspin.http.checkpoints import CheckpointCounter
 from sassafraspin.http.messages import Headers, Request
 
 __all__ = [
@@ -19,10 +20,6 @@
 
 _READ_CHUNK_BYTES = 65_536
 
-_EVENTS_PER_CHECKPOINT = 64
-"""Protocol events that are handled before other tasks get a turn. One read of the
-socket may hold ten thousand."""
-
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -103,7 +100,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
-        self._events_since_checkpoint = 0
+        self._checkpoints = CheckpointCounter()
 
     @property
     def declared_body_bytes(self) -> int:
@@ -186,10 +183,7 @@
         raise ConnectionLost("the server does not read")
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
-        self._events_since_checkpoint += 1
-        if self._events_since_checkpoint >= _EVENTS_PER_CHECKPOINT:
-            self._events_since_checkpoint = 0
-            await trio.lowlevel.checkpoint()
+        await self._checkpoints.count_event()
         while True:
             try:
                 event = self._protocol.next_event()
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from sassafraspin.http.checkpoints import CheckpointCounter
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.http.problems import (
     BadRequest,
@@ -19,8 +20,6 @@
 __all__ = ["ServerConnection"]
 
 _READ_CHUNK_BYTES = 65_536
-_EVENTS_PER_CHECKPOINT = 64
-"""Protocol events that are handled before other tasks get a turn."""
 _MS_PER_SECOND = 1000
 
 
@@ -43,7 +42,7 @@
         )
         self._closing = False
         self._idle_scope: trio.CancelScope | None = None
-        self._events_since_checkpoint = 0
+        self._checkpoints = CheckpointCounter()
 
     def close_when_idle(self) -> None:
         """Close immediately if idle, otherwise after the request in flight."""
@@ -174,10 +173,7 @@
                 raise BodyTooLarge(self._limits.body_bytes)
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
-        self._events_since_checkpoint += 1
-        if self._events_since_checkpoint >= _EVENTS_PER_CHECKPOINT:
-            self._events_since_checkpoint = 0
-            await trio.lowlevel.checkpoint()
+        await self._checkpoints.count_event()
         while True:
             try:
                 event = self._protocol.next_event()
