--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sassafraspin.control.messages import Voter
+from sassafraspin.control.transit import slow_link_seconds, transit_timeout
 
 if TYPE_CHECKING:
     from sassafraspin.control.replica import ReplicaTimings
@@ -15,13 +16,6 @@
 _FIRST_RETRANSMIT_HEARTBEATS = 3
 _MAX_RETRANSMIT_HEARTBEATS = 24
 
-_LARGE_BYTES = 1_000
-"""Size from which entries may go over a stream; smaller ones fit into a datagram and
-are sent again after one heartbeat."""
-
-_SLOW_BYTES_PER_SECOND = 400_000
-"""Rate of a slow link that other messages share."""
-
 
 @dataclass
 class _Progress:
@@ -46,7 +40,7 @@
         Bytes of these entries.
     retransmit_heartbeats : int
         Heartbeats without progress after which large entries count as lost, besides
-        the time that they take on a slow link.
+        the time that they take on a slow link. Small ones count as lost after one.
     snapshot_sent : float
         Time at which a snapshot was last sent, in seconds.
     """
@@ -134,10 +128,10 @@
     def is_in_transit(self, peer: Voter, now: float) -> bool:
         """Return whether entries were sent that may still arrive at the peer."""
         progress = self._progress_of(peer)
-        timeout = self._timings.heartbeat
-        if progress.sent_bytes >= _LARGE_BYTES:
-            timeout *= progress.retransmit_heartbeats
-            timeout += progress.sent_bytes / _SLOW_BYTES_PER_SECOND
+        heartbeat = self._timings.heartbeat
+        timeout = transit_timeout(
+            progress.sent_bytes, heartbeat, progress.retransmit_heartbeats * heartbeat
+        )
         return progress.is_sending and now - progress.sent_at < timeout
 
     def record_sent(self, peer: Voter, next_index: int, size: int, now: float) -> None:
@@ -192,7 +186,7 @@
         """
         progress = self._progress_of(peer)
         interval = _SNAPSHOT_INTERVAL_HEARTBEATS * self._timings.heartbeat
-        interval += size / _SLOW_BYTES_PER_SECOND
+        interval += slow_link_seconds(size)
         if now - progress.snapshot_sent < interval:
             return False
         progress.snapshot_sent = now
--- a/src/sassafraspin/control/transfers.py
+++ b/src/sassafraspin/control/transfers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from sassafraspin.control.config import Configuration
+from sassafraspin.control.transit import LARGE_BYTES, transit_timeout
 from sassafraspin.membership import (
     ConfigImage,
     ConfigTail,
@@ -19,18 +20,10 @@
 _WINDOW_BYTES = 128 * 1024
 """Bytes in transit to one member above which it is sent no newer update."""
 
-_LARGE_BYTES = 1_000
-"""Size from which an update is compressed and may go over a stream; smaller ones fit
-into a datagram."""
-
 _CACHED_UPDATES = 4
 
 _SMALL_RETRY_SECONDS = 0.15
 _LARGE_RETRY_SECONDS = 0.4
-_SLOW_BYTES_PER_SECOND = 400_000
-"""Rate of a slow link that other messages share. An update may be in transit for the
-retry time and for as long as its bytes take at this rate."""
-
 _MAX_BACKOFF = 8
 
 
@@ -47,10 +40,10 @@
     sent_at: float
 
     def is_overdue(self, backoff: int, now: float) -> bool:
-        if self.size < _LARGE_BYTES:
-            return now - self.sent_at >= _SMALL_RETRY_SECONDS
-        retry_after = backoff * _LARGE_RETRY_SECONDS
-        return now - self.sent_at >= retry_after + self.size / _SLOW_BYTES_PER_SECOND
+        retry_after = transit_timeout(
+            self.size, _SMALL_RETRY_SECONDS, backoff * _LARGE_RETRY_SECONDS
+        )
+        return now - self.sent_at >= retry_after
 
 
 @dataclass
@@ -193,7 +186,7 @@
         if plain is None:
             return None
         update: ConfigUpdate = plain
-        if plain.size >= _LARGE_BYTES:
+        if plain.size >= LARGE_BYTES:
             if not transfer.is_reported:
                 return None
             if transfer.accepts_packed:
