Sum the queued bytes of all links only when a queue has grown

Each message for a stream summed the queues of all links, so a push to n members cost n sums over n links. A message that is the only one of its queue is outside the limit, so the sum cannot have grown; other messages are checked as before. The method is named after what it limits, and the docstring of an answer to older builds no longer names a commit. No figure was measured.

--- a/src/sassafraspin/ledger/sync.py
+++ b/src/sassafraspin/ledger/sync.py
@@ -127,7 +127,7 @@
 
 @dataclass
 class _UnaskedAnswer:
-    """Answer to a member of build 642a6d5, which cannot ask for a part."""
+    """Answer to a member of an older build, which cannot ask for a part."""
 
     request: SyncRequest
     parts: tuple[tuple[RecordKey, ...], ...]
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -165,7 +165,8 @@
         link = self._links.get(peer) or self._open_link(address)
         if link is not None:
             link.send(data)
-            self._limit_pending_bytes()
+            if link.excess_bytes > 0:
+                self._limit_excess_bytes()
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen for peers until cancelled."""
@@ -191,7 +192,7 @@
         handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
         return {EXCHANGE_PATH: handler}
 
-    def _limit_pending_bytes(self) -> None:
+    def _limit_excess_bytes(self) -> None:
         """Drop the oldest message of the longest queue while the limit is exceeded."""
         links = self._links.values()
         total = sum(link.excess_bytes for link in links)
