Log how a backend server declared the end of its answer

The log could not tell an answer that the server itself framed as complete from one that merely ended with its connection. TryEnded has the field `framing` now; no behaviour changes.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -4,6 +4,7 @@
 from sassafraspin.http.client import HttpClient, OpenResponse
 from sassafraspin.http.client_connection import (
     AnswerTooLarge,
+    BodyFraming,
     ClientLimits,
     ClientTimeouts,
     ConnectFailed,
@@ -30,6 +31,7 @@
 __all__ = [
     "AnswerTooLarge",
     "BadRequest",
+    "BodyFraming",
     "BodyTooLarge",
     "ClientLimits",
     "ClientTimeouts",
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -10,6 +10,7 @@
 
 from sassafraspin.http.client_connection import (
     AnswerTooLarge,
+    BodyFraming,
     ClientConnection,
     ClientLimits,
     ClientTimeouts,
@@ -63,6 +64,11 @@
         self.status = status
         self.headers = headers
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return how the response declares the end of its body."""
+        return self._connection.framing
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks until its end, in parts if they are large.
 
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -1,5 +1,6 @@
 """Client side of one HTTP/1.1 connection, with its time and size limits."""
 
+import enum
 from dataclasses import dataclass
 
 import h11
@@ -11,6 +12,7 @@
 
 __all__ = [
     "AnswerTooLarge",
+    "BodyFraming",
     "ClientConnection",
     "ClientLimits",
     "ClientTimeouts",
@@ -23,6 +25,19 @@
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
+class BodyFraming(enum.Enum):
+    """How a response declares the end of its body (RFC 9112, section 6.3).
+
+    ``CONNECTION`` is a body that ends with its connection; its recipient cannot tell a
+    complete one from one that was broken off.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
 @dataclass(frozen=True)
 class ClientTimeouts:
     """Time limits of requests and of pooled connections, in seconds.
@@ -100,6 +115,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
+        self._framing = BodyFraming.NONE
         self._checkpoints = CheckpointCounter()
 
     @property
@@ -107,6 +123,11 @@
         """Return the declared length of the body of the response, 0 without one."""
         return self._declared_body_bytes
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return how the response declares the end of its body."""
+        return self._framing
+
     def is_reusable(self) -> bool:
         """Return whether the connection was used recently and is still open."""
         if trio.current_time() - self._last_used > self._timeouts.idle:
@@ -159,7 +180,10 @@
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer")
         headers = Headers.from_wire(event.headers)
-        self._declared_body_bytes = _declared_body_bytes(request, event, headers)
+        self._framing = _body_framing(request, event, headers)
+        self._declared_body_bytes = 0
+        if self._framing is BodyFraming.LENGTH:
+            self._declared_body_bytes = int(headers.get("content-length") or 0)
         return event.status_code, headers
 
     async def read_chunk(self) -> bytes | None:
@@ -207,13 +231,16 @@
     return stream.socket.is_readable()
 
 
-def _declared_body_bytes(
+def _body_framing(
     request: Request, response: h11.Response, headers: Headers
-) -> int:
-    """Return the declared length of the body, 0 if there is none or no body follows."""
+) -> BodyFraming:
     if request.method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
-        return 0
-    return int(headers.get("content-length") or 0)
+        return BodyFraming.NONE
+    if headers.get("transfer-encoding") is not None:
+        return BodyFraming.CHUNKED
+    if headers.get("content-length") is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION
 
 
 def _headers_with_length(request: Request) -> list[tuple[str, str]]:
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -15,6 +15,7 @@
     SlotRelease,
 )
 from sassafraspin.http import (
+    BodyFraming,
     ConnectFailed,
     ConnectionLost,
     HttpClient,
@@ -77,6 +78,7 @@
     last_data_at: float = 0.0
     longest_pause: float = 0.0
     events: int = 0
+    framing: BodyFraming | None = None
 
     def record_data(self, now: float) -> None:
         """Record that a complete answer or a chunk of a stream has arrived."""
@@ -225,6 +227,7 @@
     async def _read_response(
         self, response: OpenResponse, timing: _AttemptTiming
     ) -> AttemptOutcome:
+        timing.framing = response.framing
         metadata = self._adapter.read_response(response.status, response.headers)
         own_id = self._call.metadata.request_id
         # A request that was refused unread has no identifier to return.
@@ -303,6 +306,7 @@
                 longest_pause_ms=_ms(timing.longest_pause),
                 total_ms=_ms(self._node.now() - timing.sent_at),
                 events=timing.events,
+                framing=None if timing.framing is None else timing.framing.value,
                 end=result.value,
             )
         )
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -133,7 +133,9 @@
     ``waited_ms`` is the time spent waiting for a slot at the dispatcher, ``asked_ms``
     the time from the arrival of the request until it was sent to the server,
     ``expected_first_ms`` the dispatcher's estimate of ``first_ms``, and ``tries`` the
-    number of servers that were tried before.
+    number of servers that were tried before. ``framing`` is how the server declared the
+    end of its answer: ``length``, ``chunked``, ``none`` without a body, ``connection``
+    if it ends with its connection, empty if no answer began.
     """
 
     part: ClassVar[str] = "entry"
@@ -155,6 +157,7 @@
     longest_pause_ms: int
     total_ms: int
     events: int
+    framing: str | None
     end: str
 
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -37,6 +37,7 @@
     RoutedDeployment,
     routed_deployment,
 )
+from tests.scripted_server import read_request
 
 MIB = 1_048_576
 FAULTY_BYTES = 64 * MIB
@@ -116,7 +117,7 @@
         number = len(self.requests_by_connection)
         self.requests_by_connection.append(0)
         try:
-            while await self._read_request(stream):
+            while await read_request(stream) is not None:
                 self.requests_by_connection[number] += 1
                 if self.fault is None:
                     await stream.send_all(self.answer)
@@ -128,22 +129,6 @@
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _read_request(self, stream: trio.SocketStream) -> bool:
-        received = b""
-        while b"\r\n\r\n" not in received:
-            data = await stream.receive_some(65_536)
-            if not data:
-                return False
-            received += data
-        head, _, body = received.partition(b"\r\n\r\n")
-        length = 0
-        for line in head.lower().split(b"\r\n"):
-            if line.startswith(b"content-length:"):
-                length = int(line.partition(b":")[2])
-        while len(body) < length:
-            body += await stream.receive_some(65_536)
-        return True
-
     async def _send_fault(self, stream: trio.SocketStream, fault: Fault) -> None:
         self.open_faults += 1
         sent = 0
