Reset the connection of an unfinished answer that ends with it

A caller of HTTP/1.0 gets a streamed answer without chunks: its end is the end of the connection. When the backend server broke off, or this instance was stopped or killed, the connection was closed in order and the caller could only take what it had for the whole answer.

While such an answer is unfinished its socket now lingers for zero seconds, so any close resets it, also the one that the kernel makes for a process that is killed; finishing it sets the usual close again. Answers in chunks are as before: there a missing last chunk tells.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -1,5 +1,7 @@
 """Server side of one HTTP/1.1 connection, with size limits and timeouts."""
 
+import socket
+import struct
 from dataclasses import dataclass
 
 import h11
@@ -93,8 +95,15 @@
         await self._write(data + self._protocol.send(h11.EndOfMessage()))
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in chunks."""
-        await self._write(self._head(status, headers))
+        """Send the head of a response whose body follows in chunks.
+
+        To a caller of HTTP/1.0 the body ends with the connection. Until it is finished,
+        every close of the connection is a reset, also that of a process that is killed.
+        """
+        head = self._head(status, headers)
+        if self._ends_with_connection:
+            self._reset_on_close(True)
+        await self._write(head)
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the body."""
@@ -102,6 +111,8 @@
 
     async def finish(self) -> None:
         """End the body."""
+        if self._ends_with_connection:
+            self._reset_on_close(False)
         await self._write(self._protocol.send(h11.EndOfMessage()))
 
     @property
@@ -109,6 +120,16 @@
         """Return whether any part of the response was sent."""
         return self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Return whether a streamed body ends with the connection."""
+        return self._protocol.their_http_version == b"1.0"
+
+    def _reset_on_close(self, enabled: bool) -> None:
+        """Set whether a close of the connection resets it and drops unsent bytes."""
+        linger = struct.pack("ii", int(enabled), 0)
+        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _head(self, status: int, headers: Headers) -> bytes:
         fields = list(headers.items)
         if self._closing:
