Pass on an answer without a declared end as one

An answer with neither a length nor chunks ends with its connection (RFC 9112, section 6.3), so a recipient can't tell a whole one from one whose server broke off. The HTTP client reported its end like any other, and the entry instance sent a last chunk or a content-length: a claim that the server never made.

The framing now goes with an answer from the client to the responder: what has no declared end is sent without framing and ends with the caller's connection. A stream that began in chunks and is resumed by one without a declared end isn't finished; the next server goes on, or the answer stays visibly broken. The other daemon passes plain answers on in the same way (its streams have a last event), and the load tool counts a plain answer without a declared end as wrong.

--- a/src/sassafraspin/daemon/relay.py
+++ b/src/sassafraspin/daemon/relay.py
@@ -132,7 +132,8 @@
         body = await response.read()
         timing.first_token_at = trio.current_time()
         timing.answer_tokens = _completion_tokens(body)
-        return Response(response.status, forwarded_headers(response.headers), body)
+        headers = forwarded_headers(response.headers)
+        return Response(response.status, headers, body, response.is_framed)
 
     async def cancel(self, call: Call, grant: SlotGrant) -> None:
         """Ask a model engine to cancel a request, ignoring failures.
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -69,6 +69,11 @@
         """Return how the response declares the end of its body."""
         return self._connection.framing
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the end of the body is declared; else it may be short."""
+        return self.framing is not BodyFraming.CONNECTION
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks until its end, in parts if they are large.
 
@@ -185,7 +190,9 @@
         with trio.move_on_after(self._timeouts.exchange):
             async with self.open(address, request) as response:
                 body = await response.read()
-                return Response(response.status, response.headers, body)
+                return Response(
+                    response.status, response.headers, body, response.is_framed
+                )
         raise ConnectionLost("the exchange took too long")
 
     def close_unusable(self) -> None:
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -87,19 +87,29 @@
         await self.send(Response(response.status, headers, response.body))
 
     async def send(self, response: Response) -> None:
-        """Send a complete response."""
+        """Send a response; without a length if the end of its body is not declared."""
+        if not response.is_framed:
+            await self.start(response.status, response.headers, is_framed=False)
+            await self.write(response.body)
+            await self.finish()
+            return
         length = ("content-length", str(len(response.body)))
         data = self._head(response.status, response.headers.adding(*length))
         if response.body:
             data += self._protocol.send(h11.Data(data=response.body))
         await self._write(data + self._protocol.send(h11.EndOfMessage()))
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in chunks.
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Send the head of a response whose body follows.
 
-        To a caller of HTTP/1.0 the body ends with the connection. Until it is finished,
-        every close of the connection is a reset, also that of a process that is killed.
+        The body is sent in chunks if ``is_framed`` and the caller speaks HTTP/1.1,
+        otherwise it ends with the connection. Until such a body is finished, every
+        close of the connection is a reset, also that of a process that is killed.
         """
+        if not is_framed:
+            self._protocol = _unframed_protocol()
         head = self._head(status, headers)
         if self._ends_with_connection:
             self._reset_on_close(True)
@@ -227,3 +237,15 @@
             await self._stream.send_all(data)
             return
         raise trio.BrokenResourceError("write timed out: the peer is not reading")
+
+
+def _unframed_protocol() -> h11.Connection:
+    """Return a protocol that sends a response without framing and then must close.
+
+    h11 leaves out the framing only in response to a request of HTTP/1.0.
+    """
+    protocol = h11.Connection(h11.SERVER)
+    protocol.receive_data(b"GET / HTTP/1.0\r\n\r\n")
+    while not isinstance(protocol.next_event(), h11.EndOfMessage):
+        pass
+    return protocol
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -66,8 +66,22 @@
 
 @dataclass(frozen=True)
 class Response:
-    """An HTTP response with its complete body."""
+    """An HTTP response with its body.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : Headers
+        Header fields.
+    body : bytes
+        Body as far as it was received, complete if ``is_framed``.
+    is_framed : bool
+        Whether the sender declared the end of the body. A body whose end is not
+        declared ends with its connection and may be incomplete.
+    """
 
     status: int
     headers: Headers = field(default_factory=Headers)
     body: bytes = b""
+    is_framed: bool = True
--- a/src/sassafraspin/http/responder.py
+++ b/src/sassafraspin/http/responder.py
@@ -22,8 +22,10 @@
     async def send(self, response: Response) -> None:
         """Send a complete response."""
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in chunks."""
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Send the head of a response whose body follows."""
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the body."""
@@ -53,9 +55,15 @@
         """Send a complete response."""
         await self._connection.send(response)
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in chunks."""
-        await self._connection.start(status, headers)
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Send the head of a response whose body follows.
+
+        The body is sent in chunks if ``is_framed``; otherwise it ends with the
+        connection, so that the caller cannot take its end for a declared one.
+        """
+        await self._connection.start(status, headers, is_framed=is_framed)
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the body."""
--- a/src/sassafraspin/load/report.py
+++ b/src/sassafraspin/load/report.py
@@ -26,10 +26,10 @@
     """Outcome of a request.
 
     ``GOOD`` and ``LATE`` are complete answers before and after the deadline. ``WRONG``
-    is an answer that is incomplete or belongs to another request, ``FAILED`` an error
-    status without a problem document, and ``CUT`` a lost connection or a stream
-    without its end. The others are the execution states of refusals: the request was
-    not run, may have been run, or was answered earlier under the same key.
+    is an answer that belongs to another request, or that is or may be incomplete,
+    ``FAILED`` an error status without a problem document, and ``CUT`` a lost connection
+    or a stream without its end. The others are the execution states of refusals: the
+    request was not run, may have been run, or was answered earlier under the same key.
     """
 
     GOOD = "good"
--- a/src/sassafraspin/load/runner.py
+++ b/src/sassafraspin/load/runner.py
@@ -234,6 +234,8 @@
         if response.status >= 300:
             return self._result(ResultKind.FAILED, f"status-{response.status}")
         if self._planned.request_class.kind == "plain":
+            if not response.is_framed:
+                return self._result(ResultKind.WRONG, "end-not-declared")
             return self._complete_result(0)
         document = msgspec.json.decode(body)
         text = document["choices"][0]["message"]["content"]
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -18,6 +18,7 @@
     BodyFraming,
     ConnectFailed,
     ConnectionLost,
+    Headers,
     HttpClient,
     OpenResponse,
     Responder,
@@ -32,7 +33,7 @@
     NotDispatched,
     ServerRefused,
 )
-from sassafraspin.routed.stream import StreamRelay
+from sassafraspin.routed.stream import StreamHead, StreamRelay
 from sassafraspin.routes import RouteKind
 from sassafraspin.settings import Address
 from sassafraspin.telemetry.events import TryEnded, log_event
@@ -245,7 +246,8 @@
         headers = self._adapter.caller_headers(response.headers)
         if is_success and self._call.route.kind is RouteKind.STREAM:
             return await self._relay_stream(response, headers, timing)
-        whole = Response(response.status, headers, await response.read())
+        body = await response.read()
+        whole = Response(response.status, headers, body, response.is_framed)
         if not is_success:
             return Failed(whole)
         timing.record_data(self._node.now())
@@ -253,16 +255,15 @@
         return Delivered()
 
     async def _relay_stream(
-        self, response, headers, timing: _AttemptTiming
+        self, response: OpenResponse, headers: Headers, timing: _AttemptTiming
     ) -> AttemptOutcome:
-        self._stream.start_attempt()
+        head = StreamHead(response.status, headers, response.is_framed)
+        self._stream.start_attempt(head)
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
                 timing.record_data(self._node.now())
-                timing.events += await self._stream.forward(
-                    response.status, headers, chunk
-                )
-        await self._stream.finish(response.status, headers)
+                timing.events += await self._stream.forward(chunk)
+        await self._stream.finish()
         return Delivered()
 
     def _release(
--- a/src/sassafraspin/routed/stream.py
+++ b/src/sassafraspin/routed/stream.py
@@ -1,13 +1,34 @@
 """Relay of event streams to the caller, complete and in order."""
 
-from sassafraspin.http import Headers, Responder
+from dataclasses import dataclass
+
+from sassafraspin.http import ConnectionLost, Headers, Responder
 from sassafraspin.http.events import EventBlock, EventSplitter, sequence_number
 
-__all__ = ["StreamRelay"]
+__all__ = ["StreamHead", "StreamRelay"]
 
 _EVENT_END = b"\n\n"
 
 
+@dataclass(frozen=True)
+class StreamHead:
+    """Head of a backend server's stream.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : Headers
+        Header fields for the caller.
+    is_framed : bool
+        Whether the server declares the end of the stream.
+    """
+
+    status: int
+    headers: Headers
+    is_framed: bool
+
+
 class StreamRelay:
     """Relays the streams of all attempts at a call as one answer.
 
@@ -27,6 +48,8 @@
         self._responder = responder
         self._splitter = EventSplitter()
         self._last_event_id: str | None = None
+        self._head = StreamHead(200, Headers(), True)
+        self._is_caller_framed = True
 
     @property
     def last_event_id(self) -> str | None:
@@ -36,37 +59,50 @@
         """
         return self._last_event_id
 
-    def start_attempt(self) -> None:
-        """Discard an incomplete event of the previous attempt."""
+    def start_attempt(self, head: StreamHead) -> None:
+        """Begin a stream; discard an incomplete event of the previous one."""
+        self._head = head
         self._splitter.take_remainder()
 
-    async def forward(self, status: int, headers: Headers, chunk: bytes) -> int:
+    async def forward(self, chunk: bytes) -> int:
         """Forward a chunk; return the number of events that it completed.
 
         On a stream that is not resumable, an event end split over two chunks is not
         counted.
         """
         if not self._resumable:
-            await self._write(status, headers, chunk)
+            await self._write(chunk)
             return chunk.count(_EVENT_END)
         blocks = [block for block in self._splitter.feed(chunk) if self._is_new(block)]
         if blocks:
-            data = b"".join(block.raw for block in blocks)
-            await self._write(status, headers, data)
+            await self._write(b"".join(block.raw for block in blocks))
         return len(blocks)
 
-    async def finish(self, status: int, headers: Headers) -> None:
-        """Finish the answer after a complete stream."""
+    async def finish(self) -> None:
+        """Finish the answer at the end of a stream.
+
+        Raises
+        ------
+        ConnectionLost
+            If the caller was promised a declared end and this stream has none.
+        """
         rest = self._splitter.take_remainder()
         if rest:
-            await self._write(status, headers, rest)
-        if not self._responder.has_started:
-            await self._responder.start(status, headers)
+            await self._write(rest)
+        await self._start()
+        if self._is_caller_framed and not self._head.is_framed:
+            raise ConnectionLost("the end of the stream is not declared")
         await self._responder.finish()
 
-    async def _write(self, status: int, headers: Headers, data: bytes) -> None:
-        if not self._responder.has_started:
-            await self._responder.start(status, headers)
+    async def _start(self) -> None:
+        if self._responder.has_started:
+            return
+        head = self._head
+        self._is_caller_framed = head.is_framed
+        await self._responder.start(head.status, head.headers, is_framed=head.is_framed)
+
+    async def _write(self, data: bytes) -> None:
+        await self._start()
         await self._responder.write(data)
 
     def _is_new(self, block: EventBlock) -> bool:
