Treat a stream that ends inside an event as broken off

Callers got streams that stopped in the middle of an event, or before the first one, with an end that looked complete; a resumable stream was not resumed and its half event was passed on. StreamRelay looked only at how the HTTP body ended.

It now tracks where events end. A stream that ends inside an event was broken off, however it is framed; one without a declared end that ends before its first event was too, unless it goes on after an earlier event. Such an attempt is lost: a resumable stream goes on at another server after the last whole event, any other stream stays unfinished at the caller.

Since whole events have to be recognized for that, event ends with the other line ends of the format (CRLF, CR) count; before, a resumable stream of these was held back until its end. An event end that is split over two chunks is counted too.

--- a/src/sassafraspin/http/events.py
+++ b/src/sassafraspin/http/events.py
@@ -1,5 +1,6 @@
 """Formatting and parsing of server-sent events."""
 
+import re
 from dataclasses import dataclass
 
 from sassafraspin.http.client_connection import ConnectionLost
@@ -10,13 +11,19 @@
     "EventSplitter",
     "EventTooLarge",
     "ServerSentEvent",
+    "StreamPosition",
     "format_event",
     "sequence_number",
 ]
 
 _MAX_EVENT_BYTES = 1_048_576
 _MAX_SEQUENCE_DIGITS = 18
-_EVENT_END = b"\n\n"
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n|\Z)){2}")
+"""An event ends with an empty line; a carriage return at the end of the received bytes
+may be the first half of a line end."""
+_LAST_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}\Z")
+_MAX_EVENT_END_BYTES = 4
 
 
 @dataclass(frozen=True)
@@ -79,12 +86,11 @@
         self._data += data
         events = []
         start = 0
-        # The last byte searched may be the first one of an event end.
-        search = max(0, self._searched_bytes - 1)
-        while (found := self._data.find(_EVENT_END, search)) >= 0:
-            search = found + len(_EVENT_END)
-            events.append(bytes(self._data[start:search]))
-            start = search
+        # The last bytes searched may be the beginning of an event end.
+        search = max(0, self._searched_bytes - _MAX_EVENT_END_BYTES + 1)
+        for found in _EVENT_END.finditer(self._data, search):
+            events.append(bytes(self._data[start : found.end()]))
+            start = found.end()
         del self._data[:start]
         self._searched_bytes = len(self._data)
         if len(self._data) > _MAX_EVENT_BYTES:
@@ -99,6 +105,30 @@
         return remainder
 
 
+class StreamPosition:
+    """Tracks where the events of a byte stream end, without keeping them."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the bytes so far end inside an event."""
+        return bool(self._tail) and _LAST_EVENT_END.search(self._tail) is None
+
+    @property
+    def is_at_start(self) -> bool:
+        """Return whether no byte was received."""
+        return not self._tail
+
+    def feed(self, data: bytes) -> int:
+        """Append received bytes and return the number of events completed by them."""
+        counted_before = len(_EVENT_END.findall(self._tail))
+        joined = self._tail + data
+        self._tail = joined[-_MAX_EVENT_END_BYTES:]
+        return len(_EVENT_END.findall(joined)) - counted_before
+
+
 class EventParser:
     """Parses events from a byte stream, buffering incomplete ones.
 
@@ -107,23 +137,18 @@
 
     def __init__(self) -> None:
         self._buffer = _EventBuffer()
-        self._carriage_return = b""
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Append received bytes and return the events completed by them."""
-        received = self._carriage_return + data
-        # A line feed may follow in the next piece.
-        self._carriage_return = received[-1:] if received.endswith(b"\r") else b""
-        received = received.removesuffix(b"\r").replace(b"\r\n", b"\n")
-        blocks = self._buffer.feed(received)
+        blocks = self._buffer.feed(data)
         return [event for block in blocks if (event := _parse_block(block))]
 
 
 def _parse_block(block: bytes) -> ServerSentEvent | None:
     data: list[str] = []
     event_id = None
-    for line in block.decode("utf-8", "replace").split("\n"):
-        name, _, value = line.partition(":")
+    for line in _LINE_END.split(block):
+        name, _, value = line.decode("utf-8", "replace").partition(":")
         value = value.removeprefix(" ")
         if name == "data":
             data.append(value)
@@ -141,19 +166,21 @@
     raw: bytes
     id: str | None
 
+    @classmethod
+    def from_bytes(cls, raw: bytes) -> "EventBlock":
+        """Return the block of one event's bytes."""
+        return cls(raw, _event_id(raw))
 
-class EventSplitter:
-    """Splits a byte stream into complete events without altering their bytes.
 
-    Only two line feeds end an event; CRLF line endings are not recognized.
-    """
+class EventSplitter:
+    """Splits a byte stream into complete events without altering their bytes."""
 
     def __init__(self) -> None:
         self._buffer = _EventBuffer()
 
     def feed(self, data: bytes) -> list[EventBlock]:
         """Append received bytes and return the events completed by them."""
-        return [EventBlock(raw, _event_id(raw)) for raw in self._buffer.feed(data)]
+        return [EventBlock.from_bytes(raw) for raw in self._buffer.feed(data)]
 
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
@@ -161,7 +188,7 @@
 
 
 def _event_id(block: bytes) -> str | None:
-    for line in block.split(b"\n"):
+    for line in _LINE_END.split(block):
         if line.startswith(b"id:"):
             return line[3:].strip().decode("ascii", "replace")
     return None
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -133,6 +133,11 @@
         self._may_have_run = False
         self._avoid: tuple[str, ...] = ()
 
+    @property
+    def _resume_after(self) -> str | None:
+        """Return the event after which the next attempt goes on, ``None`` for all."""
+        return self._stream.last_event_id or self._call.metadata.resume_after
+
     async def run(self) -> None:
         """Answer the call; raises ``RequestProblem`` if it cannot be answered."""
         remaining_ms = self._call.deadline_ms - self._elapsed_ms()
@@ -210,7 +215,7 @@
             grant.backend_id,
             self._call.account_name,
             max(1, self._call.deadline_ms - self._elapsed_ms()),
-            self._stream.last_event_id or self._call.metadata.resume_after,
+            self._resume_after,
         )
         request = self._adapter.backend_request(self._call.request, target)
         address = Address(grant.host, grant.port)
@@ -257,7 +262,8 @@
     async def _relay_stream(
         self, response: OpenResponse, headers: Headers, timing: _AttemptTiming
     ) -> AttemptOutcome:
-        head = StreamHead(response.status, headers, response.is_framed)
+        is_resumed = self._resume_after is not None
+        head = StreamHead(response.status, headers, response.is_framed, is_resumed)
         self._stream.start_attempt(head)
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
--- a/src/sassafraspin/routed/stream.py
+++ b/src/sassafraspin/routed/stream.py
@@ -3,11 +3,16 @@
 from dataclasses import dataclass
 
 from sassafraspin.http import ConnectionLost, Headers, Responder
-from sassafraspin.http.events import EventBlock, EventSplitter, sequence_number
+from sassafraspin.http.events import (
+    EventBlock,
+    EventSplitter,
+    StreamPosition,
+    sequence_number,
+)
 
 __all__ = ["StreamHead", "StreamRelay"]
 
-_EVENT_END = b"\n\n"
+_EVENT_STREAM = "text/event-stream"
 
 
 @dataclass(frozen=True)
@@ -22,11 +27,20 @@
         Header fields for the caller.
     is_framed : bool
         Whether the server declares the end of the stream.
+    is_resumed : bool
+        Whether the stream goes on after an earlier event; it may have none left.
     """
 
     status: int
     headers: Headers
-    is_framed: bool
+    is_framed: bool = True
+    is_resumed: bool = False
+
+    @property
+    def has_events(self) -> bool:
+        """Return whether the body consists of events, as it does without a type."""
+        content_type = self.headers.get("content-type")
+        return content_type is None or content_type.startswith(_EVENT_STREAM)
 
 
 class StreamRelay:
@@ -48,8 +62,9 @@
         self._responder = responder
         self._splitter = EventSplitter()
         self._last_event_id: str | None = None
-        self._head = StreamHead(200, Headers(), True)
+        self._head = StreamHead(200, Headers())
         self._is_caller_framed = True
+        self._position = StreamPosition()
 
     @property
     def last_event_id(self) -> str | None:
@@ -63,16 +78,14 @@
         """Begin a stream; discard an incomplete event of the previous one."""
         self._head = head
         self._splitter.take_remainder()
+        self._position = StreamPosition()
 
     async def forward(self, chunk: bytes) -> int:
-        """Forward a chunk; return the number of events that it completed.
-
-        On a stream that is not resumable, an event end split over two chunks is not
-        counted.
-        """
-        if not self._resumable:
+        """Forward a chunk; return the number of new events that it completed."""
+        completed_events = self._position.feed(chunk)
+        if not (self._resumable and self._head.has_events):
             await self._write(chunk)
-            return chunk.count(_EVENT_END)
+            return completed_events
         blocks = [block for block in self._splitter.feed(chunk) if self._is_new(block)]
         if blocks:
             await self._write(b"".join(block.raw for block in blocks))
@@ -84,16 +97,28 @@
         Raises
         ------
         ConnectionLost
-            If the caller was promised a declared end and this stream has none.
+            If the stream was broken off, or if the caller was promised a declared end
+            and this stream has none.
         """
+        self._check_end()
         rest = self._splitter.take_remainder()
-        if rest:
+        if rest and self._is_new(EventBlock.from_bytes(rest)):
             await self._write(rest)
         await self._start()
         if self._is_caller_framed and not self._head.is_framed:
             raise ConnectionLost("the end of the stream is not declared")
         await self._responder.finish()
 
+    def _check_end(self) -> None:
+        """Raise ``ConnectionLost`` if the stream ended where no whole stream ends."""
+        head = self._head
+        if not head.has_events:
+            return
+        if self._position.is_inside_event:
+            raise ConnectionLost("the stream ended inside an event")
+        if self._position.is_at_start and not (head.is_framed or head.is_resumed):
+            raise ConnectionLost("the stream ended before its first event")
+
     async def _start(self) -> None:
         if self._responder.has_started:
             return
--- a/tests/test_http_events.py
+++ b/tests/test_http_events.py
@@ -8,6 +8,7 @@
     EventSplitter,
     EventTooLarge,
     ServerSentEvent,
+    StreamPosition,
 )
 
 MIB = 1_048_576
@@ -66,3 +67,30 @@
             raw = b"".join(block.raw for block in blocks)
             self.assertEqual(raw + splitter.take_remainder(), stream)
             self.assertEqual([block.id for block in blocks], ["1", None, None])
+
+
+class TestStreamPosition(unittest.TestCase):
+    """Events are counted, and a stream that ends inside one is recognized."""
+
+    def check_position(self, stream: bytes, events: int, is_inside: bool) -> None:
+        for first in range(len(stream) + 1):
+            position = StreamPosition()
+            count = position.feed(stream[:first]) + position.feed(stream[first:])
+            self.assertEqual(count, events, first)
+            self.assertEqual(position.is_inside_event, is_inside, first)
+
+    def test_whole_events(self):
+        self.check_position(b"data: a\n\ndata: b\n\n", 2, False)
+        self.check_position(b"data: a\r\n\r\ndata: b\r\n\r\n", 2, False)
+        # The last carriage return may be the first half of a line end.
+        self.check_position(b"data: a\r\rdata: b\r\r", 1, False)
+
+    def test_end_inside_an_event(self):
+        self.check_position(b"data: a\n\ndata", 1, True)
+        self.check_position(b"data: a\n\ndata: b\n", 1, True)
+        self.check_position(b"data: a\r\n\r\ndata: b\r\n", 1, True)
+        self.check_position(b"data: a\r", 0, True)
+
+    def test_empty_stream(self):
+        self.assertFalse(StreamPosition().is_inside_event)
+        self.assertTrue(StreamPosition().is_at_start)
