Log the shared parts of a prompt and whether a server has ended

The log could not tell whether the requests at hand had a part of their prompts in common, nor an engine that had ended from one that broke off an answer.

TryEnded has the fields parts and server_ended now. Parts are read once, in the adapter, into PromptPart; an unreadable header names none. After a lost answer of a request with shared parts the entry instance tries to connect: a refusal within 0.1 s says that the server has ended. No decision depends on either yet.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -8,6 +8,7 @@
     PrefixCacheView,
     prefix_hashes,
 )
+from sassafraspin.backends.prompts import PromptPart, shared_parts
 from sassafraspin.backends.speed import SpeedEstimate
 
 __all__ = [
@@ -19,6 +20,8 @@
     "PrefixCacheView",
     "Reservation",
     "PrefillBacklog",
+    "PromptPart",
     "SpeedEstimate",
     "prefix_hashes",
+    "shared_parts",
 ]
--- /dev/null
+++ b/src/sassafraspin/backends/prompts.py
@@ -0,0 +1,32 @@
+"""Parts of a prompt, as a caller names them."""
+
+from dataclasses import dataclass
+
+__all__ = ["MAX_REPORTED_PARTS", "PromptPart", "shared_parts"]
+
+MAX_REPORTED_PARTS = 32
+"""Largest number of parts of one prompt that messages and logs carry."""
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """One part of a prompt.
+
+    Parameters
+    ----------
+    id : str
+        Identifier; requests with the same part name it alike.
+    tokens : int
+        Size of the part.
+    """
+
+    id: str
+    tokens: int
+
+
+def shared_parts(prompt: tuple[PromptPart, ...]) -> tuple[str, ...]:
+    """Return the identifiers of the parts that other requests may have too.
+
+    The last part belongs to the request itself or to its session.
+    """
+    return tuple(part.id for part in prompt[:-1][:MAX_REPORTED_PARTS])
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -29,6 +29,7 @@
 
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
+_PROBE_TIMEOUT_SECONDS = 0.1
 
 _log = part_logger("http")
 
@@ -195,6 +196,23 @@
                 )
         raise ConnectionLost("the exchange took too long")
 
+    async def refuses_connections(self, address: Address) -> bool:
+        """Return whether no process listens on an address, by trying to connect.
+
+        An address that does not respond in time counts as one that may listen.
+        """
+        with (
+            trio.move_on_after(_PROBE_TIMEOUT_SECONDS),
+            trio.socket.socket() as probe,
+        ):
+            try:
+                await probe.connect((address.host, address.port))
+            except ConnectionRefusedError:
+                return True
+            except OSError as error:
+                _log.debug("Cannot probe {}: {}.", address, error.strerror)
+        return False
+
     def close_unusable(self) -> None:
         """Close the idle connections that are old, were closed or have surplus bytes.
 
--- a/src/sassafraspin/platform/adapter.py
+++ b/src/sassafraspin/platform/adapter.py
@@ -1,5 +1,6 @@
 """HTTP headers of the platform's callers and runners."""
 
+from sassafraspin.backends import PromptPart
 from sassafraspin.http import BadRequest, Headers, Request, RequestProblem, Response
 from sassafraspin.http.problems import problem_response
 from sassafraspin.platform.control_api import ControlApi
@@ -16,6 +17,7 @@
 _REQUEST_ID = "x-request-id"
 _TIMEOUT_MS = "x-deadline-ms"  # relative time limit, not a point in time
 _TOKEN_COUNTS = "x-token-counts"  # prompt tokens, then maximum answer tokens
+_PROMPT_PARTS = "x-prefix-hash"  # identifiers and sizes, no hashes of prefixes
 _ANSWER_TOKENS_ESTIMATE = "x-length-hint"
 _RESUME_AFTER = "last-event-id"
 _EXPECTED_SERVER = "x-expect-instance"
@@ -25,6 +27,9 @@
 _KEY_SCHEME = "token"
 _MISDIRECTED_STATUS = 421  # another runner now has the address; the request was not run
 
+_MAX_PART_ID_CHARACTERS = 64
+_MAX_TOKEN_DIGITS = 9
+
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -84,6 +89,7 @@
             answer_tokens=min(estimate or max_answer_tokens, max_answer_tokens),
             charged_tokens=charged if charged else None,
             resume_after=headers.get(_RESUME_AFTER),
+            prompt=_parse_prompt(headers),
         )
 
     def backend_request(self, request: Request, target: BackendTarget) -> Request:
@@ -153,6 +159,23 @@
     return max(0, prompt), max(0, answer)
 
 
+def _parse_prompt(headers: Headers) -> tuple[PromptPart, ...]:
+    """Return the parts of the prompt, none if the header cannot be read.
+
+    The header serves placement and protection of runners, not the request itself, so a
+    request is not refused for it.
+    """
+    parts = []
+    for item in (headers.get(_PROMPT_PARTS) or "").split(","):
+        name, _, tokens = item.strip().partition(":")
+        if not (name and tokens.isascii() and tokens.isdigit()):
+            return ()
+        if len(name) > _MAX_PART_ID_CHARACTERS or len(tokens) > _MAX_TOKEN_DIGITS:
+            return ()
+        parts.append(PromptPart(name.lower(), int(tokens)))
+    return tuple(parts)
+
+
 def _connection_names(headers: Headers) -> frozenset[str]:
     """Return the header names that the ``connection`` header lists as hop-by-hop."""
     names = (headers.get("connection") or "").lower().split(",")
--- a/src/sassafraspin/routed/adapter.py
+++ b/src/sassafraspin/routed/adapter.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from sassafraspin.backends import PromptPart
 from sassafraspin.http import Headers, Request, RequestProblem, Response
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
         Tokens charged against a usage cap, ``None`` if the request gives no count.
     resume_after : str or None
         Identifier of the last event received from an interrupted stream.
+    prompt : tuple of PromptPart
+        Parts of the prompt in order, empty if the request names none.
     """
 
     request_id: str
@@ -52,6 +55,7 @@
     answer_tokens: int
     charged_tokens: int | None
     resume_after: str | None
+    prompt: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -4,6 +4,7 @@
 import uuid
 from dataclasses import dataclass
 
+from sassafraspin.backends import shared_parts
 from sassafraspin.dispatch import LOWEST_TIER, SlotRequest
 from sassafraspin.http import Request
 from sassafraspin.routed.adapter import CallMetadata
@@ -79,6 +80,11 @@
         """Return the name of the client account, ``None`` on a public route."""
         return None if self.account is None else self.account.name
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the identifiers of the prompt parts shared with other requests."""
+        return shared_parts(self.metadata.prompt)
+
     @property
     def charged_tokens(self) -> int:
         """Return the tokens charged against the account's usage cap."""
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -80,6 +80,7 @@
     longest_pause: float = 0.0
     events: int = 0
     framing: BodyFraming | None = None
+    server_ended: bool = False
 
     def record_data(self, now: float) -> None:
         """Record that a complete answer or a chunk of a stream has arrived."""
@@ -227,9 +228,19 @@
             outcome = NotRun()
         except ConnectionLost as error:
             outcome = Lost(str(error))
+            timing.server_ended = await self._has_ended(address)
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
 
+    async def _has_ended(self, address: Address) -> bool:
+        """Return whether a server that lost a request with shared parts has ended.
+
+        Other requests give no reason to look, and each look opens a connection.
+        """
+        if not self._call.shared_parts:
+            return False
+        return await self._client.refuses_connections(address)
+
     async def _read_response(
         self, response: OpenResponse, timing: _AttemptTiming
     ) -> AttemptOutcome:
@@ -313,6 +324,8 @@
                 longest_pause_ms=_ms(timing.longest_pause),
                 total_ms=_ms(self._node.now() - timing.sent_at),
                 events=timing.events,
+                parts=self._call.shared_parts,
+                server_ended=timing.server_ended,
                 framing=None if timing.framing is None else timing.framing.value,
                 end=result.value,
             )
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -135,7 +135,9 @@
     ``expected_first_ms`` the dispatcher's estimate of ``first_ms``, and ``tries`` the
     number of servers that were tried before. ``framing`` is how the server declared the
     end of its answer: ``length``, ``chunked``, ``none`` without a body, ``connection``
-    if it ends with its connection, empty if no answer began.
+    if it ends with its connection, empty if no answer began. ``parts`` are the prompt
+    parts that other requests may share, and ``server_ended`` says that the server
+    refused connections after the answer was lost.
     """
 
     part: ClassVar[str] = "entry"
@@ -157,6 +159,8 @@
     longest_pause_ms: int
     total_ms: int
     events: int
+    parts: tuple[str, ...]
+    server_ended: bool
     framing: str | None
     end: str
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sassafraspin.backends import shared_parts
 from sassafraspin.dispatch import RefusalReason, SlotRefusal
 from sassafraspin.errors import InvalidInput
 from sassafraspin.http import BadRequest, Headers, Request
@@ -340,6 +341,19 @@
         self.assertEqual((metadata.prompt_tokens, metadata.answer_tokens), (1460, 20))
         self.assertEqual(metadata.charged_tokens, 1540)
 
+    def test_parts_of_the_prompt(self):
+        header = ("x-prefix-hash", "5C1e07a2:800, 91bd3f06:410,e4402b7d:250")
+        metadata = self.adapter.read_call(self.request(header))
+        parts = [(part.id, part.tokens) for part in metadata.prompt]
+        expected = [("5c1e07a2", 800), ("91bd3f06", 410), ("e4402b7d", 250)]
+        self.assertEqual(parts, expected)
+        self.assertEqual(shared_parts(metadata.prompt), ("5c1e07a2", "91bd3f06"))
+
+    def test_unreadable_parts_of_the_prompt_are_ignored(self):
+        for value in ("", "a", "a:", ":1", "a:b", "a:-1", "a:1,", "a:1" + "0" * 99):
+            request = self.request(("x-prefix-hash", value))
+            self.assertEqual(self.adapter.read_call(request).prompt, (), value)
+
     def test_malformed_numbers(self):
         for header in (("x-token-counts", "7"), ("x-deadline-ms", "soon")):
             with self.assertRaises(BadRequest):
