Failing tests: a part of prompts ends one server after the other

Servers that end on a part, and are replaced at once, get requests with it in turn and three at a time, beside sound requests with the same key and first part.

--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -1,5 +1,6 @@
 """Requests with a part in their prompts that ends each server that answers them."""
 
+import itertools
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -22,21 +23,17 @@
 
 @dataclass
 class EndingServer:
-    """Engine that ends when it begins to answer a request with the harmful part.
-
-    A request with ``wait: 1`` in its head is answered only at the end of the test.
-    """
+    """Engine that ends when it begins to answer a request with the harmful part."""
 
     harmful: str = HARMFUL
     address: Address | None = None
     requests: list[bytes] = field(default_factory=list)
-    has_ended: bool = False
+    ended: trio.Event = field(default_factory=trio.Event)
     _streams: list[trio.SocketStream] = field(default_factory=list)
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until the harmful part is received."""
-        port = 0 if self.address is None else self.address.port
-        [self._listener] = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        [self._listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
         host, port = self._listener.socket.getsockname()
         self.address = Address(host, port)
         task_status.started()
@@ -52,21 +49,42 @@
             if self.harmful.encode() in request:
                 self._end()
                 return
-            if b"wait: 1" in request:
-                await trio.sleep_forever()
             await stream.send_all(ANSWER)
 
     def _end(self) -> None:
-        self.has_ended = True
+        self.ended.set()
         self._listener.socket.close()
         for stream in self._streams:
             reset(stream)
 
 
+async def keep_running(
+    deployment: RoutedDeployment,
+    servers: list[EndingServer],
+    *,
+    task_status=trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a registered server, and another one whenever it has ended."""
+    async with trio.open_nursery() as nursery:
+        for restarts in itertools.count():
+            server = EndingServer()
+            await nursery.start(server.run)
+            runner = FakeRunner(f"i-{len(servers)}", server.address)
+            servers.append(server)
+            await deployment.register(runner)
+            if not restarts:
+                task_status.started()
+            await server.ended.wait()
+            await deployment.control("DELETE", f"instances/{runner.name}")
+
+
 class HarmfulPartTestCase(unittest.TestCase):
-    """Calls through a routed daemon to engines that end on the harmful part."""
+    """Calls through a routed daemon to engines that end on the harmful part.
+
+    An engine that has ended is replaced by another one.
+    """
 
-    server_count = 8
+    server_count = 4
 
     def run_scenario(
         self,
@@ -78,11 +96,9 @@
                     routed_deployment(runners=0) as deployment,
                     trio.open_nursery() as nursery,
                 ):
-                    servers = [EndingServer() for _ in range(self.server_count)]
-                    for number, server in enumerate(servers):
-                        await nursery.start(server.run)
-                        runner = FakeRunner(f"i-{number}", server.address)
-                        await deployment.register(runner)
+                    servers: list[EndingServer] = []
+                    for _ in range(self.server_count):
+                        await nursery.start(keep_running, deployment, servers)
                     await scenario(deployment, servers)
                     nursery.cancel_scope.cancel()
 
@@ -104,3 +120,52 @@
         logged = [(item.parts, item.server_ended, item.end) for item in self.tries]
         self.assertEqual(logged[0], (("aa", "bad0"), True, "failed"))
         self.assertEqual(logged[-1], (("aa",), False, "answered"))
+
+
+class TestIsolation(HarmfulPartTestCase):
+    """A part under which servers end is kept from the others."""
+
+    allowed_requests = 8
+    """Five until the fifth server has ended, and three more."""
+
+    def count_harmful(self, servers: list[EndingServer]) -> int:
+        requests = [item for server in servers for item in server.requests]
+        return sum(HARMFUL.encode() in item for item in requests)
+
+    async def call_harmful(self, deployment: RoutedDeployment, number: int):
+        """Send a request with the harmful part; no two are alike."""
+        parts = f"shared{number % 2}:60,{HARMFUL}:400,own{number}:70"
+        return await deployment.call("/stream/1", x_prefix_hash=parts)
+
+    async def call_sound(self, deployment: RoutedDeployment, number: int):
+        """Send a request with the same key and first part, a few times if it fails."""
+        parts = f"shared{number % 2}:60,sound{number}:70"
+        for _ in range(5):
+            response = await deployment.call("/stream/1", x_prefix_hash=parts)
+            if response.status == 200:
+                break
+            await trio.sleep(0.05)
+        return response
+
+    def test_harmful_part_does_not_end_one_server_after_the_other(self):
+        async def scenario(deployment, servers):
+            for number in range(20):
+                await self.call_harmful(deployment, number)
+                await self.call_sound(deployment, number)
+            self.assertLessEqual(self.count_harmful(servers), self.allowed_requests)
+
+        self.run_scenario(scenario)
+
+    def test_harmful_requests_at_the_same_time_are_kept_from_later_servers(self):
+        async def scenario(deployment, servers):
+            for _ in range(5):
+                async with trio.open_nursery() as nursery:
+                    for number in range(3):
+                        nursery.start_soon(self.call_harmful, deployment, number)
+                await trio.sleep(0.3)
+            reached = self.count_harmful(servers)
+            for number in range(5):
+                await self.call_harmful(deployment, number)
+            self.assertEqual(self.count_harmful(servers), reached)
+
+        self.run_scenario(scenario)
