Isolate parts of prompts under which servers end

Cause: a failed request was held against its server alone. Each new request with the part looked fresh, each server looked ill, so the dispatcher moved the next request to a sound one.

Entry instances now report the shared parts of a prompt with the end of an attempt, and whether the server ended then. The control leader, where all reports arrive, attributes ends to parts (EndEvidence), and the verdict is a command of the control log, so it holds on all instances and outlives leaders and restarts. Requests with an isolated part are refused as not run before they ask for a slot and again before they are sent. Operators see one line with the evidence, list the parts and readmit them. No key, account, route or server is judged.

--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -16,9 +16,11 @@
     "Command",
     "CommandOutcome",
     "DeclareMove",
+    "IsolatePart",
     "OutcomeKind",
     "PutProfile",
     "PutTable",
+    "ReadmitPart",
     "UndoMove",
     "decode_command",
     "encode_command",
@@ -92,7 +94,34 @@
     view: View
 
 
-Command = PutProfile | PutTable | DeclareMove | UndoMove | AdvanceMove | ChangeView
+class IsolatePart(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Refuse requests with a prompt part, under which the named servers ended."""
+
+    change_id: str
+    at_ms: int
+    part: str
+    servers: tuple[str, ...]
+
+
+class ReadmitPart(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Accept requests with an isolated prompt part again."""
+
+    change_id: str
+    operator: str
+    at_ms: int
+    part: str
+
+
+Command = (
+    PutProfile
+    | PutTable
+    | DeclareMove
+    | UndoMove
+    | AdvanceMove
+    | ChangeView
+    | IsolatePart
+    | ReadmitPart
+)
 
 
 class OutcomeKind(StrEnum):
--- a/src/sassafraspin/control/state.py
+++ b/src/sassafraspin/control/state.py
@@ -1,4 +1,4 @@
-"""State machine of the control log: profiles, routes, moves and views."""
+"""State machine of the control log: profiles, routes, moves, isolations and views."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -11,11 +11,14 @@
     Command,
     CommandOutcome,
     DeclareMove,
+    IsolatePart,
     OutcomeKind,
     PutProfile,
     PutTable,
+    ReadmitPart,
     UndoMove,
 )
+from sassafraspin.isolation import IsolatedPart, IsolationStore
 from sassafraspin.membership import View
 from sassafraspin.moves import Move, MoveAccepted, MoveDecision, MoveRefused, MoveStore
 from sassafraspin.profiles import (
@@ -59,6 +62,7 @@
     views: tuple[_TimedView, ...]
     outcomes: tuple[tuple[str, CommandOutcome], ...]
     routing: DeclaredTable | None = None
+    isolated: tuple[IsolatedPart, ...] = ()
 
 
 class ControlState:
@@ -82,6 +86,7 @@
         self._moves = MoveStore()
         self._views = (_TimedView(View(), 0),)
         self._routing: DeclaredTable | None = None
+        self._isolation = IsolationStore()
         self._outcomes: OrderedDict[str, CommandOutcome] = OrderedDict()
 
     @property
@@ -104,6 +109,11 @@
         """Return the routing table in force, ``None`` if none was declared yet."""
         return self._routing
 
+    @property
+    def isolation(self) -> IsolationStore:
+        """Return the store of isolated prompt parts."""
+        return self._isolation
+
     @property
     def view(self) -> View:
         """Return the view in force."""
@@ -156,6 +166,7 @@
             self._views,
             tuple(self._outcomes.items()),
             self._routing,
+            self._isolation.all_parts(),
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -171,6 +182,7 @@
         state._views = snapshot.views
         state._outcomes = OrderedDict(snapshot.outcomes)
         state._routing = snapshot.routing
+        state._isolation = IsolationStore(snapshot.isolated)
         return state
 
     def _execute(self, command: Command) -> CommandOutcome:
@@ -197,6 +209,11 @@
                 return _move_outcome(self._moves.advance(command.step, command.at_ms))
             case ChangeView():
                 return self._change_view(command)
+            case IsolatePart():
+                isolated = IsolatedPart(command.part, command.servers, command.at_ms)
+                return _isolation_outcome(self._isolation.isolate(isolated))
+            case ReadmitPart():
+                return _isolation_outcome(self._isolation.readmit(command.part))
 
     def _put_table(self, declared: DeclaredTable) -> CommandOutcome:
         """Install a routing table unless one of the same or a higher version exists."""
@@ -246,3 +263,7 @@
             return CommandOutcome(OutcomeKind.ACCEPTED, move=move)
         case MoveRefused(refusal, current):
             return CommandOutcome(OutcomeKind.REFUSED, refusal.value, move=current)
+
+
+def _isolation_outcome(is_changed: bool) -> CommandOutcome:
+    return CommandOutcome(OutcomeKind.ACCEPTED if is_changed else OutcomeKind.UNCHANGED)
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -161,7 +161,12 @@
 
 
 class SlotRelease(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Reports the end of a granted request; unknown times are 0."""
+    """Reports the end of a granted request; unknown times are 0.
+
+    ``parts`` are the prompt parts that other requests may share.
+    ``may_have_ended_server`` says that the server ended while it was to answer the
+    request, or soon after it had begun to.
+    """
 
     service: str
     request_id: str
@@ -171,6 +176,8 @@
     first_token_ms: int = 0
     total_ms: int = 0
     answer_tokens: int = 0
+    parts: tuple[str, ...] = ()
+    may_have_ended_server: bool = False
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -91,6 +91,11 @@
                 return await self._start_rollout(request)
             case ("GET", root, "rollouts", service) if root == _ROOT:
                 return self._read_rollout(service)
+            case ("GET", root, "isolated-parts") if root == _ROOT:
+                parts = self._operations.isolated_parts()
+                return Response(200, _JSON, msgspec.json.encode(parts))
+            case ("DELETE", root, "isolated-parts", part) if root == _ROOT:
+                return await self._readmit_part(part)
             case _:
                 raise NotFound(f"no call is named {request.method} {request.path}")
 
@@ -122,6 +127,11 @@
         )
         return Response(200)
 
+    async def _readmit_part(self, part: str) -> Response:
+        if not await self._operations.readmit_part(part):
+            raise NotFound(f"the part {part!r} is not isolated")
+        return Response(200)
+
     def _read_rollout(self, service: str) -> Response:
         found = self._operations.rollout_status(service)
         if found is None:
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -31,6 +31,7 @@
     AnswerLost,
     NoAnswerInTime,
     NotDispatched,
+    PartRefused,
     ServerRefused,
 )
 from sassafraspin.routed.stream import StreamHead, StreamRelay
@@ -41,6 +42,9 @@
 __all__ = ["RoutedExchange"]
 
 _RETRY_AFTER_MS = 500
+_BEGINNING_SECONDS = 0.5
+"""A server that wrote an answer for longer did not end for it."""
+
 _MS_PER_SECOND = 1000
 
 
@@ -139,6 +143,12 @@
         """Return the event after which the next attempt goes on, ``None`` for all."""
         return self._stream.last_event_id or self._call.metadata.resume_after
 
+    @property
+    def _isolated_part(self) -> str | None:
+        """Return a part of the prompt that is isolated, ``None`` if none is."""
+        isolation = self._node.configuration.state.isolation
+        return isolation.find(self._call.shared_parts)
+
     async def run(self) -> None:
         """Answer the call; raises ``RequestProblem`` if it cannot be answered."""
         remaining_ms = self._call.deadline_ms - self._elapsed_ms()
@@ -153,6 +163,8 @@
 
     async def _run_attempts(self) -> None:
         for attempt in range(self._call.route.max_tries):
+            if self._isolated_part is not None:
+                break
             slot = await self._acquire_slot(attempt)
             if isinstance(slot, SlotRefusal):
                 await self._finish_without_success(slot)
@@ -181,6 +193,8 @@
                 raise AnswerLost("the stream broke and could not go on elsewhere")
             case Lost(reason):
                 raise AnswerLost(reason)
+            case None if self._isolated_part is not None:
+                raise PartRefused(self._isolated_part)
             case None if refusal is None:
                 raise ServerRefused("no backend server that was tried took it")
             case None if refusal.reason is RefusalReason.ACCOUNT_LIMIT:
@@ -210,7 +224,8 @@
             self._log_attempt(grant, result, timing)
 
     async def _send(self, grant: SlotGrant, timing: _AttemptTiming) -> AttemptOutcome:
-        if not self._slots.is_usable(grant):
+        # The part may have been isolated while the request waited for its slot.
+        if self._isolated_part is not None or not self._slots.is_usable(grant):
             return NotRun()
         target = BackendTarget(
             grant.backend_id,
@@ -288,6 +303,7 @@
     ) -> None:
         now = self._node.now()
         first_data_at = timing.first_data_at or now
+        has_just_begun = now - first_data_at < _BEGINNING_SECONDS
         self._slots.release(
             SlotRelease(
                 self._call.service,
@@ -298,6 +314,8 @@
                 int((first_data_at - timing.sent_at) * _MS_PER_SECOND),
                 int((now - timing.sent_at) * _MS_PER_SECOND),
                 timing.events * self._call.tokens_per_event,
+                self._call.shared_parts,
+                timing.server_ended and has_just_begun,
             )
         )
 
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -5,16 +5,18 @@
 from enum import StrEnum
 
 from sassafraspin.backends import Announcement
-from sassafraspin.control import DeclareMove, PutTable
+from sassafraspin.control import Command, DeclareMove, PutTable, ReadmitPart
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.problems import ControlUnavailable
 from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.isolation import IsolatedPart
 from sassafraspin.moves import Move, MovePhase, MoveSpec
 from sassafraspin.routed.problems import NotCurrent
 from sassafraspin.routes import DeclaredTable, RoutingTable
 from sassafraspin.settings import Address
+from sassafraspin.telemetry.events import PartReadmitted, log_event
 
 __all__ = ["Operations", "RolloutState"]
 
@@ -144,6 +146,21 @@
             case _:
                 return RolloutState.RUNNING, move.spec.to_version
 
+    def isolated_parts(self) -> tuple[IsolatedPart, ...]:
+        """Return the isolated prompt parts; raises ``NotCurrent`` unless leading."""
+        if not self.is_leader:
+            raise NotCurrent("this instance does not lead")
+        return self._node.configuration.state.isolation.all_parts()
+
+    async def readmit_part(self, part: str) -> bool:
+        """Accept a prompt part again; return whether it was isolated."""
+        if not any(item.part == part for item in self.isolated_parts()):
+            return False
+        change_id = f"readmit-{uuid.uuid4().hex}"
+        await self._commit(ReadmitPart(change_id, _OPERATOR, 0, part))
+        log_event(PartReadmitted(part))
+        return True
+
     def _latest_move(self, service: str) -> Move | None:
         moves = self._node.configuration.state.moves.all_moves()
         of_service = [move for move in moves if move.spec.service == service]
@@ -155,7 +172,7 @@
         age_ms = wall_clock_ms() - move.declared_at_ms
         return not move.phase.is_final or age_ms < _DUPLICATE_WINDOW_MS
 
-    async def _commit(self, command: PutTable | DeclareMove) -> None:
+    async def _commit(self, command: Command) -> None:
         outcome = await self._proposals.propose(command)
         if outcome is None:
             raise ControlUnavailable(
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -10,6 +10,7 @@
     "NoRoute",
     "NotCurrent",
     "NotDispatched",
+    "PartRefused",
     "ServerRefused",
     "UnknownKey",
 ]
@@ -75,6 +76,25 @@
     retry_after_ms = 300
 
 
+class PartRefused(RequestProblem):
+    """A part of the prompt is isolated because servers ended when they answered it.
+
+    The status states that the request was not run, which holds also for a caller whose
+    part was isolated by mistake; only an operator ends an isolation.
+    """
+
+    status = 503
+    reason = "part-isolated"
+    title = "Part of the prompt is isolated"
+    retry_after_ms = 60_000
+
+    def __init__(self, part: str) -> None:
+        super().__init__(
+            f"backend servers ended under the prompt part {part!r}; send the request "
+            "without it, or ask an operator to readmit it"
+        )
+
+
 class AnswerLost(RequestProblem):
     """The request was sent and no complete answer arrived; it may have run."""
 
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -37,6 +37,7 @@
 from sassafraspin.moves import MoveEvidence
 from sassafraspin.routed.adapter import ProtocolAdapter
 from sassafraspin.routed.entry import RoutedEntry
+from sassafraspin.routed.isolation import PartIsolation
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routed.operations import Operations
 from sassafraspin.routed.routing_view import RoutingView
@@ -99,6 +100,7 @@
             self.node, base_folder, generator, network.set_peer_address
         )
         dispatch = own_settings.dispatch
+        self._isolation = PartIsolation(self.node, self._control)
         self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
         self._directory_publisher = DirectoryPublisher(
             dispatch.directory_interval_ms / _MS_PER_SECOND
@@ -157,6 +159,7 @@
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._isolation.tick()
         self._client.close_unusable()
         if self._control.leads(now):
             self._broadcast_backends(now)
@@ -221,7 +224,10 @@
                 self._control.on_heartbeat(source, message, now)
             case HeartbeatReply():
                 self._on_heartbeat_reply(source.name, message, now)
-            case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
+            case SlotRelease():
+                self._isolation.record(message)
+                self._dispatch.receive(source.name, message)
+            case SlotRequest() | ActiveGrant() | SlotWithdraw():
                 self._dispatch.receive(source.name, message)
             case HeldGrants() | AnnounceBackend():
                 self._dispatch.receive(source.name, message)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -21,6 +21,8 @@
     "InstanceStarted",
     "InstanceStopped",
     "InstanceStopping",
+    "PartIsolated",
+    "PartReadmitted",
     "ResourceUsage",
     "TableInForce",
     "TryEnded",
@@ -165,6 +167,31 @@
     end: str
 
 
+@dataclass(frozen=True)
+class PartIsolated(Event):
+    """Requests with a prompt part are refused from now on, by all instances.
+
+    ``servers`` ended while they were to answer a request with the part, or soon after
+    they had begun to, and ``was_answered`` says whether such a request was answered
+    before.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "A part of prompts ends servers; its requests are refused."
+    prompt_part: str
+    servers: tuple[str, ...]
+    was_answered: bool
+
+
+@dataclass(frozen=True)
+class PartReadmitted(Event):
+    """An operator ended the isolation of a prompt part."""
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "Requests with an isolated part are accepted again."
+    prompt_part: str
+
+
 @dataclass(frozen=True)
 class CallRefused(Event):
     """A call was refused, or its answer was cut off.
@@ -220,6 +247,8 @@
     DispatcherRegained,
     ResourceUsage,
     TryEnded,
+    PartIsolated,
+    PartReadmitted,
     CallRefused,
     CallEnded,
 )
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -1,6 +1,7 @@
 """Requests with a part in their prompts that ends each server that answers them."""
 
 import itertools
+import json
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -13,6 +14,8 @@
 from tests.scripted_server import read_request, reset
 
 GUARD_SECONDS = 60.0
+PAUSE_SECONDS = 0.3
+"""Servers that end at the same moment may have a cause in common."""
 HARMFUL = "bad0"
 EVENTS = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
 ANSWER = (
@@ -152,6 +155,7 @@
             for number in range(20):
                 await self.call_harmful(deployment, number)
                 await self.call_sound(deployment, number)
+                await trio.sleep(PAUSE_SECONDS)
             self.assertLessEqual(self.count_harmful(servers), self.allowed_requests)
 
         self.run_scenario(scenario)
@@ -162,10 +166,54 @@
                 async with trio.open_nursery() as nursery:
                     for number in range(3):
                         nursery.start_soon(self.call_harmful, deployment, number)
-                await trio.sleep(0.3)
+                await trio.sleep(PAUSE_SECONDS)
             reached = self.count_harmful(servers)
             for number in range(5):
                 await self.call_harmful(deployment, number)
             self.assertEqual(self.count_harmful(servers), reached)
 
         self.run_scenario(scenario)
+
+    def test_refusal_says_that_the_request_was_not_run(self):
+        async def scenario(deployment, servers):
+            for number in range(5):
+                await self.call_harmful(deployment, number)
+                await trio.sleep(PAUSE_SECONDS)
+            reached = self.count_harmful(servers)
+            response = await self.call_harmful(deployment, 9)
+            document = json.loads(response.body)
+            self.assertEqual(response.status, 503)
+            self.assertEqual(document["execution"], "not-run")
+            self.assertIn("part-isolated", document["type"])
+            self.assertEqual(self.count_harmful(servers), reached)
+
+        self.run_scenario(scenario)
+
+    def test_sound_requests_with_the_same_key_and_first_part_are_served(self):
+        async def scenario(deployment, servers):
+            for number in range(6):
+                await self.call_harmful(deployment, number)
+                await trio.sleep(PAUSE_SECONDS)
+            for number in range(20):
+                response = await self.call_sound(deployment, number)
+                self.assertEqual(response.status, 200)
+
+        self.run_scenario(scenario)
+
+    def test_operator_lists_and_readmits_an_isolated_part(self):
+        async def scenario(deployment, servers):
+            for number in range(5):
+                await self.call_harmful(deployment, number)
+                await trio.sleep(PAUSE_SECONDS)
+            listed = await deployment.control("GET", "isolated-parts")
+            [isolated] = json.loads(listed.body)
+            self.assertEqual(isolated["part"], HARMFUL)
+            self.assertEqual(len(isolated["servers"]), 4)
+            path = f"isolated-parts/{HARMFUL}"
+            self.assertEqual((await deployment.control("DELETE", path)).status, 200)
+            self.assertEqual((await deployment.control("DELETE", path)).status, 404)
+            reached = self.count_harmful(servers)
+            await self.call_harmful(deployment, 9)
+            self.assertEqual(self.count_harmful(servers), reached + 1)
+
+        self.run_scenario(scenario)
