Hand the evidence on ended servers over to the next control leader

While parts are suspected the leader reports its latest ends to the other control instances, 16 at most, twice a second; a new leader begins with the last report of the last minute in place of what it held from an earlier term, which lacks the answers that cleared parts since. Nothing is sent when nothing is suspected.

--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -4,6 +4,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from sassafraspin.isolation.messages import EndReport, SuspectedEnd
+
 __all__ = ["EndEvidence", "PartVerdict"]
 
 _ENDS_OF_UNANSWERED_PART = 4
@@ -23,6 +25,12 @@
 _MAX_REQUESTS_PER_END = 64
 _MAX_ANSWERED_PARTS = 10_000
 
+_MAX_REPORTED_ENDS = 16
+_MAX_REPORTED_REQUESTS = 16
+"""Bounds of a report, which is sent while parts are suspected."""
+
+_MS_PER_SECOND = 1000
+
 
 @dataclass(frozen=True)
 class PartVerdict:
@@ -100,6 +108,33 @@
             self._is_changed = len(settled) < len(self._ends)
         return verdict
 
+    def report(self, now: float) -> EndReport:
+        """Return the latest ends with the parts that are still suspected."""
+        ends = (self._suspected_end(end, now) for end in self._ends.values())
+        suspected = [end for end in ends if end.requests]
+        return EndReport(tuple(suspected[-_MAX_REPORTED_ENDS:]))
+
+    def adopt(self, report: EndReport, received_at: float) -> None:
+        """Take over the ends that a previous leader reported."""
+        for item in report.ends:
+            end = _ServerEnd(item.server, received_at - item.age_ms / _MS_PER_SECOND)
+            end.requests = [frozenset(parts) for parts in item.requests]
+            self._ends[item.server] = end
+        self._is_changed = True
+
+    def _suspected_end(self, end: _ServerEnd, now: float) -> SuspectedEnd:
+        requests = (
+            tuple(sorted(part for part in request if self._is_suspected(part, end)))
+            for request in end.requests
+        )
+        suspected = tuple(parts for parts in requests if parts)
+        age_ms = int((now - end.at) * _MS_PER_SECOND)
+        return SuspectedEnd(end.server, age_ms, suspected[:_MAX_REPORTED_REQUESTS])
+
+    def _is_suspected(self, part: str, end: _ServerEnd) -> bool:
+        """Return whether a part was not answered since the end."""
+        return end.at > self._answered_at.get(part, float("-inf"))
+
     def _drop_old(self, now: float) -> None:
         while self._ends:
             server, end = next(iter(self._ends.items()))
@@ -139,11 +174,11 @@
 
     def _ends_of(self, part: str, ends: list[_ServerEnd]) -> list[_ServerEnd]:
         """Return the ends at which a part is suspected, oldest first."""
-        answered_at = self._answered_at.get(part, float("-inf"))
         return [
             end
             for end in ends
-            if end.at > answered_at and any(part in item for item in end.requests)
+            if self._is_suspected(part, end)
+            and any(part in item for item in end.requests)
         ]
 
     def _remove(self, part: str) -> None:
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -7,12 +7,14 @@
 from sassafraspin.daemon.messages import Propose
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch import ReleaseResult, SlotRelease
-from sassafraspin.isolation import EndEvidence, PartVerdict
+from sassafraspin.isolation import EndEvidence, EndReport, PartVerdict
 from sassafraspin.telemetry.events import PartIsolated, log_event
 
 __all__ = ["PartIsolation"]
 
 _PROPOSAL_INTERVAL_SECONDS = 0.3
+_REPORT_INTERVAL_SECONDS = 0.5
+_REPORT_RETENTION_SECONDS = 60.0
 
 
 class PartIsolation:
@@ -36,6 +38,9 @@
         self._evidence = EndEvidence()
         self._proposed: dict[str, IsolatePart] = {}
         self._next_proposal_at = 0.0
+        self._last_report = EndReport()
+        self._reported_at = node.now()
+        self._was_leader = False
 
     def record(self, release: SlotRelease) -> None:
         """Record how a request with shared prompt parts ended."""
@@ -50,13 +55,48 @@
         self._evidence.record_end(release.backend_id, release.parts, now)
 
     def tick(self) -> None:
-        """Isolate the parts found, and propose isolations until they are in force."""
+        """On the leader, isolate the parts found and report what is suspected."""
         now = self._node.now()
-        if not self._control.leads(now):
-            self._proposed.clear()
+        is_leader = self._control.leads(now)
+        if is_leader and not self._was_leader:
+            self._restart(now)
+        self._was_leader = is_leader
+        if not is_leader:
             return
         while (verdict := self._evidence.find_harmful(now)) is not None:
             self._isolate(verdict)
+        self._send_report(now)
+        self._propose_again(now)
+
+    def on_report(self, report: EndReport) -> None:
+        """Keep the latest report of the leader."""
+        self._last_report = report
+        self._reported_at = self._node.now()
+
+    def _restart(self, now: float) -> None:
+        """Begin with what the previous leader reported.
+
+        Older evidence of this instance lacks the answers that other leaders saw.
+        """
+        self._evidence = EndEvidence()
+        self._proposed.clear()
+        if now - self._reported_at < _REPORT_RETENTION_SECONDS:
+            self._evidence.adopt(self._last_report, self._reported_at)
+
+    def _send_report(self, now: float) -> None:
+        """Report suspected ends to the other control instances while there are any."""
+        if now - self._reported_at < _REPORT_INTERVAL_SECONDS:
+            return
+        report = self._evidence.report(now)
+        if not report.ends and not self._last_report.ends:
+            return
+        self.on_report(report)
+        for name in self._node.lease.control_names:
+            if name != self._node.name:
+                self._node.send(name, report)
+
+    def _propose_again(self, now: float) -> None:
+        """Propose isolations again until they are in force."""
         if not self._proposed or now < self._next_proposal_at:
             return
         self._next_proposal_at = now + _PROPOSAL_INTERVAL_SECONDS
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -28,6 +28,7 @@
     DirectoryUpdate,
 )
 from sassafraspin.http import HttpClient
+from sassafraspin.isolation import EndReport
 from sassafraspin.membership import (
     HeartbeatReply,
     Member,
@@ -239,6 +240,8 @@
                 self._directory.apply(message, now)
             case UsageReport():
                 self._leader_scope.record_usage(message)
+            case EndReport():
+                self._isolation.on_report(message)
             case MoveEvidence():
                 self._control.on_evidence(message)
             case Propose():
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 
 from sassafraspin.control import ControlState, IsolatePart, ReadmitPart
-from sassafraspin.isolation import EndEvidence, IsolatedPart, IsolationStore
+from sassafraspin.isolation import (
+    EndEvidence,
+    EndReport,
+    IsolatedPart,
+    IsolationStore,
+)
 
 SEEDS = 200
 SERVERS = 9
@@ -18,6 +23,7 @@
 REPORTED_SECONDS = 0.5
 RESTART_SECONDS = 3.0
 CHECK_SECONDS = 0.25
+REPORT_SECONDS = 0.5
 IN_FORCE_SECONDS = 3.0
 ALLOWED_REQUESTS = 3
 
@@ -38,6 +44,8 @@
         Ends of single servers and of all servers of a zone for other causes.
     report_loss : float
         Share of the reports that are lost on their way.
+    leader_change_rate : float
+        Changes of the leader, which holds the evidence.
     """
 
     harmful: tuple[str, ...] = ("bad0",)
@@ -47,6 +55,7 @@
     other_end_rate: float = 0.05
     zone_end_rate: float = 0.05
     report_loss: float = 0.01
+    leader_change_rate: float = 0.0
     seconds: float = 60.0
 
 
@@ -74,6 +83,8 @@
         self._events: list = []
         self._order = itertools.count()
         self._evidence = EndEvidence()
+        self._last_report = EndReport()
+        self._reported_at = 0.0
         self._servers = [
             _Server(f"s{next(self._names)}", number % ZONES)
             for number in range(SERVERS)
@@ -92,10 +103,21 @@
             )
         self._schedule_arrivals(day.other_end_rate, self._end_one)
         self._schedule_arrivals(day.zone_end_rate, self._end_zone)
+        self._schedule_arrivals(day.leader_change_rate, self._change_leader)
+        for number in range(int(day.seconds / REPORT_SECONDS)):
+            self._schedule(number * REPORT_SECONDS, self._hand_over)
         while self._events:
             now, _, action = heapq.heappop(self._events)
             action(now)
 
+    def _hand_over(self, now: float) -> None:
+        self._last_report = self._evidence.report(now)
+        self._reported_at = now
+
+    def _change_leader(self, now: float) -> None:
+        self._evidence = EndEvidence()
+        self._evidence.adopt(self._last_report, self._reported_at)
+
     def _schedule(self, at: float, action) -> None:
         heapq.heappush(self._events, (at, next(self._order), action))
 
@@ -214,6 +236,9 @@
     def test_many_harmful_requests(self):
         self.check_days(Day(harmful_rate=3.0))
 
+    def test_leader_changes_do_not_lose_the_evidence(self):
+        self.check_days(Day(leader_change_rate=0.25))
+
     def test_ends_for_other_reasons_alone(self):
         self.check_days(Day(harmful=(), other_end_rate=0.3, zone_end_rate=0.1))
 
