Do not pass on an answer in an encoding that nobody asked for

A body with a Content-Encoding reached callers that had asked for none, with the seal of the server and the length of the encoded bytes: a claim about a body that the server of the seal did not make (found while looking for the class of ORDER).

A success with an encoding other than identity counts as lost now, unless the caller's request accepts encodings: safe calls go to another server, others get 502.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -27,6 +27,7 @@
 """Largest part of a streamed chunk that is handed over before other tasks get a turn;
 it may hold two thousand empty events."""
 
+_IDENTITY = "identity"
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
 _PROBE_TIMEOUT_SECONDS = 0.1
@@ -75,6 +76,11 @@
         """Return whether the end of the body is declared; else it may be short."""
         return self.framing is not BodyFraming.CONNECTION
 
+    @property
+    def is_encoded(self) -> bool:
+        """Return whether the body has a content encoding other than ``identity``."""
+        return (self.headers.get("content-encoding") or _IDENTITY) != _IDENTITY
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks until its end, in parts if they are large.
 
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -85,6 +85,11 @@
         """Return the identifiers of the prompt parts shared with other requests."""
         return shared_parts(self.metadata.prompt)
 
+    @property
+    def accepts_encodings(self) -> bool:
+        """Return whether the caller asked for an encoded answer."""
+        return self.request.headers.get("accept-encoding") not in (None, "identity")
+
     @property
     def charged_tokens(self) -> int:
         """Return the tokens charged against the account's usage cap."""
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -274,6 +274,8 @@
         # Callers reject a success without the seal header.
         if is_success and not metadata.is_sealed:
             raise ConnectionLost("the answer bears no seal")
+        if is_success and response.is_encoded and not self._call.accepts_encodings:
+            raise ConnectionLost("the answer is encoded, which the caller did not ask")
         headers = self._adapter.caller_headers(response.headers)
         if is_success and self._call.route.kind is RouteKind.STREAM:
             return await self._relay_stream(response, headers, timing)
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -215,6 +215,24 @@
         self.assertEqual(self.receive("/unsafe/1", script).status, 502)
 
 
+class TestEncodedAnswers(ScriptedTestCase):
+    """A caller that asked for no encoding does not get an encoded body."""
+
+    def test_encoded_answer_is_lost(self):
+        body = b"content-encoding: gzip\r\ncontent-length: 6\r\n\r\nanswer"
+        for path in ("/unsafe/1", "/stream/1"):
+            received = self.receive(path, Script(SUCCESS + body))
+            self.assertEqual(received.status, 502, path)
+
+    def test_safe_call_with_an_encoded_answer_is_retried(self):
+        encoded = b"content-encoding: br\r\ncontent-length: 6\r\n\r\nencode"
+        plain = b"content-encoding: identity\r\ncontent-length: 6\r\n\r\nanswer"
+        received = self.receive(
+            "/safe/1", Script(SUCCESS + encoded), Script(SUCCESS + plain)
+        )
+        self.assertEqual((received.status, received.body), (200, b"answer"))
+
+
 class TestEndOfTheEntryInstance(ScriptedTestCase):
     """An answer that we broke off ourselves does not look complete."""
 
