--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -1,6 +1,5 @@
 """Attribution of the ends of backend servers to parts of prompts."""
 
-import itertools
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -72,7 +71,7 @@
     def __init__(self) -> None:
         self._ends: OrderedDict[str, _ServerEnd] = OrderedDict()
         self._answered_at: OrderedDict[str, float] = OrderedDict()
-        self._is_changed = False
+        self._search_at: float | None = None
 
     def record_answer(self, parts: tuple[str, ...], now: float) -> None:
         """Record that a server answered a request with these parts and went on."""
@@ -88,7 +87,8 @@
         end = self._ends.setdefault(server, _ServerEnd(server, now))
         if len(end.requests) < _MAX_REQUESTS_PER_END:
             end.requests.append(frozenset(parts))
-        self._is_changed = True
+        if self._search_at is None:
+            self._search_at = now + _SETTLE_SECONDS
 
     def find_harmful(self, now: float) -> PartVerdict | None:
         """Return the most suspected part if it has reached its number of ends.
@@ -96,7 +96,7 @@
         Its requests are removed from all ends: it is found once, and it explains the
         ends of its requests.
         """
-        if not self._is_changed:
+        if self._search_at is None or now < self._search_at:
             return None
         settled = [
             end for end in self._ends.values() if now - end.at >= _SETTLE_SECONDS
@@ -104,9 +104,10 @@
         verdict = self._most_suspected(settled)
         if verdict is not None:
             self._remove(verdict.part)
-        else:
-            self._is_changed = len(settled) < len(self._ends)
-        return verdict
+            return verdict
+        is_settled = len(settled) == len(self._ends)
+        self._search_at = None if is_settled else now + _SETTLE_SECONDS
+        return None
 
     def report(self, now: float) -> EndReport:
         """Return the latest ends with the parts that are still suspected."""
@@ -120,7 +121,7 @@
             end = _ServerEnd(item.server, received_at - item.age_ms / _MS_PER_SECOND)
             end.requests = [frozenset(parts) for parts in item.requests]
             self._ends[item.server] = end
-        self._is_changed = True
+        self._search_at = received_at
 
     def _suspected_end(self, end: _ServerEnd, now: float) -> SuspectedEnd:
         requests = (
@@ -149,8 +150,7 @@
         A part that was never answered goes first, then the one with more ends, then
         the one whose ends are less explained by the other parts of its requests.
         """
-        requests = itertools.chain.from_iterable(end.requests for end in ends)
-        suspected = {part: self._ends_of(part, ends) for part in set().union(*requests)}
+        suspected = self._ends_by_part(ends)
         counts = {part: _count_ends(own) for part, own in suspected.items()}
         harmful = [
             part for part, count in counts.items() if count >= self._required_ends(part)
@@ -172,14 +172,14 @@
             return _ENDS_OF_ANSWERED_PART
         return _ENDS_OF_UNANSWERED_PART
 
-    def _ends_of(self, part: str, ends: list[_ServerEnd]) -> list[_ServerEnd]:
-        """Return the ends at which a part is suspected, oldest first."""
-        return [
-            end
-            for end in ends
-            if self._is_suspected(part, end)
-            and any(part in item for item in end.requests)
-        ]
+    def _ends_by_part(self, ends: list[_ServerEnd]) -> dict[str, list[_ServerEnd]]:
+        """Return the ends at which each part is suspected, oldest first."""
+        by_part: dict[str, list[_ServerEnd]] = {}
+        for end in ends:
+            for part in frozenset().union(*end.requests):
+                if self._is_suspected(part, end):
+                    by_part.setdefault(part, []).append(end)
+        return by_part
 
     def _remove(self, part: str) -> None:
         """Remove the requests with a part from all ends."""
@@ -203,7 +203,7 @@
 def _explained(part: str, ends: list[_ServerEnd], counts: dict[str, int]) -> int:
     """Return how far the other parts of its requests explain the ends of a part."""
     others = (
-        max((counts[other] for other in request - {part}), default=0)
+        max((counts.get(other, 0) for other in request - {part}), default=0)
         for end in ends
         for request in end.requests
         if part in request
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -199,6 +199,7 @@
             return
         self._evidence.record_end(server.name, request.parts, now)
         self._schedule(now + CHECK_SECONDS, self._check)
+        self._schedule(now + 2 * CHECK_SECONDS, self._check)
 
     def _check(self, now: float) -> None:
         while (verdict := self._evidence.find_harmful(now)) is not None:
