--- a/benchmarks/isolation_cost.py
+++ b/benchmarks/isolation_cost.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from sassafraspin.dispatch import ReleaseResult, SlotRelease
-from sassafraspin.isolation import EndEvidence, IsolatedPart, IsolationStore
+from sassafraspin.isolation import CrashEvidence, IsolatedPart, IsolationStore
 
 _REPEATS = 20_000
 _ENDS = 256
@@ -35,7 +35,7 @@
     )
     answer_us = _microseconds(lambda: evidence.record_answer(_PARTS, 1.0), _REPEATS)
     look_up_us = _microseconds(lambda: store.find(_PARTS), _REPEATS)
-    tick_us = _microseconds(lambda: EndEvidence().find_harmful(1.0), _REPEATS)
+    tick_us = _microseconds(lambda: CrashEvidence().find_harmful(1.0), _REPEATS)
     find_ms = _microseconds(lambda: _full_evidence().find_harmful(1e6), 20) / 1000
     build_ms = _microseconds(_full_evidence, 20) / 1000
     report = evidence.report(1.0)
@@ -55,12 +55,12 @@
     }
 
 
-def _full_evidence() -> EndEvidence:
-    evidence = EndEvidence()
+def _full_evidence() -> CrashEvidence:
+    evidence = CrashEvidence()
     for number in range(_ENDS):
         for request in range(_REQUESTS_PER_END):
             parts = (f"first{number % 40}", f"own{number}-{request}")
-            evidence.record_end(f"server{number}", parts, number / 100)
+            evidence.record_crash(f"server{number}", parts, number / 100)
     return evidence
 
 
--- a/src/sassafraspin/backends/prompts.py
+++ b/src/sassafraspin/backends/prompts.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["MAX_REPORTED_PARTS", "PromptPart", "shared_parts"]
+__all__ = ["PromptPart", "shared_parts"]
 
-MAX_REPORTED_PARTS = 32
+_MAX_SHARED_PARTS = 32
 """Largest number of parts of one prompt that messages and logs carry."""
 
 
@@ -29,4 +29,4 @@
 
     The last part belongs to the request itself or to its session.
     """
-    return tuple(part.id for part in prompt[:-1][:MAX_REPORTED_PARTS])
+    return tuple(part.id for part in prompt[:-1][:_MAX_SHARED_PARTS])
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -95,7 +95,7 @@
 
 
 class IsolatePart(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Refuse requests with a prompt part, under which the named servers ended."""
+    """Refuse requests with a prompt part, under which the named servers crashed."""
 
     change_id: str
     at_ms: int
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -8,7 +8,7 @@
 from sassafraspin.discovery import DiscoveryMessage
 from sassafraspin.dispatch import DispatchMessage
 from sassafraspin.dispatch.directory import DirectoryUpdate
-from sassafraspin.isolation import EndReport
+from sassafraspin.isolation import CrashReport
 from sassafraspin.ledger import LedgerMessage
 from sassafraspin.membership import MembershipMessage
 from sassafraspin.moves import MoveMessage
@@ -41,7 +41,7 @@
     | DiscoveryMessage
     | DirectoryUpdate
     | UsageReport
-    | EndReport
+    | CrashReport
     | Propose
     | ProposeReply
 )
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -164,7 +164,7 @@
     """Reports the end of a granted request; unknown times are 0.
 
     ``parts`` are the prompt parts that other requests may share.
-    ``may_have_ended_server`` says that the server ended while it was to answer the
+    ``may_have_crashed_server`` says that the server crashed while it was to answer the
     request, or soon after it had begun to.
     """
 
@@ -177,7 +177,7 @@
     total_ms: int = 0
     answer_tokens: int = 0
     parts: tuple[str, ...] = ()
-    may_have_ended_server: bool = False
+    may_have_crashed_server: bool = False
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/isolation/__init__.py
+++ b/src/sassafraspin/isolation/__init__.py
@@ -1,14 +1,14 @@
-"""Isolation of prompt parts that end the backend servers which answer them."""
+"""Isolation of prompt parts whose requests crash backend servers."""
 
-from sassafraspin.isolation.evidence import EndEvidence, PartVerdict
-from sassafraspin.isolation.messages import EndReport, SuspectedEnd
+from sassafraspin.isolation.evidence import CrashEvidence, PartVerdict
+from sassafraspin.isolation.messages import CrashReport, SuspectedCrash
 from sassafraspin.isolation.store import IsolatedPart, IsolationStore
 
 __all__ = [
-    "EndEvidence",
-    "EndReport",
+    "CrashEvidence",
+    "CrashReport",
     "IsolatedPart",
     "IsolationStore",
     "PartVerdict",
-    "SuspectedEnd",
+    "SuspectedCrash",
 ]
--- a/src/sassafraspin/isolation/messages.py
+++ b/src/sassafraspin/isolation/messages.py
@@ -1,11 +1,11 @@
-"""Messages between control instances about the ends of backend servers."""
+"""Messages between control instances about the crashes of backend servers."""
 
 import msgspec
 
-__all__ = ["EndReport", "SuspectedEnd"]
+__all__ = ["CrashReport", "SuspectedCrash"]
 
 
-class SuspectedEnd(msgspec.Struct, frozen=True, array_like=True):
+class SuspectedCrash(msgspec.Struct, frozen=True, array_like=True):
     """End of a server, with the suspected parts of each request it was to answer."""
 
     server: str
@@ -13,7 +13,7 @@
     requests: tuple[tuple[str, ...], ...]
 
 
-class EndReport(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """The control leader's latest ends with suspected parts, oldest first."""
+class CrashReport(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The control leader's latest crashes with suspected parts, oldest first."""
 
-    ends: tuple[SuspectedEnd, ...] = ()
+    crashes: tuple[SuspectedCrash, ...] = ()
--- a/src/sassafraspin/isolation/store.py
+++ b/src/sassafraspin/isolation/store.py
@@ -17,7 +17,7 @@
     part : str
         Identifier of the part.
     servers : tuple of str
-        Backend servers that ended with requests that have the part.
+        Backend servers that crashed with requests that have the part.
     since_ms : int
         Wall clock time of the isolation, in milliseconds since 1970.
     """
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -43,7 +43,7 @@
 
 _RETRY_AFTER_MS = 500
 _BEGINNING_SECONDS = 0.5
-"""A server that wrote an answer for longer did not end for it."""
+"""A server that wrote an answer for longer did not crash for it."""
 
 _MS_PER_SECOND = 1000
 
@@ -77,14 +77,14 @@
 
 
 @dataclass
-class _AttemptTiming:
+class _AttemptProgress:
     sent_at: float
     first_data_at: float | None = None
     last_data_at: float = 0.0
     longest_pause: float = 0.0
     events: int = 0
     framing: BodyFraming | None = None
-    server_ended: bool = False
+    server_crashed: bool = False
 
     def record_data(self, now: float) -> None:
         """Record that a complete answer or a chunk of a stream has arrived."""
@@ -213,17 +213,19 @@
             raise
 
     async def _attempt(self, grant: SlotGrant) -> AttemptOutcome:
-        timing = _AttemptTiming(self._node.now())
+        progress = _AttemptProgress(self._node.now())
         result = ReleaseResult.CANCELLED
         try:
-            outcome = await self._send(grant, timing)
+            outcome = await self._send(grant, progress)
             result = _release_result(outcome)
             return outcome
         finally:
-            self._release(grant, result, timing)
-            self._log_attempt(grant, result, timing)
+            self._release(grant, result, progress)
+            self._log_attempt(grant, result, progress)
 
-    async def _send(self, grant: SlotGrant, timing: _AttemptTiming) -> AttemptOutcome:
+    async def _send(
+        self, grant: SlotGrant, progress: _AttemptProgress
+    ) -> AttemptOutcome:
         # The part may have been isolated while the request waited for its slot.
         if self._isolated_part is not None or not self._slots.is_usable(grant):
             return NotRun()
@@ -238,17 +240,17 @@
         self._may_have_run = True
         try:
             async with self._client.open(address, request) as response:
-                outcome = await self._read_response(response, timing)
+                outcome = await self._read_response(response, progress)
         except ConnectFailed:
             outcome = NotRun()
         except ConnectionLost as error:
             outcome = Lost(str(error))
-            timing.server_ended = await self._has_ended(address)
+            progress.server_crashed = await self._has_crashed(address)
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
 
-    async def _has_ended(self, address: Address) -> bool:
-        """Return whether a server that lost a request with shared parts has ended.
+    async def _has_crashed(self, address: Address) -> bool:
+        """Return whether a server that lost a request with shared parts has crashed.
 
         Other requests give no reason to look, and each look opens a connection.
         """
@@ -257,9 +259,9 @@
         return await self._client.refuses_connections(address)
 
     async def _read_response(
-        self, response: OpenResponse, timing: _AttemptTiming
+        self, response: OpenResponse, progress: _AttemptProgress
     ) -> AttemptOutcome:
-        timing.framing = response.framing
+        progress.framing = response.framing
         metadata = self._adapter.read_response(response.status, response.headers)
         own_id = self._call.metadata.request_id
         # A request that was refused unread has no identifier to return.
@@ -275,36 +277,38 @@
         if is_success and not metadata.is_sealed:
             raise ConnectionLost("the answer bears no seal")
         if is_success and response.is_encoded and not self._call.accepts_encodings:
-            raise ConnectionLost("the answer is encoded, which the caller did not ask")
+            raise ConnectionLost(
+                "the answer is encoded, and the caller asked for no encoding"
+            )
         headers = self._adapter.caller_headers(response.headers)
         if is_success and self._call.route.kind is RouteKind.STREAM:
-            return await self._relay_stream(response, headers, timing)
+            return await self._relay_stream(response, headers, progress)
         body = await response.read()
         whole = Response(response.status, headers, body, response.is_framed)
         if not is_success:
             return Failed(whole)
-        timing.record_data(self._node.now())
+        progress.record_data(self._node.now())
         await self._responder.send(whole)
         return Delivered()
 
     async def _relay_stream(
-        self, response: OpenResponse, headers: Headers, timing: _AttemptTiming
+        self, response: OpenResponse, headers: Headers, progress: _AttemptProgress
     ) -> AttemptOutcome:
         is_resumed = self._resume_after is not None
         head = StreamHead(response.status, headers, response.is_framed, is_resumed)
         self._stream.start_attempt(head)
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
-                timing.record_data(self._node.now())
-                timing.events += await self._stream.forward(chunk)
+                progress.record_data(self._node.now())
+                progress.events += await self._stream.forward(chunk)
         await self._stream.finish()
         return Delivered()
 
     def _release(
-        self, grant: SlotGrant, result: ReleaseResult, timing: _AttemptTiming
+        self, grant: SlotGrant, result: ReleaseResult, progress: _AttemptProgress
     ) -> None:
         now = self._node.now()
-        first_data_at = timing.first_data_at or now
+        first_data_at = progress.first_data_at or now
         has_just_begun = now - first_data_at < _BEGINNING_SECONDS
         self._slots.release(
             SlotRelease(
@@ -313,18 +317,18 @@
                 grant.grant_id,
                 grant.backend_id,
                 result,
-                int((first_data_at - timing.sent_at) * _MS_PER_SECOND),
-                int((now - timing.sent_at) * _MS_PER_SECOND),
-                timing.events * self._call.tokens_per_event,
+                int((first_data_at - progress.sent_at) * _MS_PER_SECOND),
+                int((now - progress.sent_at) * _MS_PER_SECOND),
+                progress.events * self._call.tokens_per_event,
                 self._call.shared_parts,
-                timing.server_ended and has_just_begun,
+                progress.server_crashed and has_just_begun,
             )
         )
 
     def _log_attempt(
-        self, grant: SlotGrant, result: ReleaseResult, timing: _AttemptTiming
+        self, grant: SlotGrant, result: ReleaseResult, progress: _AttemptProgress
     ) -> None:
-        first = timing.first_data_at
+        first = progress.first_data_at
         log_event(
             TryEnded(
                 request=self._call.metadata.request_id,
@@ -338,15 +342,15 @@
                 prompt_tokens=self._call.metadata.prompt_tokens,
                 answer_tokens=self._call.metadata.answer_tokens,
                 waited_ms=grant.waited_ms,
-                asked_ms=_ms(timing.sent_at - self._started_at),
+                asked_ms=_ms(progress.sent_at - self._started_at),
                 expected_first_ms=grant.expected_first_ms,
-                first_ms=None if first is None else _ms(first - timing.sent_at),
-                longest_pause_ms=_ms(timing.longest_pause),
-                total_ms=_ms(self._node.now() - timing.sent_at),
-                events=timing.events,
+                first_ms=None if first is None else _ms(first - progress.sent_at),
+                longest_pause_ms=_ms(progress.longest_pause),
+                total_ms=_ms(self._node.now() - progress.sent_at),
+                events=progress.events,
                 parts=self._call.shared_parts,
-                server_ended=timing.server_ended,
-                framing=None if timing.framing is None else timing.framing.value,
+                server_crashed=progress.server_crashed,
+                framing=None if progress.framing is None else progress.framing.value,
                 end=result.value,
             )
         )
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -7,7 +7,7 @@
 from sassafraspin.daemon.messages import Propose
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch import ReleaseResult, SlotRelease
-from sassafraspin.isolation import EndEvidence, EndReport, PartVerdict
+from sassafraspin.isolation import CrashEvidence, CrashReport, PartVerdict
 from sassafraspin.telemetry.events import PartIsolated, log_event
 
 __all__ = ["PartIsolation"]
@@ -35,10 +35,10 @@
     def __init__(self, node: Node, control: ControlService) -> None:
         self._node = node
         self._control = control
-        self._evidence = EndEvidence()
+        self._evidence = CrashEvidence()
         self._proposed: dict[str, IsolatePart] = {}
         self._next_proposal_at = 0.0
-        self._last_report = EndReport()
+        self._last_report = CrashReport()
         self._reported_at = node.now()
         self._was_leader = False
 
@@ -50,9 +50,9 @@
         if release.result is ReleaseResult.ANSWERED:
             self._evidence.record_answer(release.parts, now)
             return
-        if not release.may_have_ended_server or self._is_explained(release):
+        if not release.may_have_crashed_server or self._is_explained(release):
             return
-        self._evidence.record_end(release.backend_id, release.parts, now)
+        self._evidence.record_crash(release.backend_id, release.parts, now)
 
     def tick(self) -> None:
         """On the leader, isolate the parts found and report what is suspected."""
@@ -68,7 +68,7 @@
         self._send_report(now)
         self._propose_again(now)
 
-    def on_report(self, report: EndReport) -> None:
+    def on_report(self, report: CrashReport) -> None:
         """Keep the latest report of the leader."""
         self._last_report = report
         self._reported_at = self._node.now()
@@ -78,17 +78,17 @@
 
         Older evidence of this instance lacks the answers that other leaders saw.
         """
-        self._evidence = EndEvidence()
+        self._evidence = CrashEvidence()
         self._proposed.clear()
         if now - self._reported_at < _REPORT_RETENTION_SECONDS:
             self._evidence.adopt(self._last_report, self._reported_at)
 
     def _send_report(self, now: float) -> None:
-        """Report suspected ends to the other control instances while there are any."""
+        """Report suspected crashes, if any, to the other control instances."""
         if now - self._reported_at < _REPORT_INTERVAL_SECONDS:
             return
         report = self._evidence.report(now)
-        if not report.ends and not self._last_report.ends:
+        if not report.crashes and not self._last_report.crashes:
             return
         self.on_report(report)
         for name in self._node.lease.control_names:
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -77,7 +77,7 @@
 
 
 class PartRefused(RequestProblem):
-    """A part of the prompt is isolated because servers ended when they answered it.
+    """A part of the prompt is isolated because servers crashed when they answered it.
 
     The status states that the request was not run, which holds also for a caller whose
     part was isolated by mistake; only an operator ends an isolation.
@@ -90,7 +90,7 @@
 
     def __init__(self, part: str) -> None:
         super().__init__(
-            f"backend servers ended under the prompt part {part!r}; send the request "
+            f"backend servers crashed under the prompt part {part!r}; send the request "
             "without it, or ask an operator to readmit it"
         )
 
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -28,7 +28,7 @@
     DirectoryUpdate,
 )
 from sassafraspin.http import HttpClient
-from sassafraspin.isolation import EndReport
+from sassafraspin.isolation import CrashReport
 from sassafraspin.membership import (
     HeartbeatReply,
     Member,
@@ -240,7 +240,7 @@
                 self._directory.apply(message, now)
             case UsageReport():
                 self._leader_scope.record_usage(message)
-            case EndReport():
+            case CrashReport():
                 self._isolation.on_report(message)
             case MoveEvidence():
                 self._control.on_evidence(message)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -138,7 +138,7 @@
     number of servers that were tried before. ``framing`` is how the server declared the
     end of its answer: ``length``, ``chunked``, ``none`` without a body, ``connection``
     if it ends with its connection, empty if no answer began. ``parts`` are the prompt
-    parts that other requests may share, and ``server_ended`` says that the server
+    parts that other requests may share, and ``server_crashed`` says that the server
     refused connections after the answer was lost.
     """
 
@@ -162,7 +162,7 @@
     total_ms: int
     events: int
     parts: tuple[str, ...]
-    server_ended: bool
+    server_crashed: bool
     framing: str | None
     end: str
 
@@ -171,13 +171,13 @@
 class PartIsolated(Event):
     """Requests with a prompt part are refused from now on, by all instances.
 
-    ``servers`` ended while they were to answer a request with the part, or soon after
+    ``servers`` crashed while they were to answer a request with the part, or soon after
     they had begun to, and ``was_answered`` says whether such a request was answered
     before.
     """
 
     part: ClassVar[str] = "dispatch"
-    text: ClassVar[str] = "A part of prompts ends servers; its requests are refused."
+    text: ClassVar[str] = "A part of prompts crashes servers; its requests are refused."
     prompt_part: str
     servers: tuple[str, ...]
     was_answered: bool
--- a/tests/test_end_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -8,8 +8,8 @@
 
 from sassafraspin.control import ControlState, IsolatePart, ReadmitPart
 from sassafraspin.isolation import (
-    EndEvidence,
-    EndReport,
+    CrashEvidence,
+    CrashReport,
     IsolatedPart,
     IsolationStore,
 )
@@ -82,8 +82,8 @@
         self._names = itertools.count()
         self._events: list = []
         self._order = itertools.count()
-        self._evidence = EndEvidence()
-        self._last_report = EndReport()
+        self._evidence = CrashEvidence()
+        self._last_report = CrashReport()
         self._reported_at = 0.0
         self._servers = [
             _Server(f"s{next(self._names)}", number % ZONES)
@@ -115,7 +115,7 @@
         self._reported_at = now
 
     def _change_leader(self, now: float) -> None:
-        self._evidence = EndEvidence()
+        self._evidence = CrashEvidence()
         self._evidence.adopt(self._last_report, self._reported_at)
 
     def _schedule(self, at: float, action) -> None:
@@ -197,7 +197,7 @@
     def _report(self, server: _Server, request: _Request, now: float) -> None:
         if self._is_lost():
             return
-        self._evidence.record_end(server.name, request.parts, now)
+        self._evidence.record_crash(server.name, request.parts, now)
         self._schedule(now + CHECK_SECONDS, self._check)
         self._schedule(now + 2 * CHECK_SECONDS, self._check)
 
@@ -248,13 +248,13 @@
     """Single rules of the attribution."""
 
     def setUp(self):
-        self.evidence = EndEvidence()
+        self.evidence = CrashEvidence()
 
     def end_servers(self, count: int, parts: tuple[str, ...], start: float = 0.0):
         """Report ends one second apart; return the last verdict."""
         for number in range(count):
             at = start + number
-            self.evidence.record_end(f"s{at}", parts, at)
+            self.evidence.record_crash(f"s{at}", parts, at)
             verdict = self.evidence.find_harmful(at + CHECK_SECONDS)
         return verdict
 
@@ -276,21 +276,21 @@
 
     def test_servers_that_end_at_one_moment_count_twice_at_most(self):
         for number in range(9):
-            self.evidence.record_end(f"s{number}", ("part",), number / 100)
+            self.evidence.record_crash(f"s{number}", ("part",), number / 100)
         self.assertIsNone(self.evidence.find_harmful(1.0))
         self.assertIsNone(self.end_servers(1, ("part",), 2.0))
         self.assertEqual(self.end_servers(1, ("part",), 3.0).part, "part")
 
     def test_several_requests_at_one_server_count_once(self):
         for _ in range(9):
-            self.evidence.record_end("s0", ("part",), 0.0)
+            self.evidence.record_crash("s0", ("part",), 0.0)
         self.assertIsNone(self.evidence.find_harmful(1.0))
 
     def test_evidence_is_bounded(self):
         for number in range(20_000):
-            self.evidence.record_end(f"s{number}", (f"part{number}",), number / 100)
+            self.evidence.record_crash(f"s{number}", (f"part{number}",), number / 100)
             self.evidence.record_answer((f"answered{number}",), number / 100)
-        self.assertLessEqual(len(self.evidence._ends), 256)
+        self.assertLessEqual(len(self.evidence._crashes), 256)
         self.assertLessEqual(len(self.evidence._answered_at), 10_000)
 
 
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -120,7 +120,7 @@
             await deployment.call("/resumed/1", x_prefix_hash="aa:9,dd:9")
 
         self.run_scenario(scenario)
-        logged = [(item.parts, item.server_ended, item.end) for item in self.tries]
+        logged = [(item.parts, item.server_crashed, item.end) for item in self.tries]
         self.assertEqual(logged[0], (("aa", "bad0"), True, "failed"))
         self.assertEqual(logged[-1], (("aa",), False, "answered"))
 
