--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -52,7 +52,7 @@
 
 @dataclass
 class _Crash:
-    """End of one server, with the parts of each request that may have caused it."""
+    """Crash of one server, with the parts of each request that may have caused it."""
 
     server: str
     at: float
--- a/src/sassafraspin/isolation/messages.py
+++ b/src/sassafraspin/isolation/messages.py
@@ -6,7 +6,7 @@
 
 
 class SuspectedCrash(msgspec.Struct, frozen=True, array_like=True):
-    """End of a server, with the suspected parts of each request it was to answer."""
+    """Crash of a server, with the suspected parts of each request it was to answer."""
 
     server: str
     age_ms: int
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -110,7 +110,7 @@
             self._node.send(self._node.name, Propose(command))
 
     def _is_explained(self, release: SlotRelease) -> bool:
-        """Return whether a part that was found already explains the end."""
+        """Return whether a part that was found already explains the crash."""
         if any(part in self._proposed for part in release.parts):
             return True
         isolation = self._node.configuration.state.isolation
