Log which leader an instance follows, and who acknowledged that a server leaves

The hypotheses on DRAIN differ in who granted a late call and what that instance believed: a leader that has none, a copy of the directory made before the acknowledgement, or a successor that never knew of it. The grant tells the first two apart from the third only together with the leader that the instance followed and the instance that acknowledged the server; no line held either.

--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -16,7 +16,7 @@
 from sassafraspin.routed.problems import NotCurrent
 from sassafraspin.routes import DeclaredTable, RoutingTable
 from sassafraspin.settings import Address
-from sassafraspin.telemetry.events import PartReadmitted, log_event
+from sassafraspin.telemetry.events import PartReadmitted, ServerLeaving, log_event
 
 __all__ = ["Operations", "RolloutState"]
 
@@ -99,7 +99,13 @@
 
         Raises ``NotCurrent`` if its service is not dispatched here.
         """
-        if not self._dispatch.announce(announcement):
+        is_applied = self._dispatch.announce(announcement)
+        if announcement.leaving:
+            incarnation, sequence = announcement.order
+            log_event(
+                ServerLeaving(announcement.id, incarnation, sequence, is_applied, 0)
+            )
+        if not is_applied:
             raise NotCurrent("this instance does not dispatch for the service")
 
     def withdraw(self, backend_id: str) -> None:
@@ -107,6 +113,7 @@
         if not self.is_leader:
             raise NotCurrent("this instance does not lead")
         self._dispatch.withdraw_server(backend_id)
+        log_event(ServerLeaving(backend_id, None, None, True, 0))
 
     async def start_rollout(self, service: str, target: str, seconds: float) -> None:
         """Declare a move to a version, to be finished within ``seconds``.
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -1,5 +1,6 @@
 """Components of a daemon that start once the control instances are known."""
 
+import math
 import random
 
 from sassafraspin.admission import UsageReport
@@ -48,7 +49,7 @@
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import NamedAddress
 from sassafraspin.telemetry import part_logger
-from sassafraspin.telemetry.events import ResourceUsage, log_event
+from sassafraspin.telemetry.events import LeaderChanged, ResourceUsage, log_event
 from sassafraspin.telemetry.resources import ReportSchedule, resident_bytes
 
 __all__ = ["RoutedRuntime"]
@@ -140,6 +141,7 @@
         )
         self.handle_control = adapter.control_handler(operations)
         self._report_schedule = ReportSchedule(self.node.now())
+        self._logged_leader: str | None = None
 
     @property
     def has_table(self) -> bool:
@@ -265,8 +267,18 @@
             self.node.lease.on_reply(source, reply, configuration.index, now)
         elif reply.leader is not None:
             self.node.lease.set_leader(reply.leader)
+        self._log_leader_change(source, now)
         self._update_peer_addresses()
 
+    def _log_leader_change(self, told_by: str | None, now: float) -> None:
+        lease = self.node.lease
+        if lease.leader == self._logged_leader:
+            return
+        self._logged_leader = lease.leader
+        age = lease.configuration_age(now)
+        age_ms = None if age == math.inf else int(age * _MS_PER_SECOND)
+        log_event(LeaderChanged(lease.leader, told_by, self.node.view.number, age_ms))
+
     def _update_peer_addresses(self) -> None:
         view = self.node.view
         if view.number == self._applied_view:
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -21,9 +21,11 @@
     "InstanceStarted",
     "InstanceStopped",
     "InstanceStopping",
+    "LeaderChanged",
     "PartIsolated",
     "PartReadmitted",
     "ResourceUsage",
+    "ServerLeaving",
     "TableInForce",
     "TryEnded",
     "describe_events",
@@ -105,6 +107,41 @@
     dispatcher: str | None
 
 
+@dataclass(frozen=True)
+class LeaderChanged(Event):
+    """The instance follows another control leader.
+
+    ``told_by`` is the instance that named it, ``view`` the number of the view here, and
+    ``configuration_age_ms`` the time since the configuration was last confirmed as
+    current, empty if it never was.
+    """
+
+    part: ClassVar[str] = "membership"
+    text: ClassVar[str] = "This instance follows another control leader."
+    leader: str | None
+    told_by: str | None
+    view: int
+    configuration_age_ms: int | None
+
+
+@dataclass(frozen=True)
+class ServerLeaving(Event):
+    """A backend server said that it leaves, or was withdrawn.
+
+    ``incarnation`` and ``sequence`` order its announcements; both are empty for a
+    withdrawal. ``after_ms`` is the time until the answer, ``acknowledged`` whether it
+    was a success.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "A backend server is leaving or was withdrawn."
+    server: str
+    incarnation: int | None
+    sequence: int | None
+    acknowledged: bool
+    after_ms: int
+
+
 @dataclass(frozen=True)
 class ResourceUsage(Event):
     """Memory of the process and bytes by owner, each 5 s and when memory has grown.
@@ -243,6 +280,8 @@
     InstanceStopped,
     ControlChanged,
     TableInForce,
+    LeaderChanged,
+    ServerLeaving,
     DispatcherLost,
     DispatcherRegained,
     ResourceUsage,
--- a/src/sassafraspin/telemetry/timeline.py
+++ b/src/sassafraspin/telemetry/timeline.py
@@ -17,6 +17,7 @@
         "DispatcherRegained",
         "InstanceStarted",
         "InstanceStopping",
+        "LeaderChanged",
         "TableInForce",
     }
 )
