Set the loss and the delay of late grants before the first request

The two tests of late grants asked before the delay was set, so the first answer arrived at once and was rightly usable: they failed whatever the client did. They now wait until the delay is in place, and still fail on this code for the reason named.

--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import trio
+import trio.testing
 
 from sassafraspin.admission import AccountLimits
 from sassafraspin.daemon.slots import SlotClient
@@ -221,6 +222,7 @@
             link = DispatcherLink()
             async with trio.open_nursery() as link.nursery:
                 link.nursery.start_soon(before_the_answer, link)
+                await trio.testing.wait_all_tasks_blocked()
                 grant = await link.client.acquire(request)
                 is_usable = isinstance(grant, SlotGrant) and link.client.is_usable(
                     grant
