Follow the control leader of the newest term, and let it announce itself

What callers saw: requests at backend servers more than two seconds after these had said that they leave (DRAIN), and refusals for as long as the cut lasted.

Cause: an instance took whoever answered its heartbeat for one that knows the leader. A control instance that is cut off from the others goes on answering, names no leader, and so kept its members for as long as the cut lasted; the new leader told nobody that it leads and removed them from the view as silent.

Ruled out: that the instances could not reach the new leader; after the heal they followed it within one heartbeat.

Why this works: who leads is a claim with a source, a term and an end. A member counts only messages of the leader itself as contact, adopts no claim of an older term, asks the next control instance when no leader is named, and drops a claim that is not renewed within a lease. A leader announces itself to members that do not report to it, with each tick at the start of its term, so they follow it whatever they believed.

--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -28,6 +28,7 @@
 from sassafraspin.membership import (
     ConfigUpdate,
     HeartbeatReply,
+    Member,
     MemberHeartbeat,
     MemberIdentity,
     MemberTable,
@@ -150,6 +151,7 @@
             settings.voters,
         )
         self._member_table: MemberTable | None = None
+        self._leads_since = now
         self._transfers = ConfigTransfers(configuration)
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
@@ -180,6 +182,7 @@
             return
         if self._member_table is None:
             self._member_table = MemberTable(self._settings.members, now)
+            self._leads_since = now
             self._transfers = ConfigTransfers(self._configuration)
             _log.info(
                 "This instance acquired the leader lease in term {}.",
@@ -202,11 +205,11 @@
         lease = 0.0
         update: ConfigUpdate | None = None
         voters: tuple[str, ...] = ()
-        leader = self._replica.leader
+        leader = self._replica.current_leader(now)
         if self._member_table is not None and self.leads(now):
             view = self._configuration.state.view
             lease = self._member_table.grant(identity, heartbeat, view, now)
-            voters = tuple(voter.name for voter in self._replica.log.voters)
+            voters = self._voter_names
             update = self._transfers.reply_update(identity, heartbeat, now)
         elif leader == self._settings.name:
             leader = None
@@ -217,8 +220,37 @@
             heartbeat.sent_at,
             update,
             voters,
+            self._replica.term,
         )
 
+    @property
+    def leads_since(self) -> float:
+        """Return the monotonic time since which this instance leads, in seconds."""
+        return self._leads_since
+
+    def announcement(self, update: ConfigUpdate | None = None) -> HeartbeatReply:
+        """Return the message that tells a member unasked that this instance leads."""
+        return HeartbeatReply(
+            self._settings.name,
+            0,
+            self._replica.commit_index,
+            0.0,
+            update,
+            self._voter_names,
+            self._replica.term,
+        )
+
+    def silent_members(self, silence: float, now: float) -> list[Member]:
+        """Return the members that have not reported for ``silence`` seconds."""
+        if self._member_table is None:
+            return []
+        view = self._configuration.state.view
+        return self._member_table.silent_members(view, silence, now)
+
+    @property
+    def _voter_names(self) -> tuple[str, ...]:
+        return tuple(voter.name for voter in self._replica.log.voters)
+
     def push_update(
         self, identity: MemberIdentity, index: int, now: float
     ) -> ConfigUpdate | None:
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -172,6 +172,10 @@
         """Return the name of the leader, if one is known."""
         return self._leader
 
+    def current_leader(self, now: float) -> str | None:
+        """Return the leader of this term, ``None`` if it was not heard from lately."""
+        return self._leader if self._has_recent_leader(now) else None
+
     @property
     def commit_index(self) -> int:
         """Return the index up to which entries are committed."""
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -34,6 +34,11 @@
 _MS_PER_SECOND = 1000
 _HEARTBEATS_PER_TIMEOUT = 4
 
+_SILENT_AFTER_HEARTBEATS = 2
+
+_FIRST_ANNOUNCEMENTS_SECONDS = 0.5
+"""Time at the start of a term in which the leader is announced with each tick."""
+
 _log = part_logger("control")
 _moves_log = part_logger("moves")
 
@@ -67,6 +72,7 @@
         self._set_peer_address = set_peer_address
         self._moves = MoveCoordinator(RolloutSettings())
         self._pushed_index: int | None = None
+        self._next_announcement_at = float("-inf")
         self._storage_failure: StorageError | None = None
         self._control_node = self._make_control_node(base_folder, generator)
 
@@ -108,6 +114,7 @@
             self._pushed_index = None
         else:
             self._push_committed(control_node, now)
+            self._announce_leader(control_node, now)
             self._advance_moves(control_node, now)
 
     def on_heartbeat(
@@ -192,9 +199,32 @@
             # Reused while members lack the same commands, so that it is encoded once.
             # Without an update it still announces the leader.
             if reply is None or reply.update is not update:
-                reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
+                reply = control_node.announcement(update)
             self._node.send(member.name, reply)
 
+    def _announce_leader(self, control_node: ControlNode, now: float) -> None:
+        """Tell the members that do not report to this leader that it leads.
+
+        They may be asking an instance that does not know it, and would be removed from
+        the view although they can be reached.
+        """
+        if now < self._next_announcement_at:
+            return
+        interval_ms = self._node.settings.control.heartbeat_interval_ms
+        interval = interval_ms / _MS_PER_SECOND
+        silence = _SILENT_AFTER_HEARTBEATS * interval
+        silent = control_node.silent_members(silence, now)
+        if not silent:
+            return
+        term_age = now - control_node.leads_since
+        is_new = term_age < _FIRST_ANNOUNCEMENTS_SECONDS
+        self._next_announcement_at = now + (0.0 if is_new else interval)
+        announcement = control_node.announcement()
+        for member in silent:
+            if member.name != self._node.name:
+                self._set_peer_address(member.address)
+                self._node.send(member.name, announcement)
+
     def _advance_moves(self, control_node: ControlNode, now: float) -> None:
         def propose(command: AdvanceMove) -> None:
             if not control_node.is_proposed(command.change_id):
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -361,6 +361,8 @@
             self._node.lease.on_update(configuration.index, reply.update.last_index)
         if reply.sent_at > 0:
             self._node.lease.on_reply(source, reply, configuration.index, now)
+        else:
+            self._node.lease.on_announcement(source, reply, now)
         self._apply_view()
 
     def _on_ledger_message(
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -202,7 +202,12 @@
         message: SlotGrant | SlotRefusal | SlotRevoke | SlotWaiting | UnknownGrants,
     ) -> None:
         """Handle a message from a dispatcher."""
-        if source != self._node.name and not _is_wrong_dispatcher(message):
+        is_leader = source == self._node.lease.leader
+        if (
+            is_leader
+            and source != self._node.name
+            and not _is_wrong_dispatcher(message)
+        ):
             self.on_dispatcher_active()
         match message:
             case SlotGrant():
@@ -269,6 +274,7 @@
         if self.uses_standby:
             dispatcher = self._node.dispatcher_of(service)
             log_event(DispatcherLost(dispatcher, int(seconds * _MS_PER_SECOND)))
+            self._node.lease.search_leader()
             self._replies.deliver_all(_DispatcherChanged())
 
     def _send_request(self, request: SlotRequest) -> None:
--- a/src/sassafraspin/membership/__init__.py
+++ b/src/sassafraspin/membership/__init__.py
@@ -1,6 +1,6 @@
 """Cluster membership: views, leases and heartbeats of instances."""
 
-from sassafraspin.membership.lease import MemberLease, SendHeartbeat
+from sassafraspin.membership.lease import LeaderClaim, MemberLease, SendHeartbeat
 from sassafraspin.membership.messages import (
     ConfigImage,
     ConfigTail,
@@ -24,6 +24,7 @@
     "ConfigUpdate",
     "HeartbeatReply",
     "InvalidUpdate",
+    "LeaderClaim",
     "Member",
     "MemberHeartbeat",
     "MemberIdentity",
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -6,9 +6,13 @@
 from sassafraspin.membership.table import MemberTimings
 from sassafraspin.membership.view import Member, View
 
-__all__ = ["SendHeartbeat", "MemberLease"]
+__all__ = ["LeaderClaim", "SendHeartbeat", "MemberLease"]
 
-_REPLY_TIMEOUT_HEARTBEATS = 2
+_LEADER_TIMEOUT_HEARTBEATS = 2
+"""Heartbeats without contact with the leader after which it is searched for."""
+
+_FIRST_SEARCH_INTERVAL_SECONDS = 0.1
+"""Interval of the first heartbeats of a search; doubles up to the usual interval."""
 
 _UNCONFIRMED_INTERVAL_SECONDS = 0.1
 """Heartbeat interval until the configuration is first confirmed to be current.
@@ -24,6 +28,29 @@
     heartbeat: MemberHeartbeat
 
 
+@dataclass(frozen=True)
+class LeaderClaim:
+    """A statement about who leads.
+
+    Parameters
+    ----------
+    leader : str
+        Name of the control leader.
+    term : int
+        Term in which it leads; 0 if the sender does not report terms.
+    source : str
+        Control instance that made the statement.
+    received_at : float
+        Monotonic time at which the statement, or a later one of the leader itself,
+        was received, in seconds.
+    """
+
+    leader: str
+    term: int
+    source: str
+    received_at: float
+
+
 @dataclass(frozen=True)
 class _UnconfirmedCommit:
     """Index that the leader had committed, and when the member asked for it."""
@@ -35,6 +62,11 @@
 class MemberLease:
     """Renews the lease of one instance with the control leader.
 
+    Replies that name no leader say nothing about who leads: only replies and
+    announcements of a leader itself count as contact with it. Of two statements the one
+    with the higher term holds. A statement that the leader does not renew ends with the
+    lease.
+
     Parameters
     ----------
     member : Member
@@ -59,18 +91,25 @@
         self._interval = interval
         self._timings = timings
         self._target = control_names[0]
+        self._is_target_asked = False
         self._next_heartbeat_at = float("-inf")
         self._lease_until = float("-inf")
         self._confirmed_at = float("-inf")
         self._unconfirmed: _UnconfirmedCommit | None = None
-        self._last_reply_at = float("-inf")
-        self._leader: str | None = None
+        self._leader_contact_at = float("-inf")
+        self._search_interval = _FIRST_SEARCH_INTERVAL_SECONDS
+        self._claim: LeaderClaim | None = None
         self._leaving = False
 
     @property
     def leader(self) -> str | None:
-        """Return the last known control leader."""
-        return self._leader
+        """Return the control leader, ``None`` if it is not known."""
+        return None if self._claim is None else self._claim.leader
+
+    @property
+    def claim(self) -> LeaderClaim | None:
+        """Return the statement that names the leader, ``None`` if there is none."""
+        return self._claim
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -97,26 +136,49 @@
         """Release the lease and request removal with the next heartbeat."""
         self._leaving = True
         self._lease_until = float("-inf")
+        self.report_soon()
+
+    def report_soon(self) -> None:
+        """Send the next heartbeat without waiting for the interval."""
         self._next_heartbeat_at = float("-inf")
 
+    def search_leader(self) -> None:
+        """Ask the other control instances who leads: the leader does not respond."""
+        if self._leader_contact_at > float("-inf"):
+            self._leader_contact_at = float("-inf")
+            self._search_interval = _FIRST_SEARCH_INTERVAL_SECONDS
+            self.report_soon()
+
     def tick(
         self, config_index: int, synced_view: int, view: View, now: float
     ) -> SendHeartbeat | None:
         """Return the heartbeat to send now, if one is due."""
+        claim = self._claim
+        if claim is not None and now - claim.received_at > self._timings.lease:
+            self._claim = None
         if now < self._next_heartbeat_at:
             return None
-        interval = self._interval
-        if self._confirmed_at == float("-inf"):
-            interval = min(interval, _UNCONFIRMED_INTERVAL_SECONDS)
-        self._next_heartbeat_at = now + interval
-        if now - self._last_reply_at > _REPLY_TIMEOUT_HEARTBEATS * interval:
-            self._try_next_target()
+        self._next_heartbeat_at = now + self._next_interval(now)
+        self._is_target_asked = True
         member = None if view.contains(self._member.identity) else self._member
         heartbeat = MemberHeartbeat(
             member, config_index, synced_view, self._leaving, now, accepts_packed=True
         )
         return SendHeartbeat(self._target, heartbeat)
 
+    def _next_interval(self, now: float) -> float:
+        """Return the time until the next heartbeat; during a search, move on."""
+        interval = self._interval
+        if self._confirmed_at == float("-inf"):
+            interval = min(interval, _UNCONFIRMED_INTERVAL_SECONDS)
+        if now - self._leader_contact_at <= _LEADER_TIMEOUT_HEARTBEATS * interval:
+            return interval
+        if self._is_target_asked:
+            self._try_next_target()
+        interval = min(self._search_interval, interval)
+        self._search_interval = 2 * interval
+        return interval
+
     def on_update(self, config_index: int, last_index: int) -> None:
         """Process an update of the configuration, asked for or not.
 
@@ -132,7 +194,7 @@
             self._confirmed_at = max(self._confirmed_at, pending.sent_at)
             self._unconfirmed = None
         if config_index < last_index:
-            self._next_heartbeat_at = float("-inf")
+            self.report_soon()
 
     def on_reply(
         self, source: str, reply: HeartbeatReply, config_index: int, now: float
@@ -150,21 +212,49 @@
         now : float
             Monotonic time in seconds.
         """
-        self._last_reply_at = now
-        if reply.voters:
-            self._control_names = reply.voters
-            if self._target not in reply.voters:
-                self._target = reply.voters[0]
+        if not self._adopt(source, reply, now):
+            return
+        if reply.leader != source:
+            if self._target != reply.leader:
+                self._set_target(reply.leader)
+                self.report_soon()
+            return
         if reply.lease_ms > 0 and not self._leaving:
             usable = reply.lease_ms / 1000 * (1 - self._timings.clock_drift)
             self._lease_until = max(self._lease_until, reply.sent_at + usable)
-        if reply.leader is None:
+        self._on_leader_reply(reply, config_index)
+
+    def on_announcement(self, source: str, reply: HeartbeatReply, now: float) -> None:
+        """Process a message that a leader sends unasked; report to a new leader."""
+        known = self._claim
+        if reply.leader != source or not self._adopt(source, reply, now):
             return
-        self._leader = reply.leader
-        if reply.leader == source:
-            self._on_leader_reply(reply, config_index)
-        if reply.leader in self._control_names:
-            self._target = reply.leader
+        if known is None or known.leader != source or known.term != reply.term:
+            self.report_soon()
+
+    def _adopt(self, source: str, reply: HeartbeatReply, now: float) -> bool:
+        """Accept the statement of a message about who leads, unless it is outdated.
+
+        Of the other control instances, only a statement about a newer term counts, so
+        that they do not prolong what they heard from the leader.
+        """
+        if reply.leader is None:
+            return False
+        known = self._claim
+        is_outdated = known is not None and 0 < reply.term < known.term
+        if is_outdated:
+            return False
+        is_from_leader = reply.leader == source
+        is_known = known is not None and known.leader == reply.leader
+        if is_from_leader or not is_known:
+            self._claim = LeaderClaim(reply.leader, reply.term, source, now)
+        if is_from_leader:
+            self._leader_contact_at = now
+            self._search_interval = _FIRST_SEARCH_INTERVAL_SECONDS
+            if reply.voters:
+                self._control_names = reply.voters
+            self._set_target(source)
+        return True
 
     def _on_leader_reply(self, reply: HeartbeatReply, config_index: int) -> None:
         if config_index >= reply.commit_index:
@@ -175,13 +265,14 @@
             self._unconfirmed = _UnconfirmedCommit(reply.commit_index, reply.sent_at)
         if reply.update is not None:
             # The update was a part of what this member lacks.
-            self._next_heartbeat_at = float("-inf")
+            self.report_soon()
 
-    def set_leader(self, leader: str) -> None:
-        """Send heartbeats to a leader that has announced itself."""
-        self._leader = leader
-        if leader in self._control_names:
-            self._target = leader
+    def _set_target(self, name: str) -> None:
+        if name in self._control_names:
+            self._is_target_asked = self._is_target_asked and name == self._target
+            self._target = name
+        elif self._target not in self._control_names:
+            self._target = self._control_names[0]
 
     def _try_next_target(self) -> None:
         position = 0
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -93,7 +93,9 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Reply of a control instance to a heartbeat.
+    """Reply of a control instance to a heartbeat, or an announcement of the leader.
+
+    A leader also sends it unasked, with ``sent_at`` 0.
 
     Parameters
     ----------
@@ -109,6 +111,8 @@
         Configuration that the member lacks.
     voters : tuple of str
         Names of the voting control instances; empty if the sender is not the leader.
+    term : int
+        Term in which ``leader`` leads; 0 from older builds.
     """
 
     leader: str | None
@@ -117,6 +121,7 @@
     sent_at: float
     update: ConfigUpdate | None
     voters: tuple[str, ...] = ()
+    term: int = 0
 
 
 MembershipMessage = MemberHeartbeat | HeartbeatReply
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -95,6 +95,21 @@
         self._prune_heartbeats(members, now)
         return View(view.number + 1, self._settled(view), members)
 
+    def silent_members(self, view: View, silence: float, now: float) -> list[Member]:
+        """Return the members that have not reported for ``silence`` seconds.
+
+        Members that have not reported in this term are among them.
+        """
+        return [
+            member
+            for member in view.members
+            if now - self._last_report_at(member.identity) > silence
+        ]
+
+    def _last_report_at(self, identity: MemberIdentity) -> float:
+        last = self._heartbeats.get(identity)
+        return float("-inf") if last is None else last.received_at
+
     def _is_removable(self, member: Member, now: float) -> bool:
         last = self._heartbeats.get(member.identity)
         if last is not None and last.heartbeat.leaving:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -257,16 +257,17 @@
         self, source: str, reply: HeartbeatReply, now: float
     ) -> None:
         configuration = self.node.configuration
-        if reply.leader == source:
-            self._slots.on_dispatcher_active()
+        lease = self.node.lease
         if reply.update is not None:
             configuration.apply_update(reply.update)
-            self.node.lease.on_update(configuration.index, reply.update.last_index)
-        # ``sent_at`` is 0 if the leader sends newly committed commands unasked.
+            lease.on_update(configuration.index, reply.update.last_index)
+        # ``sent_at`` is 0 if the leader sends the message unasked.
         if reply.sent_at > 0:
-            self.node.lease.on_reply(source, reply, configuration.index, now)
-        elif reply.leader is not None:
-            self.node.lease.set_leader(reply.leader)
+            lease.on_reply(source, reply, configuration.index, now)
+        else:
+            lease.on_announcement(source, reply, now)
+        if reply.leader == source == lease.leader:
+            self._slots.on_dispatcher_active()
         self._log_leader_change(source, now)
         self._update_peer_addresses()
 
