Acknowledge that a server leaves only when all instances act on it

What callers saw: requests at backend servers more than two seconds after the acknowledgement that they leave (DRAIN).

Cause: the acknowledgement covered the memory of the one leader that gave it. The update for the others went out with the next tick, in a datagram that may be lost; the next leader starts from a copy without the servers that leave, so it has no order to tell an older announcement by that arrives late.

Why this works: a retirement is a command of the control log, so a majority stores it and each leader has it from its first moment; announcements up to its order are ignored. The answer is given when every member has reported the index, or when the lease of those that have not can't hold any longer; until then it is a 503 that sends the server on. A member reports at once when it has applied a retirement.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -9,6 +9,7 @@
     prefix_hashes,
 )
 from sassafraspin.backends.prompts import PromptPart, shared_parts
+from sassafraspin.backends.retirement import Retirement, RetirementStore
 from sassafraspin.backends.speed import SpeedEstimate
 
 __all__ = [
@@ -18,9 +19,11 @@
     "CacheReport",
     "LoadReport",
     "PrefixCacheView",
-    "Reservation",
     "PrefillBacklog",
     "PromptPart",
+    "Reservation",
+    "Retirement",
+    "RetirementStore",
     "SpeedEstimate",
     "prefix_hashes",
     "shared_parts",
--- a/src/sassafraspin/control/__init__.py
+++ b/src/sassafraspin/control/__init__.py
@@ -11,6 +11,7 @@
     PutProfile,
     PutTable,
     ReadmitPart,
+    RetireServer,
     UndoMove,
 )
 from sassafraspin.control.config import Configuration
@@ -48,6 +49,7 @@
     "ReplicaDisk",
     "ReplicaMessage",
     "ReplicaTimings",
+    "RetireServer",
     "Role",
     "UndoMove",
     "Voter",
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sassafraspin.backends import Retirement
 from sassafraspin.membership import View
 from sassafraspin.moves import Move, MoveSpec, MoveStep
 from sassafraspin.profiles import Profile, ProfileChange
@@ -21,6 +22,7 @@
     "PutProfile",
     "PutTable",
     "ReadmitPart",
+    "RetireServer",
     "UndoMove",
     "decode_command",
     "encode_command",
@@ -103,6 +105,14 @@
     servers: tuple[str, ...]
 
 
+class RetireServer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Send no new requests to a backend server that leaves or was withdrawn."""
+
+    change_id: str
+    at_ms: int
+    retirement: Retirement
+
+
 class ReadmitPart(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Accept requests with an isolated prompt part again."""
 
@@ -121,6 +131,7 @@
     | ChangeView
     | IsolatePart
     | ReadmitPart
+    | RetireServer
 )
 
 
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -247,6 +247,16 @@
         view = self._configuration.state.view
         return self._member_table.silent_members(view, silence, now)
 
+    def lagging_members(self, index: int, since: float, now: float) -> list[Member]:
+        """Return the members that may still act on a configuration before ``index``.
+
+        See ``MemberTable.lagging_members``. Without the leader lease, these are all.
+        """
+        view = self._configuration.state.view
+        if self._member_table is None or not self.leads(now):
+            return list(view.members)
+        return self._member_table.lagging_members(index, since, view, now)
+
     @property
     def _voter_names(self) -> tuple[str, ...]:
         return tuple(voter.name for voter in self._replica.log.voters)
--- a/src/sassafraspin/control/state.py
+++ b/src/sassafraspin/control/state.py
@@ -1,10 +1,11 @@
-"""State machine of the control log: profiles, routes, moves, isolations and views."""
+"""State machine of the control log: what all instances have agreed on."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
 
+from sassafraspin.backends import Retirement, RetirementStore
 from sassafraspin.control.commands import (
     AdvanceMove,
     ChangeView,
@@ -16,6 +17,7 @@
     PutProfile,
     PutTable,
     ReadmitPart,
+    RetireServer,
     UndoMove,
 )
 from sassafraspin.isolation import IsolatedPart, IsolationStore
@@ -63,6 +65,8 @@
     outcomes: tuple[tuple[str, CommandOutcome], ...]
     routing: DeclaredTable | None = None
     isolated: tuple[IsolatedPart, ...] = ()
+    retired: tuple[Retirement, ...] = ()
+    last_retirement_index: int = 0
 
 
 class ControlState:
@@ -87,6 +91,7 @@
         self._views = (_TimedView(View(), 0),)
         self._routing: DeclaredTable | None = None
         self._isolation = IsolationStore()
+        self._retirements = RetirementStore()
         self._outcomes: OrderedDict[str, CommandOutcome] = OrderedDict()
 
     @property
@@ -114,6 +119,11 @@
         """Return the store of isolated prompt parts."""
         return self._isolation
 
+    @property
+    def retirements(self) -> RetirementStore:
+        """Return the store of backend servers that get no new requests."""
+        return self._retirements
+
     @property
     def view(self) -> View:
         """Return the view in force."""
@@ -167,6 +177,8 @@
             tuple(self._outcomes.items()),
             self._routing,
             self._isolation.all_parts(),
+            self._retirements.all_retirements(),
+            self._retirements.last_index,
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -183,6 +195,9 @@
         state._outcomes = OrderedDict(snapshot.outcomes)
         state._routing = snapshot.routing
         state._isolation = IsolationStore(snapshot.isolated)
+        state._retirements = RetirementStore(
+            snapshot.retired, snapshot.last_retirement_index
+        )
         return state
 
     def _execute(self, command: Command) -> CommandOutcome:
@@ -211,9 +226,13 @@
                 return self._change_view(command)
             case IsolatePart():
                 isolated = IsolatedPart(command.part, command.servers, command.at_ms)
-                return _isolation_outcome(self._isolation.isolate(isolated))
+                return _outcome(self._isolation.isolate(isolated))
             case ReadmitPart():
-                return _isolation_outcome(self._isolation.readmit(command.part))
+                return _outcome(self._isolation.readmit(command.part))
+            case RetireServer():
+                return _outcome(
+                    self._retirements.retire(command.retirement, self._index)
+                )
 
     def _put_table(self, declared: DeclaredTable) -> CommandOutcome:
         """Install a routing table unless one of the same or a higher version exists."""
@@ -265,5 +284,5 @@
             return CommandOutcome(OutcomeKind.REFUSED, refusal.value, move=current)
 
 
-def _isolation_outcome(is_changed: bool) -> CommandOutcome:
+def _outcome(is_changed: bool) -> CommandOutcome:
     return CommandOutcome(OutcomeKind.ACCEPTED if is_changed else OutcomeKind.UNCHANGED)
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -104,6 +104,17 @@
         """Return whether this instance is the control leader and holds its lease."""
         return self._control_node is not None and self._control_node.leads(now)
 
+    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
+        """Return the members that may still act on a configuration before ``index``.
+
+        See ``MemberTable.lagging_members``.
+        """
+        if self._control_node is None:
+            return tuple(member.name for member in self._node.view.members)
+        now = self._node.now()
+        lagging = self._control_node.lagging_members(index, since, now)
+        return tuple(member.name for member in lagging)
+
     def tick(self, now: float) -> None:
         """Advance timers; on the leader, push commands and drive running moves."""
         control_node = self._control_node
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -144,6 +144,13 @@
         """
         return self._pools[service].gate.current_version
 
+    def announcement_of(self, backend_id: str) -> Announcement | None:
+        """Return the latest announcement of a server, ``None`` if it is not known."""
+        for backend in self.backends():
+            if backend.announcement.id == backend_id:
+                return backend.announcement
+        return None
+
     def withdraw_server(self, backend_id: str) -> bool:
         """Stop sending requests to a backend server; return whether it is known."""
         now = self._node.now()
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -106,6 +106,45 @@
             if now - self._last_report_at(member.identity) > silence
         ]
 
+    def lagging_members(
+        self, index: int, since: float, view: View, now: float
+    ) -> list[Member]:
+        """Return the members that may still act on a configuration before ``index``.
+
+        A member that lacks the index may act alone until its lease ends, and that
+        lease was granted before the index was committed.
+
+        Parameters
+        ----------
+        index : int
+            Index of a committed command.
+        since : float
+            Monotonic time at which the command was known to be committed, in seconds.
+        view : View
+            View in force.
+        now : float
+            Monotonic time in seconds.
+        """
+        granted_until = max(since, self._term_started_at)
+        if now - granted_until > self._timings.max_lease_duration:
+            return []
+        return [member for member in view.members if self._is_lagging(member, index)]
+
+    def _is_lagging(self, member: Member, index: int) -> bool:
+        last = self._heartbeats.get(member.identity)
+        if last is not None:
+            heartbeat = last.heartbeat
+            if heartbeat.leaving or heartbeat.config_index >= index:
+                return False
+        return not self._has_restarted(member)
+
+    def _has_restarted(self, member: Member) -> bool:
+        """Return whether a later incarnation reports, so that this one has ended."""
+        return any(
+            identity.name == member.name and identity.incarnation > member.incarnation
+            for identity in self._heartbeats
+        )
+
     def _last_report_at(self, identity: MemberIdentity) -> float:
         last = self._heartbeats.get(identity)
         return float("-inf") if last is None else last.received_at
--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -83,9 +83,9 @@
             case ("GET", root, "config") if root == _ROOT:
                 return self._read_config()
             case ("PUT", root, "instances", name) if root == _ROOT:
-                return self._register(name, request)
+                return await self._register(name, request)
             case ("DELETE", root, "instances", name) if root == _ROOT:
-                self._operations.withdraw(name)
+                await self._operations.withdraw(name)
                 return Response(200)
             case ("POST", root, "rollouts") if root == _ROOT:
                 return await self._start_rollout(request)
@@ -110,11 +110,11 @@
             raise NotFound("no configuration was accepted yet")
         return Response(200, _JSON, declared.source)
 
-    def _register(self, name: str, request: Request) -> Response:
+    async def _register(self, name: str, request: Request) -> Response:
         announcement = decode_registration(
             name, request.body, self._announcement_ttl_ms
         )
-        self._operations.announce(announcement)
+        await self._operations.announce(announcement)
         return Response(200, _JSON, b"{}")
 
     async def _start_rollout(self, request: Request) -> Response:
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -4,7 +4,7 @@
 import uuid
 from enum import StrEnum
 
-from sassafraspin.backends import Announcement
+from sassafraspin.backends import Announcement, Retirement
 from sassafraspin.control import Command, DeclareMove, PutTable, ReadmitPart
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
@@ -13,13 +13,15 @@
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.isolation import IsolatedPart
 from sassafraspin.moves import Move, MovePhase, MoveSpec
-from sassafraspin.routed.problems import NotCurrent
+from sassafraspin.routed.problems import NotCurrent, RetirementPending
+from sassafraspin.routed.retirement import RetirementView, ServerRetirement
 from sassafraspin.routes import DeclaredTable, RoutingTable
 from sassafraspin.settings import Address
 from sassafraspin.telemetry.events import PartReadmitted, ServerLeaving, log_event
 
 __all__ = ["Operations", "RolloutState"]
 
+_MS_PER_SECOND = 1000
 _OPERATOR = "operator"
 _DUPLICATE_WINDOW_MS = 5_000
 """How long after its declaration a finished move still makes an order for the same
@@ -53,6 +55,8 @@
         Receives the announcements.
     control_port : int
         Port on which every instance accepts control requests.
+    retirements : RetirementView
+        Retirements of backend servers that are in force.
     """
 
     def __init__(
@@ -62,12 +66,15 @@
         proposals: ProposalClient,
         dispatch: DispatchService,
         control_port: int,
+        retirements: RetirementView,
     ) -> None:
         self._node = node
         self._control = control
         self._proposals = proposals
         self._dispatch = dispatch
         self._control_port = control_port
+        self._retirements = retirements
+        self._retirement = ServerRetirement(node, control, proposals)
 
     @property
     def is_leader(self) -> bool:
@@ -94,26 +101,92 @@
             raise NotCurrent("this instance does not lead")
         return self._node.configuration.state.routing
 
-    def announce(self, announcement: Announcement) -> None:
+    async def announce(self, announcement: Announcement) -> None:
         """Apply an announcement before returning.
 
-        Raises ``NotCurrent`` if its service is not dispatched here.
+        An outdated announcement of a server that has left is ignored.
+
+        Raises
+        ------
+        NotCurrent
+            If its service is not dispatched here.
+        RetirementPending
+            If the server leaves and some instances may still send it requests.
         """
-        is_applied = self._dispatch.announce(announcement)
-        if announcement.leaving:
-            incarnation, sequence = announcement.order
-            log_event(
-                ServerLeaving(announcement.id, incarnation, sequence, is_applied, 0)
-            )
-        if not is_applied:
+        if self._retirements.covers(announcement):
+            return
+        before = self._dispatch.announcement_of(announcement.id)
+        if not self._dispatch.announce(announcement):
             raise NotCurrent("this instance does not dispatch for the service")
+        if announcement.leaving:
+            await self._retire(self._retirement_of(announcement, before))
 
-    def withdraw(self, backend_id: str) -> None:
-        """Stop sending requests to a backend server; an unknown one is ignored."""
+    async def withdraw(self, backend_id: str) -> None:
+        """Stop sending requests to a backend server; an unknown one is ignored.
+
+        Raises
+        ------
+        NotCurrent
+            If this instance does not lead.
+        RetirementPending
+            If some instances may still send requests to the server.
+        """
         if not self.is_leader:
             raise NotCurrent("this instance does not lead")
+        incarnation = self._known_incarnation(backend_id)
         self._dispatch.withdraw_server(backend_id)
-        log_event(ServerLeaving(backend_id, None, None, True, 0))
+        if incarnation is not None:
+            await self._retire(Retirement.of_withdrawn(backend_id, incarnation))
+
+    def _retirement_of(
+        self, announcement: Announcement, before: Announcement | None
+    ) -> Retirement:
+        """Return the retirement to commit, the existing one if a server repeats it.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            Announcement of a server that leaves.
+        before : Announcement or None
+            The announcement before it.
+        """
+        known = self._node.configuration.state.retirements.find(announcement.id)
+        if known is not None and before is not None and before.leaving:
+            is_repeated = known.order >= before.order
+            if is_repeated and known.incarnation == announcement.incarnation:
+                return known
+        return Retirement.of_leaving(announcement)
+
+    def _known_incarnation(self, backend_id: str) -> int | None:
+        announcement = self._dispatch.announcement_of(backend_id)
+        if announcement is not None:
+            return announcement.incarnation
+        retired = self._node.configuration.state.retirements.find(backend_id)
+        return None if retired is None else retired.incarnation
+
+    async def _retire(self, retirement: Retirement) -> None:
+        """Retire a server on all instances, and log whether that is acknowledged."""
+        started_at = self._node.now()
+        is_acknowledged = False
+        pending: tuple[str, ...] = ()
+        try:
+            await self._retirement.retire(retirement)
+            is_acknowledged = True
+        except RetirementPending as problem:
+            pending = problem.instances
+            raise
+        finally:
+            after_ms = int((self._node.now() - started_at) * _MS_PER_SECOND)
+            log_event(
+                ServerLeaving(
+                    retirement.server,
+                    retirement.incarnation,
+                    retirement.sequence,
+                    is_acknowledged,
+                    after_ms,
+                    pending,
+                )
+            )
 
     async def start_rollout(self, service: str, target: str, seconds: float) -> None:
         """Declare a move to a version, to be finished within ``seconds``.
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -11,6 +11,7 @@
     "NotCurrent",
     "NotDispatched",
     "PartRefused",
+    "RetirementPending",
     "ServerRefused",
     "UnknownKey",
 ]
@@ -41,6 +42,28 @@
     retry_after_ms = 500
 
 
+class RetirementPending(RequestProblem):
+    """Some instances may still send requests to a backend server that leaves.
+
+    Parameters
+    ----------
+    server : str
+        Name of the backend server.
+    instances : tuple of str
+        These instances; empty if the control log did not accept the change in time.
+    """
+
+    status = 503
+    reason = "retirement-pending"
+    title = "Not in force everywhere"
+    retry_after_ms = 500
+
+    def __init__(self, server: str, instances: tuple[str, ...]) -> None:
+        self.instances = instances
+        names = ", ".join(instances) or "the control log"
+        super().__init__(f"{server} is not retired on {names} yet; send it again")
+
+
 class NotDispatched(RequestProblem):
     """The request got no slot, so it was not run.
 
--- /dev/null
+++ b/src/sassafraspin/routed/retirement.py
@@ -0,0 +1,139 @@
+"""Retirement of backend servers: no instance sends them new requests."""
+
+import uuid
+from dataclasses import dataclass
+
+import trio
+
+from sassafraspin.backends import Announcement, Retirement
+from sassafraspin.control import RetireServer
+from sassafraspin.daemon.control_service import ControlService
+from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.routed.problems import RetirementPending
+
+__all__ = ["RetirementView", "ServerRetirement"]
+
+_ANSWER_SECONDS = 0.8
+"""Longest wait before the answer; backend servers wait a second for it."""
+
+_POLL_SECONDS = 0.01
+_COMMIT_RETENTION_SECONDS = 30.0
+
+_MAX_DELAY_SECONDS = 60.0
+"""Age of a retirement from which on a lower announcement is no delayed one, but comes
+from a server that was started again and numbers its announcements from the start."""
+
+
+class RetirementView:
+    """Retirements of the applied configuration that are in force on this instance.
+
+    Parameters
+    ----------
+    node : Node
+        Shared context of the daemon.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._seen_index = 0
+        self._seen_at: dict[Retirement, float] = {}
+
+    def covers(self, announcement: Announcement) -> bool:
+        """Return whether the server may not be used because of an announcement."""
+        retirements = self._node.configuration.state.retirements
+        if not retirements.covers(announcement):
+            return False
+        self._note_new()
+        seen_at = self._seen_at[retirements.find(announcement.id)]
+        return self._node.now() - seen_at < _MAX_DELAY_SECONDS
+
+    def _note_new(self) -> None:
+        """Note since when each retirement is known here."""
+        retirements = self._node.configuration.state.retirements
+        if retirements.last_index == self._seen_index:
+            return
+        self._seen_index = retirements.last_index
+        now = self._node.now()
+        self._seen_at = {
+            retirement: self._seen_at.get(retirement, now)
+            for retirement in retirements.all_retirements()
+        }
+
+
+@dataclass(frozen=True)
+class _Commit:
+    """A retirement that is in the control log.
+
+    Parameters
+    ----------
+    retirement : Retirement
+        The retirement.
+    index : int
+        Log index of the retirement, or a later one.
+    known_at : float
+        Monotonic time at which it was known to be committed, in seconds.
+    """
+
+    retirement: Retirement
+    index: int
+    known_at: float
+
+
+class ServerRetirement:
+    """Commits retirements and waits until every instance acts on them.
+
+    Parameters
+    ----------
+    node : Node
+        Shared context of the daemon.
+    control : ControlService
+        Knows which members may still act on an older configuration.
+    proposals : ProposalClient
+        Client for the control log.
+    """
+
+    def __init__(
+        self, node: Node, control: ControlService, proposals: ProposalClient
+    ) -> None:
+        self._node = node
+        self._control = control
+        self._proposals = proposals
+        self._commits: dict[str, _Commit] = {}
+
+    async def retire(self, retirement: Retirement) -> None:
+        """Return once no instance sends new requests to the server.
+
+        Raises
+        ------
+        RetirementPending
+            If some instances may still do so. The wait goes on with the next call.
+        """
+        lagging: tuple[str, ...] = ()
+        with trio.move_on_after(_ANSWER_SECONDS):
+            commit = await self._commit(retirement)
+            while True:
+                lagging = self._control.lagging_members(commit.index, commit.known_at)
+                if not lagging:
+                    return
+                await trio.sleep(_POLL_SECONDS)
+        raise RetirementPending(retirement.server, lagging)
+
+    async def _commit(self, retirement: Retirement) -> _Commit:
+        """Return the commit of a retirement that covers at least as much."""
+        known = self._commits.get(retirement.server)
+        if known is not None and known.retirement.order >= retirement.order:
+            return known
+        while not self._node.configuration.state.retirements.includes(retirement):
+            change_id = f"retire-{uuid.uuid4().hex}"
+            await self._proposals.propose(RetireServer(change_id, 0, retirement))
+        now = self._node.now()
+        commit = _Commit(retirement, self._node.configuration.index, now)
+        self._forget_old_commits(now)
+        self._commits[retirement.server] = commit
+        return commit
+
+    def _forget_old_commits(self, now: float) -> None:
+        for server, commit in list(self._commits.items()):
+            if now - commit.known_at > _COMMIT_RETENTION_SECONDS:
+                del self._commits[server]
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -42,6 +42,7 @@
 from sassafraspin.routed.isolation import PartIsolation
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routed.operations import Operations
+from sassafraspin.routed.retirement import RetirementView
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.routed.setup import daemon_settings, make_node
@@ -107,7 +108,10 @@
         self._directory_publisher = DirectoryPublisher(
             dispatch.directory_interval_ms / _MS_PER_SECOND
         )
-        leader_scope = LeaderScope(self.node, self._control, self._directory)
+        retirements = RetirementView(self.node)
+        leader_scope = LeaderScope(
+            self.node, self._control, self._directory, retirements
+        )
         self._leader_scope = leader_scope
         self._dispatch = DispatchService(
             self.node, generator, _ignore_load_order, leader_scope
@@ -138,10 +142,12 @@
             self._proposals,
             self._dispatch,
             settings.listen.control.port,
+            retirements,
         )
         self.handle_control = adapter.control_handler(operations)
         self._report_schedule = ReportSchedule(self.node.now())
         self._logged_leader: str | None = None
+        self._reported_retirement = 0
 
     @property
     def has_table(self) -> bool:
@@ -151,17 +157,12 @@
     def tick(self) -> None:
         """Run the periodic work of every component."""
         now = self.node.now()
-        node = self.node
         self._control.tick(now)
-        heartbeat = node.lease.tick(
-            node.configuration.index, node.view.number, node.view, now
-        )
-        if heartbeat is not None:
-            node.send(heartbeat.name, heartbeat.heartbeat)
         self._update_peer_addresses()
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
         if self._control.leads(now):
@@ -169,6 +170,23 @@
             self._send_usage_reports()
         self._report_resources(now)
 
+    def _send_heartbeat(self, now: float) -> None:
+        """Report to the control leader if that is due, or if a server was retired.
+
+        The leader answers the server when all members have reported that.
+        """
+        node = self.node
+        retired = node.configuration.state.retirements.last_index
+        if retired != self._reported_retirement:
+            self._reported_retirement = retired
+            node.lease.report_soon()
+        heartbeat = node.lease.tick(
+            node.configuration.index, node.view.number, node.view, now
+        )
+        self._log_leader_change(None, now)
+        if heartbeat is not None:
+            node.send(heartbeat.name, heartbeat.heartbeat)
+
     def close(self) -> None:
         """Close every idle connection to backend servers."""
         self._client.close()
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -128,18 +128,20 @@
 class ServerLeaving(Event):
     """A backend server said that it leaves, or was withdrawn.
 
-    ``incarnation`` and ``sequence`` order its announcements; both are empty for a
-    withdrawal. ``after_ms`` is the time until the answer, ``acknowledged`` whether it
-    was a success.
+    ``incarnation`` and ``sequence`` order its announcements; a withdrawal has the
+    highest sequence. ``acknowledged`` says whether the answer was a success,
+    ``after_ms`` is the time until the answer, and ``pending`` names the instances that
+    may still send it requests.
     """
 
     part: ClassVar[str] = "dispatch"
     text: ClassVar[str] = "A backend server is leaving or was withdrawn."
     server: str
-    incarnation: int | None
-    sequence: int | None
+    incarnation: int
+    sequence: int
     acknowledged: bool
     after_ms: int
+    pending: tuple[str, ...]
 
 
 @dataclass(frozen=True)
