Let the standby follow the directory, and end its work with the lease

Cause: the standby copied the directory when it opened. Updates that arrived after that changed the directory and not the open pool, and nothing ended the use of the copy on an instance that was cut off.

Why this works: an open standby gets the servers of the directory with each change, and with each retirement. It works only while the lease is valid and the configuration was confirmed within one lease duration; the leader that acknowledges a leaving server waits for the same time. Whoever can't be told has stopped by then.

--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -1,5 +1,6 @@
 """Service ownership and limits for the dispatcher."""
 
+from collections.abc import Hashable
 from typing import Protocol
 
 from sassafraspin.admission import AccountLimits, Limits
@@ -54,6 +55,13 @@
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
         """Return the backend servers that a new pool starts with."""
 
+    def backends_revision(self) -> Hashable | None:
+        """Return a value that changes with what ``known_backends`` returns.
+
+        Open pools then get these servers. ``None`` if a pool keeps its own servers,
+        which announce themselves to it.
+        """
+
 
 class ViewScope:
     """Configured services that the membership view assigns to this instance.
@@ -104,6 +112,9 @@
         """Return an empty tuple: backend servers announce themselves to a new pool."""
         return ()
 
+    def backends_revision(self) -> None:
+        """Return ``None``: backend servers announce themselves to the pool."""
+
     def _refresh_owned(self) -> None:
         """Recompute the owned services after the view or the synced view changed."""
         view_state = (self._node.view.number, self._ledger.synced_view)
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -1,7 +1,7 @@
 """Dispatcher: backend pools of the services that this instance schedules."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.dispatch_scope import DispatchScope
@@ -79,6 +79,7 @@
         self._planners: dict[str, LoadPlanner] = {}
         self._next_report_at = 0.0
         self._view_number = 0
+        self._backends_revision: Hashable | None = None
 
     def backends(self) -> tuple[Backend, ...]:
         """Return the backend servers of all pools."""
@@ -111,6 +112,7 @@
                 self._open_pool(service)
         self._drop_departed_entries()
         now = self._node.now()
+        self.follow_directory()
         for name, pool in self._pools.items():
             self._apply_move(services[name], pool)
             self._send_all(pool.tick(now))
@@ -134,6 +136,16 @@
         self._send_all(pool.announce(announcement, self._node.now()))
         return True
 
+    def follow_directory(self) -> None:
+        """Give the pools the servers of the scope if these have changed."""
+        revision = self._scope.backends_revision()
+        if revision is None or revision == self._backends_revision:
+            return
+        self._backends_revision = revision
+        now = self._node.now()
+        for name, pool in self._pools.items():
+            self._send_all(pool.replace_servers(self._scope.known_backends(name), now))
+
     def version_of(self, service: str) -> str:
         """Return the version in force of a service.
 
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -116,20 +116,36 @@
     def __init__(self, retention: float) -> None:
         self._retention = retention
         self._entries: dict[str, _Entry] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Return a number that increases with each change of the content."""
+        return self._revision
 
     def apply(self, update: DirectoryUpdate, now: float) -> None:
         """Apply an update; announcements older than the known ones are ignored."""
         for announcement in update.announcements:
-            known = self._entries.get(announcement.id)
-            if known is None or known.announcement.order <= announcement.order:
-                self._entries[announcement.id] = _Entry(announcement, now)
+            self._store(announcement, now)
         for backend_id, incarnation in update.gone.items():
             known = self._entries.get(backend_id)
             if known is not None and known.announcement.incarnation <= incarnation:
-                del self._entries[backend_id]
+                self._remove(backend_id)
         for backend_id, entry in list(self._entries.items()):
             if now - entry.at > self._retention:
-                del self._entries[backend_id]
+                self._remove(backend_id)
+
+    def _store(self, announcement: Announcement, now: float) -> None:
+        known = self._entries.get(announcement.id)
+        if known is not None and known.announcement.order > announcement.order:
+            return
+        self._entries[announcement.id] = _Entry(announcement, now)
+        if known is None or _differs(announcement, known.announcement):
+            self._revision += 1
+
+    def _remove(self, backend_id: str) -> None:
+        del self._entries[backend_id]
+        self._revision += 1
 
     def of_service(self, service: str) -> Iterator[Announcement]:
         """Yield the announcements of a service's servers that are not leaving."""
@@ -154,8 +170,11 @@
 ) -> bool:
     """Return whether a server has to be published before the next full round."""
     before = published.get(announcement.id)
-    if before is None:
-        return True
+    return before is None or _differs(announcement, before)
+
+
+def _differs(announcement: Announcement, before: Announcement) -> bool:
+    """Return whether another incarnation, offer or clearly other speed is announced."""
     offer = (announcement.incarnation, announcement.leaving, announcement.slots)
     if offer != (before.incarnation, before.leaving, before.slots):
         return True
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -167,6 +167,15 @@
             self._reserve_adopted(announcement.id, now)
         return self._grant_free_slots(now)
 
+    def replace_servers(
+        self, announcements: tuple[Announcement, ...], now: float
+    ) -> list[SendToEntry]:
+        """Use exactly these servers from now on; grants of others are kept."""
+        self._servers.replace(announcements, now)
+        for announcement in announcements:
+            self._reserve_adopted(announcement.id, now)
+        return self._grant_free_slots(now)
+
     def withdraw_server(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a backend server; return whether it is known.
 
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -136,6 +136,20 @@
             self._backends[announcement.id] = Backend(announcement, now)
         self.refresh(now)
 
+    def replace(self, announcements: tuple[Announcement, ...], now: float) -> None:
+        """Keep exactly the servers that are announced, with what is known of them."""
+        names = {announcement.id for announcement in announcements}
+        for backend_id in self._backends.keys() - names:
+            del self._backends[backend_id]
+            self._free.set(backend_id, False)
+        for announcement in announcements:
+            backend = self._backends.get(announcement.id)
+            if backend is None:
+                self._backends[announcement.id] = Backend(announcement, now)
+            else:
+                backend.apply_announcement(announcement, now)
+        self.refresh(now)
+
     def _claim_address(self, announcement: Announcement) -> bool:
         """Remove older servers with the same address; return whether none is newer."""
         for backend_id, backend in list(self._backends.items()):
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -101,6 +101,11 @@
         self._claim: LeaderClaim | None = None
         self._leaving = False
 
+    @property
+    def _usable_seconds(self) -> float:
+        """Return the lease duration that has passed on no clock before its end."""
+        return self._timings.lease * (1 - self._timings.clock_drift)
+
     @property
     def leader(self) -> str | None:
         """Return the control leader, ``None`` if it is not known."""
@@ -128,6 +133,14 @@
         """Return whether the lease is valid: this member may act in its view."""
         return not self._leaving and now < self._lease_until
 
+    def may_act_alone(self, now: float) -> bool:
+        """Return whether this member may act without asking the leader.
+
+        The leader waits for members that lack a command only as long as they may act:
+        until the lease has ended that was valid when they last were up to date.
+        """
+        return self.is_held(now) and now < self._confirmed_at + self._usable_seconds
+
     def configuration_age(self, now: float) -> float:
         """Return the seconds since the configuration was last confirmed as current."""
         return now - self._confirmed_at
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -123,6 +123,9 @@
             if not self._retirements.covers(announcement)
         )
 
+    def backends_revision(self) -> None:
+        """Return ``None``: servers announce themselves to the dispatcher."""
+
     def _unreleased_versions(self, service: str) -> set[str]:
         """Return the targets of moves that are not done; only moves may expose them."""
         return {
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -258,6 +258,7 @@
                 self._slots.receive(source.name, message)
             case DirectoryUpdate():
                 self._directory.apply(message, now)
+                self._standby.follow_directory()
             case UsageReport():
                 self._leader_scope.record_usage(message)
             case CrashReport():
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -1,7 +1,7 @@
 """Local fallback dispatch on an entry instance while no dispatcher responds."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import replace
 
 from sassafraspin.admission import Limits, UsageCaps
@@ -52,14 +52,19 @@
         self._leader_scope = leader_scope
         self._directory = directory
         self._dispatcher_is_silent = dispatcher_is_silent
+        self._assigned_slots: dict[str, dict[tuple[int, str, int], int]] = {}
 
     def services(self) -> tuple[ServiceSettings, ...]:
         """Return the services of the routing table."""
         return self._leader_scope.services()
 
     def owns(self, service: str) -> bool:
-        """Return whether this instance dispatches locally."""
-        return self._dispatcher_is_silent()
+        """Return whether this instance dispatches locally.
+
+        It does so only as long as it is known to have been up to date lately.
+        """
+        lease = self._node.lease
+        return self._dispatcher_is_silent() and lease.may_act_alone(self._node.now())
 
     def limits(self) -> Limits:
         """Return this instance's share of the usage caps."""
@@ -91,8 +96,8 @@
 
         An instance without any assigned slot uses one, so that its callers are served.
         """
-        servers = tuple(self._directory.of_service(service))
-        local_slots = {server.id: self._local_slots(server) for server in servers}
+        servers = self._leader_scope.known_backends(service)
+        local_slots = self._assign_slots(service, servers)
         if servers and not any(local_slots.values()):
             local_slots[self._fallback_server(servers).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
@@ -102,6 +107,33 @@
             if local_slots[server.id]
         )
 
+    def backends_revision(self) -> Hashable:
+        """Return what the servers known here depend on."""
+        state = self._node.configuration.state
+        return (
+            self._directory.revision,
+            state.retirements.last_index,
+            state.view.number,
+        )
+
+    def _assign_slots(
+        self, service: str, servers: tuple[Announcement, ...]
+    ) -> dict[str, int]:
+        """Return the number of slots of each server that are assigned to this instance.
+
+        What was computed before for the same view is reused.
+        """
+        view_number = self._node.view.number
+        known = self._assigned_slots.get(service, {})
+        assigned = {}
+        slots = {}
+        for server in servers:
+            key = view_number, server.id, server.slots
+            slots[server.id] = known[key] if key in known else self._local_slots(server)
+            assigned[key] = slots[server.id]
+        self._assigned_slots[service] = assigned
+        return slots
+
     def _local_slots(self, server: Announcement) -> int:
         """Return the number of a server's slots that are assigned to this instance."""
         per_instance, rest = divmod(server.slots, self._instance_count)
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -52,6 +52,9 @@
             view=View(1, 1, members),
             routing=DeclaredTable(table(accounts=(capped,)), b""),
         )
+        leader_scope = SimpleNamespace(
+            known_backends=lambda service: tuple(self.directory.of_service(service))
+        )
         self.scopes = [
             StandbyScope(
                 SimpleNamespace(
@@ -63,7 +66,7 @@
                         dispatch=DispatchSettings(retry_allowance=48)
                     ),
                 ),
-                None,
+                leader_scope,
                 self.directory,
                 lambda: True,
                 random.Random(member.name),
