Date grants by the clock of the instance that uses them

What callers saw: nothing yet; found by looking for the cause of DRAIN elsewhere. A request could reach a server later than two seconds after it had left.

Cause: a grant had no time. The entry instance counted its half second from the arrival of the message, however old it was: held up on the way, sent by a dispatcher that was frozen after it had decided, or sent again for a repeated question although the server had left in the meantime.

Why this works: a request says when it was sent, on the clock of its sender, and the dispatcher adds the time that it held the request and the time of use. The sum is never later than the true end, whatever the two clocks show. A repeated question renews a grant whose server takes requests; otherwise it gets the old one, or a new decision once that has ended.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -130,14 +130,17 @@
         """Return whether the time to live of the latest announcement has ended."""
         return now >= self._expires_at
 
+    def takes_requests(self, now: float) -> bool:
+        """Return whether the server is there and does not leave."""
+        is_leaving = self._withdrawn or self._announcement.leaving
+        return not is_leaving and not self.is_expired(now)
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new requests may be sent.
 
         After an ejection, the server gets one request at a time until one succeeds.
         """
-        if self._withdrawn or self._announcement.leaving or self.is_expired(now):
-            return False
-        if now < self._ejected_until:
+        if not self.takes_requests(now) or now < self._ejected_until:
             return False
         is_probing = self._ejections > 0 and self._failures >= _FAILURES_BEFORE_EJECTION
         return not (is_probing and self._reservations)
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+import msgspec
 import trio
 
 from sassafraspin.daemon.dispatch_service import DispatcherMessage, DispatchService
@@ -147,16 +148,18 @@
     def is_usable(self, grant: SlotGrant) -> bool:
         """Return whether the request may still be sent on the grant.
 
-        It may not if the grant was revoked or its ``use_within_ms`` has passed. A
-        process that was suspended in the meantime must not use an expired grant: the
-        backend server may have left.
+        It may not if the grant was revoked or has ended: the backend server may have
+        left while the grant was on its way or this process was suspended.
         """
         held = self._grants.get(grant.grant_id)
-        if held is None or held.revoked:
+        if held is None or held.revoked or self._has_ended(grant):
             return False
-        age_ms = (self._node.now() - held.granted_at) * 1000
+        age_ms = (self._node.now() - held.granted_at) * _MS_PER_SECOND
         return age_ms < grant.use_within_ms
 
+    def _has_ended(self, grant: SlotGrant) -> bool:
+        return grant.use_until is not None and self._node.now() >= grant.use_until
+
     def is_revoked(self, grant: SlotGrant) -> bool:
         """Return whether the grant was revoked."""
         held = self._grants.get(grant.grant_id)
@@ -252,7 +255,7 @@
                     unanswered_since = self._node.now()
                     repeat_seconds = self._repeat_seconds
                     continue
-                if not _is_wrong_dispatcher(answer):
+                if not self._is_outdated(answer):
                     return answer
                 await trio.sleep_forever()
             now = self._node.now()
@@ -269,6 +272,12 @@
                     request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
                 )
 
+    def _is_outdated(self, answer: SlotGrant | SlotRefusal) -> bool:
+        """Return whether to ask again: the answer came too late or from another."""
+        if isinstance(answer, SlotGrant):
+            return self._has_ended(answer)
+        return _is_wrong_dispatcher(answer)
+
     def _record_silence(self, service: str, seconds: float) -> None:
         self._health.record_silence(seconds)
         if self.uses_standby:
@@ -278,10 +287,11 @@
             self._replies.deliver_all(_DispatcherChanged())
 
     def _send_request(self, request: SlotRequest) -> None:
+        dated = msgspec.structs.replace(request, asked_at=self._node.now())
         if self.uses_standby:
-            self._standby.receive(self._node.name, request)
+            self._standby.receive(self._node.name, dated)
         else:
-            self._send_to_dispatcher(request.service, request)
+            self._send_to_dispatcher(request.service, dated)
 
     def _lacks_dispatcher(self, request: SlotRequest, waited_ms: float) -> bool:
         """Return whether the request waited too long while no dispatcher is known."""
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -83,6 +83,8 @@
         Tokens charged against the account's usage cap.
     tries : int
         Number of backend servers that the request was sent to before.
+    asked_at : float or None
+        Time of the entry instance's clock at which it sent this message, in seconds.
     """
 
     request_id: str
@@ -102,6 +104,7 @@
     leaves_within_ms: int = 0
     charged_tokens: int = 0
     tries: int = 0
+    asked_at: float | None = None
 
     @property
     def tokens(self) -> int:
@@ -113,7 +116,9 @@
     """Grants a slot, which expires unless the request is sent within ``use_within_ms``.
 
     ``expected_first_ms`` is the dispatcher's estimate of the time to first token, and
-    ``waited_ms`` is the time that the request waited for the slot.
+    ``waited_ms`` is the time that the request waited for the slot. ``use_until`` is
+    the time on the entry instance's clock at which the grant ends, whenever it
+    arrives; ``None`` if the request did not say when it was sent.
     """
 
     request_id: str
@@ -125,6 +130,7 @@
     use_within_ms: int
     expected_first_ms: int = 0
     waited_ms: int = 0
+    use_until: float | None = None
 
 
 class SlotWaiting(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -7,6 +7,8 @@
 import random
 from dataclasses import dataclass
 
+import msgspec
+
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.backends import Announcement, Backend, Reservation
 from sassafraspin.dispatch.admission import Admission
@@ -43,6 +45,7 @@
 _GRANT_EXPIRY_MARGIN_SECONDS = 2.0
 _RECONCILE_MIN_AGE_SECONDS = 2.0
 _GRANT_SCAN_REQUESTS = 16
+_MS_PER_SECOND = 1000
 
 _DISCOVERY_SECONDS = 2.0
 """Time that a dispatcher that knows no servers at its start waits for them to announce
@@ -189,8 +192,10 @@
         """Grant a slot, queue the request, or refuse it."""
         granted = self._grants.of_request(request.request_id)
         if granted is not None:
-            self._send(entry, granted.message)
-            return self._drain_effects()
+            if self._renew(granted, request, now):
+                self._send(entry, granted.message)
+                return self._drain_effects()
+            self._end_grant(granted.grant_id, now)
         effects = []
         if request.request_id not in self._queue:
             self._admission.admit(entry, request, now)
@@ -329,6 +334,32 @@
         self._overload.preempt_lower_tiers(now)
         return self._drain_effects()
 
+    def _renew(self, grant: Grant, request: SlotRequest, now: float) -> bool:
+        """Return whether a grant that is asked for again may still be used.
+
+        If its server accepts work, the grant is as good as a new one.
+        """
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is not None and backend.takes_requests(now):
+            use_until = self._use_until(request, now, now)
+            grant.message = msgspec.structs.replace(grant.message, use_until=use_until)
+            return True
+        use_within = self._settings.grant_use_within_ms / _MS_PER_SECOND
+        return now - grant.granted_at < use_within
+
+    def _use_until(
+        self, request: SlotRequest, received_at: float, now: float
+    ) -> float | None:
+        """Return until when a grant made now may be used, on the clock of the entry.
+
+        The request left the entry instance before it was received here, so the time
+        never ends later than ``grant_use_within_ms`` from now.
+        """
+        if request.asked_at is None:
+            return None
+        use_within = self._settings.grant_use_within_ms / _MS_PER_SECOND
+        return request.asked_at + (now - received_at) + use_within
+
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
         request = waiting.request
         version = self._gate.choose_version()
@@ -374,6 +405,7 @@
             self._settings.grant_use_within_ms,
             int(expected_first_token(choice.backend, request, now) * 1000),
             int((now - waiting.queued_at) * 1000),
+            self._use_until(request, waiting.queued_at, now),
         )
         grant = Grant(
             waiting.entry,
