Publish the directory anew with each leadership

Cause: the publisher kept what it had sent in an earlier leadership and took it for what the others have, although another leader may have published something else since. Found by looking for the cause of DRAIN elsewhere; a change of that time was not sent again until the next full round (5 s). No failure of callers was seen with it.

Why this works: without the leadership nothing counts as published, so a new leadership starts with a full round.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -73,6 +73,12 @@
             updates.append(DirectoryUpdate((), gone))
         return updates
 
+    def forget_published(self) -> None:
+        """Publish everything again: it is not known what the others have."""
+        self._next_round_at = float("-inf")
+        self._published.clear()
+        self._gone.clear()
+
     def _new_removals(self, known: set[str]) -> dict[str, int]:
         gone = {}
         for backend_id in self._published.keys() - known:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -168,6 +168,9 @@
         if self._control.leads(now):
             self._broadcast_backends(now)
             self._send_usage_reports()
+        else:
+            # Another leader may publish something else in the meantime.
+            self._directory_publisher.forget_published()
         self._report_resources(now)
 
     def _send_heartbeat(self, now: float) -> None:
