--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -148,6 +148,12 @@
         self.assertEqual(len(self.known()), 6)
         self.assertEqual(self.send_updates(servers, 1.0), 7)
 
+    def test_another_leader_in_between_is_followed_by_a_full_update(self):
+        servers = backends(7)
+        self.send_updates(servers, 0.0)
+        self.publisher.forget_published()
+        self.assertEqual(self.send_updates(servers, 0.1), 7)
+
     def test_removed_server_is_reported_at_once(self):
         servers = backends(7)
         self.send_updates(servers, 0.0)
