--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -4,7 +4,7 @@
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import trio
@@ -181,9 +181,61 @@
                 nursery.cancel_scope.cancel()
 
 
-def _settings(listen: RoutedListen, data_folder: Path) -> RoutedSettings:
+@asynccontextmanager
+async def routed_cluster(count: int = 3) -> AsyncIterator[list[RoutedListen]]:
+    """Run daemons on one host, each with its own ports; yield once all are ready."""
+    ports = free_ports(4 * count)
+    listens = [
+        RoutedListen(*(Address(HOST, port) for port in ports[4 * i : 4 * i + 4]))
+        for i in range(count)
+    ]
+    seeds = tuple(listen.peers for listen in listens)
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            daemons = []
+            for number, listen in enumerate(listens, start=1):
+                settings = replace(
+                    _settings(listen, Path(folder) / f"data-{number}", number),
+                    seeds=seeds,
+                    founds=number == 1,
+                    tolerated_losses=(count - 1) // 2,
+                    founding_settle_ms=200,
+                )
+                daemon = RoutedDaemon(settings, PlatformAdapter(60_000), number)
+                await nursery.start(daemon.run)
+                daemons.append(daemon)
+            client = HttpClient(TIMEOUTS)
+            await _put_configuration(client, listens)
+            while not all(daemon.is_ready for daemon in daemons):
+                await trio.sleep(0.05)
+            try:
+                yield listens
+            finally:
+                client.close()
+                nursery.cancel_scope.cancel()
+
+
+async def _put_configuration(client: HttpClient, listens: list[RoutedListen]) -> None:
+    """Offer the routing table to each daemon in turn until one accepts it."""
+    request = Request(
+        "PUT",
+        "/sassafraspin/config",
+        Headers((("host", "control"),)),
+        json.dumps(configuration()).encode(),
+    )
+    while True:
+        for listen in listens:
+            response = await client.send(listen.control, request)
+            if response.status == 200:
+                return
+            await trio.sleep(0.05)
+
+
+def _settings(
+    listen: RoutedListen, data_folder: Path, number: int = 1
+) -> RoutedSettings:
     return RoutedSettings(
-        instance=InstanceSettings("front-1", "south", "a"),
+        instance=InstanceSettings(f"front-{number}", "south", "a"),
         listen=listen,
         seeds=(listen.peers,),
         founds=True,
