Redirect to the control port that the leader reports

The address combined the leader's host with the own control port, so instances that share a host redirected to themselves. Each instance now reports its control port with its membership; 0 stands for builds that do not. For these the own port is kept on other hosts, so that backend servers reach the leader during an upgrade; on the own host, where it would be a redirect to itself, the answer is 503.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -98,7 +98,8 @@
         self._shutdown_complete = trio.Event()
         self._draining = False
         self._applied_view = 0
-        member = local_member(settings.instance, settings.listen.peers)
+        listen = settings.listen
+        member = local_member(settings.instance, listen.peers, listen.operators)
         self._network = PeerNetwork(
             member.name,
             member.incarnation,
--- a/src/sassafraspin/daemon/setup.py
+++ b/src/sassafraspin/daemon/setup.py
@@ -16,10 +16,21 @@
 _MS_PER_SECOND = 1000
 
 
-def local_member(instance: InstanceSettings, peers: Address) -> Member:
+def local_member(
+    instance: InstanceSettings, peers: Address, control: Address
+) -> Member:
     """Return the member entry of this process.
 
     Its incarnation is the current wall clock time in microseconds.
+
+    Parameters
+    ----------
+    instance : InstanceSettings
+        Name and location.
+    peers : Address
+        Address for messages between instances.
+    control : Address
+        Address for requests of operators and backend servers.
     """
     return Member(
         instance.name,
@@ -28,6 +39,7 @@
         instance.availability_zone,
         peers.host,
         peers.port,
+        control.port,
     )
 
 
--- a/src/sassafraspin/membership/view.py
+++ b/src/sassafraspin/membership/view.py
@@ -20,7 +20,18 @@
 
 @dataclass(frozen=True)
 class Member:
-    """An instance as listed in a view."""
+    """An instance as listed in a view.
+
+    Parameters
+    ----------
+    name, incarnation, region, availability_zone
+        Identity and location.
+    host, port
+        Address for messages between instances.
+    control_port : int
+        Port of the same host on which it accepts requests of operators and backend
+        servers; 0 if unknown, because older builds do not report it.
+    """
 
     name: str
     incarnation: int
@@ -28,6 +39,7 @@
     availability_zone: str
     host: str
     port: int
+    control_port: int = 0
 
     @property
     def identity(self) -> MemberIdentity:
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -85,7 +85,8 @@
         self._generator = random.Random(seed)
         self._draining = False
         self._drained = trio.Event()
-        self._member = local_member(settings.instance, settings.listen.peers)
+        listen = settings.listen
+        self._member = local_member(settings.instance, listen.peers, listen.control)
         self._network = PeerNetwork(
             self._member.name,
             self._member.incarnation,
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -12,6 +12,7 @@
 from sassafraspin.daemon.problems import ControlUnavailable
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.isolation import IsolatedPart
+from sassafraspin.membership import Member
 from sassafraspin.moves import Move, MovePhase, MoveSpec
 from sassafraspin.routed.problems import NotCurrent, RetirementPending
 from sassafraspin.routed.retirement import RetirementView, ServerRetirement
@@ -54,7 +55,7 @@
     dispatch : DispatchService
         Receives the announcements.
     control_port : int
-        Port on which every instance accepts control requests.
+        Port on which this instance accepts control requests.
     retirements : RetirementView
         Retirements of backend servers that are in force.
     """
@@ -87,7 +88,19 @@
         if leader is None or leader == self._node.name:
             return None
         member = self._node.view.find(leader)
-        return None if member is None else Address(member.host, self._control_port)
+        return None if member is None else self._control_address(member)
+
+    def _control_address(self, member: Member) -> Address | None:
+        """Return the control address of a member, ``None`` if it is not known.
+
+        Members of older builds do not report their control port. It is usually the
+        same on all hosts, but two instances of one host have different ones.
+        """
+        if member.control_port:
+            return Address(member.host, member.control_port)
+        if member.host == self._node.member.host:
+            return None
+        return Address(member.host, self._control_port)
 
     async def put_table(self, table: RoutingTable, source: bytes) -> None:
         """Propose a routing table; only a version above the current takes effect."""
--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -6,8 +6,11 @@
 from types import SimpleNamespace
 from urllib.parse import urlsplit
 
+import msgspec
 import trio
 
+from sassafraspin.control import ChangeView
+from sassafraspin.control.commands import decode_command
 from sassafraspin.http import Headers, HttpClient, Request, Response
 from sassafraspin.membership import (
     HeartbeatReply,
@@ -25,9 +28,9 @@
 REDIRECT_STATUS = 307
 
 
-def leader_member() -> Member:
+def leader_member(host: str = "10.0.0.1", control_port: int = 0) -> Member:
     """Return the view's entry of the control leader."""
-    return Member("front-1", 1, "south", "a", "10.0.0.1", 7400)
+    return Member("front-1", 1, "south", "a", host, 7400, control_port)
 
 
 def registration(port: int) -> Request:
@@ -103,14 +106,14 @@
         control_names = ("front-1", "front-2")
         own = Member("front-2", 1, "south", "b", "10.0.0.2", 7400)
         self.lease = MemberLease(own, control_names, 0.5, MemberTimings(lease=3.0))
-        node = SimpleNamespace(
+        self.node = SimpleNamespace(
             name=own.name,
             member=own,
             lease=self.lease,
             view=View(1, 1, (leader_member(), own)),
             now=lambda: self.now,
         )
-        self.operations = Operations(node, None, None, None, CONTROL_PORT)
+        self.operations = Operations(self.node, None, None, None, CONTROL_PORT)
 
     def hear(self, leader: str) -> None:
         """Receive a reply in which the leader grants a lease."""
@@ -129,10 +132,37 @@
         self.now = 10.0
         self.assertIsNone(self.operations.leader_address())
 
+    def test_port_that_the_leader_reports_is_returned(self):
+        self.node.view = View(1, 1, (leader_member(control_port=7301),))
+        self.hear("front-1")
+        self.assertEqual(self.operations.leader_address(), Address("10.0.0.1", 7301))
+
+    def test_unknown_port_on_the_own_host_is_not_guessed(self):
+        self.node.view = View(1, 1, (leader_member(self.node.member.host),))
+        self.hear("front-1")
+        self.assertIsNone(self.operations.leader_address())
+
     def test_instance_itself_is_not_returned(self):
         self.hear("front-2")
         self.assertIsNone(self.operations.leader_address())
 
 
+class TestViewsOfOtherBuilds(unittest.TestCase):
+    """Instances of builds with and without control ports read each other's views."""
+
+    def test_member_without_control_port_is_read(self):
+        entry = msgspec.to_builtins(leader_member())
+        del entry["control_port"]
+        data = msgspec.msgpack.encode(ChangeView("v", 0, View(1, 0, (entry,))))
+        (member,) = decode_command(data).view.members
+        self.assertEqual(member, leader_member())
+
+    def test_member_with_fields_of_a_later_build_is_read(self):
+        entry = {**msgspec.to_builtins(leader_member()), "later": 1}
+        data = msgspec.msgpack.encode(ChangeView("v", 0, View(1, 0, (entry,))))
+        (member,) = decode_command(data).view.members
+        self.assertEqual(member, leader_member())
+
+
 if __name__ == "__main__":
     unittest.main()
