Redirect only while the leader itself was heard within a lease

What callers saw: operators and backend servers were sent to an instance that no longer led, or sent round in circles between two that each took the other for the leader.

Cause: the last known leader was a belief without an end. It was used for a redirect however long ago that leader was last heard, and whoever had named it.

Evidence: tests.test_redirects.TestLeaderAddress; an instance redirected to a leader that it had last heard 10 s before, with a lease of 3 s.

Why this works: a redirect needs a message of the leader itself that is no older than a lease; hearsay from another control instance is not enough.

--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -116,6 +116,13 @@
         """Return the statement that names the leader, ``None`` if there is none."""
         return self._claim
 
+    def hears_leader(self, now: float) -> bool:
+        """Return whether the leader itself said within a lease that it leads."""
+        claim = self._claim
+        if claim is None or claim.source != claim.leader:
+            return False
+        return now - claim.received_at <= self._timings.lease
+
     @property
     def control_names(self) -> tuple[str, ...]:
         """Return the control instances last reported by the leader.
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -83,11 +83,15 @@
         return self._control.leads(self._node.now())
 
     def leader_address(self) -> Address | None:
-        """Return the control address of the leader, if another instance leads."""
-        leader = self._node.lease.leader
-        if leader is None or leader == self._node.name:
+        """Return the control address of the leader, if another instance leads.
+
+        It is ``None`` unless this instance has heard the leader itself lately: two
+        instances that know a leader by hearsay may redirect to each other.
+        """
+        lease = self._node.lease
+        if lease.leader == self._node.name or not lease.hears_leader(self._node.now()):
             return None
-        member = self._node.view.find(leader)
+        member = self._node.view.find(lease.leader)
         return None if member is None else self._control_address(member)
 
     def _control_address(self, member: Member) -> Address | None:
--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -113,7 +113,7 @@
             view=View(1, 1, (leader_member(), own)),
             now=lambda: self.now,
         )
-        self.operations = Operations(self.node, None, None, None, CONTROL_PORT)
+        self.operations = Operations(self.node, None, None, None, CONTROL_PORT, None)
 
     def hear(self, leader: str) -> None:
         """Receive a reply in which the leader grants a lease."""
