Grant leases in messages of their own, apart from large updates

Cause: the reply to a heartbeat carried the update that the member lacked. A large one goes over a stream, which may take seconds in a series of changes, and the lease and the name of the leader waited with it. Found by looking for the cause of DRAIN elsewhere: an instance would lose its lease, and now the leader, because of a slow update.

Evidence: tests.test_leader_claims.TestLease failed before; a reply with a lease took more than a datagram.

Why this works: the reply never carries an update that may take a stream. The update follows as an announcement, and a member that still lacks something reports soon.

--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
+
 from sassafraspin.control import (
     AdvanceMove,
     ControlNode,
@@ -14,6 +16,7 @@
     ReplicaTimings,
 )
 from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.control.transit import LARGE_BYTES
 from sassafraspin.daemon.messages import Propose, ProposeReply
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.proposals import with_timestamp
@@ -137,6 +140,11 @@
         if heartbeat.member is not None and source.name != self._node.name:
             self._set_peer_address(heartbeat.member.address)
         reply = self._control_node.heartbeat(source, heartbeat, now)
+        update = reply.update
+        if update is not None and update.size >= LARGE_BYTES:
+            # A stream may take seconds for an update; the lease must not wait for it.
+            reply = msgspec.structs.replace(reply, update=None)
+            self._node.send(source.name, self._control_node.announcement(update))
         self._node.send(source.name, reply)
 
     def on_propose(self, source: str, message: Propose, now: float) -> None:
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -363,7 +363,7 @@
         if reply.sent_at > 0:
             self._node.lease.on_reply(source, reply, configuration.index, now)
         else:
-            self._node.lease.on_announcement(source, reply, now)
+            self._node.lease.on_announcement(source, reply, configuration.index, now)
         self._apply_view()
 
     def _on_ledger_message(
--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -244,12 +244,20 @@
             self._lease_until = max(self._lease_until, reply.sent_at + usable)
         self._on_leader_reply(reply, config_index)
 
-    def on_announcement(self, source: str, reply: HeartbeatReply, now: float) -> None:
-        """Process a message that a leader sends unasked; report to a new leader."""
+    def on_announcement(
+        self, source: str, reply: HeartbeatReply, config_index: int, now: float
+    ) -> None:
+        """Process a message that a leader sends unasked, as for ``on_reply``.
+
+        A new leader, and one whose update was a part of what this member lacks, gets a
+        report soon.
+        """
         known = self._claim
         if reply.leader != source or not self._adopt(source, reply, now):
             return
-        if known is None or known.leader != source or known.term != reply.term:
+        is_new = known is None or known.leader != source or known.term != reply.term
+        is_partial = reply.update is not None and config_index < reply.commit_index
+        if is_new or is_partial:
             self.report_soon()
 
     def _adopt(self, source: str, reply: HeartbeatReply, now: float) -> bool:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -287,7 +287,7 @@
         if reply.sent_at > 0:
             lease.on_reply(source, reply, configuration.index, now)
         else:
-            lease.on_announcement(source, reply, now)
+            lease.on_announcement(source, reply, configuration.index, now)
         if reply.leader == source == lease.leader:
             self._slots.on_dispatcher_active()
         self._log_leader_change(source, now)
--- a/tests/test_leader_claims.py
+++ b/tests/test_leader_claims.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 import trio
 
 from sassafraspin.membership import (
@@ -11,6 +12,8 @@
     MemberTimings,
     View,
 )
+from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES
+from tests.routed_deployment import configuration
 from tests.routed_model import CONTROL, ENTRIES, routed_model, run_in_virtual_time
 from tests.test_config_transfer import MEMBER
 
@@ -42,6 +45,40 @@
         self.assertLessEqual(now - asked_at, MAX_SEARCH_SECONDS)
 
 
+class TestLease(unittest.TestCase):
+    """A lease is granted in time, whatever else the leader sends."""
+
+    def test_lease_does_not_wait_for_a_large_update(self):
+        async def scenario():
+            async with routed_model() as model:
+                leader = model.leader()
+                large = configuration(2)
+                large["tenants"] = [
+                    {"name": f"account-{number}", "api_keys": [f"key-{number}"]}
+                    for number in range(500)
+                ]
+                model.cut((leader,), ("e0",))
+                await model.control(leader, "PUT", "config", large)
+                await trio.sleep(1.0)
+                model.blocked_links.clear()
+                model.delivered.clear()
+                index = model.runtimes[leader].node.configuration.index
+                await model.seconds_until(
+                    lambda: model.runtimes["e0"].node.configuration.index >= index
+                )
+            sizes = [
+                len(msgspec.msgpack.encode(message))
+                for _, target, message in model.delivered
+                if target == "e0"
+                and isinstance(message, HeartbeatReply)
+                and message.lease_ms > 0
+            ]
+            self.assertTrue(sizes)
+            self.assertLess(max(sizes), MAX_DATAGRAM_BYTES)
+
+        run_in_virtual_time(scenario)
+
+
 class TestChangeOfLeader(unittest.TestCase):
     """Instances that a new leader can reach follow it and stay in the view."""
 
