--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -168,11 +168,11 @@
             The announcement before it.
         """
         known = self._node.configuration.state.retirements.find(announcement.id)
-        if known is not None and before is not None and before.leaving:
-            is_repeated = known.order >= before.order
-            if is_repeated and known.incarnation == announcement.incarnation:
-                return known
-        return Retirement.of_leaving(announcement)
+        if known is None or before is None or not before.leaving:
+            return Retirement.of_leaving(announcement)
+        if {known.incarnation, before.incarnation} != {announcement.incarnation}:
+            return Retirement.of_leaving(announcement)
+        return known
 
     def _known_incarnation(self, backend_id: str) -> int | None:
         announcement = self._dispatch.announcement_of(backend_id)
