End the retirement of servers that number their announcements anew

A server without an incarnation that is started again under its name repeats low sequence numbers, and would have stayed out of use for as long as its retirement is stored. Its announcements count again once none of its earlier ones can be on its way.

--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -8,7 +8,6 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.moves import Move, MovePhase
-from sassafraspin.routed.retirement import RetirementView
 from sassafraspin.routes import DeclaredTable, RoutedService
 from sassafraspin.settings import DispatchSettings, ServiceSettings
 
@@ -34,21 +33,14 @@
         Knows whether this instance is the control leader.
     directory : BackendDirectory
         Backend servers as reported by the previous dispatcher.
-    retirements : RetirementView
-        Retirements of backend servers that are in force.
     """
 
     def __init__(
-        self,
-        node: Node,
-        control: ControlService,
-        directory: BackendDirectory,
-        retirements: RetirementView,
+        self, node: Node, control: ControlService, directory: BackendDirectory
     ) -> None:
         self._node = node
         self._control = control
         self._directory = directory
-        self._retirements = retirements
         self._usage_log = UsageLog(node.settings.dispatch)
         self._caps = UsageCaps(node.settings.dispatch, node.now())
         self._next_report_at = 0.0
@@ -117,10 +109,11 @@
 
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
         """Return the backend servers that the previous dispatcher knew."""
+        retirements = self._node.configuration.state.retirements
         return tuple(
             announcement
             for announcement in self._directory.of_service(service)
-            if not self._retirements.covers(announcement)
+            if not retirements.covers(announcement)
         )
 
     def backends_revision(self) -> None:
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -57,7 +57,7 @@
     control_port : int
         Port on which this instance accepts control requests.
     retirements : RetirementView
-        Retirements of backend servers that are in force.
+        Retirements of backend servers, to recognise outdated announcements.
     """
 
     def __init__(
@@ -130,7 +130,7 @@
         RetirementPending
             If the server leaves and some instances may still send it requests.
         """
-        if self._retirements.covers(announcement):
+        if self._retirements.is_outdated(announcement):
             return
         before = self._dispatch.announcement_of(announcement.id)
         if not self._dispatch.announce(announcement):
--- a/src/sassafraspin/routed/retirement.py
+++ b/src/sassafraspin/routed/retirement.py
@@ -20,13 +20,13 @@
 _POLL_SECONDS = 0.01
 _COMMIT_RETENTION_SECONDS = 30.0
 
-_MAX_DELAY_SECONDS = 60.0
-"""Age of a retirement from which on a lower announcement is no delayed one, but comes
-from a server that was started again and numbers its announcements from the start."""
+_MAX_DELAY_SECONDS = 15.0
+"""Longest delay of an announcement. A lower one after that comes from a server that was
+started again and numbers its announcements from the start."""
 
 
 class RetirementView:
-    """Retirements of the applied configuration that are in force on this instance.
+    """Retirements of the applied configuration, and since when they are known here.
 
     Parameters
     ----------
@@ -39,12 +39,12 @@
         self._seen_index = 0
         self._seen_at: dict[Retirement, float] = {}
 
-    def covers(self, announcement: Announcement) -> bool:
-        """Return whether the server may not be used because of an announcement."""
+    def is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether a server sent an announcement before it was retired."""
+        self._note_new()
         retirements = self._node.configuration.state.retirements
         if not retirements.covers(announcement):
             return False
-        self._note_new()
         seen_at = self._seen_at[retirements.find(announcement.id)]
         return self._node.now() - seen_at < _MAX_DELAY_SECONDS
 
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -108,10 +108,7 @@
         self._directory_publisher = DirectoryPublisher(
             dispatch.directory_interval_ms / _MS_PER_SECOND
         )
-        retirements = RetirementView(self.node)
-        leader_scope = LeaderScope(
-            self.node, self._control, self._directory, retirements
-        )
+        leader_scope = LeaderScope(self.node, self._control, self._directory)
         self._leader_scope = leader_scope
         self._dispatch = DispatchService(
             self.node, generator, _ignore_load_order, leader_scope
@@ -142,7 +139,7 @@
             self._proposals,
             self._dispatch,
             settings.listen.control.port,
-            retirements,
+            RetirementView(self.node),
         )
         self.handle_control = adapter.control_handler(operations)
         self._report_schedule = ReportSchedule(self.node.now())
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -32,6 +32,9 @@
 MAX_USE_SECONDS = 2.0
 """Time after the acknowledgement for which a server that leaves still serves."""
 
+MAX_DELAY_SECONDS = 15.0
+"""Longest time that an announcement is on its way."""
+
 GRANT_USE_SECONDS = 0.5
 SERVERS = ("i1", "i2")
 
@@ -134,6 +137,15 @@
 
         self.run_scenario(scenario)
 
+    def test_server_that_numbers_its_announcements_anew_is_used_again(self):
+        async def scenario(model):
+            await self.leave_then_forget(model)
+            await trio.sleep(MAX_DELAY_SECONDS)
+            await model.announce(model.leader(), "i1", "ready", sequence=1)
+            self.assertIn("i1", await model.used_servers(ENTRIES, 1.0))
+
+        self.run_scenario(scenario)
+
     def test_late_announcement_does_not_bring_back_a_server_at_a_new_leader(self):
         async def scenario(model):
             await model.report_leave("i1")
