Notice at once that the dispatcher is back, after a refusal of the standby

What callers saw: requests on an instance that had been cut off were refused or late for 0.8 s after the cut had healed.

Cause: a request whose standby had refused it stopped reading its answers until it was due for a repeat. The news that the dispatcher is back stayed unread, the time without an answer went on counting, and the dispatcher was declared lost again at once, for all requests. A standby that ends with its lease refuses, so this showed now.

The new test failed before.

Why this works: an answer that does not count is skipped, and the next one is read.

--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -248,16 +248,14 @@
             is_acknowledged = False
             with trio.move_on_after(repeat_seconds):
                 answer = await receive.receive()
-                while isinstance(answer, SlotWaiting):
-                    is_acknowledged = True
+                while isinstance(answer, SlotWaiting) or self._is_outdated(answer):
+                    is_acknowledged |= isinstance(answer, SlotWaiting)
                     answer = await receive.receive()
                 if isinstance(answer, _DispatcherChanged):
                     unanswered_since = self._node.now()
                     repeat_seconds = self._repeat_seconds
                     continue
-                if not self._is_outdated(answer):
-                    return answer
-                await trio.sleep_forever()
+                return answer
             now = self._node.now()
             if is_acknowledged:
                 unanswered_since = now
@@ -272,8 +270,8 @@
                     request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
                 )
 
-    def _is_outdated(self, answer: SlotGrant | SlotRefusal) -> bool:
-        """Return whether to ask again: the answer came too late or from another."""
+    def _is_outdated(self, answer: object) -> bool:
+        """Return whether an answer does not count: it came too late or from another."""
         if isinstance(answer, SlotGrant):
             return self._has_ended(answer)
         return _is_wrong_dispatcher(answer)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -7,7 +7,13 @@
 import trio.testing
 
 from sassafraspin.daemon.slots import SlotClient
-from sassafraspin.dispatch import SlotGrant, SlotRequest, SlotWaiting
+from sassafraspin.dispatch import (
+    RefusalReason,
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+    SlotWaiting,
+)
 from sassafraspin.settings import DispatchSettings
 
 
@@ -110,6 +116,22 @@
 
         self.run_scenario(scenario)
 
+    def test_regained_dispatcher_is_kept_though_the_standby_had_refused(self):
+        async def scenario():
+            refusal = SlotRefusal("s:1", RefusalReason.NOT_DISPATCHER, 200)
+            while not self.client.uses_standby:
+                await trio.sleep(0.01)
+            for _ in range(100):
+                self.client.receive("entry", refusal)
+                await trio.sleep(0.01)
+            self.client.on_dispatcher_active()
+            for _ in range(20):
+                await trio.sleep(0.01)
+                self.assertFalse(self.client.uses_standby)
+                self.client.receive("leader-1", SlotWaiting("s:1"))
+
+        self.run_scenario(scenario)
+
     def test_request_goes_to_standby_when_dispatcher_is_silent(self):
         async def scenario():
             await self.wait_and_answer(2.0, answered=True)
