Refuse calls at once on an instance that has lost its dispatcher for a lease

What callers saw: on an instance that was cut off from the dispatcher for longer than its lease they waited up to a second, or until their deadline, and were then refused.

Why this works: neither a dispatcher nor the standby can take the call, and another instance may; the refusal says that it was not run and when to come back.

--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -292,9 +292,15 @@
             self._send_to_dispatcher(request.service, dated)
 
     def _lacks_dispatcher(self, request: SlotRequest, waited_ms: float) -> bool:
-        """Return whether the request waited too long while no dispatcher is known."""
+        """Return whether the request waited too long while no dispatcher is known.
+
+        A dispatcher that is lost for a whole lease rarely returns soon, and callers may
+        be served by another instance, so they are told at once.
+        """
         if self._node.dispatcher_of(request.service) is not None:
             return False
+        if self.uses_standby:
+            return True
         return waited_ms > self._node.settings.dispatch.slot_timeout_ms
 
     def _return_unclaimed(self, grant: SlotGrant) -> None:
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -23,6 +23,7 @@
     ANNOUNCEMENT_TTL_SECONDS,
     CONTROL,
     ENTRIES,
+    LEASE_SECONDS,
     RoutedModel,
     routed_model,
     run_in_virtual_time,
@@ -35,6 +36,7 @@
 MAX_DELAY_SECONDS = 15.0
 """Longest time that an announcement is on its way."""
 
+MAX_REFUSAL_SECONDS = 0.1
 GRANT_USE_SECONDS = 0.5
 SERVERS = ("i1", "i2")
 
@@ -102,6 +104,16 @@
 
         self.run_scenario(scenario)
 
+    def test_cut_off_instance_refuses_at_once_after_its_lease(self):
+        async def scenario(model):
+            model.cut(("e0",), CONTROL)
+            await model.used_servers(("e0",), LEASE_SECONDS + 0.5)
+            asked_at = trio.current_time()
+            self.assertIsNone(await model.used_server("e0"))
+            self.assertLess(trio.current_time() - asked_at, MAX_REFUSAL_SECONDS)
+
+        self.run_scenario(scenario)
+
     def test_leave_while_the_old_leader_is_cut_off_from_its_quorum(self):
         async def scenario(model):
             old = model.leader()
