Retire servers that were withdrawn before they were known here

Cause: a withdrawal carries no incarnation. A leader that did not know the server answered at once and recorded nothing, and one that knew an earlier incarnation retired that one. A delayed announcement then brought the server back.

Evidence: the new test failed before: all entry instances used the server.

Why this works: a withdrawal retires each incarnation that may have been started until then. The dispatcher also drops a server whose announcement arrived before the retirement was committed.

--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Hashable
+from dataclasses import replace
 
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.dispatch_scope import DispatchScope
@@ -163,6 +164,17 @@
                 return backend.announcement
         return None
 
+    def apply_retirements(self) -> None:
+        """Stop using the servers that the control log has retired.
+
+        A server may have announced itself here before the retirement was known.
+        """
+        retirements = self._node.configuration.state.retirements
+        for backend in self.backends():
+            announcement = backend.announcement
+            if retirements.covers(announcement):
+                self.announce(replace(announcement, leaving=True))
+
     def withdraw_server(self, backend_id: str) -> bool:
         """Stop sending requests to a backend server; return whether it is known."""
         now = self._node.now()
--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sassafraspin.daemon.node import wall_clock_ms
 from sassafraspin.errors import InvalidInput
 from sassafraspin.http import (
     BadRequest,
@@ -85,7 +86,8 @@
             case ("PUT", root, "instances", name) if root == _ROOT:
                 return await self._register(name, request)
             case ("DELETE", root, "instances", name) if root == _ROOT:
-                await self._operations.withdraw(name)
+                # The time is above each start until now; starts number incarnations.
+                await self._operations.withdraw(name, wall_clock_ms())
                 return Response(200)
             case ("POST", root, "rollouts") if root == _ROOT:
                 return await self._start_rollout(request)
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -138,8 +138,15 @@
         if announcement.leaving:
             await self._retire(self._retirement_of(announcement, before))
 
-    async def withdraw(self, backend_id: str) -> None:
-        """Stop sending requests to a backend server; an unknown one is ignored.
+    async def withdraw(self, backend_id: str, incarnation: int) -> None:
+        """Stop sending requests to a backend server until it is started again.
+
+        Parameters
+        ----------
+        backend_id : str
+            Name of the backend server.
+        incarnation : int
+            The incarnation that is withdrawn, or a later one before the next start.
 
         Raises
         ------
@@ -150,10 +157,11 @@
         """
         if not self.is_leader:
             raise NotCurrent("this instance does not lead")
-        incarnation = self._known_incarnation(backend_id)
         self._dispatch.withdraw_server(backend_id)
-        if incarnation is not None:
-            await self._retire(Retirement.of_withdrawn(backend_id, incarnation))
+        known = self._dispatch.announcement_of(backend_id)
+        if known is not None:
+            incarnation = max(incarnation, known.incarnation)
+        await self._retire(Retirement.of_withdrawn(backend_id, incarnation))
 
     def _retirement_of(
         self, announcement: Announcement, before: Announcement | None
@@ -174,13 +182,6 @@
             return Retirement.of_leaving(announcement)
         return known
 
-    def _known_incarnation(self, backend_id: str) -> int | None:
-        announcement = self._dispatch.announcement_of(backend_id)
-        if announcement is not None:
-            return announcement.incarnation
-        retired = self._node.configuration.state.retirements.find(backend_id)
-        return None if retired is None else retired.incarnation
-
     async def _retire(self, retirement: Retirement) -> None:
         """Retire a server on all instances, and log whether that is acknowledged."""
         started_at = self._node.now()
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -179,6 +179,7 @@
         retired = node.configuration.state.retirements.last_index
         if retired != self._reported_retirement:
             self._reported_retirement = retired
+            self._dispatch.apply_retirements()
             node.lease.report_soon()
         heartbeat = node.lease.tick(
             node.configuration.index, node.view.number, node.view, now
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -178,6 +178,21 @@
 
         self.run_scenario(scenario)
 
+    def test_late_announcement_does_not_bring_back_a_server_unknown_when_withdrawn(
+        self,
+    ):
+        async def scenario(model):
+            await model.delete("i0")
+            for _ in range(3):
+                await model.announce(model.leader(), "i0", "ready", sequence=1)
+                used = await model.used_servers(ENTRIES, 0.3)
+                self.assertNotIn("i0", used)
+            await self.change_leader(model)
+            await model.announce(model.leader(), "i0", "ready", sequence=1)
+            self.assertNotIn("i0", await model.used_servers(ENTRIES, 1.0))
+
+        self.run_scenario(scenario)
+
     def test_leave_outlives_the_leader_that_acknowledged_it(self):
         """The leader stops before it has told the other instances."""
 
