Log why a stream to another instance failed

The event holds the error, what was in transit, and how late the process ran the timer that watches the stream.

--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -11,7 +11,7 @@
 
 from sassafraspin.rpc.frames import MessageCodec, RawCodec
 from sassafraspin.settings import NamedAddress
-from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import StreamFailed, log_event
 
 __all__ = ["EXCHANGE_PATH", "LinkTimeouts", "PeerLink"]
 
@@ -25,7 +25,7 @@
 _SLOW_BYTES_PER_SECOND = 250_000
 """Rate of a slow link that other messages share."""
 
-_log = part_logger("rpc")
+_MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True)
@@ -116,6 +116,8 @@
         self._unacknowledged: deque[int] = deque()
         self._acknowledged_frames = 0
         self._last_progress_at = 0.0
+        self._opened_at = 0.0
+        self._longest_delay = 0.0
         self._sent_bytes = 0
 
     @property
@@ -160,15 +162,35 @@
         """Maintain a stream while there is traffic, until cancelled."""
         while True:
             await self._queued.wait()
+            self._opened_at = asyncio.get_running_loop().time()
+            self._longest_delay = 0.0
+            self._unacknowledged.clear()
             try:
                 await self._run_stream()
             except _IdleTimeout:
                 continue
             except _STREAM_ERRORS as error:
-                _log.debug("Stream to {} failed: {!r}.", self._address.name, error)
+                self._log_failure(error, is_replaced=True)
                 if isinstance(error, OSError):
                     self._drop_queue()
                 await asyncio.sleep(self._timeouts.retry)
+            except Exception as error:
+                self._log_failure(error, is_replaced=False)
+                raise
+
+    def _log_failure(self, error: Exception, is_replaced: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        log_event(
+            StreamFailed(
+                self._address.name,
+                repr(error),
+                is_replaced,
+                int((now - self._opened_at) * _MS_PER_SECOND),
+                sum(self._unacknowledged),
+                self.pending_bytes,
+                int(self._longest_delay * _MS_PER_SECOND),
+            )
+        )
 
     def _drop_queue(self) -> None:
         """Discard the messages for a peer that cannot be reached."""
@@ -238,8 +260,11 @@
             pause = self._timeouts.idle
             if self._unacknowledged:
                 pause = self._timeouts.acknowledge
+            due_at = loop.time() + pause / 2
             await asyncio.sleep(pause / 2)
-            since_progress = loop.time() - self._last_progress_at
+            now = loop.time()
+            self._longest_delay = max(self._longest_delay, now - due_at)
+            since_progress = now - self._last_progress_at
             if self._unacknowledged:
                 limit = self._timeouts.acknowledge_within(sum(self._unacknowledged))
                 if since_progress > limit:
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -26,6 +26,7 @@
     "PartReadmitted",
     "ResourceUsage",
     "ServerLeaving",
+    "StreamFailed",
     "TableInForce",
     "TryEnded",
     "describe_events",
@@ -165,6 +166,27 @@
     in_flight: int
 
 
+@dataclass(frozen=True)
+class StreamFailed(Event):
+    """A stream to another instance failed; it is replaced if it ``is_replaced``.
+
+    ``lasted_ms`` is its duration, ``unacknowledged_bytes`` what was sent over it
+    without an acknowledgement, ``pending_bytes`` what waits for the next stream, and
+    ``late_ms`` the longest delay of the timer that watches it: how late this process
+    runs its tasks.
+    """
+
+    part: ClassVar[str] = "rpc"
+    text: ClassVar[str] = "A stream to another instance failed."
+    peer: str
+    error: str
+    is_replaced: bool
+    lasted_ms: int
+    unacknowledged_bytes: int
+    pending_bytes: int
+    late_ms: int
+
+
 @dataclass(frozen=True)
 class TryEnded(Event):
     """An attempt to serve a request on a backend server ended.
@@ -285,6 +307,7 @@
     DispatcherLost,
     DispatcherRegained,
     ResourceUsage,
+    StreamFailed,
     TryEnded,
     PartIsolated,
     PartReadmitted,
