Report how long a callback waits in the event loop of the streams

The figure tells a process that is late as a whole from one whose event loop of the streams alone is behind. No change of logic.

--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -216,6 +216,7 @@
                 self.node.configuration.retained_bytes,
                 self._control.log_bytes,
                 self.entry.in_flight,
+                int(usage.callback_delay * _MS_PER_SECOND),
             )
         )
 
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -1,6 +1,7 @@
 """Message exchange between instances over UDP, and gRPC for large messages."""
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -50,6 +51,9 @@
         Messages discarded without being sent, since the start.
     sent_bytes : dict
         Bytes handed to datagrams or streams since the start, by type of message.
+    callback_delay : float
+        Seconds that a callback last waited in the event loop of the streams, or has
+        waited until now.
     """
 
     pending_bytes: int
@@ -57,6 +61,7 @@
     largest_peer_bytes: int
     dropped_messages: int
     sent_bytes: dict[str, int]
+    callback_delay: float
 
 
 class PeerNetwork:
@@ -102,6 +107,8 @@
         self._sent_bytes = 0
         self._sent_bytes_by_type: Counter[str] = Counter()
         self._dropped_messages = 0
+        self._callback_delay = 0.0
+        self._probed_at: float | None = None
 
     @property
     def sent_bytes(self) -> int:
@@ -129,6 +136,7 @@
             0 if largest is None else pending[largest],
             self._dropped_messages + dropped,
             dict(self._sent_bytes_by_type),
+            self._probe_callback_delay(),
         )
 
     def set_peer_address(self, address: NamedAddress) -> None:
@@ -192,6 +200,22 @@
         handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
         return {EXCHANGE_PATH: handler}
 
+    def _probe_callback_delay(self) -> float:
+        """Return the last known delay of callbacks, and start to measure it again."""
+        now = time.monotonic()
+        delay = self._callback_delay
+        if self._probed_at is not None:
+            delay = max(delay, now - self._probed_at)
+        elif self._loop is not None:
+            self._probed_at = now
+            self._loop.call_soon(self._end_probe)
+        return delay
+
+    def _end_probe(self) -> None:
+        if self._probed_at is not None:
+            self._callback_delay = time.monotonic() - self._probed_at
+            self._probed_at = None
+
     def _limit_excess_bytes(self) -> None:
         """Drop the oldest message of the longest queue while the limit is exceeded."""
         links = self._links.values()
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -152,6 +152,8 @@
     messages discarded since the start, ``sent_kb`` the traffic to other instances since
     the start by type of message, ``retained_bytes`` the commands kept for updates,
     ``log_bytes`` the control log and ``in_flight`` the calls in progress.
+    ``callback_delay_ms`` is how long a callback last waited in the event loop of the
+    streams.
     """
 
     text: ClassVar[str] = "Memory and bytes by owner."
@@ -164,6 +166,7 @@
     retained_bytes: int
     log_bytes: int
     in_flight: int
+    callback_delay_ms: int
 
 
 @dataclass(frozen=True)
