Deliver messages of an instance to itself without the event loop of the streams

What callers saw: on the control leader of a busy installation, requests and leases of the instance itself waited for seconds. Cause: trio_asyncio runs one callback per pass of the trio scheduler, and each message to the own instance was one; above that rate the queue grows without bound, and the streams wait behind it.

--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -102,6 +102,7 @@
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._trio_token: trio.lowlevel.TrioToken | None = None
         self._received_bytes = 0
         self._datagrams = DatagramSocket(address, self._receive_frame)
         self._sent_bytes = 0
@@ -180,6 +181,7 @@
         """Listen for peers until cancelled."""
         async with trio_asyncio.open_loop() as loop:
             self._loop = loop
+            self._trio_token = trio.lowlevel.current_trio_token()
             server = Server([self], codec=RawCodec())
             await trio_asyncio.aio_as_trio(server.start)(
                 self._address.host, self._address.port
@@ -191,6 +193,7 @@
             finally:
                 self._datagrams.close()
                 self._loop = None
+                self._trio_token = None
                 for name in list(self._links):
                     self._drop_link(name)
                 server.close()
@@ -246,8 +249,12 @@
             task.cancel()
 
     def _deliver_locally(self, message: Any) -> None:
-        if self._loop is not None:
-            self._loop.call_soon(self._handle, self._name, self._incarnation, message)
+        # All of these callbacks run in the next pass of the scheduler, while the event
+        # loop of the streams may be behind.
+        if self._trio_token is not None:
+            self._trio_token.run_sync_soon(
+                self._handle, self._name, self._incarnation, message
+            )
 
     async def _receive_stream(self, stream: Stream[bytes, bytes]) -> None:
         counter = _FrameCounter()
