Run all due callbacks of the streams in each pass of the scheduler

A frame takes a handful of callbacks and a new stream dozens, for each of the leader's 23 peers; on a busy leader they waited for up to 3.4 s, longer than the acknowledgement timeout, so streams were replaced before they had delivered anything, which takes more callbacks still. Datagrams do not pass through that loop. With all due callbacks in each pass, the time of a frame no longer depends on the number of peers.

--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -16,6 +16,7 @@
 from grpclib.server import Server, Stream
 
 from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from sassafraspin.rpc.event_loop import open_event_loop
 from sassafraspin.rpc.frames import Acknowledgement, MessageCodec, RawCodec
 from sassafraspin.rpc.link import EXCHANGE_PATH, LinkTimeouts, PeerLink
 from sassafraspin.settings import Address, NamedAddress
@@ -179,7 +180,7 @@
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen for peers until cancelled."""
-        async with trio_asyncio.open_loop() as loop:
+        async with open_event_loop() as loop:
             self._loop = loop
             self._trio_token = trio.lowlevel.current_trio_token()
             server = Server([self], codec=RawCodec())
