Open another stream whatever ended the one before

Cause: the task of a link ended with any error that was not on its list, and nothing started it again. A link has no state that an error could spoil: the messages taken from its queue are lost, as with any stream that breaks.

--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from grpclib.client import Channel, Stream, StreamStreamMethod
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from sassafraspin.rpc.frames import MessageCodec, RawCodec
 from sassafraspin.settings import NamedAddress
@@ -63,18 +61,6 @@
     """The stream was idle for longer than the idle timeout."""
 
 
-_STREAM_ERRORS = (
-    OSError,
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    asyncio.TimeoutError,
-    msgspec.DecodeError,
-    _AcknowledgeTimeout,
-    _IdleTimeout,
-)
-
-
 class PeerLink:
     """Sends messages to one peer in order, without delivery guarantee.
 
@@ -169,22 +155,19 @@
                 await self._run_stream()
             except _IdleTimeout:
                 continue
-            except _STREAM_ERRORS as error:
-                self._log_failure(error, is_replaced=True)
+            except Exception as error:
+                # grpclib raises errors of any type if a connection ends while it opens.
+                self._log_failure(error)
                 if isinstance(error, OSError):
                     self._drop_queue()
                 await asyncio.sleep(self._timeouts.retry)
-            except Exception as error:
-                self._log_failure(error, is_replaced=False)
-                raise
 
-    def _log_failure(self, error: Exception, is_replaced: bool) -> None:
+    def _log_failure(self, error: Exception) -> None:
         now = asyncio.get_running_loop().time()
         log_event(
             StreamFailed(
                 self._address.name,
                 repr(error),
-                is_replaced,
                 int((now - self._opened_at) * _MS_PER_SECOND),
                 sum(self._unacknowledged),
                 self.pending_bytes,
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -171,7 +171,7 @@
 
 @dataclass(frozen=True)
 class StreamFailed(Event):
-    """A stream to another instance failed; it is replaced if it ``is_replaced``.
+    """A stream to another instance failed; the next message opens another one.
 
     ``lasted_ms`` is its duration, ``unacknowledged_bytes`` what was sent over it
     without an acknowledgement, ``pending_bytes`` what waits for the next stream, and
@@ -183,7 +183,6 @@
     text: ClassVar[str] = "A stream to another instance failed."
     peer: str
     error: str
-    is_replaced: bool
     lasted_ms: int
     unacknowledged_bytes: int
     pending_bytes: int
