Bound what a stream that may be dead can hold

Cause: the time limit of an acknowledgement grows with the bytes in transit, and those grew with all that was sent, up to the 4 MiB window of HTTP/2 (17 s); copies in that window also arrive before newer messages. Above 128 KiB in transit messages wait in the queue, so a dead stream is replaced within two seconds plus the pause of the timer, and the queue drops its oldest messages rather than the newest.

--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -20,6 +20,10 @@
 """Limits of a frame and of the queue after its first message. A single message may be
 larger."""
 
+_MAX_UNACKNOWLEDGED_BYTES = 128 * 1024
+"""Bytes in transit above which messages wait in the queue, which drops the oldest ones,
+and not in a stream that may be dead."""
+
 _SLOW_BYTES_PER_SECOND = 250_000
 """Rate of a slow link that other messages share."""
 
@@ -100,6 +104,7 @@
         self._dropped_messages = 0
         self._queued = asyncio.Event()
         self._unacknowledged: deque[int] = deque()
+        self._acknowledged = asyncio.Event()
         self._acknowledged_frames = 0
         self._last_progress_at = 0.0
         self._opened_at = 0.0
@@ -226,6 +231,9 @@
             while not self._queue:
                 self._queued.clear()
                 await self._queued.wait()
+            while sum(self._unacknowledged) >= _MAX_UNACKNOWLEDGED_BYTES:
+                self._acknowledged.clear()
+                await self._acknowledged.wait()
             frame = self._next_frame()
             if not self._unacknowledged:
                 self._last_progress_at = loop.time()
@@ -280,3 +288,4 @@
                 self._unacknowledged.popleft()
             self._acknowledged_frames = frames
             self._last_progress_at = asyncio.get_running_loop().time()
+            self._acknowledged.set()
