--- a/src/sassafraspin/rpc/link.py
+++ b/src/sassafraspin/rpc/link.py
@@ -5,13 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from grpclib.client import Channel, Stream, StreamStreamMethod
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from sassafraspin.rpc.frames import MessageCodec, RawCodec
 from sassafraspin.settings import NamedAddress
-from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import StreamFailed, log_event
 
 __all__ = ["EXCHANGE_PATH", "LinkTimeouts", "PeerLink"]
 
@@ -22,10 +20,14 @@
 """Limits of a frame and of the queue after its first message. A single message may be
 larger."""
 
+_MAX_UNACKNOWLEDGED_BYTES = 128 * 1024
+"""Bytes in transit above which messages wait in the queue, which drops the oldest ones,
+and not in a stream that may be dead."""
+
 _SLOW_BYTES_PER_SECOND = 250_000
 """Rate of a slow link that other messages share."""
 
-_log = part_logger("rpc")
+_MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True)
@@ -63,18 +65,6 @@
     """The stream was idle for longer than the idle timeout."""
 
 
-_STREAM_ERRORS = (
-    OSError,
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    asyncio.TimeoutError,
-    msgspec.DecodeError,
-    _AcknowledgeTimeout,
-    _IdleTimeout,
-)
-
-
 class PeerLink:
     """Sends messages to one peer in order, without delivery guarantee.
 
@@ -114,8 +104,11 @@
         self._dropped_messages = 0
         self._queued = asyncio.Event()
         self._unacknowledged: deque[int] = deque()
+        self._acknowledged = asyncio.Event()
         self._acknowledged_frames = 0
         self._last_progress_at = 0.0
+        self._opened_at = 0.0
+        self._longest_delay = 0.0
         self._sent_bytes = 0
 
     @property
@@ -160,16 +153,33 @@
         """Maintain a stream while there is traffic, until cancelled."""
         while True:
             await self._queued.wait()
+            self._opened_at = asyncio.get_running_loop().time()
+            self._longest_delay = 0.0
+            self._unacknowledged.clear()
             try:
                 await self._run_stream()
             except _IdleTimeout:
                 continue
-            except _STREAM_ERRORS as error:
-                _log.debug("Stream to {} failed: {!r}.", self._address.name, error)
+            except Exception as error:
+                # grpclib raises errors of any type if a connection ends while it opens.
+                self._log_failure(error)
                 if isinstance(error, OSError):
                     self._drop_queue()
                 await asyncio.sleep(self._timeouts.retry)
 
+    def _log_failure(self, error: Exception) -> None:
+        now = asyncio.get_running_loop().time()
+        log_event(
+            StreamFailed(
+                self._address.name,
+                repr(error),
+                int((now - self._opened_at) * _MS_PER_SECOND),
+                sum(self._unacknowledged),
+                self.pending_bytes,
+                int(self._longest_delay * _MS_PER_SECOND),
+            )
+        )
+
     def _drop_queue(self) -> None:
         """Discard the messages for a peer that cannot be reached."""
         self._dropped_messages += len(self._queue)
@@ -221,6 +231,9 @@
             while not self._queue:
                 self._queued.clear()
                 await self._queued.wait()
+            while sum(self._unacknowledged) >= _MAX_UNACKNOWLEDGED_BYTES:
+                self._acknowledged.clear()
+                await self._acknowledged.wait()
             frame = self._next_frame()
             if not self._unacknowledged:
                 self._last_progress_at = loop.time()
@@ -238,8 +251,11 @@
             pause = self._timeouts.idle
             if self._unacknowledged:
                 pause = self._timeouts.acknowledge
+            due_at = loop.time() + pause / 2
             await asyncio.sleep(pause / 2)
-            since_progress = loop.time() - self._last_progress_at
+            now = loop.time()
+            self._longest_delay = max(self._longest_delay, now - due_at)
+            since_progress = now - self._last_progress_at
             if self._unacknowledged:
                 limit = self._timeouts.acknowledge_within(sum(self._unacknowledged))
                 if since_progress > limit:
@@ -272,3 +288,4 @@
                 self._unacknowledged.popleft()
             self._acknowledged_frames = frames
             self._last_progress_at = asyncio.get_running_loop().time()
+            self._acknowledged.set()
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -1,6 +1,7 @@
 """Message exchange between instances over UDP, and gRPC for large messages."""
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -15,6 +16,7 @@
 from grpclib.server import Server, Stream
 
 from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from sassafraspin.rpc.event_loop import open_event_loop
 from sassafraspin.rpc.frames import Acknowledgement, MessageCodec, RawCodec
 from sassafraspin.rpc.link import EXCHANGE_PATH, LinkTimeouts, PeerLink
 from sassafraspin.settings import Address, NamedAddress
@@ -50,6 +52,9 @@
         Messages discarded without being sent, since the start.
     sent_bytes : dict
         Bytes handed to datagrams or streams since the start, by type of message.
+    callback_delay : float
+        Seconds that a callback last waited in the event loop of the streams, or has
+        waited until now.
     """
 
     pending_bytes: int
@@ -57,6 +62,7 @@
     largest_peer_bytes: int
     dropped_messages: int
     sent_bytes: dict[str, int]
+    callback_delay: float
 
 
 class PeerNetwork:
@@ -97,11 +103,14 @@
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._trio_token: trio.lowlevel.TrioToken | None = None
         self._received_bytes = 0
         self._datagrams = DatagramSocket(address, self._receive_frame)
         self._sent_bytes = 0
         self._sent_bytes_by_type: Counter[str] = Counter()
         self._dropped_messages = 0
+        self._callback_delay = 0.0
+        self._probed_at: float | None = None
 
     @property
     def sent_bytes(self) -> int:
@@ -129,6 +138,7 @@
             0 if largest is None else pending[largest],
             self._dropped_messages + dropped,
             dict(self._sent_bytes_by_type),
+            self._probe_callback_delay(),
         )
 
     def set_peer_address(self, address: NamedAddress) -> None:
@@ -170,8 +180,9 @@
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen for peers until cancelled."""
-        async with trio_asyncio.open_loop() as loop:
+        async with open_event_loop() as loop:
             self._loop = loop
+            self._trio_token = trio.lowlevel.current_trio_token()
             server = Server([self], codec=RawCodec())
             await trio_asyncio.aio_as_trio(server.start)(
                 self._address.host, self._address.port
@@ -183,6 +194,7 @@
             finally:
                 self._datagrams.close()
                 self._loop = None
+                self._trio_token = None
                 for name in list(self._links):
                     self._drop_link(name)
                 server.close()
@@ -192,6 +204,22 @@
         handler = Handler(self._receive_stream, Cardinality.STREAM_STREAM, bytes, bytes)
         return {EXCHANGE_PATH: handler}
 
+    def _probe_callback_delay(self) -> float:
+        """Return the last known delay of callbacks, and start to measure it again."""
+        now = time.monotonic()
+        delay = self._callback_delay
+        if self._probed_at is not None:
+            delay = max(delay, now - self._probed_at)
+        elif self._loop is not None:
+            self._probed_at = now
+            self._loop.call_soon(self._end_probe)
+        return delay
+
+    def _end_probe(self) -> None:
+        if self._probed_at is not None:
+            self._callback_delay = time.monotonic() - self._probed_at
+            self._probed_at = None
+
     def _limit_excess_bytes(self) -> None:
         """Drop the oldest message of the longest queue while the limit is exceeded."""
         links = self._links.values()
@@ -222,8 +250,12 @@
             task.cancel()
 
     def _deliver_locally(self, message: Any) -> None:
-        if self._loop is not None:
-            self._loop.call_soon(self._handle, self._name, self._incarnation, message)
+        # All of these callbacks run in the next pass of the scheduler, while the event
+        # loop of the streams may be behind.
+        if self._trio_token is not None:
+            self._trio_token.run_sync_soon(
+                self._handle, self._name, self._incarnation, message
+            )
 
     async def _receive_stream(self, stream: Stream[bytes, bytes]) -> None:
         counter = _FrameCounter()
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -26,6 +26,7 @@
     "PartReadmitted",
     "ResourceUsage",
     "ServerLeaving",
+    "StreamFailed",
     "TableInForce",
     "TryEnded",
     "describe_events",
@@ -153,6 +154,8 @@
     messages discarded since the start, ``sent_kb`` the traffic to other instances since
     the start by type of message, ``retained_bytes`` the commands kept for updates,
     ``log_bytes`` the control log and ``in_flight`` the calls in progress.
+    ``callback_delay_ms`` is how long a callback last waited in the event loop of the
+    streams.
     """
 
     text: ClassVar[str] = "Memory and bytes by owner."
@@ -165,6 +168,27 @@
     retained_bytes: int
     log_bytes: int
     in_flight: int
+    callback_delay_ms: int
+
+
+@dataclass(frozen=True)
+class StreamFailed(Event):
+    """A stream to another instance failed; the next message opens another one.
+
+    ``lasted_ms`` is its duration, ``unacknowledged_bytes`` what was sent over it
+    without an acknowledgement, ``pending_bytes`` what waits for the next stream, and
+    ``late_ms`` the longest delay of the timer that watches it: how late this process
+    runs its tasks.
+    """
+
+    part: ClassVar[str] = "rpc"
+    text: ClassVar[str] = "A stream to another instance failed."
+    peer: str
+    error: str
+    lasted_ms: int
+    unacknowledged_bytes: int
+    pending_bytes: int
+    late_ms: int
 
 
 @dataclass(frozen=True)
@@ -287,6 +311,7 @@
     DispatcherLost,
     DispatcherRegained,
     ResourceUsage,
+    StreamFailed,
     TryEnded,
     PartIsolated,
     PartReadmitted,
