--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -62,7 +62,7 @@
     largest_peer_bytes: int
     dropped_messages: int
     sent_bytes: dict[str, int]
-    callback_delay: float
+    callback_delay: float = 0.0
 
 
 class PeerNetwork:
--- a/tests/routed_model.py
+++ b/tests/routed_model.py
@@ -19,6 +19,7 @@
 from sassafraspin.platform.adapter import PlatformAdapter
 from sassafraspin.routed import RoutedListen, RoutedSettings
 from sassafraspin.routed.runtime import RoutedRuntime
+from sassafraspin.rpc.network import NetworkUsage
 from sassafraspin.settings import (
     Address,
     ControlSettings,
@@ -246,13 +247,7 @@
         network = SimpleNamespace(
             send=lambda target, message: self._send(name, target, message),
             set_peer_address=lambda address: None,
-            usage=lambda: SimpleNamespace(
-                pending_bytes=0,
-                largest_peer=None,
-                largest_peer_bytes=0,
-                dropped_messages=0,
-                sent_bytes={},
-            ),
+            usage=lambda: NetworkUsage(0, None, 0, 0, {}),
         )
         adapter = PlatformAdapter(int(ANNOUNCEMENT_TTL_SECONDS * 1000))
         return RoutedRuntime(
