--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -166,6 +166,21 @@
         self.run_scenario(scenario)
 
 
+class TestLeaderAboutToBeReplaced(LeavingTestCase):
+    """A leader that is cut off from its quorum holds its lease for a moment."""
+
+    def test_leave_acknowledged_by_a_leader_just_cut_off_from_its_quorum(self):
+        async def scenario(model):
+            old = model.leader()
+            others = tuple(name for name in CONTROL if name != old)
+            model.cut((old,), others)
+            await model.report_leave("i1")
+            await trio.sleep(MAX_USE_SECONDS)
+            await self.assert_unused(model, (*others, *ENTRIES))
+
+        self.run_scenario(scenario)
+
+
 class DispatcherLink:
     """A slot client and its dispatcher, whose answers can be lost or delayed."""
 
