--- a/tests/routed_model.py
+++ b/tests/routed_model.py
@@ -61,7 +61,7 @@
         self._links: dict[tuple[str, str], trio.MemorySendChannel] = {}
         self._request_count = 0
         self._sequences: dict[str, int] = defaultdict(int)
-        self._leaving: set[str] = set()
+        self._silent_servers: set[str] = set()
         control = tuple(
             NamedAddress(name, f"10.0.0.{number}", 7600)
             for number, name in enumerate(CONTROL, start=1)
@@ -138,23 +138,27 @@
         return await self.control(instance, "PUT", f"instances/{server}", document)
 
     async def run_server(self, server: str) -> None:
-        """Announce that a server is ready, at intervals, until it leaves."""
-        while server not in self._leaving:
+        """Announce that a server is ready, at intervals, until it stops."""
+        while server not in self._silent_servers:
             leader = self.leader()
             if leader is not None:
                 await self.announce(leader, server, "ready")
             await trio.sleep(0.5)
 
+    def stop_server(self, server: str) -> None:
+        """Send no more announcements of a server."""
+        self._silent_servers.add(server)
+
     async def report_leave(self, server: str) -> None:
         """Report that a server leaves until a leader acknowledges it."""
-        self._leaving.add(server)
+        self.stop_server(server)
         await self._repeat_at_leader(
             lambda leader: self.announce(leader, server, "draining")
         )
 
     async def delete(self, server: str) -> None:
         """Withdraw a server through a leader."""
-        self._leaving.add(server)
+        self.stop_server(server)
         await self._repeat_at_leader(
             lambda leader: self.control(leader, "DELETE", f"instances/{server}")
         )
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -153,6 +153,18 @@
 
         self.run_scenario(scenario)
 
+    def test_late_announcement_does_not_bring_back_a_server_withdrawn_while_unknown(
+        self,
+    ):
+        async def scenario(model):
+            model.stop_server("i1")
+            await trio.sleep(ANNOUNCEMENT_TTL_SECONDS + 0.5)
+            await model.delete("i1")
+            await model.announce(model.leader(), "i1", "ready", sequence=1)
+            await self.assert_unused(model, ENTRIES, 1.0)
+
+        self.run_scenario(scenario)
+
     def test_leave_outlives_the_leader_that_acknowledged_it(self):
         """The leader stops before it has told the other instances."""
 
