--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -193,6 +193,18 @@
 
         self.run_scenario(scenario)
 
+    def test_late_announcement_does_not_bring_back_a_server_withdrawn_while_unknown(
+        self,
+    ):
+        async def scenario(model):
+            model.stop_server("i1")
+            await trio.sleep(ANNOUNCEMENT_TTL_SECONDS + 0.5)
+            await model.delete("i1")
+            await model.announce(model.leader(), "i1", "ready", sequence=1)
+            await self.assert_unused(model, ENTRIES, 1.0)
+
+        self.run_scenario(scenario)
+
     def test_leave_outlives_the_leader_that_acknowledged_it(self):
         """The leader stops before it has told the other instances."""
 
@@ -206,6 +218,21 @@
         self.run_scenario(scenario)
 
 
+class TestLeaderAboutToBeReplaced(LeavingTestCase):
+    """A leader that is cut off from its quorum holds its lease for a moment."""
+
+    def test_leave_acknowledged_by_a_leader_just_cut_off_from_its_quorum(self):
+        async def scenario(model):
+            old = model.leader()
+            others = tuple(name for name in CONTROL if name != old)
+            model.cut((old,), others)
+            await model.report_leave("i1")
+            await trio.sleep(MAX_USE_SECONDS)
+            await self.assert_unused(model, (*others, *ENTRIES))
+
+        self.run_scenario(scenario)
+
+
 class DispatcherLink:
     """A slot client and its dispatcher, whose answers can be lost or delayed."""
 
