--- a/src/sassafraspin/standins/announcer.py
+++ b/src/sassafraspin/standins/announcer.py
@@ -14,6 +14,8 @@
 
 __all__ = ["Announcer"]
 
+_UNAVAILABLE_STATUS = 503
+
 _log = part_logger("stand-in")
 
 
@@ -55,9 +57,10 @@
             self._wake = trio.Event()
 
     async def announce(self) -> None:
-        """Send one announcement; try each target once until one answers.
+        """Send one announcement; try each target once until one accepts it.
 
-        A refusal is logged and not sent to the next target.
+        An instance that answers 503 can't pass it on now, but another may. Any other
+        refusal is logged and not sent to the next target.
         """
         request = self._request()
         targets = self._settings.targets
@@ -68,10 +71,13 @@
             except RemoteFailure:
                 self._target_index += 1
                 continue
+            if response.status == _UNAVAILABLE_STATUS:
+                self._target_index += 1
+                continue
             if response.status >= 300:
                 _log.warning("Announcement refused: {}.", response.body.decode())
             return
-        _log.debug("No announcement target is reachable.")
+        _log.debug("No target accepted the announcement.")
 
     def _request(self) -> Request:
         body = msgspec.json.encode(self._make_announcement())
