Keep a leave of a server that does not number its announcements

A delayed announcement has the same order as the newer one that says that the server leaves, and replaced it. The pool model numbers its announcements, so that its servers still come back after a leave.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -99,7 +99,7 @@
         A higher incarnation means that the server has restarted: its prefix cache and
         backlog are empty, and earlier failures and a withdrawal no longer count.
         """
-        if announcement.order < self._announcement.order:
+        if self._is_outdated(announcement):
             return
         if announcement.incarnation > self._announcement.incarnation:
             self._cache = PrefixCacheView()
@@ -111,6 +111,17 @@
         self._expires_at = now + announcement.ttl_ms / 1000
         self._cache.apply_report(announcement.cache)
 
+    def _is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether the current announcement is newer.
+
+        Servers that do not number their announcements leave until they restart: another
+        announcement of the same incarnation may have been delayed.
+        """
+        known = self._announcement
+        if announcement.order != known.order:
+            return announcement.order < known.order
+        return known.leaving and not announcement.leaving
+
     @property
     def is_withdrawn(self) -> bool:
         """Return whether ``withdraw`` was called in this incarnation.
