--- a/src/sassafraspin/daemon/operations.py
+++ b/src/sassafraspin/daemon/operations.py
@@ -20,6 +20,7 @@
 from sassafraspin.daemon.problems import (
     Conflict,
     ControlUnavailable,
+    NotMember,
     UnknownPath,
 )
 from sassafraspin.daemon.proposals import ProposalClient
@@ -114,6 +115,8 @@
         services = {service.name for service in self._node.settings.services}
         if announcement.service not in services:
             raise InvalidField("$.service", f"must be one of {sorted(services)}")
+        if not self._node.is_active_member():
+            raise NotMember
         dispatcher = self._node.dispatcher_of(announcement.service)
         if dispatcher is not None:
             self._node.send(dispatcher, AnnounceBackend(announcement))
--- a/src/sassafraspin/daemon/problems.py
+++ b/src/sassafraspin/daemon/problems.py
@@ -11,6 +11,7 @@
     "InternalFailure",
     "KeyReused",
     "LedgerUnavailable",
+    "NotMember",
     "OutcomeUnknown",
     "SlotRefused",
     "StillRunning",
@@ -67,6 +68,18 @@
         )
 
 
+class NotMember(RequestProblem):
+    """An instance without a lease may not know which instances dispatch."""
+
+    status = 503
+    reason = "not-member"
+    title = "Not a member"
+    retry_after_ms = _RETRY_AFTER_MS
+
+    def __init__(self) -> None:
+        super().__init__("this instance holds no lease; send it to another one")
+
+
 class SlotRefused(RequestProblem):
     """The request got no slot: the dispatcher refused, or none was known in time."""
 
