Acknowledge a leave when the dispatcher has confirmed it

The announcement went to the dispatcher in one message, which may be lost, and was acknowledged at once.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -6,14 +6,21 @@
 
 import trio
 
+from sassafraspin.backends import Announcement
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.access import AccessControl
+from sassafraspin.daemon.announcements import AnnouncementClient
 from sassafraspin.daemon.claims import ClaimClient
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_scope import ViewScope
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.entry import EntryService
-from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
+from sassafraspin.daemon.messages import (
+    LeaveConfirmed,
+    PeerMessage,
+    Propose,
+    ProposeReply,
+)
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.operations import OperationsApi
 from sassafraspin.daemon.orders import OrderSender
@@ -112,6 +119,7 @@
         self._claims = ClaimClient(self._node)
         self._slots = SlotClient(self._node)
         self._proposals = ProposalClient(self._node)
+        self._announcements = AnnouncementClient(self._node)
         self._backend_client = HttpClient(client_timeouts(settings.dispatch))
         self._orders = OrderSender(self._backend_client)
         self._dispatch = DispatchService(
@@ -129,7 +137,7 @@
             BackendRelay(self._backend_client),
         )
         self._operations = OperationsApi(
-            self._node, access, self._proposals, self.status
+            self._node, access, self._proposals, self._announcements, self.status
         )
         self._caller_server = HttpServer(
             settings.listen.callers, settings.http, self._handle_call
@@ -338,8 +346,12 @@
                 self._claims.receive(message)
             case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
                 self._dispatch.receive(source, message)
-            case HeldGrants() | AnnounceBackend():
+            case HeldGrants():
                 self._dispatch.receive(source, message)
+            case AnnounceBackend():
+                self._on_announcement(source, message.announcement)
+            case LeaveConfirmed():
+                self._announcements.receive(message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(source, message)
             case SlotWaiting() | UnknownGrants():
@@ -366,6 +378,12 @@
             self._node.lease.on_announcement(source, reply, configuration.index, now)
         self._apply_view()
 
+    def _on_announcement(self, source: str, announcement: Announcement) -> None:
+        """Apply an announcement that an instance forwards; confirm a leave to it."""
+        is_applied = self._dispatch.announce(announcement)
+        if is_applied and announcement.leaving:
+            self._node.send(source, LeaveConfirmed.of(announcement))
+
     def _on_ledger_message(
         self, source: MemberIdentity, message: PeerMessage, now: float
     ) -> None:
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafraspin.admission import UsageReport
+from sassafraspin.backends import Announcement
 from sassafraspin.control.commands import Command, CommandOutcome
 from sassafraspin.control.messages import ReplicaMessage
 from sassafraspin.discovery import DiscoveryMessage
@@ -13,7 +14,7 @@
 from sassafraspin.membership import MembershipMessage
 from sassafraspin.moves import MoveMessage
 
-__all__ = ["PeerMessage", "Propose", "ProposeReply"]
+__all__ = ["LeaveConfirmed", "PeerMessage", "Propose", "ProposeReply"]
 
 
 class Propose(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -32,6 +33,22 @@
     outcome: CommandOutcome | None
 
 
+class LeaveConfirmed(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Tells that a dispatcher gives no new slot of a server that leaves.
+
+    ``incarnation`` and ``sequence`` are those of the announcement that it confirms.
+    """
+
+    server: str
+    incarnation: int
+    sequence: int
+
+    @classmethod
+    def of(cls, announcement: Announcement) -> "LeaveConfirmed":
+        """Return the confirmation of an announcement."""
+        return cls(announcement.id, announcement.incarnation, announcement.sequence)
+
+
 PeerMessage = (
     MembershipMessage
     | DispatchMessage
@@ -44,4 +61,5 @@
     | CrashReport
     | Propose
     | ProposeReply
+    | LeaveConfirmed
 )
--- a/src/sassafraspin/daemon/operations.py
+++ b/src/sassafraspin/daemon/operations.py
@@ -16,16 +16,15 @@
     UndoMove,
 )
 from sassafraspin.daemon.access import AccessControl
+from sassafraspin.daemon.announcements import AnnouncementClient
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.problems import (
     Conflict,
     ControlUnavailable,
-    NotMember,
     UnknownPath,
 )
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.daemon.status import InstanceStatus
-from sassafraspin.dispatch import AnnounceBackend
 from sassafraspin.http import (
     Headers,
     InvalidField,
@@ -55,6 +54,8 @@
         Authenticates operators and backend servers.
     proposals : ProposalClient
         Proposes commands to the replicated control log.
+    announcements : AnnouncementClient
+        Forwards the announcements of backend servers.
     read_status : callable
         Returns the status of this instance.
     """
@@ -64,11 +65,13 @@
         node: Node,
         access: AccessControl,
         proposals: ProposalClient,
+        announcements: AnnouncementClient,
         read_status: Callable[[], InstanceStatus],
     ) -> None:
         self._node = node
         self._access = access
         self._proposals = proposals
+        self._announcements = announcements
         self._read_status = read_status
 
     async def handle(self, request: Request) -> Response:
@@ -78,7 +81,7 @@
             case ("GET", "healthz"):
                 return Response(200)
             case ("POST", "v1", "backend-servers"):
-                return self._announce(request)
+                return await self._announce(request)
             case _:
                 operator = self._access.authenticate_operator(request).name
                 return await self._handle_operator(request, parts, operator)
@@ -109,18 +112,14 @@
             case _:
                 raise UnknownPath(request.path)
 
-    def _announce(self, request: Request) -> Response:
+    async def _announce(self, request: Request) -> Response:
         self._access.check_backend_server(request)
         announcement = read_body(request, Announcement)
         services = {service.name for service in self._node.settings.services}
         if announcement.service not in services:
             raise InvalidField("$.service", f"must be one of {sorted(services)}")
-        if not self._node.is_active_member():
-            raise NotMember
-        dispatcher = self._node.dispatcher_of(announcement.service)
-        if dispatcher is not None:
-            self._node.send(dispatcher, AnnounceBackend(announcement))
-        return Response(202)
+        await self._announcements.announce(announcement)
+        return Response(200 if announcement.leaving else 202)
 
     async def _put_profile(
         self, request: Request, name: str, operator: str
--- a/src/sassafraspin/daemon/problems.py
+++ b/src/sassafraspin/daemon/problems.py
@@ -10,6 +10,7 @@
     "ControlUnavailable",
     "InternalFailure",
     "KeyReused",
+    "LeaveUnconfirmed",
     "LedgerUnavailable",
     "NotMember",
     "OutcomeUnknown",
@@ -80,6 +81,21 @@
         super().__init__("this instance holds no lease; send it to another one")
 
 
+class LeaveUnconfirmed(RequestProblem):
+    """The dispatcher may still use a backend server that leaves."""
+
+    status = 503
+    reason = "leave-unconfirmed"
+    title = "Not in force"
+    retry_after_ms = _RETRY_AFTER_MS
+
+    def __init__(self, server: str) -> None:
+        super().__init__(
+            f"the dispatcher did not confirm in time that {server!r} leaves; send it "
+            "again"
+        )
+
+
 class SlotRefused(RequestProblem):
     """The request got no slot: the dispatcher refused, or none was known in time."""
 
--- a/tests/test_profile_leaves.py
+++ b/tests/test_profile_leaves.py
@@ -115,15 +115,15 @@
 
     def test_late_announcement_does_not_end_a_leave(self):
         model = PoolModel(servers=0)
-        model.announce(0)
-        model.announce(0, leaving=True)
-        model.announce(0)
+        model.announce(0, sequence=0)
+        model.announce(0, sequence=0, leaving=True)
+        model.announce(0, sequence=0)
         self.assertEqual(model.pool.status(model.now).accepting, 0)
 
     def test_restart_ends_a_leave(self):
         model = PoolModel(servers=0)
-        model.announce(0, leaving=True)
-        model.announce(0, incarnation=2)
+        model.announce(0, sequence=0, leaving=True)
+        model.announce(0, sequence=0, incarnation=2)
         self.assertEqual(model.pool.status(model.now).accepting, 1)
 
 
