--- a/src/sassafraspin/backends/retirement.py
+++ b/src/sassafraspin/backends/retirement.py
@@ -37,11 +37,6 @@
         """Return the order of the last announcement that is covered."""
         return self.incarnation, self.sequence
 
-    @property
-    def is_withdrawal(self) -> bool:
-        """Return whether the server was withdrawn until it is started again."""
-        return self.sequence == _END_OF_INCARNATION
-
     def covers(self, announcement: Announcement) -> bool:
         """Return whether the announcement may not be acted on any more."""
         return (
--- a/src/sassafraspin/routed/retirement.py
+++ b/src/sassafraspin/routed/retirement.py
@@ -20,9 +20,6 @@
 _POLL_SECONDS = 0.02
 _COMMIT_RETENTION_SECONDS = 30.0
 
-_REPEAT_SECONDS = 5.0
-"""Time in which another withdrawal of a server is the same one, sent again."""
-
 _MAX_DELAY_SECONDS = 15.0
 """Longest delay of an announcement. A lower one after that comes from a server that was
 started again and numbers its announcements from the start."""
@@ -125,7 +122,7 @@
     async def _commit(self, retirement: Retirement) -> _Commit:
         """Return the commit of a retirement that covers at least as much."""
         known = self._commits.get(retirement.server)
-        if known is not None and self._includes(known, retirement):
+        if known is not None and known.retirement.order >= retirement.order:
             return known
         while not self._node.configuration.state.retirements.includes(retirement):
             change_id = f"retire-{uuid.uuid4().hex}"
@@ -136,15 +133,6 @@
         self._commits[retirement.server] = commit
         return commit
 
-    def _includes(self, commit: _Commit, retirement: Retirement) -> bool:
-        """Return whether a commit covers a retirement, or that one is sent again."""
-        if commit.retirement.order >= retirement.order:
-            return True
-        is_recent = self._node.now() - commit.known_at < _REPEAT_SECONDS
-        return (
-            is_recent and commit.retirement.is_withdrawal and retirement.is_withdrawal
-        )
-
     def _forget_old_commits(self, now: float) -> None:
         for server, commit in list(self._commits.items()):
             if now - commit.known_at > _COMMIT_RETENTION_SECONDS:
