--- a/tests/routed_model.py
+++ b/tests/routed_model.py
@@ -99,6 +99,10 @@
         """Return the leader that an instance follows."""
         return self.runtimes[name].node.lease.leader
 
+    def uses_standby(self, name: str) -> bool:
+        """Return whether an instance dispatches its own requests."""
+        return self.runtimes[name]._slots.uses_standby
+
     async def wait_for_leader(self, *, other_than: str | None = None) -> str:
         """Wait until an instance other than the given one leads; return its name."""
         with trio.fail_after(10):
--- a/tests/test_leader_claims.py
+++ b/tests/test_leader_claims.py
@@ -88,6 +88,23 @@
 
         run_in_virtual_time(scenario)
 
+    def test_instances_stop_dispatching_by_themselves_once_there_is_a_leader(self):
+        async def scenario():
+            async with routed_model(("i1",)) as model:
+                old = model.leader()
+                running = (*others(old), *ENTRIES)
+                model.stop(old)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(model.used_servers, running, 20.0)
+                    await model.wait_for_leader(other_than=old)
+                    waited = await model.seconds_until(
+                        lambda: not any(map(model.uses_standby, running))
+                    )
+                    nursery.cancel_scope.cancel()
+                self.assertLessEqual(waited, MAX_SEARCH_SECONDS)
+
+        run_in_virtual_time(scenario)
+
     def test_late_reply_of_an_earlier_leader_does_not_bring_it_back(self):
         async def scenario():
             async with routed_model() as model:
