--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -242,7 +242,7 @@
         for member in silent:
             if member.name != self._node.name:
                 self._set_peer_address(member.address)
-                self._node.send(member.name, announcement)
+            self._node.send(member.name, announcement)
 
     def _advance_moves(self, control_node: ControlNode, now: float) -> None:
         def propose(command: AdvanceMove) -> None:
