--- a/tests/test_stale_links.py
+++ b/tests/test_stale_links.py
@@ -12,6 +12,8 @@
 from sassafraspin.loopback import free_ports
 from sassafraspin.rpc import PeerLink, PeerNetwork
 from sassafraspin.settings import Address, NamedAddress
+from tests.quorum_model import QuorumModel
+from tests.test_config_transfer import table_change
 
 HOST = "127.0.0.1"
 LARGE = "x" * 20_000
@@ -187,3 +189,37 @@
                     return await self.send_until_newer(first, ["b"], 1, 0.1)
 
         self.assertLess(trio.run(run), CONFIG_APPLY_SECONDS)
+
+
+class TestReturningVoter(unittest.TestCase):
+    """A voter that answers again after it was silent; virtual time."""
+
+    def commit_seconds(self, silence: float) -> float:
+        """Return the seconds that a table takes if it needs the voter that returned."""
+        model = QuorumModel(3)
+        model.run(5.0)
+        leader = model.leader()
+        silent, other = [name for name in model.nodes if name != leader.name]
+        send = model.network.send
+
+        def send_to_others(source: str, target: str, message: object) -> None:
+            if silent not in (source, target):
+                send(source, target, message)
+
+        model.network.send = send_to_others
+        decided = []
+        leader.control.propose(table_change(1), decided.append, leader.clock.now())
+        model.run(silence)
+        self.assertEqual(len(decided), 1)
+        model.network.send = send
+        model.crash(other)
+        leader.control.propose(table_change(2), decided.append, leader.clock.now())
+        started_at = model.network.now
+        while len(decided) < 2:
+            model.run(0.05)
+        return model.network.now - started_at
+
+    def test_returning_voter_gets_what_it_lacks_soon(self):
+        for silence in (2.0, 6.0, 10.0):
+            seconds = self.commit_seconds(silence)
+            self.assertLess(seconds, CONFIG_APPLY_SECONDS, f"{silence} s silent")
