Repeat a proposal with growing pauses

Cause: a change that is not decided was sent whole each 0.3 s for up to 5 s, also while earlier copies were in transit; 16 tables of 30 KB whose leader answers after 2.5 s filled a link of 5 Mbit/s with 4.6 MB, which callers share. A new leader is asked at once.

--- a/src/sassafraspin/daemon/proposals.py
+++ b/src/sassafraspin/daemon/proposals.py
@@ -31,7 +31,8 @@
         """Return the outcome of a command, ``None`` on timeout.
 
         Repeats carry the same change identifier, so the command is applied at most
-        once.
+        once. The pause before each repeat doubles, because an earlier copy may still be
+        in transit; another leader is asked at once.
         """
         receive = self._replies.open(command.change_id)
         try:
@@ -48,14 +49,25 @@
     async def _propose_until_decided(
         self, command: Command, receive: trio.MemoryReceiveChannel
     ) -> CommandOutcome:
+        asked: str | None = None
+        pause = _RETRY_INTERVAL_SECONDS
+        repeat_at = float("-inf")
         while True:
             leader = self._node.lease.leader
-            if leader is not None:
+            if leader != asked:
+                pause = _RETRY_INTERVAL_SECONDS
+                repeat_at = float("-inf")
+            if leader is not None and trio.current_time() >= repeat_at:
                 self._node.send(leader, Propose(command))
+                asked = leader
+                repeat_at = trio.current_time() + pause
+                pause *= 2
             with trio.move_on_after(_RETRY_INTERVAL_SECONDS):
                 reply = await receive.receive()
                 if reply.outcome is not None:
                     return reply.outcome
+                # The instance that was asked does not lead.
+                asked = None
                 await trio.sleep(_RETRY_INTERVAL_SECONDS)
 
 
