Send a returning voter at once what it may have lost

Cause: entries that were sent to a voter while it was frozen or cut off count as in transit, each time for twice as long, up to 24 heartbeats; the voter's answers to heartbeats change nothing about that. A table that needed this voter for its majority took 4.05 s of virtual time, with a limit of 2.5 s. An answer after more than an election timeout of silence now ends the wait; a peer that reads slowly answers heartbeats all the time, so it is sent nothing twice.

--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -200,6 +200,10 @@
         progress = self._progress_of(peer)
         if sent_at < progress.since:
             return
+        if sent_at - progress.contact > self._timings.election_timeout:
+            # What was sent to a silent peer may be lost with its stream.
+            progress.sent_at = float("-inf")
+            progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.contact = max(progress.contact, sent_at)
         self._cached_contact = None
 
