Update members whose clock was set back before they started

An incarnation is a wall clock time. After the clock of an instance was set back, its next incarnation was taken for an older one and got no configuration for the rest of the leader's term, so the instance never became ready.

Evidence: the new test failed before. Why this works: a higher incarnation counts only while it reports.

--- a/src/sassafraspin/control/transfers.py
+++ b/src/sassafraspin/control/transfers.py
@@ -22,6 +22,9 @@
 
 _CACHED_UPDATES = 4
 
+_REPORTING_SECONDS = 2.0
+"""Time without a heartbeat after which an incarnation may have ended."""
+
 _SMALL_RETRY_SECONDS = 0.15
 _LARGE_RETRY_SECONDS = 0.4
 _MAX_BACKOFF = 8
@@ -65,6 +68,8 @@
         Factor of the retry time of large updates; doubles while there is no progress.
     in_transit : deque of _Transit
         Updates in transit, oldest first.
+    reported_at : float
+        Monotonic time of the last heartbeat, in seconds.
     """
 
     identity: MemberIdentity
@@ -73,6 +78,7 @@
     accepts_packed: bool = False
     backoff: int = 1
     in_transit: deque[_Transit] = field(default_factory=deque)
+    reported_at: float = float("-inf")
 
     @property
     def sent_index(self) -> int:
@@ -137,9 +143,10 @@
         now : float
             Monotonic time in seconds.
         """
-        transfer = self._transfer(identity, heartbeat.config_index)
+        transfer = self._transfer(identity, heartbeat.config_index, now)
         if transfer is None:
             return None
+        transfer.reported_at = now
         transfer.accepts_packed = heartbeat.accepts_packed
         transfer.acknowledge(heartbeat.config_index)
         transfer.expire(now)
@@ -164,18 +171,25 @@
         now : float
             Monotonic time in seconds.
         """
-        transfer = self._transfer(identity, index)
+        transfer = self._transfer(identity, index, now)
         if transfer is None or transfer.bytes_in_transit >= _WINDOW_BYTES:
             return None
         return self._next_update(transfer, now)
 
-    def _transfer(self, identity: MemberIdentity, index: int) -> _Transfer | None:
-        """Return the transfer of a member, ``None`` if it has restarted since."""
+    def _transfer(
+        self, identity: MemberIdentity, index: int, now: float
+    ) -> _Transfer | None:
+        """Return the transfer of a member, ``None`` if it has restarted since.
+
+        An instance whose clock was set back restarts with a lower incarnation, so that
+        a higher one counts only while it reports.
+        """
         transfer = self._transfers.get(identity.name)
         if transfer is not None:
             if transfer.identity == identity:
                 return transfer
-            if transfer.identity.incarnation > identity.incarnation:
+            is_reporting = now - transfer.reported_at < _REPORTING_SECONDS
+            if transfer.identity.incarnation > identity.incarnation and is_reporting:
                 return None
         transfer = _Transfer(identity, index)
         self._transfers[identity.name] = transfer
--- a/tests/test_member_updates.py
+++ b/tests/test_member_updates.py
@@ -161,6 +161,23 @@
         self.assertLess(len(sent), 8)
 
 
+class TestRestarts(unittest.TestCase):
+    """Members that are started again while the leader stays the same."""
+
+    def test_member_whose_clock_was_set_back_before_it_started_gets_updates(self):
+        leader = SingleLeader()
+        leader.change(1, 500)
+        heartbeat = MemberHeartbeat(None, 0, 0, False, 0.0, True)
+        later, earlier = MemberIdentity("m1", 9), MemberIdentity("m1", 5)
+        leader.node.heartbeat(later, heartbeat, leader.now)
+        reply = leader.node.heartbeat(earlier, heartbeat, leader.now)
+        self.assertIsNone(reply.update)
+        for _ in range(25):
+            leader.advance(0.1)
+        reply = leader.node.heartbeat(earlier, heartbeat, leader.now)
+        self.assertIsNotNone(reply.update)
+
+
 class TestConfirmation(unittest.TestCase):
     """Replies that confirm the configuration of a member."""
 
