Dispatch alone only as a member of the own view

Found by the review of DRAIN: an instance that joins the view is confirmed by replies before it is a member, and nobody waits for it then; with its first lease it could act on a configuration without the retirements in between. Its own view lists it only once it has applied all of them.

--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -61,10 +61,12 @@
     def owns(self, service: str) -> bool:
         """Return whether this instance dispatches locally.
 
-        It does so only as long as it is known to have been up to date lately.
+        It does so only as a member that is known to have been up to date lately: the
+        leader does not wait for others.
         """
-        lease = self._node.lease
-        return self._dispatcher_is_silent() and lease.may_act_alone(self._node.now())
+        if not self._dispatcher_is_silent() or not self._node.is_active_member():
+            return False
+        return self._node.lease.may_act_alone(self._node.now())
 
     def limits(self) -> Limits:
         """Return this instance's share of the usage caps."""
