Check once for all tasks whether the members have reached an index

The lowest index is now kept for 20 ms. A retirement that a server has outlived is taken out of the control log, so that the standbys and the next leader use the server too.

--- a/src/sassafraspin/backends/retirement.py
+++ b/src/sassafraspin/backends/retirement.py
@@ -96,6 +96,13 @@
         known = self._retirements.get(retirement.server)
         return known is not None and known.order >= retirement.order
 
+    def end(self, retirement: Retirement) -> bool:
+        """End a retirement; return ``False`` if it is not the one of its server."""
+        if self._retirements.get(retirement.server) != retirement:
+            return False
+        del self._retirements[retirement.server]
+        return True
+
     def retire(self, retirement: Retirement, index: int) -> bool:
         """Record a retirement; return ``False`` if one covers at least as much."""
         if self.includes(retirement):
--- a/src/sassafraspin/control/__init__.py
+++ b/src/sassafraspin/control/__init__.py
@@ -11,6 +11,7 @@
     PutProfile,
     PutTable,
     ReadmitPart,
+    ReinstateServer,
     RetireServer,
     UndoMove,
 )
@@ -48,6 +49,7 @@
     "ReadmitPart",
     "ReplicaDisk",
     "ReplicaMessage",
+    "ReinstateServer",
     "ReplicaTimings",
     "RetireServer",
     "Role",
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -22,6 +22,7 @@
     "PutProfile",
     "PutTable",
     "ReadmitPart",
+    "ReinstateServer",
     "RetireServer",
     "UndoMove",
     "decode_command",
@@ -113,6 +114,14 @@
     retirement: Retirement
 
 
+class ReinstateServer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Use a backend server again that numbers its announcements from the start."""
+
+    change_id: str
+    at_ms: int
+    retirement: Retirement
+
+
 class ReadmitPart(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Accept requests with an isolated prompt part again."""
 
@@ -132,6 +141,7 @@
     | IsolatePart
     | ReadmitPart
     | RetireServer
+    | ReinstateServer
 )
 
 
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -44,6 +44,9 @@
 
 _PROPOSAL_TIMEOUT_SECONDS = 5.0
 
+_REACHED_INDEX_SECONDS = 0.02
+"""Time for which the lowest index of the members is kept; many tasks may ask for it."""
+
 
 @dataclass(frozen=True)
 class ControlNodeSettings:
@@ -152,6 +155,8 @@
         )
         self._member_table: MemberTable | None = None
         self._leads_since = now
+        self._reached_at = float("-inf")
+        self._reached_index = 0.0
         self._transfers = ConfigTransfers(configuration)
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
@@ -183,6 +188,7 @@
         if self._member_table is None:
             self._member_table = MemberTable(self._settings.members, now)
             self._leads_since = now
+            self._reached_at = float("-inf")
             self._transfers = ConfigTransfers(self._configuration)
             _log.info(
                 "This instance acquired the leader lease in term {}.",
@@ -247,15 +253,37 @@
         view = self._configuration.state.view
         return self._member_table.silent_members(view, silence, now)
 
-    def lagging_members(self, index: int, since: float, now: float) -> list[Member]:
-        """Return the members that may still act on a configuration before ``index``.
+    def is_in_force(self, index: int, since: float, now: float) -> bool:
+        """Return whether no member may act on an older configuration any more.
+
+        A member that lacks the index may act alone until a lease has ended that was
+        granted before the index was committed.
 
-        See ``MemberTable.lagging_members``. Without the leader lease, these are all.
+        Parameters
+        ----------
+        index : int
+            Index of a committed command.
+        since : float
+            Monotonic time at which the command was known to be committed, in seconds.
+        now : float
+            Monotonic time in seconds.
         """
-        view = self._configuration.state.view
         if self._member_table is None or not self.leads(now):
-            return list(view.members)
-        return self._member_table.lagging_members(index, since, view, now)
+            return False
+        if self._member_table.has_outlived_leases(since, now):
+            return True
+        if now - self._reached_at >= _REACHED_INDEX_SECONDS:
+            self._reached_at = now
+            view = self._configuration.state.view
+            self._reached_index = self._member_table.reached_index(view)
+        return index <= self._reached_index
+
+    def lagging_members(self, index: int) -> list[str]:
+        """Return the names of the members that may act and lack a log index."""
+        view = self._configuration.state.view
+        if self._member_table is None:
+            return [member.name for member in view.members]
+        return self._member_table.lagging_members(index, view)
 
     @property
     def _voter_names(self) -> tuple[str, ...]:
--- a/src/sassafraspin/control/state.py
+++ b/src/sassafraspin/control/state.py
@@ -17,6 +17,7 @@
     PutProfile,
     PutTable,
     ReadmitPart,
+    ReinstateServer,
     RetireServer,
     UndoMove,
 )
@@ -233,6 +234,8 @@
                 return _outcome(
                     self._retirements.retire(command.retirement, self._index)
                 )
+            case ReinstateServer():
+                return _outcome(self._retirements.end(command.retirement))
 
     def _put_table(self, declared: DeclaredTable) -> CommandOutcome:
         """Install a routing table unless one of the same or a higher version exists."""
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -107,16 +107,20 @@
         """Return whether this instance is the control leader and holds its lease."""
         return self._control_node is not None and self._control_node.leads(now)
 
-    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
-        """Return the members that may still act on a configuration before ``index``.
+    def is_in_force(self, index: int, since: float) -> bool:
+        """Return whether no member may act on an older configuration any more.
 
-        See ``MemberTable.lagging_members``.
+        See ``ControlNode.is_in_force``; it is known on the leader alone.
         """
         if self._control_node is None:
-            return tuple(member.name for member in self._node.view.members)
-        now = self._node.now()
-        lagging = self._control_node.lagging_members(index, since, now)
-        return tuple(member.name for member in lagging)
+            return False
+        return self._control_node.is_in_force(index, since, self._node.now())
+
+    def lagging_members(self, index: int) -> tuple[str, ...]:
+        """Return the names of the members that may act and lack a log index."""
+        if self._control_node is None:
+            return ()
+        return tuple(self._control_node.lagging_members(index))
 
     def tick(self, now: float) -> None:
         """Advance timers; on the leader, push commands and drive running moves."""
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -1,5 +1,6 @@
 """Member table of the control leader: lease grants, joins and removals."""
 
+import math
 from dataclasses import dataclass
 
 from sassafraspin.membership.messages import MemberHeartbeat
@@ -38,6 +39,12 @@
     received_at: float
 
 
+@dataclass(frozen=True)
+class _Report:
+    identity: MemberIdentity
+    received_at: float
+
+
 class MemberTable:
     """Grants leases and plans view changes during one term of the control leader.
 
@@ -106,53 +113,52 @@
             if now - self._last_report_at(member.identity) > silence
         ]
 
-    def lagging_members(
-        self, index: int, since: float, view: View, now: float
-    ) -> list[Member]:
-        """Return the members that may still act on a configuration before ``index``.
-
-        A member that lacks the index may act alone until its lease ends, and that
-        lease was granted before the index was committed.
-
-        Parameters
-        ----------
-        index : int
-            Index of a committed command.
-        since : float
-            Monotonic time at which the command was known to be committed, in seconds.
-        view : View
-            View in force.
-        now : float
-            Monotonic time in seconds.
+    def has_outlived_leases(self, since: float, now: float) -> bool:
+        """Return whether no lease is valid that was granted before ``since``.
+
+        A lease that an earlier leader granted may be valid for one lease duration from
+        the start of this term.
         """
         granted_until = max(since, self._term_started_at)
-        if now - granted_until > self._timings.max_lease_duration:
-            return []
-        lagging = [item for item in view.members if self._is_lagging(item, index)]
-        if not lagging:
-            return []
-        newest = self._newest_incarnations()
-        return [
-            member
-            for member in lagging
-            if newest.get(member.name, 0) <= member.incarnation
-        ]
+        return now - granted_until > self._timings.max_lease_duration
 
-    def _is_lagging(self, member: Member, index: int) -> bool:
-        last = self._heartbeats.get(member.identity)
-        if last is None:
-            return True
-        return not last.heartbeat.leaving and last.heartbeat.config_index < index
+    def reached_index(self, view: View) -> float:
+        """Return the lowest log index that all members which may act have reported.
+
+        It is infinite without such a member.
+        """
+        return min(self._reported_indexes(view).values(), default=math.inf)
+
+    def lagging_members(self, index: int, view: View) -> list[str]:
+        """Return the names of the members that may act and lack a log index."""
+        reported = self._reported_indexes(view)
+        return [name for name, reached in reported.items() if reached < index]
 
-    def _newest_incarnations(self) -> dict[str, int]:
-        """Return the newest incarnation of each instance that reports.
+    def _reported_indexes(self, view: View) -> dict[str, int]:
+        """Return the log index that each member which may act has reported.
 
-        An earlier one of the same instance has ended.
+        A member that leaves, or has been restarted since its last report, does not act.
         """
-        newest: dict[str, int] = {}
-        for identity in self._heartbeats:
-            known = newest.get(identity.name, 0)
-            newest[identity.name] = max(known, identity.incarnation)
+        newest = self._newest_incarnations()
+        indexes = {}
+        for member in view.members:
+            last = self._heartbeats.get(member.identity)
+            if last is not None and last.heartbeat.leaving:
+                continue
+            other = newest.get(member.name)
+            if other is not None and other.identity.incarnation > member.incarnation:
+                if other.received_at > self._last_report_at(member.identity):
+                    continue
+            indexes[member.name] = 0 if last is None else last.heartbeat.config_index
+        return indexes
+
+    def _newest_incarnations(self) -> dict[str, _Report]:
+        """Return when the newest incarnation of each instance last reported."""
+        newest: dict[str, _Report] = {}
+        for identity, last in self._heartbeats.items():
+            known = newest.get(identity.name)
+            if known is None or known.identity.incarnation < identity.incarnation:
+                newest[identity.name] = _Report(identity, last.received_at)
         return newest
 
     def _last_report_at(self, identity: MemberIdentity) -> float:
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -132,6 +132,7 @@
         """
         if self._retirements.is_outdated(announcement):
             return
+        self._retirement.end_outlived(announcement)
         before = self._dispatch.announcement_of(announcement.id)
         if not self._dispatch.announce(announcement):
             raise NotCurrent("this instance does not dispatch for the service")
--- a/src/sassafraspin/routed/retirement.py
+++ b/src/sassafraspin/routed/retirement.py
@@ -6,8 +6,9 @@
 import trio
 
 from sassafraspin.backends import Announcement, Retirement
-from sassafraspin.control import RetireServer
+from sassafraspin.control import ReinstateServer, RetireServer
 from sassafraspin.daemon.control_service import ControlService
+from sassafraspin.daemon.messages import Propose
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.routed.problems import RetirementPending
@@ -109,16 +110,28 @@
         RetirementPending
             If some instances may still do so. The wait goes on with the next call.
         """
-        lagging: tuple[str, ...] = ()
+        commit: _Commit | None = None
         with trio.move_on_after(_ANSWER_SECONDS):
             commit = await self._commit(retirement)
-            while True:
-                lagging = self._control.lagging_members(commit.index, commit.known_at)
-                if not lagging:
-                    return
+            while not self._control.is_in_force(commit.index, commit.known_at):
                 await trio.sleep(_POLL_SECONDS)
+            return
+        lagging = () if commit is None else self._control.lagging_members(commit.index)
         raise RetirementPending(retirement.server, lagging)
 
+    def end_outlived(self, announcement: Announcement) -> None:
+        """End a retirement that covers an announcement which is not outdated.
+
+        Otherwise the other instances would go on leaving the server out. A command that
+        is lost is sent again with the next announcement.
+        """
+        retirements = self._node.configuration.state.retirements
+        if retirements.covers(announcement):
+            ended = retirements.find(announcement.id)
+            change_id = f"reinstate-{uuid.uuid4().hex}"
+            command = ReinstateServer(change_id, 0, ended)
+            self._node.send(self._node.name, Propose(command))
+
     async def _commit(self, retirement: Retirement) -> _Commit:
         """Return the commit of a retirement that covers at least as much."""
         known = self._commits.get(retirement.server)
--- a/tests/drain_model.py
+++ b/tests/drain_model.py
@@ -298,10 +298,10 @@
 def _with_answer_at_once() -> AbstractContextManager:
     """Acknowledge that a server leaves without waiting for the members."""
 
-    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
-        return ()
+    def is_in_force(self, index: int, since: float) -> bool:
+        return True
 
-    return mock.patch.object(ControlService, "lagging_members", lagging_members)
+    return mock.patch.object(ControlService, "is_in_force", is_in_force)
 
 
 def _with_any_reply_as_contact() -> AbstractContextManager:
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -155,6 +155,8 @@
             await trio.sleep(MAX_DELAY_SECONDS)
             await model.announce(model.leader(), "i1", "ready", sequence=1)
             self.assertIn("i1", await model.used_servers(ENTRIES, 1.0))
+            await self.change_leader(model)
+            self.assertIn("i1", await model.used_servers(ENTRIES, 1.0))
 
         self.run_scenario(scenario)
 
