--- a/tests/drain_model.py
+++ b/tests/drain_model.py
@@ -304,6 +304,15 @@
     return mock.patch.object(ControlService, "lagging_members", lagging_members)
 
 
+def _without_acknowledgement() -> AbstractContextManager:
+    """Wait for the members for ever."""
+
+    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
+        return INSTANCE_NAMES
+
+    return mock.patch.object(ControlService, "lagging_members", lagging_members)
+
+
 def _with_any_reply_as_contact() -> AbstractContextManager:
     """Take a reply that names no leader for a sign that the right one is asked."""
     original = MemberLease.on_reply
@@ -342,6 +351,7 @@
     "no-age": Mutation(_without_age, lone_entry, "PROMISE"),
     "no-order": Mutation(_without_order, late_ready, "DRAIN"),
     "answer-at-once": Mutation(_with_answer_at_once, lone_entry, "PROMISE"),
+    "no-answer": Mutation(_without_acknowledgement, lure, "ACK"),
     "any-reply": Mutation(_with_any_reply_as_contact, newcomer, "LEADER"),
 }
 SCENARIOS = {
