--- a/tests/drain_deployment.py
+++ b/tests/drain_deployment.py
@@ -530,6 +530,8 @@
         self.timeline.after(self.generator.uniform(0.0005, 0.003), arrive)
         await arrived.wait()
         if not server.is_running:
+            # Nobody can know that of a server that ended without an acknowledgement.
+            call.was_failed_by_server = server.boot.acknowledged_at is None
             raise ConnectFailed("the server has ended")
         await trio.sleep(self.generator.choice((0.005, 0.02, 0.06, 0.3)))
         own = ("x-request-id", request_id)
--- a/tests/drain_model.py
+++ b/tests/drain_model.py
@@ -101,6 +101,24 @@
     await trio.sleep(_SETTLE_SECONDS)
 
 
+async def forgotten_entry(model: DrainModel) -> None:
+    """Join an entry instance that the view and all control instances have forgotten.
+
+    It was cut off until it had left the view, which it does not know, and each control
+    instance was started again since.
+    """
+    others = [name for name in INSTANCE_NAMES if name != "e1"]
+    model.cut("e1", others)
+    await trio.sleep(5.0)
+    for name in CONTROL_NAMES:
+        model.kill(name)
+        await trio.sleep(1.0)
+        model.start(name)
+        await trio.sleep(3.0)
+    model.heal("e1", others)
+    await trio.sleep(_SETTLE_SECONDS)
+
+
 async def _make_leader(model: DrainModel, name: str) -> None:
     """Kill leaders until this control instance leads, then wait for calm."""
     while model.leader() is None or model.leader().name != name:
@@ -359,6 +377,7 @@
     "lone-entry": lone_entry,
     "late-ready": late_ready,
     "newcomer": newcomer,
+    "forgotten-entry": forgotten_entry,
 }
 
 
--- a/tests/test_drain_model.py
+++ b/tests/test_drain_model.py
@@ -61,6 +61,9 @@
     def test_newcomer_that_asks_the_leader_that_was_cut_off(self):
         self.check_scenario("newcomer")
 
+    def test_entry_that_all_control_instances_forgot(self):
+        self.check_scenario("forgotten-entry")
+
     def test_random_faults(self):
         self.assert_kept(
             (f"--seeds 1 --first {seed}", play_seed(seed)) for seed in _SEEDS
