--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -126,7 +126,8 @@
         Raises
         ------
         NotCurrent
-            If its service is not dispatched here.
+            If its service is not dispatched here, or a server leaves of which a later
+            announcement is known.
         RetirementPending
             If the server leaves and some instances may still send it requests.
         """
@@ -134,6 +135,8 @@
             return
         self._retirement.end_outlived(announcement)
         before = self._dispatch.announcement_of(announcement.id)
+        if _contradicts(announcement, before):
+            raise NotCurrent("a later announcement says that the server is there")
         if not self._dispatch.announce(announcement):
             raise NotCurrent("this instance does not dispatch for the service")
         if announcement.leaving:
@@ -277,3 +280,10 @@
             raise ControlUnavailable(
                 "the control quorum did not decide in time; send it again"
             )
+
+
+def _contradicts(announcement: Announcement, before: Announcement | None) -> bool:
+    """Return whether a server leaves by an announcement older than the known one."""
+    if before is None or before.leaving or not announcement.leaving:
+        return False
+    return announcement.order < before.order
--- a/src/sassafraspin/routed/retirement.py
+++ b/src/sassafraspin/routed/retirement.py
@@ -18,7 +18,8 @@
 _ANSWER_SECONDS = 0.8
 """Longest wait before the answer; backend servers wait a second for it."""
 
-_POLL_SECONDS = 0.02
+_FIRST_POLL_SECONDS = 0.02
+_MAX_POLL_SECONDS = 0.08
 _COMMIT_RETENTION_SECONDS = 30.0
 
 _MAX_DELAY_SECONDS = 15.0
@@ -113,8 +114,10 @@
         commit: _Commit | None = None
         with trio.move_on_after(_ANSWER_SECONDS):
             commit = await self._commit(retirement)
+            pause = _FIRST_POLL_SECONDS
             while not self._control.is_in_force(commit.index, commit.known_at):
-                await trio.sleep(_POLL_SECONDS)
+                await trio.sleep(pause)
+                pause = min(2 * pause, _MAX_POLL_SECONDS)
             return
         lagging = () if commit is None else self._control.lagging_members(commit.index)
         raise RetirementPending(retirement.server, lagging)
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -149,6 +149,16 @@
 
         self.run_scenario(scenario)
 
+    def test_leave_older_than_the_last_announcement_is_not_acknowledged(self):
+        async def scenario(model):
+            response = await model.announce(
+                model.leader(), "i1", "draining", sequence=0
+            )
+            self.assertEqual(response.status, 503)
+            self.assertIn("i1", await model.used_servers(ENTRIES, 0.5))
+
+        self.run_scenario(scenario)
+
     def test_server_that_numbers_its_announcements_anew_is_used_again(self):
         async def scenario(model):
             await self.leave_then_forget(model)
