Let an instance without a lease introduce itself again

An instance that was cut off until it was removed from the view, and whose control instances had been started again meanwhile, never came back: it refused all calls.

Cause: it believed that it was in the view, which it had last heard of before the cut, and left its address out of its heartbeats. The control instances could not answer it.

Why this works: the view counts only together with a lease.

--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -180,7 +180,9 @@
             return None
         self._next_heartbeat_at = now + self._next_interval(now)
         self._is_target_asked = True
-        member = None if view.contains(self._member.identity) else self._member
+        # Without a lease, this member may have been removed, and its address forgotten.
+        is_listed = view.contains(self._member.identity) and self.is_held(now)
+        member = None if is_listed else self._member
         heartbeat = MemberHeartbeat(
             member, config_index, synced_view, self._leaving, now, accepts_packed=True
         )
