Send the directory to instances that join the view

What callers saw: an instance that had joined the view, and then lost its dispatcher before the next full round (5 s), had no servers, or those of before, for its own calls.

Why this works: the publisher sends all it has published to a member that the view did not hold before.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -63,16 +63,15 @@
                 item for item in announcements if _has_changed(item, self._published)
             ]
         self._published.update((item.id, item) for item in announcements)
-        updates = [
-            DirectoryUpdate(
-                tuple(announcements[start : start + _ANNOUNCEMENTS_PER_UPDATE])
-            )
-            for start in range(0, len(announcements), _ANNOUNCEMENTS_PER_UPDATE)
-        ]
+        updates = _split(announcements)
         if gone:
             updates.append(DirectoryUpdate((), gone))
         return updates
 
+    def full_updates(self) -> list[DirectoryUpdate]:
+        """Return everything published, for an instance that has just joined."""
+        return _split(list(self._published.values()))
+
     def forget_published(self) -> None:
         """Publish everything again: it is not known what the others have."""
         self._next_round_at = float("-inf")
@@ -161,6 +160,14 @@
                 yield announcement
 
 
+def _split(announcements: list[Announcement]) -> list[DirectoryUpdate]:
+    """Return updates that fit into datagrams."""
+    return [
+        DirectoryUpdate(tuple(announcements[start : start + _ANNOUNCEMENTS_PER_UPDATE]))
+        for start in range(0, len(announcements), _ANNOUNCEMENTS_PER_UPDATE)
+    ]
+
+
 def _observed_announcement(backend: Backend) -> Announcement:
     """Return the announcement with the measured speed and the withdrawal applied."""
     return replace(
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -145,6 +145,7 @@
         self._report_schedule = ReportSchedule(self.node.now())
         self._logged_leader: str | None = None
         self._reported_retirement = 0
+        self._informed_members: tuple[Member, ...] = ()
 
     @property
     def has_table(self) -> bool:
@@ -168,6 +169,7 @@
         else:
             # Another leader may publish something else in the meantime.
             self._directory_publisher.forget_published()
+            self._informed_members = self.node.view.members
         self._report_resources(now)
 
     def _send_heartbeat(self, now: float) -> None:
@@ -199,6 +201,18 @@
             for member in self.node.view.members:
                 if member.name != self.node.name:
                     self.node.send(member.name, update)
+        self._send_directory_to_joined()
+
+    def _send_directory_to_joined(self) -> None:
+        """Send the whole directory to the instances that have joined the view."""
+        members = self.node.view.members
+        if members == self._informed_members:
+            return
+        for member in set(members) - set(self._informed_members):
+            if member.name != self.node.name:
+                for update in self._directory_publisher.full_updates():
+                    self.node.send(member.name, update)
+        self._informed_members = members
 
     def _send_usage_reports(self) -> None:
         """Send the usage reports that are due to the other control instances.
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -36,9 +36,11 @@
 MAX_DELAY_SECONDS = 15.0
 """Longest time that an announcement is on its way."""
 
+MAX_JOIN_SECONDS = 0.3
 MAX_REFUSAL_SECONDS = 0.1
 GRANT_USE_SECONDS = 0.5
 SERVERS = ("i1", "i2")
+DESK = "desk"
 
 
 class LeavingTestCase(unittest.TestCase):
@@ -127,6 +129,27 @@
         self.run_scenario(scenario)
 
 
+class TestJoiningInstance(LeavingTestCase):
+    """An instance that joins the view knows the servers as soon as it may use them."""
+
+    def test_server_that_came_while_an_instance_was_cut_off_is_known_there(self):
+        async def scenario(model):
+            everyone = tuple(name for name in (*CONTROL, *ENTRIES) if name != "e0")
+            model.cut(("e0",), everyone)
+            await trio.sleep(LEASE_SECONDS + 1.0)
+            await model.announce(model.leader(), "i3", "ready", sequence=1)
+            await trio.sleep(0.5)
+            model.blocked_links.clear()
+            joining = model.runtimes["e0"]
+            leader = model.runtimes[model.leader()]
+            await model.seconds_until(lambda: leader.node.view.find("e0") is not None)
+            await trio.sleep(MAX_JOIN_SECONDS)
+            known = {item.id for item in joining._directory.of_service(DESK)}
+            self.assertIn("i3", known)
+
+        self.run_scenario(scenario)
+
+
 class TestLateAnnouncements(LeavingTestCase):
     """An announcement that was sent before the leave and arrives after it."""
 
