--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -41,6 +41,7 @@
 GRANT_USE_SECONDS = 0.5
 SERVERS = ("i1", "i2")
 DESK = "desk"
+"""Service of the backend servers of the model."""
 
 
 class LeavingTestCase(unittest.TestCase):
