Retire servers that leave in the control log, also for profiles

The next dispatcher starts without servers and took one back that had left, from an announcement that arrived late. The dispatcher now confirms a leave once its retirement is in the log that it has applied. Its successor is placed by a later entry, so it has the retirement from its start, and ignores older announcements.

--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from sassafraspin.backends import Announcement
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.access import AccessControl
 from sassafraspin.daemon.announcements import AnnouncementClient
@@ -15,6 +14,7 @@
 from sassafraspin.daemon.dispatch_scope import ViewScope
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.entry import EntryService
+from sassafraspin.daemon.leaves import AnnouncementReceiver
 from sassafraspin.daemon.messages import (
     LeaveConfirmed,
     PeerMessage,
@@ -128,6 +128,7 @@
             self._orders.enqueue,
             ViewScope(self._node, self._ledger),
         )
+        self._receiver = AnnouncementReceiver(self._node, self._dispatch)
         access = AccessControl(settings.access)
         self._entry = EntryService(
             self._node,
@@ -349,7 +350,7 @@
             case HeldGrants():
                 self._dispatch.receive(source, message)
             case AnnounceBackend():
-                self._on_announcement(source, message.announcement)
+                self._receiver.receive(source, message.announcement)
             case LeaveConfirmed():
                 self._announcements.receive(message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
@@ -378,12 +379,6 @@
             self._node.lease.on_announcement(source, reply, configuration.index, now)
         self._apply_view()
 
-    def _on_announcement(self, source: str, announcement: Announcement) -> None:
-        """Apply an announcement that an instance forwards; confirm a leave to it."""
-        is_applied = self._dispatch.announce(announcement)
-        if is_applied and announcement.leaving:
-            self._node.send(source, LeaveConfirmed.of(announcement))
-
     def _on_ledger_message(
         self, source: MemberIdentity, message: PeerMessage, now: float
     ) -> None:
--- a/tests/test_profile_leaves.py
+++ b/tests/test_profile_leaves.py
@@ -2,10 +2,14 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from unittest import mock
 
 import trio
 
+from sassafraspin.backends import Announcement, Backend, Retirement, RetirementStore
+from sassafraspin.daemon.leaves import AnnouncementReceiver
+from sassafraspin.daemon.messages import LeaveConfirmed
 from sassafraspin.dispatch import AnnounceBackend
 from sassafraspin.http import HttpServer, Response, as_handler
 from sassafraspin.loopback import free_ports
@@ -110,6 +114,84 @@
         self.run_scenario(scenario)
 
 
+class FakeDispatch:
+    """Keeps the last announcement of each server, for one dispatched service."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Announcement] = {}
+
+    def announce(self, announcement: Announcement) -> bool:
+        self.known[announcement.id] = announcement
+        return True
+
+    def announcement_of(self, backend_id: str) -> Announcement | None:
+        return self.known.get(backend_id)
+
+    def backends(self) -> tuple[Backend, ...]:
+        return tuple(Backend(item, 0.0) for item in self.known.values())
+
+
+class TestAnnouncementReceiver(unittest.TestCase):
+    """A dispatcher confirms a leave once it is in the control log."""
+
+    def setUp(self):
+        self.retirements = RetirementStore()
+        self.sent = []
+        state = SimpleNamespace(retirements=self.retirements)
+        node = SimpleNamespace(
+            configuration=SimpleNamespace(state=state),
+            lease=SimpleNamespace(leader="leader"),
+            send=lambda target, message: self.sent.append((target, message)),
+        )
+        self.dispatch = FakeDispatch()
+        self.receiver = AnnouncementReceiver(node, self.dispatch)
+
+    def receive(self, *announcements: Announcement) -> list:
+        """Return the messages that are sent for announcements of an instance."""
+        self.sent.clear()
+        for item in announcements:
+            self.receiver.receive("entry", item)
+        return list(self.sent)
+
+    def retire(self, sequence: int) -> None:
+        """Apply the log entry that retires the server."""
+        self.retirements.retire(Retirement(RUNNER, 1, sequence), sequence)
+
+    def test_leave_is_confirmed_after_it_is_in_the_log(self):
+        leave = announcement(2, leaving=True)
+        (proposal,) = self.receive(leave)
+        self.assertEqual(proposal[0], "leader")
+        self.assertEqual(proposal[1].command.retirement, Retirement(RUNNER, 1, 2))
+        self.retire(2)
+        self.assertEqual(self.receive(leave), [("entry", LeaveConfirmed.of(leave))])
+
+    def test_repeated_leave_is_proposed_once(self):
+        self.receive(announcement(2, leaving=True))
+        self.retire(2)
+        repeat = announcement(3, leaving=True)
+        self.assertEqual(self.receive(repeat), [("entry", LeaveConfirmed.of(repeat))])
+
+    def test_second_leave_is_not_confirmed_by_the_first_retirement(self):
+        self.receive(announcement(2, leaving=True))
+        self.retire(2)
+        second = announcement(4, leaving=True)
+        (proposal, again) = self.receive(announcement(3), second, second)
+        self.assertEqual(proposal[1].command.retirement, Retirement(RUNNER, 1, 4))
+        self.assertEqual(again, proposal)
+
+    def test_announcement_from_before_the_retirement_is_ignored(self):
+        self.retire(2)
+        self.receive(announcement(1))
+        self.assertEqual(self.dispatch.known, {})
+
+    def test_new_pool_does_not_rely_on_an_earlier_leave(self):
+        self.receive(announcement(2, leaving=True))
+        self.retire(2)
+        self.dispatch.known.clear()
+        (proposal,) = self.receive(announcement(8, leaving=True))
+        self.assertEqual(proposal[1].command.retirement, Retirement(RUNNER, 1, 8))
+
+
 class TestAnnouncementsWithoutNumber(unittest.TestCase):
     """Announcements of an incarnation that does not number them."""
 
