--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -113,11 +113,15 @@
             view=View(1, 1, (leader_member(), own)),
             now=lambda: self.now,
         )
-        self.operations = Operations(self.node, None, None, None, CONTROL_PORT, None)
+        self.control = SimpleNamespace(term=1)
+        self.operations = Operations(
+            self.node, self.control, None, None, CONTROL_PORT, None
+        )
 
-    def hear(self, leader: str) -> None:
+    def hear(self, leader: str, term: int = 1) -> None:
         """Receive a reply in which the leader grants a lease."""
-        reply = HeartbeatReply(leader, 3_000, 0, self.now, None, ("front-1", "front-2"))
+        voters = ("front-1", "front-2")
+        reply = HeartbeatReply(leader, 3_000, 0, self.now, None, voters, term)
         self.lease.on_reply(leader, reply, 0, self.now)
 
     def test_leader_that_granted_the_lease_is_returned(self):
@@ -142,6 +146,18 @@
         self.hear("front-1")
         self.assertIsNone(self.operations.leader_address())
 
+    def test_leader_of_a_term_before_the_own_is_not_returned(self):
+        """An instance that led in a later term and was cut off may be followed."""
+        self.hear("front-1", term=3)
+        self.assertIsNotNone(self.operations.leader_address())
+        self.control.term = 4
+        self.assertIsNone(self.operations.leader_address())
+
+    def test_leader_of_a_build_without_terms_is_returned(self):
+        self.control.term = 4
+        self.hear("front-1", term=0)
+        self.assertIsNotNone(self.operations.leader_address())
+
     def test_instance_itself_is_not_returned(self):
         self.hear("front-2")
         self.assertIsNone(self.operations.leader_address())
