Redirect to no leader of an earlier term than the own

An instance that is elected and then cut off still hears the leader before it, and that one hears it: for up to a lease each redirected to the other. The term of a redirecting instance is at least that of every term in which it led, so redirects along claims that are not older can't form a circle.

--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -98,6 +98,11 @@
             None if failure is None else str(failure),
         )
 
+    @property
+    def term(self) -> int:
+        """Return the term of the replica, 0 without one."""
+        return 0 if self._control_node is None else self._control_node.replica.term
+
     @property
     def log_bytes(self) -> int:
         """Return the bytes of the control log held in memory, 0 without a replica."""
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -86,11 +86,15 @@
         """Return the control address of the leader, if another instance leads.
 
         It is ``None`` unless this instance has heard the leader itself lately: two
-        instances that know a leader by hearsay may redirect to each other.
+        instances that know a leader by hearsay may redirect to each other. So may two
+        that led one after the other, unless they ignore leaders of earlier terms than
+        their own.
         """
         lease = self._node.lease
         if lease.leader == self._node.name or not lease.hears_leader(self._node.now()):
             return None
+        if 0 < lease.claim.term < self._control.term:
+            return None
         member = self._node.view.find(lease.leader)
         return None if member is None else self._control_address(member)
 
