Retire the second leave of a server also after an undecided commit

The repeat of a leave took the retirement that the control log had, which was that of an earlier leave if the commit of the new one was not decided in time. Both daemons now remember with which announcement a server began to leave.

--- a/src/sassafraspin/daemon/leaves.py
+++ b/src/sassafraspin/daemon/leaves.py
@@ -6,46 +6,23 @@
 from sassafraspin.daemon.messages import LeaveConfirmed, Propose
 from sassafraspin.daemon.node import Node
 
-__all__ = ["AnnouncementReceiver"]
+__all__ = ["AnnouncementReceiver", "LeaveTracker"]
 
 
-class AnnouncementReceiver:
-    """Applies forwarded announcements; confirms a leave once it is in the control log.
-
-    The next dispatcher is placed by a later log entry, so it knows of the retirement
-    from its start.
+class LeaveTracker:
+    """Remembers with which announcement a server began to leave.
 
     Parameters
     ----------
-    node : Node
-        Shared context of the daemon.
     dispatch : DispatchService
         Pools of the services that this instance dispatches for.
     """
 
-    def __init__(self, node: Node, dispatch: DispatchService) -> None:
-        self._node = node
+    def __init__(self, dispatch: DispatchService) -> None:
         self._dispatch = dispatch
         self._leaving: dict[str, Retirement] = {}
 
-    def receive(self, source: str, announcement: Announcement) -> None:
-        """Apply an announcement that an instance forwards.
-
-        The sender repeats a leave until it is confirmed.
-        """
-        retirements = self._node.configuration.state.retirements
-        if retirements.covers(announcement):
-            return
-        before = self._dispatch.announcement_of(announcement.id)
-        if not self._dispatch.announce(announcement) or not announcement.leaving:
-            return
-        retirement = self._retirement_of(announcement, before)
-        if retirements.includes(retirement):
-            self._node.send(source, LeaveConfirmed.of(announcement))
-        else:
-            self._propose(retirement)
-
-    def _retirement_of(
+    def retirement_of(
         self, announcement: Announcement, before: Announcement | None
     ) -> Retirement:
         """Return the retirement of a server that leaves.
@@ -83,6 +60,43 @@
             if server in known
         }
 
+
+class AnnouncementReceiver:
+    """Applies forwarded announcements; confirms a leave once it is in the control log.
+
+    The next dispatcher is placed by a later log entry, so it knows of the retirement
+    from its start.
+
+    Parameters
+    ----------
+    node : Node
+        Shared context of the daemon.
+    dispatch : DispatchService
+        Pools of the services that this instance dispatches for.
+    """
+
+    def __init__(self, node: Node, dispatch: DispatchService) -> None:
+        self._node = node
+        self._dispatch = dispatch
+        self._leaves = LeaveTracker(dispatch)
+
+    def receive(self, source: str, announcement: Announcement) -> None:
+        """Apply an announcement that an instance forwards.
+
+        The sender repeats a leave until it is confirmed.
+        """
+        retirements = self._node.configuration.state.retirements
+        if retirements.covers(announcement):
+            return
+        before = self._dispatch.announcement_of(announcement.id)
+        if not self._dispatch.announce(announcement) or not announcement.leaving:
+            return
+        retirement = self._leaves.retirement_of(announcement, before)
+        if retirements.includes(retirement):
+            self._node.send(source, LeaveConfirmed.of(announcement))
+        else:
+            self._propose(retirement)
+
     def _propose(self, retirement: Retirement) -> None:
         leader = self._node.lease.leader
         if leader is None:
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -8,6 +8,7 @@
 from sassafraspin.control import Command, DeclareMove, PutTable, ReadmitPart
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
+from sassafraspin.daemon.leaves import LeaveTracker
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.problems import ControlUnavailable
 from sassafraspin.daemon.proposals import ProposalClient
@@ -76,6 +77,7 @@
         self._control_port = control_port
         self._retirements = retirements
         self._retirement = ServerRetirement(node, control, proposals)
+        self._leaves = LeaveTracker(dispatch)
 
     @property
     def is_leader(self) -> bool:
@@ -144,7 +146,7 @@
         if not self._dispatch.announce(announcement):
             raise NotCurrent("this instance does not dispatch for the service")
         if announcement.leaving:
-            await self._retire(self._retirement_of(announcement, before))
+            await self._retire(self._leaves.retirement_of(announcement, before))
 
     async def withdraw(self, backend_id: str, incarnation: int) -> None:
         """Stop sending requests to a backend server until it is started again.
@@ -171,25 +173,6 @@
             incarnation = max(incarnation, known.incarnation)
         await self._retire(Retirement.of_withdrawn(backend_id, incarnation))
 
-    def _retirement_of(
-        self, announcement: Announcement, before: Announcement | None
-    ) -> Retirement:
-        """Return the retirement to commit, the existing one if a server repeats it.
-
-        Parameters
-        ----------
-        announcement : Announcement
-            Announcement of a server that leaves.
-        before : Announcement or None
-            The announcement before it.
-        """
-        known = self._node.configuration.state.retirements.find(announcement.id)
-        if known is None or before is None or not before.leaving:
-            return Retirement.of_leaving(announcement)
-        if {known.incarnation, before.incarnation} != {announcement.incarnation}:
-            return Retirement.of_leaving(announcement)
-        return known
-
     async def _retire(self, retirement: Retirement) -> None:
         """Retire a server on all instances, and log whether that is acknowledged."""
         started_at = self._node.now()
