Ask the leader that is named, also if it was no control instance before

A member that was away while a voter was replaced by a spare that leads now never reported to it, got no configuration, and sent each control instance a heartbeat with each tick.

Cause: a leader outside the control instances last named by a leader was not asked.

--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -237,15 +237,23 @@
         if not self._adopt(source, reply, now):
             return
         if reply.leader != source:
-            if self._target != reply.leader:
-                self._set_target(reply.leader)
-                self.report_soon()
+            self._ask_named_leader(reply.leader)
             return
         if reply.lease_ms > 0 and not self._leaving:
             usable = reply.lease_ms / 1000 * (1 - self._timings.clock_drift)
             self._lease_until = max(self._lease_until, reply.sent_at + usable)
         self._on_leader_reply(reply, config_index)
 
+    def _ask_named_leader(self, leader: str) -> None:
+        """Ask a leader that another control instance has named.
+
+        It may have become a control instance since the leader last named them.
+        """
+        if self._target != leader:
+            self._target = leader
+            self._is_target_asked = False
+            self.report_soon()
+
     def on_announcement(
         self, source: str, reply: HeartbeatReply, config_index: int, now: float
     ) -> None:
--- a/tests/test_second_leave.py
+++ b/tests/test_second_leave.py
@@ -33,6 +33,9 @@
         self.known[item.id] = item
         return True
 
+    def end_outlived(self, item: Announcement) -> None:
+        """Stand in for ``ServerRetirement``; no retirement is outlived."""
+
     async def retire(self, retirement: Retirement) -> None:
         """Stand in for ``ServerRetirement``; the first commit is not decided."""
         self.retired.append(retirement)
