Refuse calls while the routes are known to be outdated

Cause: a routing table confirmed once could be used without an end, although the leader had told of a later index. Evidence: TestStalledStream failed before. Why this works: the time since the first heartbeat that told of an index that has not arrived bounds the use; another instance may have the table.

--- a/src/sassafraspin/membership/lease.py
+++ b/src/sassafraspin/membership/lease.py
@@ -148,6 +148,11 @@
         """
         return self.is_held(now) and now < self._confirmed_at + self._usable_seconds
 
+    def lag(self, now: float) -> float:
+        """Return the seconds for which this member has lacked what the leader has."""
+        pending = self._unconfirmed
+        return 0.0 if pending is None else now - pending.sent_at
+
     def configuration_age(self, now: float) -> float:
         """Return the seconds since the configuration was last confirmed as current."""
         return now - self._confirmed_at
--- a/src/sassafraspin/routed/routing_view.py
+++ b/src/sassafraspin/routed/routing_view.py
@@ -14,6 +14,9 @@
 key is reported as missing. From this age on, the caller is told that the routes may be
 old. One heartbeat may be lost and another in transit."""
 
+_MAX_LAG_SECONDS = 1.4
+"""With the heartbeat that tells of a change it is in force, or not used, within 2 s."""
+
 _MS_PER_SECOND = 1000
 
 
@@ -55,8 +58,14 @@
 
     @property
     def is_available(self) -> bool:
-        """Return whether a confirmed routing table is available."""
-        return self._node.configuration.state.routing is not None and self.is_confirmed
+        """Return whether a confirmed routing table is available.
+
+        One that the leader has said to be outdated is not, if its successor does not
+        arrive: callers are better served by another instance.
+        """
+        if self._node.configuration.state.routing is None or not self.is_confirmed:
+            return False
+        return self._node.lease.lag(self._node.now()) < _MAX_LAG_SECONDS
 
     def index(self) -> RouteIndex:
         """Return the current index; raises ``NotCurrent`` if it is not available."""
