--- a/tests/drain_deployment.py
+++ b/tests/drain_deployment.py
@@ -426,7 +426,7 @@
 
     def _deliver(self, source: str, target: str, frame: bytes) -> None:
         instance = self.instances[target]
-        self.links.pass_on(source, target, lambda: instance.deliver(frame))
+        self.links.pass_on(source, target, lambda: instance.deliver(frame), len(frame))
 
     async def _exchange(
         self, source: str, instance: str, request: Request
--- a/tests/drain_model.py
+++ b/tests/drain_model.py
@@ -17,6 +17,7 @@
 from sassafraspin.backends import Announcement
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.membership import HeartbeatReply, MemberLease
+from sassafraspin.routed.standby_scope import StandbyScope
 from tests.drain_deployment import CONTACT_SECONDS, DrainModel, Report, Scenario
 from tests.drain_world import (
     CONTROL_NAMES,
@@ -26,6 +27,9 @@
     LeavePlan,
 )
 
+_SHORT_BYTES = 55
+"""More than a heartbeat and its reply without an update, less than other messages."""
+
 _SETTLE_SECONDS = 9.0
 """Calm at the end: contact, the lease of a member and time for a view."""
 
@@ -66,6 +70,20 @@
     await trio.sleep(_SETTLE_SECONDS)
 
 
+async def deaf_entry(model: DrainModel) -> None:
+    """Let only the shortest messages reach an entry instance; servers leave meanwhile.
+
+    Its lease is renewed, but it gets neither grants nor the new configuration.
+    """
+    model.harm("e1", CONTROL_NAMES, Harm(max_bytes=_SHORT_BYTES))
+    await trio.sleep(0.05)
+    model.leave("s1", LeavePlan(targets=CONTROL_NAMES, lingers=10.0))
+    model.leave("s2", LeavePlan(True, targets=CONTROL_NAMES, lingers=10.0))
+    await trio.sleep(9.0)
+    model.harm("e1", CONTROL_NAMES, None)
+    await trio.sleep(_SETTLE_SECONDS)
+
+
 async def late_ready(model: DrainModel) -> None:
     """Let an old ``ready`` arrive at a leader that was not there when servers left."""
     old = model.leader().name
@@ -299,8 +317,12 @@
 
 
 def _without_age() -> AbstractContextManager:
-    """Let instances dispatch on their own for as long as they like."""
-    return mock.patch.object(MemberLease, "may_act_alone", lambda self, now: True)
+    """Let instances dispatch on their own for as long as the leader is silent."""
+
+    def owns(self, service: str) -> bool:
+        return self._dispatcher_is_silent()
+
+    return mock.patch.object(StandbyScope, "owns", owns)
 
 
 def _without_order() -> AbstractContextManager:
@@ -315,20 +337,19 @@
 
 def _with_answer_at_once() -> AbstractContextManager:
     """Acknowledge that a server leaves without waiting for the members."""
-
-    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
-        return ()
-
-    return mock.patch.object(ControlService, "lagging_members", lagging_members)
+    return _with_members_in_force(True)
 
 
 def _without_acknowledgement() -> AbstractContextManager:
     """Wait for the members for ever."""
+    return _with_members_in_force(False)
+
 
-    def lagging_members(self, index: int, since: float) -> tuple[str, ...]:
-        return INSTANCE_NAMES
+def _with_members_in_force(value: bool) -> AbstractContextManager:
+    def is_in_force(self, index: int, since: float) -> bool:
+        return value
 
-    return mock.patch.object(ControlService, "lagging_members", lagging_members)
+    return mock.patch.object(ControlService, "is_in_force", is_in_force)
 
 
 def _with_any_reply_as_contact() -> AbstractContextManager:
@@ -375,6 +396,7 @@
 SCENARIOS = {
     "lure": lure,
     "lone-entry": lone_entry,
+    "deaf-entry": deaf_entry,
     "late-ready": late_ready,
     "newcomer": newcomer,
     "forgotten-entry": forgotten_entry,
--- a/tests/drain_world.py
+++ b/tests/drain_world.py
@@ -115,10 +115,14 @@
 
 @dataclass(frozen=True)
 class Harm:
-    """Loss and additional delay of messages on a link."""
+    """Loss and additional delay of messages on a link.
+
+    Messages of more than ``max_bytes`` are lost, as if their stream hung.
+    """
 
     loss: float = 0.0
     delay: float = 0.0
+    max_bytes: int | None = None
 
 
 class Links:
@@ -151,7 +155,12 @@
         return self.is_open(one, other) and self.is_open(other, one)
 
     def pass_on(
-        self, source: str, target: str, deliver: Callable[[], None], repeat: bool = True
+        self,
+        source: str,
+        target: str,
+        deliver: Callable[[], None],
+        size: int = 0,
+        repeat: bool = True,
     ) -> None:
         """Call ``deliver`` once, several times or never, after a delay.
 
@@ -161,6 +170,8 @@
             Names of the machines.
         deliver : callable
             Hands the message over.
+        size : int
+            Bytes of the message.
         repeat : bool
             Whether the message may be duplicated.
         """
@@ -176,6 +187,8 @@
             delay += self._generator.uniform(0.0, harm.delay)
             if self._generator.random() < harm.loss:
                 continue
+            if harm.max_bytes is not None and size > harm.max_bytes:
+                continue
             self._timeline.after(delay, lambda: self._arrive(source, target, deliver))
 
     def _arrive(self, source: str, target: str, deliver: Callable[[], None]) -> None:
--- a/tests/test_drain_model.py
+++ b/tests/test_drain_model.py
@@ -55,6 +55,9 @@
     def test_entry_that_is_cut_from_all(self):
         self.check_scenario("lone-entry")
 
+    def test_entry_that_gets_only_short_messages(self):
+        self.check_scenario("deaf-entry")
+
     def test_late_ready_at_a_new_leader(self):
         self.check_scenario("late-ready")
 
