--- a/src/sassafraspin/routed/retirement.py
+++ b/src/sassafraspin/routed/retirement.py
@@ -22,6 +22,10 @@
 _MAX_POLL_SECONDS = 0.08
 _COMMIT_RETENTION_SECONDS = 30.0
 
+_REPEAT_SECONDS = 5.0
+"""Time in which a withdrawal without an acknowledgement may be sent again: longer than
+the members can hold it up, shorter than a server takes to be started again."""
+
 _MAX_DELAY_SECONDS = 15.0
 """Longest delay of an announcement. A lower one after that comes from a server that was
 started again and numbers its announcements from the start."""
@@ -118,6 +122,9 @@
             while not self._control.is_in_force(commit.index, commit.known_at):
                 await trio.sleep(pause)
                 pause = min(2 * pause, _MAX_POLL_SECONDS)
+            if retirement.is_withdrawal:
+                # Another one later may be of a server that was started again.
+                self._commits.pop(retirement.server, None)
             return
         lagging = () if commit is None else self._control.lagging_members(commit.index)
         raise RetirementPending(retirement.server, lagging)
@@ -138,7 +145,7 @@
     async def _commit(self, retirement: Retirement) -> _Commit:
         """Return the commit of a retirement that covers at least as much."""
         known = self._commits.get(retirement.server)
-        if known is not None and known.retirement.order >= retirement.order:
+        if known is not None and self._includes(known, retirement):
             return known
         while not self._node.configuration.state.retirements.includes(retirement):
             change_id = f"retire-{uuid.uuid4().hex}"
@@ -149,6 +156,17 @@
         self._commits[retirement.server] = commit
         return commit
 
+    def _includes(self, commit: _Commit, retirement: Retirement) -> bool:
+        """Return whether a commit covers a retirement.
+
+        A withdrawal that is sent again before it is acknowledged is the same one.
+        """
+        if commit.retirement.order >= retirement.order:
+            return True
+        is_recent = self._node.now() - commit.known_at < _REPEAT_SECONDS
+        are_withdrawals = commit.retirement.is_withdrawal and retirement.is_withdrawal
+        return is_recent and are_withdrawals
+
     def _forget_old_commits(self, now: float) -> None:
         for server, commit in list(self._commits.items()):
             if now - commit.known_at > _COMMIT_RETENTION_SECONDS:
