--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -99,7 +99,7 @@
         A higher incarnation means that the server has restarted: its prefix cache and
         backlog are empty, and earlier failures and a withdrawal no longer count.
         """
-        if announcement.order < self._announcement.order:
+        if self._is_outdated(announcement):
             return
         if announcement.incarnation > self._announcement.incarnation:
             self._cache = PrefixCacheView()
@@ -111,6 +111,17 @@
         self._expires_at = now + announcement.ttl_ms / 1000
         self._cache.apply_report(announcement.cache)
 
+    def _is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether the current announcement is newer.
+
+        Servers that do not number their announcements leave until they restart: another
+        announcement of the same incarnation may have been delayed.
+        """
+        known = self._announcement
+        if announcement.order != known.order:
+            return announcement.order < known.order
+        return known.leaving and not announcement.leaving
+
     @property
     def is_withdrawn(self) -> bool:
         """Return whether ``withdraw`` was called in this incarnation.
@@ -130,14 +141,17 @@
         """Return whether the time to live of the latest announcement has ended."""
         return now >= self._expires_at
 
+    def takes_requests(self, now: float) -> bool:
+        """Return whether the server is there and does not leave."""
+        is_leaving = self._withdrawn or self._announcement.leaving
+        return not is_leaving and not self.is_expired(now)
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new requests may be sent.
 
         After an ejection, the server gets one request at a time until one succeeds.
         """
-        if self._withdrawn or self._announcement.leaving or self.is_expired(now):
-            return False
-        if now < self._ejected_until:
+        if not self.takes_requests(now) or now < self._ejected_until:
             return False
         is_probing = self._ejections > 0 and self._failures >= _FAILURES_BEFORE_EJECTION
         return not (is_probing and self._reservations)
--- a/src/sassafraspin/control/__init__.py
+++ b/src/sassafraspin/control/__init__.py
@@ -11,6 +11,8 @@
     PutProfile,
     PutTable,
     ReadmitPart,
+    ReinstateServer,
+    RetireServer,
     UndoMove,
 )
 from sassafraspin.control.config import Configuration
@@ -47,7 +49,9 @@
     "ReadmitPart",
     "ReplicaDisk",
     "ReplicaMessage",
+    "ReinstateServer",
     "ReplicaTimings",
+    "RetireServer",
     "Role",
     "UndoMove",
     "Voter",
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -28,6 +28,7 @@
 from sassafraspin.membership import (
     ConfigUpdate,
     HeartbeatReply,
+    Member,
     MemberHeartbeat,
     MemberIdentity,
     MemberTable,
@@ -43,6 +44,9 @@
 
 _PROPOSAL_TIMEOUT_SECONDS = 5.0
 
+_REACHED_INDEX_SECONDS = 0.02
+"""Time for which the lowest index of the members is kept; many tasks may ask for it."""
+
 
 @dataclass(frozen=True)
 class ControlNodeSettings:
@@ -150,6 +154,9 @@
             settings.voters,
         )
         self._member_table: MemberTable | None = None
+        self._leads_since = now
+        self._reached_at = float("-inf")
+        self._reached_index = 0.0
         self._transfers = ConfigTransfers(configuration)
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
@@ -180,6 +187,8 @@
             return
         if self._member_table is None:
             self._member_table = MemberTable(self._settings.members, now)
+            self._leads_since = now
+            self._reached_at = float("-inf")
             self._transfers = ConfigTransfers(self._configuration)
             _log.info(
                 "This instance acquired the leader lease in term {}.",
@@ -202,11 +211,11 @@
         lease = 0.0
         update: ConfigUpdate | None = None
         voters: tuple[str, ...] = ()
-        leader = self._replica.leader
+        leader = self._replica.current_leader(now)
         if self._member_table is not None and self.leads(now):
             view = self._configuration.state.view
             lease = self._member_table.grant(identity, heartbeat, view, now)
-            voters = tuple(voter.name for voter in self._replica.log.voters)
+            voters = self._voter_names
             update = self._transfers.reply_update(identity, heartbeat, now)
         elif leader == self._settings.name:
             leader = None
@@ -217,8 +226,69 @@
             heartbeat.sent_at,
             update,
             voters,
+            self._replica.term,
+        )
+
+    @property
+    def leads_since(self) -> float:
+        """Return the monotonic time since which this instance leads, in seconds."""
+        return self._leads_since
+
+    def announcement(self, update: ConfigUpdate | None = None) -> HeartbeatReply:
+        """Return the message that tells a member unasked that this instance leads."""
+        return HeartbeatReply(
+            self._settings.name,
+            0,
+            self._replica.commit_index,
+            0.0,
+            update,
+            self._voter_names,
+            self._replica.term,
         )
 
+    def silent_members(self, silence: float, now: float) -> list[Member]:
+        """Return the members that have not reported for ``silence`` seconds."""
+        if self._member_table is None:
+            return []
+        view = self._configuration.state.view
+        return self._member_table.silent_members(view, silence, now)
+
+    def is_in_force(self, index: int, since: float, now: float) -> bool:
+        """Return whether no member may act on an older configuration any more.
+
+        A member that lacks the index may act alone until a lease has ended that was
+        granted before the index was committed.
+
+        Parameters
+        ----------
+        index : int
+            Index of a committed command.
+        since : float
+            Monotonic time at which the command was known to be committed, in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._member_table is None or not self.leads(now):
+            return False
+        if self._member_table.has_outlived_leases(since, now):
+            return True
+        if now - self._reached_at >= _REACHED_INDEX_SECONDS:
+            self._reached_at = now
+            view = self._configuration.state.view
+            self._reached_index = self._member_table.reached_index(view)
+        return index <= self._reached_index
+
+    def lagging_members(self, index: int) -> list[str]:
+        """Return the names of the members that may act and lack a log index."""
+        view = self._configuration.state.view
+        if self._member_table is None:
+            return [member.name for member in view.members]
+        return self._member_table.lagging_members(index, view)
+
+    @property
+    def _voter_names(self) -> tuple[str, ...]:
+        return tuple(voter.name for voter in self._replica.log.voters)
+
     def push_update(
         self, identity: MemberIdentity, index: int, now: float
     ) -> ConfigUpdate | None:
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
+
 from sassafraspin.control import (
     AdvanceMove,
     ControlNode,
@@ -14,6 +16,7 @@
     ReplicaTimings,
 )
 from sassafraspin.control.messages import ReplicaMessage
+from sassafraspin.control.transit import LARGE_BYTES
 from sassafraspin.daemon.messages import Propose, ProposeReply
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.proposals import with_timestamp
@@ -34,6 +37,11 @@
 _MS_PER_SECOND = 1000
 _HEARTBEATS_PER_TIMEOUT = 4
 
+_SILENT_AFTER_HEARTBEATS = 2
+
+_FIRST_ANNOUNCEMENTS_SECONDS = 0.5
+"""Time at the start of a term in which the leader is announced with each tick."""
+
 _log = part_logger("control")
 _moves_log = part_logger("moves")
 
@@ -67,6 +75,7 @@
         self._set_peer_address = set_peer_address
         self._moves = MoveCoordinator(RolloutSettings())
         self._pushed_index: int | None = None
+        self._next_announcement_at = float("-inf")
         self._storage_failure: StorageError | None = None
         self._control_node = self._make_control_node(base_folder, generator)
 
@@ -89,6 +98,11 @@
             None if failure is None else str(failure),
         )
 
+    @property
+    def term(self) -> int:
+        """Return the term of the replica, 0 without one."""
+        return 0 if self._control_node is None else self._control_node.replica.term
+
     @property
     def log_bytes(self) -> int:
         """Return the bytes of the control log held in memory, 0 without a replica."""
@@ -98,6 +112,21 @@
         """Return whether this instance is the control leader and holds its lease."""
         return self._control_node is not None and self._control_node.leads(now)
 
+    def is_in_force(self, index: int, since: float) -> bool:
+        """Return whether no member may act on an older configuration any more.
+
+        See ``ControlNode.is_in_force``; it is known on the leader alone.
+        """
+        if self._control_node is None:
+            return False
+        return self._control_node.is_in_force(index, since, self._node.now())
+
+    def lagging_members(self, index: int) -> tuple[str, ...]:
+        """Return the names of the members that may act and lack a log index."""
+        if self._control_node is None:
+            return ()
+        return tuple(self._control_node.lagging_members(index))
+
     def tick(self, now: float) -> None:
         """Advance timers; on the leader, push commands and drive running moves."""
         control_node = self._control_node
@@ -108,6 +137,7 @@
             self._pushed_index = None
         else:
             self._push_committed(control_node, now)
+            self._announce_leader(control_node, now)
             self._advance_moves(control_node, now)
 
     def on_heartbeat(
@@ -119,6 +149,11 @@
         if heartbeat.member is not None and source.name != self._node.name:
             self._set_peer_address(heartbeat.member.address)
         reply = self._control_node.heartbeat(source, heartbeat, now)
+        update = reply.update
+        if update is not None and update.size >= LARGE_BYTES:
+            # A stream may take seconds for an update; the lease must not wait for it.
+            reply = msgspec.structs.replace(reply, update=None)
+            self._node.send(source.name, self._control_node.announcement(update))
         self._node.send(source.name, reply)
 
     def on_propose(self, source: str, message: Propose, now: float) -> None:
@@ -192,9 +227,32 @@
             # Reused while members lack the same commands, so that it is encoded once.
             # Without an update it still announces the leader.
             if reply is None or reply.update is not update:
-                reply = HeartbeatReply(self._node.name, 0, index, 0.0, update, ())
+                reply = control_node.announcement(update)
             self._node.send(member.name, reply)
 
+    def _announce_leader(self, control_node: ControlNode, now: float) -> None:
+        """Tell the members that do not report to this leader that it leads.
+
+        They may be asking an instance that does not know it, and would be removed from
+        the view although they can be reached.
+        """
+        if now < self._next_announcement_at:
+            return
+        interval_ms = self._node.settings.control.heartbeat_interval_ms
+        interval = interval_ms / _MS_PER_SECOND
+        silence = _SILENT_AFTER_HEARTBEATS * interval
+        silent = control_node.silent_members(silence, now)
+        if not silent:
+            return
+        term_age = now - control_node.leads_since
+        is_new = term_age < _FIRST_ANNOUNCEMENTS_SECONDS
+        self._next_announcement_at = now + (0.0 if is_new else interval)
+        announcement = control_node.announcement()
+        for member in silent:
+            if member.name != self._node.name:
+                self._set_peer_address(member.address)
+            self._node.send(member.name, announcement)
+
     def _advance_moves(self, control_node: ControlNode, now: float) -> None:
         def propose(command: AdvanceMove) -> None:
             if not control_node.is_proposed(command.change_id):
--- a/src/sassafraspin/daemon/daemon.py
+++ b/src/sassafraspin/daemon/daemon.py
@@ -8,12 +8,19 @@
 
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.access import AccessControl
+from sassafraspin.daemon.announcements import AnnouncementClient
 from sassafraspin.daemon.claims import ClaimClient
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_scope import ViewScope
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.entry import EntryService
-from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
+from sassafraspin.daemon.leaves import AnnouncementReceiver
+from sassafraspin.daemon.messages import (
+    LeaveConfirmed,
+    PeerMessage,
+    Propose,
+    ProposeReply,
+)
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.operations import OperationsApi
 from sassafraspin.daemon.orders import OrderSender
@@ -98,7 +105,8 @@
         self._shutdown_complete = trio.Event()
         self._draining = False
         self._applied_view = 0
-        member = local_member(settings.instance, settings.listen.peers)
+        listen = settings.listen
+        member = local_member(settings.instance, listen.peers, listen.operators)
         self._network = PeerNetwork(
             member.name,
             member.incarnation,
@@ -111,6 +119,7 @@
         self._claims = ClaimClient(self._node)
         self._slots = SlotClient(self._node)
         self._proposals = ProposalClient(self._node)
+        self._announcements = AnnouncementClient(self._node)
         self._backend_client = HttpClient(client_timeouts(settings.dispatch))
         self._orders = OrderSender(self._backend_client)
         self._dispatch = DispatchService(
@@ -119,6 +128,7 @@
             self._orders.enqueue,
             ViewScope(self._node, self._ledger),
         )
+        self._receiver = AnnouncementReceiver(self._node, self._dispatch)
         access = AccessControl(settings.access)
         self._entry = EntryService(
             self._node,
@@ -128,7 +138,7 @@
             BackendRelay(self._backend_client),
         )
         self._operations = OperationsApi(
-            self._node, access, self._proposals, self.status
+            self._node, access, self._proposals, self._announcements, self.status
         )
         self._caller_server = HttpServer(
             settings.listen.callers, settings.http, self._handle_call
@@ -337,8 +347,12 @@
                 self._claims.receive(message)
             case SlotRequest() | ActiveGrant() | SlotRelease() | SlotWithdraw():
                 self._dispatch.receive(source, message)
-            case HeldGrants() | AnnounceBackend():
+            case HeldGrants():
                 self._dispatch.receive(source, message)
+            case AnnounceBackend():
+                self._receiver.receive(source, message.announcement)
+            case LeaveConfirmed():
+                self._announcements.receive(message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(source, message)
             case SlotWaiting() | UnknownGrants():
@@ -361,6 +375,8 @@
             self._node.lease.on_update(configuration.index, reply.update.last_index)
         if reply.sent_at > 0:
             self._node.lease.on_reply(source, reply, configuration.index, now)
+        else:
+            self._node.lease.on_announcement(source, reply, configuration.index, now)
         self._apply_view()
 
     def _on_ledger_message(
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -1,7 +1,8 @@
 """Dispatcher: backend pools of the services that this instance schedules."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
+from dataclasses import replace
 
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.dispatch_scope import DispatchScope
@@ -79,6 +80,7 @@
         self._planners: dict[str, LoadPlanner] = {}
         self._next_report_at = 0.0
         self._view_number = 0
+        self._backends_revision: Hashable | None = None
 
     def backends(self) -> tuple[Backend, ...]:
         """Return the backend servers of all pools."""
@@ -111,6 +113,7 @@
                 self._open_pool(service)
         self._drop_departed_entries()
         now = self._node.now()
+        self.follow_directory()
         for name, pool in self._pools.items():
             self._apply_move(services[name], pool)
             self._send_all(pool.tick(now))
@@ -134,6 +137,16 @@
         self._send_all(pool.announce(announcement, self._node.now()))
         return True
 
+    def follow_directory(self) -> None:
+        """Give the pools the servers of the scope if these have changed."""
+        revision = self._scope.backends_revision()
+        if revision is None or revision == self._backends_revision:
+            return
+        self._backends_revision = revision
+        now = self._node.now()
+        for name, pool in self._pools.items():
+            self._send_all(pool.replace_servers(self._scope.known_backends(name), now))
+
     def version_of(self, service: str) -> str:
         """Return the version in force of a service.
 
@@ -144,6 +157,24 @@
         """
         return self._pools[service].gate.current_version
 
+    def announcement_of(self, backend_id: str) -> Announcement | None:
+        """Return the latest announcement of a server, ``None`` if it is not known."""
+        for backend in self.backends():
+            if backend.announcement.id == backend_id:
+                return backend.announcement
+        return None
+
+    def apply_retirements(self) -> None:
+        """Stop using the servers that the control log has retired.
+
+        A server may have announced itself here before the retirement was known.
+        """
+        retirements = self._node.configuration.state.retirements
+        for backend in self.backends():
+            announcement = backend.announcement
+            if retirements.covers(announcement):
+                self.announce(replace(announcement, leaving=True))
+
     def withdraw_server(self, backend_id: str) -> bool:
         """Stop sending requests to a backend server; return whether it is known."""
         now = self._node.now()
--- a/src/sassafraspin/daemon/problems.py
+++ b/src/sassafraspin/daemon/problems.py
@@ -10,7 +10,9 @@
     "ControlUnavailable",
     "InternalFailure",
     "KeyReused",
+    "LeaveUnconfirmed",
     "LedgerUnavailable",
+    "NotMember",
     "OutcomeUnknown",
     "SlotRefused",
     "StillRunning",
@@ -67,6 +69,33 @@
         )
 
 
+class NotMember(RequestProblem):
+    """An instance without a lease may not know which instances dispatch."""
+
+    status = 503
+    reason = "not-member"
+    title = "Not a member"
+    retry_after_ms = _RETRY_AFTER_MS
+
+    def __init__(self) -> None:
+        super().__init__("this instance holds no lease; send it to another one")
+
+
+class LeaveUnconfirmed(RequestProblem):
+    """The dispatcher may still use a backend server that leaves."""
+
+    status = 503
+    reason = "leave-unconfirmed"
+    title = "Not in force"
+    retry_after_ms = _RETRY_AFTER_MS
+
+    def __init__(self, server: str) -> None:
+        super().__init__(
+            f"the dispatcher did not confirm in time that {server!r} leaves; send it "
+            "again"
+        )
+
+
 class SlotRefused(RequestProblem):
     """The request got no slot: the dispatcher refused, or none was known in time."""
 
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+import msgspec
 import trio
 
 from sassafraspin.daemon.dispatch_service import DispatcherMessage, DispatchService
@@ -147,16 +148,18 @@
     def is_usable(self, grant: SlotGrant) -> bool:
         """Return whether the request may still be sent on the grant.
 
-        It may not if the grant was revoked or its ``use_within_ms`` has passed. A
-        process that was suspended in the meantime must not use an expired grant: the
-        backend server may have left.
+        It may not if the grant was revoked or has ended: the backend server may have
+        left while the grant was on its way or this process was suspended.
         """
         held = self._grants.get(grant.grant_id)
-        if held is None or held.revoked:
+        if held is None or held.revoked or self._has_ended(grant):
             return False
-        age_ms = (self._node.now() - held.granted_at) * 1000
+        age_ms = (self._node.now() - held.granted_at) * _MS_PER_SECOND
         return age_ms < grant.use_within_ms
 
+    def _has_ended(self, grant: SlotGrant) -> bool:
+        return grant.use_until is not None and self._node.now() >= grant.use_until
+
     def is_revoked(self, grant: SlotGrant) -> bool:
         """Return whether the grant was revoked."""
         held = self._grants.get(grant.grant_id)
@@ -202,7 +205,12 @@
         message: SlotGrant | SlotRefusal | SlotRevoke | SlotWaiting | UnknownGrants,
     ) -> None:
         """Handle a message from a dispatcher."""
-        if source != self._node.name and not _is_wrong_dispatcher(message):
+        is_leader = source == self._node.lease.leader
+        if (
+            is_leader
+            and source != self._node.name
+            and not _is_wrong_dispatcher(message)
+        ):
             self.on_dispatcher_active()
         match message:
             case SlotGrant():
@@ -240,16 +248,14 @@
             is_acknowledged = False
             with trio.move_on_after(repeat_seconds):
                 answer = await receive.receive()
-                while isinstance(answer, SlotWaiting):
-                    is_acknowledged = True
+                while isinstance(answer, SlotWaiting) or self._is_outdated(answer):
+                    is_acknowledged |= isinstance(answer, SlotWaiting)
                     answer = await receive.receive()
                 if isinstance(answer, _DispatcherChanged):
                     unanswered_since = self._node.now()
                     repeat_seconds = self._repeat_seconds
                     continue
-                if not _is_wrong_dispatcher(answer):
-                    return answer
-                await trio.sleep_forever()
+                return answer
             now = self._node.now()
             if is_acknowledged:
                 unanswered_since = now
@@ -264,23 +270,37 @@
                     request.request_id, RefusalReason.NO_BACKEND, _RETRY_AFTER_MS
                 )
 
+    def _is_outdated(self, answer: object) -> bool:
+        """Return whether an answer does not count: it came too late or from another."""
+        if isinstance(answer, SlotGrant):
+            return self._has_ended(answer)
+        return _is_wrong_dispatcher(answer)
+
     def _record_silence(self, service: str, seconds: float) -> None:
         self._health.record_silence(seconds)
         if self.uses_standby:
             dispatcher = self._node.dispatcher_of(service)
             log_event(DispatcherLost(dispatcher, int(seconds * _MS_PER_SECOND)))
+            self._node.lease.search_leader()
             self._replies.deliver_all(_DispatcherChanged())
 
     def _send_request(self, request: SlotRequest) -> None:
+        dated = msgspec.structs.replace(request, asked_at=self._node.now())
         if self.uses_standby:
-            self._standby.receive(self._node.name, request)
+            self._standby.receive(self._node.name, dated)
         else:
-            self._send_to_dispatcher(request.service, request)
+            self._send_to_dispatcher(request.service, dated)
 
     def _lacks_dispatcher(self, request: SlotRequest, waited_ms: float) -> bool:
-        """Return whether the request waited too long while no dispatcher is known."""
+        """Return whether the request waited too long while no dispatcher is known.
+
+        A dispatcher that is lost for a whole lease rarely returns soon, and callers may
+        be served by another instance, so they are told at once.
+        """
         if self._node.dispatcher_of(request.service) is not None:
             return False
+        if self.uses_standby:
+            return True
         return waited_ms > self._node.settings.dispatch.slot_timeout_ms
 
     def _return_unclaimed(self, grant: SlotGrant) -> None:
--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -1,5 +1,6 @@
 """Member table of the control leader: lease grants, joins and removals."""
 
+import math
 from dataclasses import dataclass
 
 from sassafraspin.membership.messages import MemberHeartbeat
@@ -38,6 +39,12 @@
     received_at: float
 
 
+@dataclass(frozen=True)
+class _Report:
+    identity: MemberIdentity
+    received_at: float
+
+
 class MemberTable:
     """Grants leases and plans view changes during one term of the control leader.
 
@@ -95,6 +102,69 @@
         self._prune_heartbeats(members, now)
         return View(view.number + 1, self._settled(view), members)
 
+    def silent_members(self, view: View, silence: float, now: float) -> list[Member]:
+        """Return the members that have not reported for ``silence`` seconds.
+
+        Members that have not reported in this term are among them.
+        """
+        return [
+            member
+            for member in view.members
+            if now - self._last_report_at(member.identity) > silence
+        ]
+
+    def has_outlived_leases(self, since: float, now: float) -> bool:
+        """Return whether no lease is valid that was granted before ``since``.
+
+        A lease that an earlier leader granted may be valid for one lease duration from
+        the start of this term.
+        """
+        granted_until = max(since, self._term_started_at)
+        return now - granted_until > self._timings.max_lease_duration
+
+    def reached_index(self, view: View) -> float:
+        """Return the lowest log index that all members which may act have reported.
+
+        It is infinite without such a member.
+        """
+        return min(self._reported_indexes(view).values(), default=math.inf)
+
+    def lagging_members(self, index: int, view: View) -> list[str]:
+        """Return the names of the members that may act and lack a log index."""
+        reported = self._reported_indexes(view)
+        return [name for name, reached in reported.items() if reached < index]
+
+    def _reported_indexes(self, view: View) -> dict[str, int]:
+        """Return the log index that each member which may act has reported.
+
+        A member that leaves, or has been restarted since its last report, does not act.
+        """
+        newest = self._newest_incarnations()
+        indexes = {}
+        for member in view.members:
+            last = self._heartbeats.get(member.identity)
+            if last is not None and last.heartbeat.leaving:
+                continue
+            other = newest.get(member.name)
+            if other is not None and other.identity.incarnation > member.incarnation:
+                if other.received_at > self._last_report_at(member.identity):
+                    continue
+            indexes[member.name] = 0 if last is None else last.heartbeat.config_index
+        return indexes
+
+    def _newest_incarnations(self) -> dict[str, _Report]:
+        """Return when the newest incarnation of each instance last reported."""
+        newest: dict[str, _Report] = {}
+        for identity, last in self._heartbeats.items():
+            known = newest.get(identity.name)
+            if known is None or known.identity.incarnation < identity.incarnation:
+                newest[identity.name] = _Report(identity, last.received_at)
+        return newest
+
+    def _last_report_at(self, identity: MemberIdentity) -> float:
+        last = self._heartbeats.get(identity)
+        return float("-inf") if last is None else last.received_at
+
     def _is_removable(self, member: Member, now: float) -> bool:
         last = self._heartbeats.get(member.identity)
         if last is not None and last.heartbeat.leaving:
--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sassafraspin.daemon.node import wall_clock_ms
 from sassafraspin.errors import InvalidInput
 from sassafraspin.http import (
     BadRequest,
@@ -83,9 +84,10 @@
             case ("GET", root, "config") if root == _ROOT:
                 return self._read_config()
             case ("PUT", root, "instances", name) if root == _ROOT:
-                return self._register(name, request)
+                return await self._register(name, request)
             case ("DELETE", root, "instances", name) if root == _ROOT:
-                self._operations.withdraw(name)
+                # The time is above each start until now; starts number incarnations.
+                await self._operations.withdraw(name, wall_clock_ms())
                 return Response(200)
             case ("POST", root, "rollouts") if root == _ROOT:
                 return await self._start_rollout(request)
@@ -110,11 +112,11 @@
             raise NotFound("no configuration was accepted yet")
         return Response(200, _JSON, declared.source)
 
-    def _register(self, name: str, request: Request) -> Response:
+    async def _register(self, name: str, request: Request) -> Response:
         announcement = decode_registration(
             name, request.body, self._announcement_ttl_ms
         )
-        self._operations.announce(announcement)
+        await self._operations.announce(announcement)
         return Response(200, _JSON, b"{}")
 
     async def _start_rollout(self, request: Request) -> Response:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -109,7 +109,15 @@
 
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
         """Return the backend servers that the previous dispatcher knew."""
-        return tuple(self._directory.of_service(service))
+        retirements = self._node.configuration.state.retirements
+        return tuple(
+            announcement
+            for announcement in self._directory.of_service(service)
+            if not retirements.covers(announcement)
+        )
+
+    def backends_revision(self) -> None:
+        """Return ``None``: servers announce themselves to the dispatcher."""
 
     def _unreleased_versions(self, service: str) -> set[str]:
         """Return the targets of moves that are not done; only moves may expose them."""
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -4,22 +4,26 @@
 import uuid
 from enum import StrEnum
 
-from sassafraspin.backends import Announcement
+from sassafraspin.backends import Announcement, Retirement
 from sassafraspin.control import Command, DeclareMove, PutTable, ReadmitPart
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
+from sassafraspin.daemon.leaves import LeaveTracker
 from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.daemon.problems import ControlUnavailable
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.isolation import IsolatedPart
+from sassafraspin.membership import Member
 from sassafraspin.moves import Move, MovePhase, MoveSpec
-from sassafraspin.routed.problems import NotCurrent
+from sassafraspin.routed.problems import NotCurrent, RetirementPending
+from sassafraspin.routed.retirement import RetirementView, ServerRetirement
 from sassafraspin.routes import DeclaredTable, RoutingTable
 from sassafraspin.settings import Address
 from sassafraspin.telemetry.events import PartReadmitted, ServerLeaving, log_event
 
 __all__ = ["Operations", "RolloutState"]
 
+_MS_PER_SECOND = 1000
 _OPERATOR = "operator"
 _DUPLICATE_WINDOW_MS = 5_000
 """How long after its declaration a finished move still makes an order for the same
@@ -52,7 +56,9 @@
     dispatch : DispatchService
         Receives the announcements.
     control_port : int
-        Port on which every instance accepts control requests.
+        Port on which this instance accepts control requests.
+    retirements : RetirementView
+        Retirements of backend servers, to recognise outdated announcements.
     """
 
     def __init__(
@@ -62,12 +68,16 @@
         proposals: ProposalClient,
         dispatch: DispatchService,
         control_port: int,
+        retirements: RetirementView,
     ) -> None:
         self._node = node
         self._control = control
         self._proposals = proposals
         self._dispatch = dispatch
         self._control_port = control_port
+        self._retirements = retirements
+        self._retirement = ServerRetirement(node, control, proposals)
+        self._leaves = LeaveTracker(dispatch)
 
     @property
     def is_leader(self) -> bool:
@@ -75,12 +85,32 @@
         return self._control.leads(self._node.now())
 
     def leader_address(self) -> Address | None:
-        """Return the control address of the leader, if another instance leads."""
-        leader = self._node.lease.leader
-        if leader is None or leader == self._node.name:
+        """Return the control address of the leader, if another instance leads.
+
+        It is ``None`` unless this instance has heard the leader itself lately: two
+        instances that know a leader by hearsay may redirect to each other. So may two
+        that led one after the other, unless they ignore leaders of earlier terms than
+        their own.
+        """
+        lease = self._node.lease
+        if lease.leader == self._node.name or not lease.hears_leader(self._node.now()):
+            return None
+        if 0 < lease.claim.term < self._control.term:
             return None
-        member = self._node.view.find(leader)
-        return None if member is None else Address(member.host, self._control_port)
+        member = self._node.view.find(lease.leader)
+        return None if member is None else self._control_address(member)
+
+    def _control_address(self, member: Member) -> Address | None:
+        """Return the control address of a member, ``None`` if it is not known.
+
+        Members of older builds do not report their control port. It is usually the
+        same on all hosts, but two instances of one host have different ones.
+        """
+        if member.control_port:
+            return Address(member.host, member.control_port)
+        if member.host == self._node.member.host:
+            return None
+        return Address(member.host, self._control_port)
 
     async def put_table(self, table: RoutingTable, source: bytes) -> None:
         """Propose a routing table; only a version above the current takes effect."""
@@ -94,26 +124,78 @@
             raise NotCurrent("this instance does not lead")
         return self._node.configuration.state.routing
 
-    def announce(self, announcement: Announcement) -> None:
+    async def announce(self, announcement: Announcement) -> None:
         """Apply an announcement before returning.
 
-        Raises ``NotCurrent`` if its service is not dispatched here.
+        An outdated announcement of a server that has left is ignored.
+
+        Raises
+        ------
+        NotCurrent
+            If its service is not dispatched here, or a server leaves of which a later
+            announcement is known.
+        RetirementPending
+            If the server leaves and some instances may still send it requests.
         """
-        is_applied = self._dispatch.announce(announcement)
-        if announcement.leaving:
-            incarnation, sequence = announcement.order
-            log_event(
-                ServerLeaving(announcement.id, incarnation, sequence, is_applied, 0)
-            )
-        if not is_applied:
+        if self._retirements.is_outdated(announcement):
+            return
+        self._retirement.end_outlived(announcement)
+        before = self._dispatch.announcement_of(announcement.id)
+        if _contradicts(announcement, before):
+            raise NotCurrent("a later announcement says that the server is there")
+        if not self._dispatch.announce(announcement):
             raise NotCurrent("this instance does not dispatch for the service")
+        if announcement.leaving:
+            await self._retire(self._leaves.retirement_of(announcement, before))
+
+    async def withdraw(self, backend_id: str, incarnation: int) -> None:
+        """Stop sending requests to a backend server until it is started again.
 
-    def withdraw(self, backend_id: str) -> None:
-        """Stop sending requests to a backend server; an unknown one is ignored."""
+        Parameters
+        ----------
+        backend_id : str
+            Name of the backend server.
+        incarnation : int
+            The incarnation that is withdrawn, or a later one before the next start.
+
+        Raises
+        ------
+        NotCurrent
+            If this instance does not lead.
+        RetirementPending
+            If some instances may still send requests to the server.
+        """
         if not self.is_leader:
             raise NotCurrent("this instance does not lead")
         self._dispatch.withdraw_server(backend_id)
-        log_event(ServerLeaving(backend_id, None, None, True, 0))
+        known = self._dispatch.announcement_of(backend_id)
+        if known is not None:
+            incarnation = max(incarnation, known.incarnation)
+        await self._retire(Retirement.of_withdrawn(backend_id, incarnation))
+
+    async def _retire(self, retirement: Retirement) -> None:
+        """Retire a server on all instances, and log whether that is acknowledged."""
+        started_at = self._node.now()
+        is_acknowledged = False
+        pending: tuple[str, ...] = ()
+        try:
+            await self._retirement.retire(retirement)
+            is_acknowledged = True
+        except RetirementPending as problem:
+            pending = problem.instances
+            raise
+        finally:
+            after_ms = int((self._node.now() - started_at) * _MS_PER_SECOND)
+            log_event(
+                ServerLeaving(
+                    retirement.server,
+                    retirement.incarnation,
+                    retirement.sequence,
+                    is_acknowledged,
+                    after_ms,
+                    pending,
+                )
+            )
 
     async def start_rollout(self, service: str, target: str, seconds: float) -> None:
         """Declare a move to a version, to be finished within ``seconds``.
@@ -185,3 +267,10 @@
             raise ControlUnavailable(
                 "the control quorum did not decide in time; send it again"
             )
+
+
+def _contradicts(announcement: Announcement, before: Announcement | None) -> bool:
+    """Return whether a server leaves by an announcement older than the known one."""
+    if before is None or before.leaving or not announcement.leaving:
+        return False
+    return announcement.order < before.order
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -42,6 +42,7 @@
 from sassafraspin.routed.isolation import PartIsolation
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routed.operations import Operations
+from sassafraspin.routed.retirement import RetirementView
 from sassafraspin.routed.routing_view import RoutingView
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.routed.setup import daemon_settings, make_node
@@ -138,10 +139,13 @@
             self._proposals,
             self._dispatch,
             settings.listen.control.port,
+            RetirementView(self.node),
         )
         self.handle_control = adapter.control_handler(operations)
         self._report_schedule = ReportSchedule(self.node.now())
         self._logged_leader: str | None = None
+        self._reported_retirement = 0
+        self._informed_members: tuple[Member, ...] = ()
 
     @property
     def has_table(self) -> bool:
@@ -151,24 +155,41 @@
     def tick(self) -> None:
         """Run the periodic work of every component."""
         now = self.node.now()
-        node = self.node
         self._control.tick(now)
-        heartbeat = node.lease.tick(
-            node.configuration.index, node.view.number, node.view, now
-        )
-        if heartbeat is not None:
-            node.send(heartbeat.name, heartbeat.heartbeat)
         self._update_peer_addresses()
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
         if self._control.leads(now):
             self._broadcast_backends(now)
             self._send_usage_reports()
+        else:
+            # Another leader may publish something else in the meantime.
+            self._directory_publisher.forget_published()
+            self._informed_members = self.node.view.members
         self._report_resources(now)
 
+    def _send_heartbeat(self, now: float) -> None:
+        """Report to the control leader if that is due, or if a server was retired.
+
+        The leader answers the server when all members have reported that.
+        """
+        node = self.node
+        retired = node.configuration.state.retirements.last_index
+        if retired != self._reported_retirement:
+            self._reported_retirement = retired
+            self._dispatch.apply_retirements()
+            node.lease.report_soon()
+        heartbeat = node.lease.tick(
+            node.configuration.index, node.view.number, node.view, now
+        )
+        self._log_leader_change(None, now)
+        if heartbeat is not None:
+            node.send(heartbeat.name, heartbeat.heartbeat)
+
     def close(self) -> None:
         """Close every idle connection to backend servers."""
         self._client.close()
@@ -180,6 +201,18 @@
             for member in self.node.view.members:
                 if member.name != self.node.name:
                     self.node.send(member.name, update)
+        self._send_directory_to_joined()
+
+    def _send_directory_to_joined(self) -> None:
+        """Send the whole directory to the instances that have joined the view."""
+        members = self.node.view.members
+        if members == self._informed_members:
+            return
+        for member in set(members) - set(self._informed_members):
+            if member.name != self.node.name:
+                for update in self._directory_publisher.full_updates():
+                    self.node.send(member.name, update)
+        self._informed_members = members
 
     def _send_usage_reports(self) -> None:
         """Send the usage reports that are due to the other control instances.
@@ -216,6 +249,7 @@
                 self.node.configuration.retained_bytes,
                 self._control.log_bytes,
                 self.entry.in_flight,
+                int(usage.callback_delay * _MS_PER_SECOND),
             )
         )
 
@@ -240,6 +274,7 @@
                 self._slots.receive(source.name, message)
             case DirectoryUpdate():
                 self._directory.apply(message, now)
+                self._standby.follow_directory()
             case UsageReport():
                 self._leader_scope.record_usage(message)
             case CrashReport():
@@ -257,16 +292,17 @@
         self, source: str, reply: HeartbeatReply, now: float
     ) -> None:
         configuration = self.node.configuration
-        if reply.leader == source:
-            self._slots.on_dispatcher_active()
+        lease = self.node.lease
         if reply.update is not None:
             configuration.apply_update(reply.update)
-            self.node.lease.on_update(configuration.index, reply.update.last_index)
-        # ``sent_at`` is 0 if the leader sends newly committed commands unasked.
+            lease.on_update(configuration.index, reply.update.last_index)
+        # ``sent_at`` is 0 if the leader sends the message unasked.
         if reply.sent_at > 0:
-            self.node.lease.on_reply(source, reply, configuration.index, now)
-        elif reply.leader is not None:
-            self.node.lease.set_leader(reply.leader)
+            lease.on_reply(source, reply, configuration.index, now)
+        else:
+            lease.on_announcement(source, reply, configuration.index, now)
+        if reply.leader == source == lease.leader:
+            self._slots.on_dispatcher_active()
         self._log_leader_change(source, now)
         self._update_peer_addresses()
 
--- a/tests/test_member_updates.py
+++ b/tests/test_member_updates.py
@@ -161,6 +161,23 @@
         self.assertLess(len(sent), 8)
 
 
+class TestRestarts(unittest.TestCase):
+    """Members that are started again while the leader stays the same."""
+
+    def test_member_whose_clock_was_set_back_before_it_started_gets_updates(self):
+        leader = SingleLeader()
+        leader.change(1, 500)
+        heartbeat = MemberHeartbeat(None, 0, 0, False, 0.0, True)
+        later, earlier = MemberIdentity("m1", 9), MemberIdentity("m1", 5)
+        leader.node.heartbeat(later, heartbeat, leader.now)
+        reply = leader.node.heartbeat(earlier, heartbeat, leader.now)
+        self.assertIsNone(reply.update)
+        for _ in range(25):
+            leader.advance(0.1)
+        reply = leader.node.heartbeat(earlier, heartbeat, leader.now)
+        self.assertIsNotNone(reply.update)
+
+
 class TestConfirmation(unittest.TestCase):
     """Replies that confirm the configuration of a member."""
 
@@ -173,7 +190,8 @@
         follower, leader = first.name, ({"c0", "c1"} - {first.name}).pop()
         current = HeartbeatReply(leader, 0, 95, last.heartbeat.sent_at, None)
         lease.on_reply(leader, current, 90, 13.1)
-        lease.set_leader(leader)
+        announced = HeartbeatReply(leader, 0, 95, 0.0, None)
+        lease.on_announcement(leader, announced, 90, 13.1)
         late = HeartbeatReply(leader, 0, 90, first.heartbeat.sent_at, None)
         lease.on_reply(follower, late, 90, 13.2)
         self.assertEqual(lease.configuration_age(13.2), float("inf"))
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -52,6 +52,9 @@
             view=View(1, 1, members),
             routing=DeclaredTable(table(accounts=(capped,)), b""),
         )
+        leader_scope = SimpleNamespace(
+            known_backends=lambda service: tuple(self.directory.of_service(service))
+        )
         self.scopes = [
             StandbyScope(
                 SimpleNamespace(
@@ -63,7 +66,7 @@
                         dispatch=DispatchSettings(retry_allowance=48)
                     ),
                 ),
-                None,
+                leader_scope,
                 self.directory,
                 lambda: True,
                 random.Random(member.name),
@@ -145,6 +148,12 @@
         self.assertEqual(len(self.known()), 6)
         self.assertEqual(self.send_updates(servers, 1.0), 7)
 
+    def test_another_leader_in_between_is_followed_by_a_full_update(self):
+        servers = backends(7)
+        self.send_updates(servers, 0.0)
+        self.publisher.forget_published()
+        self.assertEqual(self.send_updates(servers, 0.1), 7)
+
     def test_removed_server_is_reported_at_once(self):
         servers = backends(7)
         self.send_updates(servers, 0.0)
