--- a/tests/drain_deployment.py
+++ b/tests/drain_deployment.py
@@ -96,7 +96,6 @@
         self._links = links
         self.last_change = 0.0
         self._control_change = 0.0
-        self._link_change = 0.0
         self._own_change = dict.fromkeys(instances, 0.0)
 
     def change(self, action: Callable[[], None], instances: Iterable[str] = ()) -> None:
@@ -115,8 +114,6 @@
         action()
         touched = set(instances) | without_path | self._without_path()
         links_after = self._link_state()
-        if links_before != links_after:
-            self._link_change = now
         changed_links = links_before ^ links_after
         for source, target, harm in changed_links:
             if harm is not None:
@@ -156,10 +153,14 @@
         )
 
     def quiet_seconds(self) -> float:
-        """Return for how long the control is stable and no link is disrupted."""
+        """Return for how long all has been quiet.
+
+        The control instances are stable, no link is disrupted, and no other fault has
+        begun or ended. An instance that is paused or has ended may stay so.
+        """
         if not self.is_control_stable() or self._links.harmed or self._links.blocked:
             return 0.0
-        since = max(self._control_change + CONTACT_SECONDS, self._link_change)
+        since = max(self._control_change + CONTACT_SECONDS, self.last_change)
         return trio.current_time() - since
 
     def _link_state(self) -> frozenset[tuple[str, str, Harm | None]]:
