Report that a server broke off an answer

Callers saw 502 for each engine that a harmful part crashed behind a proxy, and neither the log nor the dispatcher could tell such an end from an answer that is invalid or late.

TryEnded has broken_off, and SlotRelease was_broken_off, if the server closed or reset the connection before its answer was complete. It is appended with a default, so older instances ignore it and send none. Nothing acts on it yet.

--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -171,7 +171,8 @@
 
     ``parts`` are the prompt parts that other requests may share.
     ``may_have_crashed_server`` says that the server crashed while it was to answer the
-    request, or soon after it had begun to.
+    request, or soon after it had begun to; ``was_broken_off`` says that the server
+    closed or reset the connection then.
     """
 
     service: str
@@ -184,6 +185,7 @@
     answer_tokens: int = 0
     parts: tuple[str, ...] = ()
     may_have_crashed_server: bool = False
+    was_broken_off: bool = False
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -90,7 +90,20 @@
 
 
 class ConnectionLost(RemoteFailure):
-    """No valid complete response arrived; part of the request may have been sent."""
+    """No valid complete response arrived; part of the request may have been sent.
+
+    Parameters
+    ----------
+    reason : str
+        What was wrong.
+    is_closed : bool
+        Whether the server closed or reset the connection before its response was
+        complete.
+    """
+
+    def __init__(self, reason: str, is_closed: bool = False) -> None:
+        super().__init__(reason)
+        self.is_closed = is_closed
 
 
 class AnswerTooLarge(ConnectionLost):
@@ -116,6 +129,7 @@
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
         self._framing = BodyFraming.NONE
+        self._is_closed = False
         self._checkpoints = CheckpointCounter()
 
     @property
@@ -178,7 +192,7 @@
                 raise ConnectionLost("the server sends too many 1xx responses")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
-            raise ConnectionLost("the server closed before its answer")
+            raise ConnectionLost("the server closed before its answer", is_closed=True)
         headers = Headers.from_wire(event.headers)
         self._framing = _body_framing(request, event, headers)
         self._declared_body_bytes = 0
@@ -195,14 +209,18 @@
             case h11.EndOfMessage():
                 return None
             case _:
-                raise ConnectionLost("the server closed inside its answer")
+                raise ConnectionLost(
+                    "the server closed inside its answer", is_closed=True
+                )
 
     async def _write(self, data: bytes) -> None:
         with trio.move_on_after(self._timeouts.progress):
             try:
                 await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost("the server closed the connection") from error
+                raise ConnectionLost(
+                    "the server closed the connection", is_closed=True
+                ) from error
             return
         raise ConnectionLost("the server does not read")
 
@@ -212,17 +230,23 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionLost(f"broken answer: {error}") from error
+                raise ConnectionLost(
+                    f"broken answer: {error}", self._is_closed
+                ) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(await self._read())
+            data = await self._read()
+            self._is_closed = not data
+            self._protocol.receive_data(data)
 
     async def _read(self) -> bytes:
         with trio.move_on_after(self._timeouts.progress):
             try:
                 return await self._stream.receive_some(_READ_CHUNK_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost("the connection was reset") from error
+                raise ConnectionLost(
+                    "the connection was reset", is_closed=True
+                ) from error
         raise ConnectionLost("the server made no progress")
 
 
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -84,6 +84,7 @@
     longest_pause: float = 0.0
     events: int = 0
     framing: BodyFraming | None = None
+    was_broken_off: bool = False
     server_crashed: bool = False
 
     def record_data(self, now: float) -> None:
@@ -245,6 +246,7 @@
             outcome = NotRun()
         except ConnectionLost as error:
             outcome = Lost(str(error))
+            progress.was_broken_off = error.is_closed
             progress.server_crashed = await self._has_crashed(address)
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
@@ -322,6 +324,7 @@
                 progress.events * self._call.tokens_per_event,
                 self._call.shared_parts,
                 progress.server_crashed and has_just_begun,
+                progress.was_broken_off and has_just_begun,
             )
         )
 
@@ -350,6 +353,7 @@
                 events=progress.events,
                 parts=self._call.shared_parts,
                 server_crashed=progress.server_crashed,
+                broken_off=progress.was_broken_off,
                 framing=None if progress.framing is None else progress.framing.value,
                 end=result.value,
             )
--- a/src/sassafraspin/routed/stream.py
+++ b/src/sassafraspin/routed/stream.py
@@ -115,9 +115,11 @@
         if not head.has_events:
             return
         if self._position.is_inside_event:
-            raise ConnectionLost("the stream ended inside an event")
+            raise ConnectionLost("the stream ended inside an event", not head.is_framed)
         if self._position.is_at_start and not (head.is_framed or head.is_resumed):
-            raise ConnectionLost("the stream ended before its first event")
+            raise ConnectionLost(
+                "the stream ended before its first event", is_closed=True
+            )
 
     async def _start(self) -> None:
         if self._responder.has_started:
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -201,8 +201,9 @@
     number of servers that were tried before. ``framing`` is how the server declared the
     end of its answer: ``length``, ``chunked``, ``none`` without a body, ``connection``
     if it ends with its connection, empty if no answer began. ``parts`` are the prompt
-    parts that other requests may share, and ``server_crashed`` says that the server
-    refused connections after the answer was lost.
+    parts that other requests may share, ``server_crashed`` says that the server refused
+    connections after the answer was lost, and ``broken_off`` that it closed or reset
+    the connection before its answer was complete.
     """
 
     part: ClassVar[str] = "entry"
@@ -226,6 +227,7 @@
     events: int
     parts: tuple[str, ...]
     server_crashed: bool
+    broken_off: bool
     framing: str | None
     end: str
 
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -209,6 +209,33 @@
         self.assertEqual(self.receive("/unsafe/1", script).status, 502)
 
 
+class TestBrokenOffConnections(ScriptedTestCase):
+    """The log tells whether the server ended the connection of a lost answer."""
+
+    def check_broken_off(
+        self, expected: tuple[str, bool], data: bytes, ending: Ending
+    ) -> None:
+        self.receive("/stream/1", Script(data, ending))
+        self.assertEqual((self.tries[-1].end, self.tries[-1].broken_off), expected)
+
+    def test_connection_that_ends_early(self):
+        for data in (b"", SUCCESS[:9], SUCCESS + CHUNKED + chunk(EVENTS[0])):
+            for ending in (Ending.CLOSED, Ending.RESET):
+                self.check_broken_off(("failed", True), data, ending)
+
+    def test_stream_without_declared_end_that_ends_inside_an_event(self):
+        data = SUCCESS + UNFRAMED + EVENTS[0][:9]
+        self.check_broken_off(("failed", True), data, Ending.CLOSED)
+
+    def test_invalid_answer(self):
+        for data in (b"no HTTP\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n"):
+            self.check_broken_off(("failed", False), data, Ending.OPEN)
+
+    def test_complete_answer(self):
+        data = SUCCESS + CHUNKED + chunk(EVENTS[0]) + LAST_CHUNK
+        self.check_broken_off(("answered", False), data, Ending.CLOSED)
+
+
 class TestEncodedAnswers(ScriptedTestCase):
     """A caller that asked for no encoding does not get an encoded body."""
 
