Isolate parts under which servers crash behind an accepting address

Cause: a crash counted only if the server refused a connection right after, and once in ten minutes for each name. Now each answer that a server broke off counts, but only as far as an innocent part is unlikely to be at all of these losses, by the share of other requests that are broken off; a server that answers an earlier request did not crash. Crashes with refused connections need no further proof, as before. Both causes go together: repeated crashes of one name need the same proof.

--- a/benchmarks/isolation_cost.py
+++ b/benchmarks/isolation_cost.py
@@ -33,7 +33,7 @@
     store = IsolationStore(
         IsolatedPart(f"part{number}", (), 0) for number in range(_ISOLATED_PARTS)
     )
-    answer_us = _microseconds(lambda: evidence.record_answer(_PARTS, 1.0), _REPEATS)
+    answer_us = _microseconds(lambda: _record_answer(evidence), _REPEATS)
     look_up_us = _microseconds(lambda: store.find(_PARTS), _REPEATS)
     tick_us = _microseconds(lambda: CrashEvidence().find_harmful(1.0), _REPEATS)
     find_ms = _microseconds(lambda: _full_evidence().find_harmful(1e6), 20) / 1000
@@ -55,6 +55,11 @@
     }
 
 
+def _record_answer(evidence: CrashEvidence) -> None:
+    evidence.record_answer(_PARTS, 1.0)
+    evidence.record_running("server0", 0.5, 1.0)
+
+
 def _full_evidence() -> CrashEvidence:
     evidence = CrashEvidence()
     for number in range(_ENDS):
--- a/src/sassafraspin/isolation/messages.py
+++ b/src/sassafraspin/isolation/messages.py
@@ -6,14 +6,23 @@
 
 
 class SuspectedCrash(msgspec.Struct, frozen=True, array_like=True):
-    """Crash of a server, with the suspected parts of each request it was to answer."""
+    """Crash of a server, with the suspected parts of each request it was to answer.
+
+    ``is_refused`` says whether it refused connections afterwards.
+    """
 
     server: str
     age_ms: int
     requests: tuple[tuple[str, ...], ...]
+    is_refused: bool = True
 
 
 class CrashReport(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """The control leader's latest crashes with suspected parts, oldest first."""
+    """The control leader's latest crashes with suspected parts, oldest first.
+
+    ``answers`` and ``losses`` count requests of late, answered and broken off.
+    """
 
     crashes: tuple[SuspectedCrash, ...] = ()
+    answers: float = 0.0
+    losses: float = 0.0
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -15,6 +15,7 @@
 _PROPOSAL_INTERVAL_SECONDS = 0.3
 _REPORT_INTERVAL_SECONDS = 0.5
 _REPORT_RETENTION_SECONDS = 60.0
+_MS_PER_SECOND = 1000
 
 
 class PartIsolation:
@@ -45,14 +46,19 @@
     def record(self, release: SlotRelease) -> None:
         """Record how a request with shared prompt parts ended."""
         now = self._node.now()
-        if not release.parts:
+        server, parts = release.backend_id, release.parts
+        if not parts:
             return
         if release.result is ReleaseResult.ANSWERED:
-            self._evidence.record_answer(release.parts, now)
+            sent_at = now - release.total_ms / _MS_PER_SECOND
+            self._evidence.record_answer(parts, now)
+            self._evidence.record_running(server, sent_at, now)
+        elif self._is_explained(release):
             return
-        if not release.may_have_crashed_server or self._is_explained(release):
-            return
-        self._evidence.record_crash(release.backend_id, release.parts, now)
+        elif release.may_have_crashed_server:
+            self._evidence.record_crash(server, parts, now)
+        elif release.was_broken_off:
+            self._evidence.record_loss(server, parts, now)
 
     def tick(self) -> None:
         """On the leader, isolate the parts found and report what is suspected."""
--- a/tests/test_crashes_behind_proxies.py
+++ b/tests/test_crashes_behind_proxies.py
@@ -129,6 +129,17 @@
 
         self.run_scenario(scenario)
 
+    def test_crashes_between_sound_requests(self):
+        async def scenario(deployment):
+            for number in range(20):
+                await self.call(deployment, self.harmful_parts(number))
+                prompts = [self.sound_parts(number)] * SERVERS
+                await self.call_all(deployment, prompts)
+                await trio.sleep(PAUSE_SECONDS)
+            self.assertLessEqual(self.harmful_requests, self.allowed_requests)
+
+        self.run_scenario(scenario)
+
     def test_sound_requests_are_served_after_the_crashes(self):
         async def scenario(deployment):
             await self.crash_servers(deployment, sound=3)
