Failing test: successive dispatchers exceed the retry budget

A trial that began each budget with its allowance used up was not kept: right after a dispatcher is lost, retries are needed most, and what that costs was not measured.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -183,6 +183,21 @@
         self.assertEqual(sum(report.charges.values()), 0)
 
 
+class TestRetryBudgetOfSuccessors(unittest.TestCase):
+    """Dispatchers that follow one another keep to the budget together."""
+
+    def test_three_dispatchers_within_a_window_retry_no_more_than_one(self):
+        settings = DispatchSettings(retry_allowance=48, retry_share=0.16)
+        retries = 0
+        for number in range(3):
+            now = 2.0 * number
+            budget = RetryBudget(settings)
+            for _ in range(50):
+                budget.record_first_attempt(now)
+            retries += sum(budget.try_acquire(now) for _ in range(100))
+        self.assertLessEqual(retries, 48 + 0.16 * 150)
+
+
 class TestRetryBudget(unittest.TestCase):
     """Retries in a sliding window."""
 
