Look servers up by name when they announce themselves

Each announcement made the dispatcher copy and search the servers of all pools, though the table of a pool has them by name. No behaviour changes.

--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -159,8 +159,9 @@
 
     def announcement_of(self, backend_id: str) -> Announcement | None:
         """Return the latest announcement of a server, ``None`` if it is not known."""
-        for backend in self.backends():
-            if backend.announcement.id == backend_id:
+        for pool in self._pools.values():
+            backend = pool.server(backend_id)
+            if backend is not None:
                 return backend.announcement
         return None
 
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -147,6 +147,10 @@
         """Return the known backend servers."""
         return self._servers.all
 
+    def server(self, backend_id: str) -> Backend | None:
+        """Return a backend server by name, ``None`` if it is not known."""
+        return self._servers.get(backend_id)
+
     def entry_instances(self) -> frozenset[str]:
         """Return the names of the entry instances with waiting or granted requests."""
         waiting = (item.entry for item in self._queue)
