Take the own control port from the member entry

Operations was given the port besides the node whose member entry has held it since the redirect uses reported ports. The two tests that build it give the port to the entry instead; their assertions are the same.

--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -55,8 +55,6 @@
         Client for the control log.
     dispatch : DispatchService
         Receives the announcements.
-    control_port : int
-        Port on which this instance accepts control requests.
     retirements : RetirementView
         Retirements of backend servers, to recognise outdated announcements.
     """
@@ -67,14 +65,12 @@
         control: ControlService,
         proposals: ProposalClient,
         dispatch: DispatchService,
-        control_port: int,
         retirements: RetirementView,
     ) -> None:
         self._node = node
         self._control = control
         self._proposals = proposals
         self._dispatch = dispatch
-        self._control_port = control_port
         self._retirements = retirements
         self._retirement = ServerRetirement(node, control, proposals)
         self._leaves = LeaveTracker(dispatch)
@@ -110,7 +106,7 @@
             return Address(member.host, member.control_port)
         if member.host == self._node.member.host:
             return None
-        return Address(member.host, self._control_port)
+        return Address(member.host, self._node.member.control_port)
 
     async def put_table(self, table: RoutingTable, source: bytes) -> None:
         """Propose a routing table; only a version above the current takes effect."""
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -138,7 +138,6 @@
             self._control,
             self._proposals,
             self._dispatch,
-            settings.listen.control.port,
             RetirementView(self.node),
         )
         self.handle_control = adapter.control_handler(operations)
--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -104,7 +104,7 @@
     def setUp(self):
         self.now = 0.0
         control_names = ("front-1", "front-2")
-        own = Member("front-2", 1, "south", "b", "10.0.0.2", 7400)
+        own = Member("front-2", 1, "south", "b", "10.0.0.2", 7400, CONTROL_PORT)
         self.lease = MemberLease(own, control_names, 0.5, MemberTimings(lease=3.0))
         self.node = SimpleNamespace(
             name=own.name,
@@ -114,9 +114,7 @@
             now=lambda: self.now,
         )
         self.control = SimpleNamespace(term=1)
-        self.operations = Operations(
-            self.node, self.control, None, None, CONTROL_PORT, None
-        )
+        self.operations = Operations(self.node, self.control, None, None, None)
 
     def hear(self, leader: str, term: int = 1) -> None:
         """Receive a reply in which the leader grants a lease."""
--- a/tests/test_second_leave.py
+++ b/tests/test_second_leave.py
@@ -26,7 +26,7 @@
             announcement_of=self.known.get, announce=self.announce, backends=tuple
         )
         outdated = SimpleNamespace(is_outdated=self.retirements.covers)
-        self.operations = Operations(node, None, None, dispatch, 0, outdated)
+        self.operations = Operations(node, None, None, dispatch, outdated)
         self.operations._retirement = self
 
     def announce(self, item: Announcement) -> bool:
