Compare the reports of incarnations without a second record of them

The table of members copied the time of each heartbeat into a record of its own to tell whether an instance was restarted. It now asks for the last report of the identity, as everywhere else. No behaviour changes (tests.test_member_table).

--- a/src/sassafraspin/membership/table.py
+++ b/src/sassafraspin/membership/table.py
@@ -39,12 +39,6 @@
     received_at: float
 
 
-@dataclass(frozen=True)
-class _Report:
-    identity: MemberIdentity
-    received_at: float
-
-
 class MemberTable:
     """Grants leases and plans view changes during one term of the control leader.
 
@@ -146,19 +140,24 @@
             if last is not None and last.heartbeat.leaving:
                 continue
             other = newest.get(member.name)
-            if other is not None and other.identity.incarnation > member.incarnation:
-                if other.received_at > self._last_report_at(member.identity):
-                    continue
+            if other is not None and self._has_replaced(other, member.identity):
+                continue
             indexes[member.name] = 0 if last is None else last.heartbeat.config_index
         return indexes
 
-    def _newest_incarnations(self) -> dict[str, _Report]:
-        """Return when the newest incarnation of each instance last reported."""
-        newest: dict[str, _Report] = {}
-        for identity, last in self._heartbeats.items():
+    def _has_replaced(self, other: MemberIdentity, earlier: MemberIdentity) -> bool:
+        """Return whether a later incarnation of an instance reported after this one."""
+        if other.incarnation <= earlier.incarnation:
+            return False
+        return self._last_report_at(other) > self._last_report_at(earlier)
+
+    def _newest_incarnations(self) -> dict[str, MemberIdentity]:
+        """Return the newest incarnation of each instance that has reported."""
+        newest: dict[str, MemberIdentity] = {}
+        for identity in self._heartbeats:
             known = newest.get(identity.name)
-            if known is None or known.identity.incarnation < identity.incarnation:
-                newest[identity.name] = _Report(identity, last.received_at)
+            if known is None or known.incarnation < identity.incarnation:
+                newest[identity.name] = identity
         return newest
 
     def _last_report_at(self, identity: MemberIdentity) -> float:
