--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 from unittest import mock
 
 import trio
@@ -63,14 +64,18 @@
 
 async def keep_running(
     deployment: RoutedDeployment,
-    servers: list[EndingServer],
+    servers: list,
+    make_server: Callable[[], Any] = EndingServer,
     *,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Run a registered server, and another one whenever it has ended."""
+    """Run a registered server, and another one whenever it has ended.
+
+    Servers have ``run``, an ``address`` and an event ``ended``.
+    """
     async with trio.open_nursery() as nursery:
         for restarts in itertools.count():
-            server = EndingServer()
+            server = make_server()
             await nursery.start(server.run)
             runner = FakeRunner(f"i-{len(servers)}", server.address)
             servers.append(server)
--- a/tests/test_unframed_crashes.py
+++ b/tests/test_unframed_crashes.py
@@ -1,6 +1,5 @@
 """Crashes that end a stream without a declared end in order, between two events."""
 
-import itertools
 import unittest
 from dataclasses import dataclass, field
 
@@ -8,9 +7,9 @@
 
 from sassafraspin.errors import RemoteFailure
 from sassafraspin.settings import Address
-from tests.routed_deployment import FakeRunner, RoutedDeployment, routed_deployment
+from tests.routed_deployment import RoutedDeployment, routed_deployment
 from tests.scripted_server import read_request
-from tests.test_harmful_parts import HARMFUL
+from tests.test_harmful_parts import HARMFUL, keep_running
 
 GUARD_SECONDS = 60.0
 SERVERS = 4
@@ -51,26 +50,6 @@
         await stream.aclose()
 
 
-async def keep_running(
-    deployment: RoutedDeployment,
-    servers: list[UnframedServer],
-    *,
-    task_status=trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Run a registered server, and another one whenever it has crashed."""
-    async with trio.open_nursery() as nursery:
-        for restarts in itertools.count():
-            server = UnframedServer()
-            await nursery.start(server.run)
-            runner = FakeRunner(f"i-{len(servers)}", server.address)
-            servers.append(server)
-            await deployment.register(runner)
-            if not restarts:
-                task_status.started()
-            await server.ended.wait()
-            await deployment.control("DELETE", f"instances/{runner.name}")
-
-
 class TestUnframedCrashes(unittest.TestCase):
     """An answer that may be short does not clear the parts of its prompt."""
 
@@ -87,7 +66,9 @@
                     trio.open_nursery() as nursery,
                 ):
                     for _ in range(SERVERS):
-                        await nursery.start(keep_running, deployment, servers)
+                        await nursery.start(
+                            keep_running, deployment, servers, UnframedServer
+                        )
                     for number in range(20):
                         await self.call(deployment, f"{HARMFUL}:400,own{number}:70")
                         await self.call(deployment, f"sound:60,own{number}:70")
