Answer requests that have arrived when a planned stop begins

Callers saw their connection closed without an answer when they had connected, or sent a request on a kept connection, right before an instance stopped on purpose.

Cause: `drain` closed the listener with connections in its queue; a connection that was accepted in the same pass of the scheduler was not yet among those that are waited for; and an idle connection was closed although a request lay in its buffer. Ruled out: the time limits of the drain, which were not reached.

Connections that wait are accepted first and are registered before their task starts; an idle connection is closed only if nothing can be read from it, and a new one gets 250 ms for its first request.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -24,6 +24,9 @@
 _READ_CHUNK_BYTES = 65_536
 _MS_PER_SECOND = 1000
 
+_FIRST_REQUEST_SECONDS = 0.25
+"""Time that a new connection has for its first request once the server drains."""
+
 
 @dataclass(frozen=True)
 class _Closed:
@@ -43,18 +46,41 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._closing = False
+        self._has_served = False
         self._idle_scope: trio.CancelScope | None = None
         self._checkpoints = CheckpointCounter()
 
     def close_when_idle(self) -> None:
-        """Close immediately if idle, otherwise after the request in flight."""
+        """Close once idle; requests that have arrived are answered before.
+
+        A new connection gets a moment to send its first request.
+        """
         self._closing = True
         if self._idle_scope is not None:
-            self._idle_scope.cancel()
+            self._idle_scope.deadline = trio.current_time() + self._idle_seconds
+
+    @property
+    def _idle_seconds(self) -> float:
+        """Return how long the connection may wait for the next request."""
+        if not self._closing:
+            return self._limits.idle_timeout_ms / _MS_PER_SECOND
+        return 0.0 if self._has_served else _FIRST_REQUEST_SECONDS
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end of the peer's data, wait to be read."""
+        return bool(self._protocol.trailing_data[0]) or (
+            self._stream.socket.is_readable()
+        )
+
+    @property
+    def _may_serve_next(self) -> bool:
+        """Return whether to read another request."""
+        return not self._closing or not self._has_served or self._has_unread_bytes
 
     async def run(self) -> None:
         """Serve requests until the peer or the server closes the connection."""
-        while not self._closing:
+        while self._may_serve_next:
             try:
                 request = await self._read_request()
             except RequestProblem as problem:
@@ -62,6 +88,7 @@
                 return
             if isinstance(request, _Closed):
                 return
+            self._has_served = True
             await self._answer(request)
             if self._protocol.our_state is not h11.DONE:
                 return
@@ -161,18 +188,11 @@
         raise RequestTimeout("body")
 
     async def _read_head(self) -> h11.Request | _Closed:
-        idle_seconds = self._limits.idle_timeout_ms / _MS_PER_SECOND
-        is_buffer_empty = not self._protocol.trailing_data[0]
-        if is_buffer_empty:
-            with trio.move_on_after(idle_seconds) as self._idle_scope:
-                data = await self._stream.receive_some(_READ_CHUNK_BYTES)
-                self._idle_scope = None
-                if not data:
-                    return _Closed()
-                self._protocol.receive_data(data)
-            if self._idle_scope is not None:
-                self._idle_scope = None
+        if not self._protocol.trailing_data[0]:
+            data = await self._wait_for_data()
+            if not data:
                 return _Closed()
+            self._protocol.receive_data(data)
         with trio.move_on_after(self._limits.header_timeout_ms / _MS_PER_SECOND):
             event = await self._next_event()
             if isinstance(event, h11.Request):
@@ -180,6 +200,17 @@
             return _Closed()
         raise RequestTimeout("header")
 
+    async def _wait_for_data(self) -> bytes:
+        """Return the first bytes of a request, none if the connection is to end."""
+        data = b""
+        with trio.move_on_after(self._idle_seconds) as self._idle_scope:
+            data = await self._stream.receive_some(_READ_CHUNK_BYTES)
+        was_cut_short = self._idle_scope.cancelled_caught and self._closing
+        self._idle_scope = None
+        if was_cut_short and self._has_unread_bytes:
+            data = bytes(await self._stream.receive_some(_READ_CHUNK_BYTES))
+        return data
+
     async def _read_body(self, head: h11.Request) -> bytes:
         self._check_declared_length(head)
         if self._protocol.they_are_waiting_for_100_continue:
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -17,6 +17,8 @@
     h11.ProtocolError,
 )
 
+_MAX_PENDING_CONNECTIONS = 1_000
+
 _log = part_logger("http")
 
 
@@ -64,8 +66,12 @@
                 listener.socket.close()
 
     async def drain(self) -> None:
-        """Stop accepting connections and wait for the requests in flight."""
+        """Stop accepting connections and wait for the requests in flight.
+
+        Connections that callers have opened already are served.
+        """
         self._draining = True
+        await self._accept_pending()
         for listener in self._listeners:
             await listener.aclose()
         for connection in list(self._connections):
@@ -73,6 +79,13 @@
         self._check_drained()
         await self._drained.wait()
 
+    async def _accept_pending(self) -> None:
+        """Let the accept loops take the connections that wait to be accepted."""
+        for _ in range(_MAX_PENDING_CONNECTIONS):
+            if not any(item.socket.is_readable() for item in self._listeners):
+                return
+            await trio.lowlevel.checkpoint()
+
     async def _accept_from(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
@@ -85,11 +98,14 @@
                 _log.warning("Cannot accept a connection: {}.", error.strerror)
                 await trio.sleep(0.1)
                 continue
-            nursery.start_soon(self._serve_connection, stream)
+            connection = ServerConnection(stream, self._limits, self._handler)
+            # Registered before its task starts, so that ``drain`` waits for it.
+            self._connections.add(connection)
+            nursery.start_soon(self._serve_connection, stream, connection)
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = ServerConnection(stream, self._limits, self._handler)
-        self._connections.add(connection)
+    async def _serve_connection(
+        self, stream: trio.SocketStream, connection: ServerConnection
+    ) -> None:
         try:
             if len(self._connections) > self._limits.connections:
                 await connection.refuse(TooManyConnections())
