Refuse odd registrations, and drop frames that are nested too deeply

A registration with slots of 10^30, a sequence beyond 64 bits, a port such as '8_0' or a host that is no address was accepted. Numbers beyond 64 bits cannot be encoded in messages between instances, so the periodic work of the leader would have ended with an error as soon as it published them. A datagram that is nested deeply raised RecursionError out of the receive loop, which ends the daemon.

Cause: only the shape of an entry was checked, not its range; the decoder of frames handled one kind of error. Fields now have bounds at the decoder; addresses are IPv4 addresses with a decimal port. Nesting in a registration was handled before.

--- a/src/sassafraspin/platform/registration.py
+++ b/src/sassafraspin/platform/registration.py
@@ -1,6 +1,7 @@
 """Decoder for registrations of runners."""
 
-from typing import Literal
+import ipaddress
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -19,6 +20,12 @@
 """Initial estimates, corrected by observation. The users' engine specifications give
 42.8 prompt tokens per ms and a decode step of at least 6.35 ms."""
 
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""Bounds of what is passed on to other instances in small messages."""
+
+_MAX_PORT_DIGITS = 5
+
 
 class _Registration(msgspec.Struct):
     """A registration message.
@@ -27,14 +34,18 @@
     messages since then, and ``version`` is its software version.
     """
 
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
+    service: _Name
+    address: _Name
+    zone: _Name
+    version: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     state: Literal["ready", "draining"]
-    sequence: int
-    born: int = 0
+    sequence: _Counter
+    born: _Counter = 0
+
+
+class _Identity(msgspec.Struct):
+    id: _Name
 
 
 _DECODER = msgspec.json.Decoder(_Registration)
@@ -59,11 +70,10 @@
     """
     try:
         item = _DECODER.decode(body)
-        host, _, port = item.address.rpartition(":")
-        address = Address(host, int(port))
+        msgspec.convert({"id": backend_id}, _Identity)
     except (ValueError, msgspec.DecodeError, RecursionError) as error:
         raise InvalidInput(_SOURCE, (Problem("$", str(error)),)) from error
-    _validate(item, address)
+    address = _parse_address(item.address)
     return Announcement(
         id=backend_id,
         incarnation=item.born,
@@ -81,13 +91,17 @@
     )
 
 
-def _validate(item: _Registration, address: Address) -> None:
-    problems = []
-    if item.slots < 1:
-        problems.append(Problem("$.slots", "must be at least 1"))
-    if not address.host or not 0 < address.port < 65_536:
-        problems.append(Problem("$.address", "must be IP:PORT"))
-    if item.sequence < 0 or item.born < 0:
-        problems.append(Problem("$.sequence", "must not be negative"))
-    if problems:
-        raise InvalidInput(_SOURCE, tuple(problems))
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise _invalid_address() from None
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) < 65_536:
+        raise _invalid_address()
+    return Address(host, int(port))
+
+
+def _invalid_address() -> InvalidInput:
+    return InvalidInput(_SOURCE, (Problem("$.address", "must be IP:PORT"),))
--- a/src/sassafraspin/rpc/network.py
+++ b/src/sassafraspin/rpc/network.py
@@ -277,7 +277,7 @@
         self._received_bytes += len(data)
         try:
             frame = self._codec.decode_frame(data)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             _log.warning("Dropped a malformed frame: {}.", error)
             return
         for message in frame.messages:
