Keep the directory of servers by differences, so that a large fleet keeps its leader

Operators saw control instances take turns as leader for ever at 200 instances, before any traffic: a new term every half second, every call placed by standbys.

Cause: each leader sent the whole directory to every member in one burst, again every 5 s and again with its leadership: servers x members, in updates of 1.7 kB, which went over a stream of their own each, although they were meant for datagrams. Heartbeats and appends waited behind it, and the next leader did the same.

The content is now summarized by digests of 64 pages. A leader starts from the directory of its predecessor and publishes only what that lacks; pushes to all members are limited in bytes a second, the control instances get every change. Answers to heartbeats carry the digest; a member that has another one asks a control instance for the pages that differ, each member beginning with another. Entries are sent in a compact form that fits into datagrams. A leader that starts without a directory gives no digest until every server has announced itself.

An instance of an older build gets no directory from a leader of this one. directory_interval_ms has no effect for declared routes any more.

--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -141,14 +141,23 @@
             self._advance_moves(control_node, now)
 
     def on_heartbeat(
-        self, source: MemberIdentity, heartbeat: MemberHeartbeat, now: float
+        self,
+        source: MemberIdentity,
+        heartbeat: MemberHeartbeat,
+        now: float,
+        directory: int = 0,
     ) -> None:
-        """Answer a member's heartbeat."""
+        """Answer a member's heartbeat.
+
+        A leader adds the digest of its directory of backend servers.
+        """
         if self._control_node is None:
             return
         if heartbeat.member is not None and source.name != self._node.name:
             self._set_peer_address(heartbeat.member.address)
         reply = self._control_node.heartbeat(source, heartbeat, now)
+        if directory and reply.leader == self._node.name:
+            reply = msgspec.structs.replace(reply, directory=directory)
         update = reply.update
         if update is not None and update.size >= LARGE_BYTES:
             # A stream may take seconds for an update; the lease must not wait for it.
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -8,7 +8,11 @@
 from sassafraspin.control.messages import ReplicaMessage
 from sassafraspin.discovery import DiscoveryMessage
 from sassafraspin.dispatch import DispatchMessage
-from sassafraspin.dispatch.directory import DirectoryUpdate
+from sassafraspin.dispatch.directory import (
+    DirectoryListing,
+    DirectoryQuery,
+    DirectoryUpdate,
+)
 from sassafraspin.isolation import CrashReport
 from sassafraspin.ledger import LedgerMessage
 from sassafraspin.membership import MembershipMessage
@@ -57,6 +61,8 @@
     | MoveMessage
     | DiscoveryMessage
     | DirectoryUpdate
+    | DirectoryQuery
+    | DirectoryListing
     | UsageReport
     | CrashReport
     | Propose
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -1,112 +1,150 @@
-"""Directory of backend servers, replicated from the dispatchers to each instance."""
+"""Directory of backend servers that each instance keeps, and its updates.
 
-from collections.abc import Iterator
+Its content is summarized by digests of pages, so that instances find out what they
+lack without sending it.
+"""
+
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, replace
 
 import msgspec
+import xxhash
 
 from sassafraspin.backends import Announcement, Backend
+from sassafraspin.settings import Address
+
+__all__ = [
+    "BackendDirectory",
+    "DirectoryListing",
+    "DirectoryPublisher",
+    "DirectoryQuery",
+    "DirectoryUpdate",
+    "ServerEntry",
+    "split_updates",
+]
+
+_MAX_UPDATE_BYTES = 1_000
+"""Size of the servers in an update, so that it fits into a datagram."""
 
-__all__ = ["BackendDirectory", "DirectoryPublisher", "DirectoryUpdate"]
+_PAGES = 64
+"""Number of pages; the digests of all of them fit into a datagram."""
 
-_ANNOUNCEMENTS_PER_UPDATE = 5
-"""Maximum number of announcements in an update, so that it fits into a datagram."""
+_PAGE_DIGEST_BITS = 32
 
-_REMOVAL_ROUNDS = 3
-"""Full rounds that repeat the removal of a server, in case an update was lost."""
+_REFRESH_SECONDS = 1.0
+"""Interval at which a dispatcher confirms the servers in its own directory."""
 
 _SPEED_CHANGE_RATIO = 1.2
 """Ratio between the current and the last published speed of a server above which it
 is published again."""
 
 
-class DirectoryUpdate(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """What is sent of an announcement; ``speeds`` are those of prefill and decode."""
+
+    id: str
+    incarnation: int
+    sequence: int
+    service: str
+    host: str
+    port: int
+    availability_zone: str
+    hardware: str
+    versions: tuple[str, ...]
+    ttl_ms: int
+    slots: int
+    kv_tokens: int
+    speeds: tuple[float, float]
+    leaving: bool
+
+    @classmethod
+    def of(cls, announcement: Announcement) -> "ServerEntry":
+        """Return the entry of an announcement."""
+        return cls(
+            announcement.id,
+            announcement.incarnation,
+            announcement.sequence,
+            announcement.service,
+            announcement.address.host,
+            announcement.address.port,
+            announcement.availability_zone,
+            announcement.hardware,
+            announcement.versions,
+            announcement.ttl_ms,
+            announcement.slots,
+            announcement.kv_tokens,
+            (
+                announcement.prefill_tokens_per_second,
+                announcement.decode_tokens_per_second,
+            ),
+            announcement.leaving,
+        )
+
+    def to_announcement(self) -> Announcement:
+        """Return the announcement, without its reports of load and cache."""
+        prefill_rate, decode_rate = self.speeds
+        return Announcement(
+            id=self.id,
+            incarnation=self.incarnation,
+            service=self.service,
+            address=Address(self.host, self.port),
+            availability_zone=self.availability_zone,
+            hardware=self.hardware,
+            versions=self.versions,
+            ttl_ms=self.ttl_ms,
+            slots=self.slots,
+            kv_tokens=self.kv_tokens,
+            prefill_tokens_per_second=prefill_rate,
+            decode_tokens_per_second=decode_rate,
+            leaving=self.leaving,
+            sequence=self.sequence,
+        )
+
+
+class DirectoryUpdate(
+    msgspec.Struct, frozen=True, tag="DirectoryEntries", array_like=True
+):
     """Part of a dispatcher's view of its backend servers.
 
     ``gone`` maps the names of removed servers to their last known incarnations.
     """
 
-    announcements: tuple[Announcement, ...]
+    entries: tuple[ServerEntry, ...]
     gone: dict[str, int] = {}
 
+    @classmethod
+    def of(cls, *announcements: Announcement) -> "DirectoryUpdate":
+        """Return the update with some announcements."""
+        return cls(tuple(map(ServerEntry.of, announcements)))
 
-class DirectoryPublisher:
-    """Decides which directory updates a dispatcher publishes to the other instances.
 
-    New servers, restarts, removals, and changes of slots, speed or ``leaving`` are
-    published at once and the full directory once per round, so that the traffic between
-    rounds grows with the number of changes, not of servers.
+class DirectoryQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Asks for the pages of a directory that the sender lacks.
 
     Parameters
     ----------
-    interval : float
-        Time between two full rounds, in seconds.
+    digest : int
+        Digest of the directory that is wanted.
+    pages : tuple of int
+        Digests of the sender's pages.
     """
 
-    def __init__(self, interval: float) -> None:
-        self._interval = interval
-        self._next_round_at = float("-inf")
-        self._published: dict[str, Announcement] = {}
-        self._gone: dict[str, _Removal] = {}
+    digest: int
+    pages: tuple[int, ...]
 
-    def updates(
-        self, backends: tuple[Backend, ...], now: float
-    ) -> list[DirectoryUpdate]:
-        """Return the updates that are due."""
-        announcements = [_observed_announcement(backend) for backend in backends]
-        gone = self._new_removals({item.id for item in announcements})
-        if now >= self._next_round_at:
-            self._next_round_at = now + self._interval
-            gone.update(self._repeated_removals())
-        else:
-            announcements = [
-                item for item in announcements if _has_changed(item, self._published)
-            ]
-        self._published.update((item.id, item) for item in announcements)
-        updates = _split(announcements)
-        if gone:
-            updates.append(DirectoryUpdate((), gone))
-        return updates
 
-    def full_updates(self) -> list[DirectoryUpdate]:
-        """Return everything published, for an instance that has just joined."""
-        return _split(list(self._published.values()))
-
-    def forget_published(self) -> None:
-        """Publish everything again: it is not known what the others have."""
-        self._next_round_at = float("-inf")
-        self._published.clear()
-        self._gone.clear()
-
-    def _new_removals(self, known: set[str]) -> dict[str, int]:
-        gone = {}
-        for backend_id in self._published.keys() - known:
-            gone[backend_id] = self._published.pop(backend_id).incarnation
-        for backend_id, incarnation in gone.items():
-            self._gone[backend_id] = _Removal(incarnation, _REMOVAL_ROUNDS)
-        return gone
-
-    def _repeated_removals(self) -> dict[str, int]:
-        again = {
-            backend_id: item.incarnation for backend_id, item in self._gone.items()
-        }
-        for backend_id, item in list(self._gone.items()):
-            item.rounds -= 1
-            if item.rounds <= 0 or backend_id in self._published:
-                del self._gone[backend_id]
-        return again
+class DirectoryListing(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Names of all servers in some pages; their announcements are sent as updates."""
 
-
-@dataclass
-class _Removal:
-    incarnation: int
-    rounds: int
+    pages: tuple[int, ...]
+    names: tuple[str, ...]
 
 
 @dataclass(frozen=True)
 class _Entry:
     announcement: Announcement
     at: float
+    fingerprint: int
 
 
 class BackendDirectory:
@@ -115,12 +153,16 @@
     Parameters
     ----------
     retention : float
-        Time without an update after which a server is removed, in seconds.
+        Time without an update or a confirmation after which a server is removed, in
+        seconds.
     """
 
     def __init__(self, retention: float) -> None:
         self._retention = retention
         self._entries: dict[str, _Entry] = {}
+        self._pages = [0] * _PAGES
+        self._digest: int | None = None
+        self._confirmed_at = float("-inf")
         self._revision = 0
 
     @property
@@ -128,44 +170,241 @@
         """Return a number that increases with each change of the content."""
         return self._revision
 
+    @property
+    def digest(self) -> int:
+        """Return the digest of the servers that do not leave; never 0.
+
+        It covers what identifies a server and its offer, not its measured speed.
+        """
+        if self._digest is None:
+            pages = msgspec.msgpack.encode(self._pages)
+            self._digest = xxhash.xxh64_intdigest(pages) >> 1 or 1
+        return self._digest
+
+    @property
+    def page_digests(self) -> tuple[int, ...]:
+        """Return the digests of the pages."""
+        return tuple(self._pages)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server is known."""
+        return not self._entries
+
     def apply(self, update: DirectoryUpdate, now: float) -> None:
         """Apply an update; announcements older than the known ones are ignored."""
-        for announcement in update.announcements:
-            self._store(announcement, now)
+        for entry in update.entries:
+            self._store(entry.to_announcement(), now)
         for backend_id, incarnation in update.gone.items():
             known = self._entries.get(backend_id)
             if known is not None and known.announcement.incarnation <= incarnation:
                 self._remove(backend_id)
-        for backend_id, entry in list(self._entries.items()):
-            if now - entry.at > self._retention:
+        self._expire(now)
+
+    def confirm(self, digest: int, now: float) -> bool:
+        """Keep the servers if the digest is that of this directory.
+
+        Returns whether it is.
+        """
+        if digest != self.digest:
+            return False
+        self._confirmed_at = now
+        self._expire(now)
+        return True
+
+    def refresh(self, backend_ids: Collection[str], now: float) -> None:
+        """Keep the servers of this instance's own dispatcher."""
+        for backend_id in backend_ids:
+            entry = self._entries.get(backend_id)
+            if entry is not None:
+                self._entries[backend_id] = replace(entry, at=now)
+        self._expire(now)
+
+    def lacks(self, announcement: Announcement) -> bool:
+        """Return whether an announcement has to be published.
+
+        It has if it says that the server leaves, was restarted, has other slots or a
+        clearly other speed.
+        """
+        known = self._entries.get(announcement.id)
+        if known is None:
+            return True
+        if known.announcement.order > announcement.order:
+            return False
+        return _differs(announcement, known.announcement)
+
+    def incarnations(self) -> dict[str, int]:
+        """Return the incarnation of each server that does not leave."""
+        return {
+            backend_id: entry.announcement.incarnation
+            for backend_id, entry in self._entries.items()
+            if not entry.announcement.leaving
+        }
+
+    def differing_pages(self, query: DirectoryQuery) -> tuple[int, ...]:
+        """Return the numbers of the pages that the sender of a query lacks."""
+        theirs = query.pages
+        return tuple(
+            number
+            for number, digest in enumerate(self._pages)
+            if number >= len(theirs) or theirs[number] != digest
+        )
+
+    def page_content(self, page: int) -> tuple[Announcement, ...]:
+        """Return the announcements in a page, those of servers that leave included."""
+        return tuple(
+            entry.announcement
+            for backend_id, entry in self._entries.items()
+            if _page_of(backend_id) == page
+        )
+
+    def apply_listing(self, listing: DirectoryListing) -> None:
+        """Remove the servers in the listed pages that the listing does not name."""
+        names = set(listing.names)
+        pages = set(listing.pages)
+        for backend_id in list(self._entries):
+            if backend_id not in names and _page_of(backend_id) in pages:
                 self._remove(backend_id)
 
+    def incarnation_of(self, backend_id: str) -> int | None:
+        """Return the newest known incarnation of a server, ``None`` if not known."""
+        entry = self._entries.get(backend_id)
+        return None if entry is None else entry.announcement.incarnation
+
+    def of_service(self, service: str) -> Iterator[Announcement]:
+        """Yield the announcements of a service's servers that are not leaving."""
+        for entry in self._entries.values():
+            announcement = entry.announcement
+            if announcement.service == service and not announcement.leaving:
+                yield announcement
+
     def _store(self, announcement: Announcement, now: float) -> None:
         known = self._entries.get(announcement.id)
         if known is not None and known.announcement.order > announcement.order:
             return
-        self._entries[announcement.id] = _Entry(announcement, now)
+        fingerprint = _fingerprint(announcement)
+        self._entries[announcement.id] = _Entry(announcement, now, fingerprint)
+        before = 0 if known is None else known.fingerprint
+        self._change_page(announcement.id, before ^ fingerprint)
         if known is None or _differs(announcement, known.announcement):
             self._revision += 1
 
     def _remove(self, backend_id: str) -> None:
-        del self._entries[backend_id]
+        entry = self._entries.pop(backend_id)
+        self._change_page(backend_id, entry.fingerprint)
         self._revision += 1
 
-    def of_service(self, service: str) -> Iterator[Announcement]:
-        """Yield the announcements of a service's servers that are not leaving."""
-        for entry in self._entries.values():
-            announcement = entry.announcement
-            if announcement.service == service and not announcement.leaving:
-                yield announcement
+    def _change_page(self, backend_id: str, difference: int) -> None:
+        if difference:
+            self._pages[_page_of(backend_id)] ^= difference
+            self._digest = None
+
+    def _expire(self, now: float) -> None:
+        for backend_id, entry in list(self._entries.items()):
+            kept_at = entry.at
+            if not entry.announcement.leaving:
+                kept_at = max(kept_at, self._confirmed_at)
+            if now - kept_at > self._retention:
+                self._remove(backend_id)
+
+
+class DirectoryPublisher:
+    """Finds what a dispatcher has to publish: what its own directory lacks.
+
+    A dispatcher starts from the directory that its predecessor published, so that
+    nothing is sent for a change of the dispatcher alone.
+
+    Parameters
+    ----------
+    directory : BackendDirectory
+        The directory of this instance; updated with what is published.
+    """
+
+    def __init__(self, directory: BackendDirectory) -> None:
+        self._directory = directory
+        self._own: dict[str, int] = {}
+        self._next_refresh_at = float("-inf")
+
+    def updates(
+        self, backends: tuple[Backend, ...], now: float
+    ) -> list[DirectoryUpdate]:
+        """Apply what has changed to the directory and return it for the others."""
+        announcements = [_observed_announcement(backend) for backend in backends]
+        names = {item.id for item in announcements}
+        updates = split_updates(list(filter(self._directory.lacks, announcements)))
+        gone = self._gone(names)
+        if gone:
+            updates.append(DirectoryUpdate((), gone))
+        self._own = {item.id: item.incarnation for item in announcements}
+        for update in updates:
+            self._directory.apply(update, now)
+        if now >= self._next_refresh_at:
+            self._next_refresh_at = now + _REFRESH_SECONDS
+            self._directory.refresh(names, now)
+        return updates
 
+    def stop(self) -> None:
+        """Forget this dispatcher's servers: another one publishes from now on."""
+        self._own = {}
 
-def _split(announcements: list[Announcement]) -> list[DirectoryUpdate]:
+    def _gone(self, names: set[str]) -> dict[str, int]:
+        """Return the servers to remove, with their incarnations.
+
+        Servers that leave, and that this dispatcher never had, end by themselves.
+        """
+        known = {**self._directory.incarnations(), **self._own}
+        return {name: known[name] for name in known.keys() - names}
+
+
+def split_updates(announcements: list[Announcement]) -> list[DirectoryUpdate]:
     """Return updates that fit into datagrams."""
-    return [
-        DirectoryUpdate(tuple(announcements[start : start + _ANNOUNCEMENTS_PER_UPDATE]))
-        for start in range(0, len(announcements), _ANNOUNCEMENTS_PER_UPDATE)
-    ]
+    updates: list[DirectoryUpdate] = []
+    entries: list[ServerEntry] = []
+    size = 0
+    for announcement in announcements:
+        entry = ServerEntry.of(announcement)
+        entry_size = len(msgspec.msgpack.encode(entry))
+        if entries and size + entry_size > _MAX_UPDATE_BYTES:
+            updates.append(DirectoryUpdate(tuple(entries)))
+            entries, size = [], 0
+        entries.append(entry)
+        size += entry_size
+    if entries:
+        updates.append(DirectoryUpdate(tuple(entries)))
+    return updates
+
+
+def _page_of(backend_id: str) -> int:
+    return xxhash.xxh64_intdigest(backend_id.encode()) % _PAGES
+
+
+def _fingerprint(announcement: Announcement) -> int:
+    """Return a hash of what identifies a server and its offer, 0 if it leaves."""
+    if announcement.leaving:
+        return 0
+    identity = msgspec.msgpack.encode(
+        (
+            announcement.id,
+            announcement.incarnation,
+            announcement.service,
+            announcement.address.host,
+            announcement.address.port,
+            announcement.availability_zone,
+            announcement.versions,
+            announcement.slots,
+        )
+    )
+    return xxhash.xxh64_intdigest(identity) >> (64 - _PAGE_DIGEST_BITS)
+
+
+def _offer(announcement: Announcement) -> tuple[object, ...]:
+    return (
+        announcement.incarnation,
+        announcement.leaving,
+        announcement.slots,
+        announcement.versions,
+        announcement.address,
+    )
 
 
 def _observed_announcement(backend: Backend) -> Announcement:
@@ -178,18 +417,9 @@
     )
 
 
-def _has_changed(
-    announcement: Announcement, published: dict[str, Announcement]
-) -> bool:
-    """Return whether a server has to be published before the next full round."""
-    before = published.get(announcement.id)
-    return before is None or _differs(announcement, before)
-
-
 def _differs(announcement: Announcement, before: Announcement) -> bool:
     """Return whether another incarnation, offer or clearly other speed is announced."""
-    offer = (announcement.incarnation, announcement.leaving, announcement.slots)
-    if offer != (before.incarnation, before.leaving, before.slots):
+    if _offer(announcement) != _offer(before):
         return True
     speeds = (
         (before.prefill_tokens_per_second, announcement.prefill_tokens_per_second),
--- a/src/sassafraspin/membership/messages.py
+++ b/src/sassafraspin/membership/messages.py
@@ -113,6 +113,8 @@
         Names of the voting control instances; empty if the sender is not the leader.
     term : int
         Term in which ``leader`` leads; 0 from older builds.
+    directory : int
+        Digest of the leader's directory of backend servers; 0 if it gives none.
     """
 
     leader: str | None
@@ -122,6 +124,7 @@
     update: ConfigUpdate | None
     voters: tuple[str, ...] = ()
     term: int = 0
+    directory: int = 0
 
 
 MembershipMessage = MemberHeartbeat | HeartbeatReply
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -25,7 +25,8 @@
 )
 from sassafraspin.dispatch.directory import (
     BackendDirectory,
-    DirectoryPublisher,
+    DirectoryListing,
+    DirectoryQuery,
     DirectoryUpdate,
 )
 from sassafraspin.http import HttpClient
@@ -38,6 +39,7 @@
 )
 from sassafraspin.moves import MoveEvidence
 from sassafraspin.routed.adapter import ProtocolAdapter
+from sassafraspin.routed.directory_exchange import DirectoryExchange
 from sassafraspin.routed.entry import RoutedEntry
 from sassafraspin.routed.isolation import PartIsolation
 from sassafraspin.routed.leader_scope import LeaderScope
@@ -105,8 +107,10 @@
         dispatch = own_settings.dispatch
         self._isolation = PartIsolation(self.node, self._control)
         self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
-        self._directory_publisher = DirectoryPublisher(
-            dispatch.directory_interval_ms / _MS_PER_SECOND
+        self._directory_exchange = DirectoryExchange(
+            self.node,
+            self._directory,
+            settings.announcement_ttl_ms / _MS_PER_SECOND,
         )
         leader_scope = LeaderScope(self.node, self._control, self._directory)
         self._leader_scope = leader_scope
@@ -144,7 +148,6 @@
         self._report_schedule = ReportSchedule(self.node.now())
         self._logged_leader: str | None = None
         self._reported_retirement = 0
-        self._informed_members: tuple[Member, ...] = ()
 
     @property
     def has_table(self) -> bool:
@@ -162,13 +165,12 @@
         self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
-        if self._control.leads(now):
-            self._broadcast_backends(now)
+        # The lease may have ended since the pools were updated, which closes them.
+        if self._control.leads(self.node.now()):
+            self._directory_exchange.publish(self._dispatch.backends(), now)
             self._send_usage_reports()
         else:
-            # Another leader may publish something else in the meantime.
-            self._directory_publisher.forget_published()
-            self._informed_members = self.node.view.members
+            self._directory_exchange.stop_publishing()
         self._report_resources(now)
 
     def _send_heartbeat(self, now: float) -> None:
@@ -193,26 +195,6 @@
         """Close every idle connection to backend servers."""
         self._client.close()
 
-    def _broadcast_backends(self, now: float) -> None:
-        """Apply the directory updates that are due, and send them to the others."""
-        for update in self._directory_publisher.updates(self._dispatch.backends(), now):
-            self._directory.apply(update, now)
-            for member in self.node.view.members:
-                if member.name != self.node.name:
-                    self.node.send(member.name, update)
-        self._send_directory_to_joined()
-
-    def _send_directory_to_joined(self) -> None:
-        """Send the whole directory to the instances that have joined the view."""
-        members = self.node.view.members
-        if members == self._informed_members:
-            return
-        for member in set(members) - set(self._informed_members):
-            if member.name != self.node.name:
-                for update in self._directory_publisher.full_updates():
-                    self.node.send(member.name, update)
-        self._informed_members = members
-
     def _send_usage_reports(self) -> None:
         """Send the usage reports that are due to the other control instances.
 
@@ -257,7 +239,8 @@
         now = self.node.now()
         match message:
             case MemberHeartbeat():
-                self._control.on_heartbeat(source, message, now)
+                digest = self._directory_exchange.advertised_digest(now)
+                self._control.on_heartbeat(source, message, now, digest)
             case HeartbeatReply():
                 self._on_heartbeat_reply(source.name, message, now)
             case SlotRelease():
@@ -274,6 +257,11 @@
             case DirectoryUpdate():
                 self._directory.apply(message, now)
                 self._standby.follow_directory()
+            case DirectoryQuery():
+                self._directory_exchange.answer(source.name, message, now)
+            case DirectoryListing():
+                self._directory_exchange.apply_listing(message)
+                self._standby.follow_directory()
             case UsageReport():
                 self._leader_scope.record_usage(message)
             case CrashReport():
@@ -302,6 +290,8 @@
             lease.on_announcement(source, reply, configuration.index, now)
         if reply.leader == source == lease.leader:
             self._slots.on_dispatcher_active()
+            if source != self.node.name:
+                self._directory_exchange.follow(reply.directory, now)
         self._log_leader_change(source, now)
         self._update_peer_addresses()
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,49 @@
+"""Large fleets keep their leader: what it sends does not hold up its heartbeats.
+
+``python -m tests.fleet_model`` plays more sizes and seeds.
+"""
+
+import unittest
+
+from tests.fleet_model import FleetReport, FleetShape, play_fleet
+
+ELECTION_TIMEOUT_SECONDS = 0.4
+"""Election timeout of the instances in the model."""
+
+MAX_BYTES_PER_MEMBER = 1_000
+"""What a leader that takes over sends in its first second, by member."""
+
+
+class TestLeaderOfLargeFleets(unittest.TestCase):
+    """One leader while nothing fails, and the next one soon after it froze."""
+
+    def play(self, shape: FleetShape) -> FleetReport:
+        report = play_fleet(shape)
+        self.assertLess(report.longest_queue_seconds, ELECTION_TIMEOUT_SECONDS / 2)
+        self.assertEqual(report.dropped_messages, 0)
+        self.assertEqual(report.complete_directories, shape.instances)
+        return report
+
+    def test_leader_stays_when_servers_announce_themselves(self):
+        for instances in (24, 200):
+            with self.subTest(instances=instances):
+                report = self.play(FleetShape(instances, 162, seconds=12.0))
+                self.assertEqual(len(report.terms), 1)
+                self.assertEqual(report.seconds_without_leader, 0.0)
+
+    def test_leader_that_freezes_is_followed_by_one_that_stays(self):
+        shape = FleetShape(200, 162, seconds=12.0, freeze_leader_at=7.0)
+        report = self.play(shape)
+        self.assertEqual(len(report.terms), 2)
+        self.assertLess(report.seconds_without_leader, 2 * ELECTION_TIMEOUT_SECONDS)
+        self.assertLess(
+            report.first_second_bytes, MAX_BYTES_PER_MEMBER * shape.instances
+        )
+
+    def test_a_new_leader_sends_no_more_for_more_servers(self):
+        shapes = [
+            FleetShape(88, servers, seconds=10.0, freeze_leader_at=7.0)
+            for servers in (15, 600)
+        ]
+        few, many = (self.play(shape).first_second_bytes for shape in shapes)
+        self.assertLess(many, 2 * few)
