Continue the retry budget of the previous dispatcher

A dispatcher now reports first attempts and retries every half second to the control instances, together with a reserve that bounds what it may use until its next report. A successor counts the reports and the reserve; without recent reports it has no allowance for one window, but its share. Retries of grants that are taken over count, and a standby keeps its budget while it is closed.

Still open: standbys and the dispatcher have an allowance each.

--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -6,6 +6,7 @@
 from sassafraspin.admission import AccountLimits, Limits
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.node import Node, dispatch_key
+from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.ledger import Ledger
 from sassafraspin.moves import Move
 from sassafraspin.settings import DispatchSettings, ServiceSettings
@@ -32,6 +33,9 @@
     def settings(self) -> DispatchSettings:
         """Return the dispatch settings for a new pool."""
 
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return the retry budget for a new pool of a service."""
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -98,6 +102,10 @@
         """Return the dispatch settings of this instance."""
         return self._node.settings.dispatch
 
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return a budget of its own: owners of a service do not report its use."""
+        return RetryBudget(self.settings())
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -240,6 +240,7 @@
             pool_id,
             now,
             self._scope.known_backends(service.name),
+            self._scope.retry_budget(service.name),
         )
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -8,6 +8,7 @@
 from sassafraspin.control.messages import ReplicaMessage
 from sassafraspin.discovery import DiscoveryMessage
 from sassafraspin.dispatch import DispatchMessage
+from sassafraspin.dispatch.budget import RetryReport
 from sassafraspin.dispatch.directory import (
     DirectoryListing,
     DirectoryQuery,
@@ -60,6 +61,7 @@
     | LedgerMessage
     | MoveMessage
     | DiscoveryMessage
+    | RetryReport
     | DirectoryUpdate
     | DirectoryQuery
     | DirectoryListing
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -94,6 +94,8 @@
     known : tuple of Announcement
         Servers known to the previous dispatcher. If empty, the pool waits for a limited
         time for servers to announce themselves.
+    budget : RetryBudget or None
+        Retry budget of the service, ``None`` for a new one.
     """
 
     def __init__(
@@ -106,11 +108,12 @@
         grant_id_prefix: str,
         now: float,
         known: tuple[Announcement, ...] = (),
+        budget: RetryBudget | None = None,
     ) -> None:
         self._service = service
         self._settings = settings
         self._limits = limits
-        self._budget = RetryBudget(settings)
+        self._budget = budget or RetryBudget(settings)
         self._gate = gate
         self._grant_id_prefix = grant_id_prefix
         self._servers = ServerTable(generator)
@@ -223,6 +226,8 @@
             ends_by,
         )
         self._grants.add(grant)
+        if active.request.tries:
+            self._budget.record_retry(now)
         self._gate.record_start(active.grant.version)
         self._reserve_adopted(active.grant.backend_id, now)
         return []
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -6,6 +6,7 @@
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.node import Node
+from sassafraspin.dispatch.budget import RetryBudget, RetryLog, RetryReport
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.moves import Move, MovePhase
 from sassafraspin.routes import DeclaredTable, RoutedService
@@ -43,6 +44,8 @@
         self._directory = directory
         self._usage_log = UsageLog(node.settings.dispatch)
         self._caps = UsageCaps(node.settings.dispatch, node.now())
+        self._retry_log = RetryLog(node.settings.dispatch)
+        self._budgets: dict[str, RetryBudget] = {}
         self._next_report_at = 0.0
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
@@ -65,6 +68,9 @@
         is_leader = self._control.leads(self._node.now())
         if is_leader and not self._was_leader:
             self._restart_caps()
+            self._budgets.clear()
+            # Retries are allowed only once a reserve for them was reported.
+            self._next_report_at = float("-inf")
         self._was_leader = is_leader
         return is_leader
 
@@ -72,11 +78,22 @@
         """Return the usage caps, which all services share."""
         return self._caps
 
-    def record_usage(self, report: UsageReport) -> None:
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return a retry budget that continues those of the previous dispatchers."""
+        history = self._retry_log.history(service, self._node.now())
+        budget = RetryBudget(self.settings(), history)
+        self._budgets[service] = budget
+        return budget
+
+    def record_usage(self, report: UsageReport | RetryReport) -> None:
         """Record the usage that the leader reported."""
-        self._usage_log.add_report(report, self._node.now())
+        match report:
+            case UsageReport():
+                self._usage_log.add_report(report, self._node.now())
+            case RetryReport():
+                self._retry_log.add_report(report, self._node.now())
 
-    def usage_reports(self) -> Iterator[UsageReport]:
+    def usage_reports(self) -> Iterator[UsageReport | RetryReport]:
         """Yield the usage reports that are due for the other control instances.
 
         They are recorded here too, since this instance may lead again after a brief
@@ -85,10 +102,15 @@
         now = self._node.now()
         if now >= self._next_report_at:
             self._next_report_at = now + _REPORT_INTERVAL_SECONDS
-            for report in self._caps.reports(now):
-                self._usage_log.add_report(report, now)
+            for report in (*self._caps.reports(now), self._retry_report(now)):
+                self.record_usage(report)
                 yield report
 
+    def _retry_report(self, now: float) -> RetryReport:
+        return RetryReport(
+            {service: item.report(now) for service, item in self._budgets.items()}
+        )
+
     def settings(self) -> DispatchSettings:
         """Return the dispatch settings of this instance."""
         return self._node.settings.dispatch
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -23,6 +23,7 @@
     SlotWithdraw,
     UnknownGrants,
 )
+from sassafraspin.dispatch.budget import RetryReport
 from sassafraspin.dispatch.directory import (
     BackendDirectory,
     DirectoryListing,
@@ -262,7 +263,7 @@
             case DirectoryListing():
                 self._directory_exchange.apply_listing(message)
                 self._standby.follow_directory()
-            case UsageReport():
+            case UsageReport() | RetryReport():
                 self._leader_scope.record_usage(message)
             case CrashReport():
                 self._isolation.on_report(message)
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -7,6 +7,7 @@
 from sassafraspin.admission import Limits, UsageCaps
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.node import Node
+from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.moves import Move
 from sassafraspin.routed.leader_scope import LeaderScope
@@ -52,6 +53,7 @@
         self._leader_scope = leader_scope
         self._directory = directory
         self._dispatcher_is_silent = dispatcher_is_silent
+        self._budgets: dict[str, RetryBudget] = {}
         self._assigned_slots: dict[str, dict[tuple[int, str, int], int]] = {}
 
     def services(self) -> tuple[ServiceSettings, ...]:
@@ -83,6 +85,12 @@
         allowance = settings.retry_allowance // self._instance_count
         return replace(settings, retry_allowance=allowance)
 
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return the budget of this instance's standby, kept while it is closed."""
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self.settings())
+        return self._budgets[service]
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,7 +5,12 @@
 
 from sassafraspin.admission import UsageCaps, UsageLog, UsageReport, WithinLimits
 from sassafraspin.dispatch import SlotRequest
-from sassafraspin.dispatch.budget import RetryBudget
+from sassafraspin.dispatch.budget import (
+    RetryBudget,
+    RetryLog,
+    RetryReport,
+    ServiceRetries,
+)
 from sassafraspin.settings import DispatchSettings
 from tests.test_routes import account
 
@@ -186,17 +191,79 @@
 class TestRetryBudgetOfSuccessors(unittest.TestCase):
     """Dispatchers that follow one another keep to the budget together."""
 
+    settings = DispatchSettings(retry_allowance=48, retry_share=0.16)
+
+    def setUp(self):
+        self.log = RetryLog(self.settings)
+
+    def report(self, budget: RetryBudget, now: float) -> None:
+        self.log.add_report(RetryReport({"desk": budget.report(now)}), now)
+
     def test_three_dispatchers_within_a_window_retry_no_more_than_one(self):
-        settings = DispatchSettings(retry_allowance=48, retry_share=0.16)
         retries = 0
         for number in range(3):
             now = 2.0 * number
-            budget = RetryBudget(settings)
+            budget = RetryBudget(self.settings, self.log.history("desk", now))
             for _ in range(50):
                 budget.record_first_attempt(now)
             retries += sum(budget.try_acquire(now) for _ in range(100))
+            self.report(budget, now)
+            retries += sum(budget.try_acquire(now) for _ in range(100))
         self.assertLessEqual(retries, 48 + 0.16 * 150)
 
+    def test_each_window_keeps_to_the_budget_whenever_dispatchers_change(self):
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.play_changes(random.Random(seed))
+
+    def play_changes(self, generator: random.Random) -> None:
+        firsts, retries = [], []
+        now, reported_at = 0.0, 0.0
+        self.log.add_report(RetryReport({"desk": ServiceRetries(0, 0, 0)}), now)
+        budget = RetryBudget(self.settings, self.log.history("desk", now))
+        while now < 60.0:
+            now += 0.05
+            if generator.random() < 0.03:
+                now += generator.uniform(0.0, 2.0)
+                budget = RetryBudget(self.settings, self.log.history("desk", now))
+                reported_at = -1.0
+            if now - reported_at >= 0.5:
+                reported_at = now
+                self.report(budget, now)
+            for _ in range(generator.randrange(6)):
+                budget.record_first_attempt(now)
+                firsts.append(now)
+            for _ in range(generator.randrange(20)):
+                if budget.try_acquire(now):
+                    retries.append(now)
+        for end in retries:
+            used = sum(end - 10.0 < at <= end for at in retries)
+            asked = sum(end - 10.5 < at <= end for at in firsts)
+            self.assertLessEqual(used, 48 + 0.16 * asked)
+
+    def test_first_dispatcher_without_reports_starts_with_the_share_alone(self):
+        budget = RetryBudget(self.settings, self.log.history("desk", 0.0))
+        for _ in range(50):
+            budget.record_first_attempt(0.0)
+        self.report(budget, 0.0)
+        self.assertLessEqual(sum(budget.try_acquire(0.0) for _ in range(100)), 8)
+        self.report(budget, 20.0)
+        self.assertGreater(sum(budget.try_acquire(20.0) for _ in range(100)), 0)
+
+    def test_reports_do_not_keep_a_single_dispatcher_from_its_budget(self):
+        budget = RetryBudget(self.settings, self.log.history("desk", -100.0))
+        used = 0
+        for tick in range(10):
+            self.report(budget, tick / 2)
+            used += sum(budget.try_acquire(tick / 2) for _ in range(100))
+        self.assertEqual(used, 48)
+
+    def test_retry_that_a_previous_dispatcher_allowed_counts(self):
+        budget = RetryBudget(DispatchSettings(retry_allowance=5, retry_share=0.0))
+        budget.record_retry(0.0)
+        self.assertEqual(sum(budget.try_acquire(0.0) for _ in range(9)), 4)
+
 
 class TestRetryBudget(unittest.TestCase):
     """Retries in a sliding window."""
