Obey what backend servers say in their answers

Cause: neither header was read. Both are now notices about one incarnation of a server, with a time and an end, kept by the instance that read the answer and obeyed even against a grant that is on its way. The dispatcher is told that the server leaves with the release of the slot, and places nothing there until a restart. Servers that want a pause are left out of the slot requests of this instance only; if all of a service do, callers are refused at once with the end of the first pause. A grant that may not be used no longer counts as a try or against its server.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -3,6 +3,11 @@
 from sassafraspin.backends.announcement import Announcement, CacheReport, LoadReport
 from sassafraspin.backends.backend import Backend, Reservation
 from sassafraspin.backends.backlog import PrefillBacklog
+from sassafraspin.backends.notices import (
+    ServerNotice,
+    ServerNotices,
+    ServerRun,
+)
 from sassafraspin.backends.prefixes import (
     PREFIX_BLOCK_BYTES,
     PrefixCacheView,
@@ -24,6 +29,9 @@
     "Reservation",
     "Retirement",
     "RetirementStore",
+    "ServerNotice",
+    "ServerNotices",
+    "ServerRun",
     "SpeedEstimate",
     "prefix_hashes",
     "shared_parts",
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -25,7 +25,7 @@
 _MS_PER_SECOND = 1000
 
 _DEFAULT_RETRY_SECONDS = 1.0
-"""Retry delay if no backend server is available or the retry budget is exhausted."""
+"""Retry delay if no backend server may be chosen or the retry budget is exhausted."""
 
 _REFUSAL_DELIVERY_MS = 120
 """Time reserved for a refusal to reach the caller: up to 50 ms until the dispatcher
@@ -110,7 +110,9 @@
         its account. A retry is counted against the retry budget even if an account
         limit is exceeded.
         """
-        if not self._overload.is_service_available(now):
+        if not self._overload.is_service_available(now) or self._servers.avoids_all(
+            request
+        ):
             return RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
         if request.tries and not self._budget.try_acquire(now):
             return RefusalReason.RETRY_BUDGET, _DEFAULT_RETRY_SECONDS
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -118,7 +118,8 @@
     ``expected_first_ms`` is the dispatcher's estimate of the time to first token, and
     ``waited_ms`` is the time that the request waited for the slot. ``use_until`` is
     the time on the entry instance's clock at which the grant ends, whenever it
-    arrives; ``None`` if the request did not say when it was sent.
+    arrives; ``None`` if the request did not say when it was sent. ``incarnation`` is
+    that of the backend server, 0 from older builds.
     """
 
     request_id: str
@@ -131,6 +132,7 @@
     expected_first_ms: int = 0
     waited_ms: int = 0
     use_until: float | None = None
+    incarnation: int = 0
 
 
 class SlotWaiting(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -172,7 +174,8 @@
     ``parts`` are the prompt parts that other requests may share.
     ``may_have_crashed_server`` says that the server crashed while it was to answer the
     request, or soon after it had begun to; ``was_broken_off`` says that the server
-    closed or reset the connection then.
+    closed or reset the connection then. ``server_leaves`` says that the server
+    reported in its answer that it leaves.
     """
 
     service: str
@@ -186,6 +189,7 @@
     parts: tuple[str, ...] = ()
     may_have_crashed_server: bool = False
     was_broken_off: bool = False
+    server_leaves: bool = False
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -415,6 +415,7 @@
             int(expected_first_token(choice.backend, request, now) * 1000),
             int((now - waiting.queued_at) * 1000),
             self._use_until(request, waiting.queued_at, now),
+            announcement.incarnation,
         )
         grant = Grant(
             waiting.entry,
@@ -470,6 +471,9 @@
         )
         if backend is None:
             return
+        is_same_run = backend.announcement.incarnation == grant.message.incarnation
+        if release.server_leaves and is_same_run:
+            self._servers.withdraw(grant.message.backend_id, now)
         match release.result:
             case ReleaseResult.ANSWERED:
                 backend.record_success()
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -88,6 +88,13 @@
         """Return whether any server accepts work."""
         return bool(self._accepting)
 
+    def avoids_all(self, request: SlotRequest) -> bool:
+        """Return whether a request may use none of the servers that accept work."""
+        if len(request.avoid) < len(self._accepting):
+            return False
+        names = {item.announcement.id for item in self._accepting}
+        return bool(names) and names <= set(request.avoid)
+
     @property
     def has_free_slot(self) -> bool:
         """Return whether a server that accepts work has a free slot."""
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -76,6 +76,11 @@
         """Return whether the end of the body is declared; else it may be short."""
         return self.framing is not BodyFraming.CONNECTION
 
+    @property
+    def is_first_on_connection(self) -> bool:
+        """Return whether no other request was sent on its connection before."""
+        return self._connection.is_first_request
+
     @property
     def is_encoded(self) -> bool:
         """Return whether the body has a content encoding other than ``identity``."""
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -130,6 +130,7 @@
         self._declared_body_bytes = 0
         self._framing = BodyFraming.NONE
         self._is_closed = False
+        self._requests = 0
         self._checkpoints = CheckpointCounter()
 
     @property
@@ -142,6 +143,11 @@
         """Return how the response declares the end of its body."""
         return self._framing
 
+    @property
+    def is_first_request(self) -> bool:
+        """Return whether only one request was sent on this connection."""
+        return self._requests <= 1
+
     def is_reusable(self) -> bool:
         """Return whether the connection was used recently and is still open."""
         if trio.current_time() - self._last_used > self._timeouts.idle:
@@ -174,6 +180,7 @@
 
     async def send_and_read_head(self, request: Request) -> tuple[int, Headers]:
         """Send the request and return the status and headers of the response."""
+        self._requests += 1
         head = h11.Request(
             method=request.method,
             target=request.target,
--- a/src/sassafraspin/platform/adapter.py
+++ b/src/sassafraspin/platform/adapter.py
@@ -1,6 +1,8 @@
 """HTTP headers of the platform's callers and runners."""
 
-from sassafraspin.backends import PromptPart
+import math
+
+from sassafraspin.backends import PromptPart, ServerNotice
 from sassafraspin.http import BadRequest, Headers, Request, RequestProblem, Response
 from sassafraspin.http.problems import problem_response
 from sassafraspin.platform.control_api import ControlApi
@@ -11,6 +13,7 @@
     ResponseMetadata,
 )
 from sassafraspin.routed.adapter import ControlHandler
+from sassafraspin.telemetry import part_logger
 
 __all__ = ["PlatformAdapter"]
 
@@ -24,11 +27,16 @@
 _ACCOUNT = "x-tenant"
 _SEAL = "x-response-seal"
 _NOT_RUN = "x-not-executed"
+_LEAVING = "server-leaving"
+_IS_LEAVING = "1"
+_RETRY_AFTER = "retry-after"
+_UNAVAILABLE_STATUS = 503
 _KEY_SCHEME = "token"
 _MISDIRECTED_STATUS = 421  # another runner now has the address; the request was not run
 
 _MAX_PART_ID_CHARACTERS = 64
 _MAX_TOKEN_DIGITS = 9
+_MAX_PAUSE_SECONDS = 86_400.0
 
 _HOP_BY_HOP = frozenset(
     {
@@ -61,6 +69,8 @@
     }
 )
 
+_log = part_logger("platform")
+
 
 class PlatformAdapter:
     """Translates between the platform's HTTP messages and the daemon's types.
@@ -111,6 +121,12 @@
             request_id=headers.get(_REQUEST_ID),
             not_run=is_refusal or status == _MISDIRECTED_STATUS,
             is_sealed=headers.get(_SEAL) is not None,
+            notice=ServerNotice(
+                leaving=headers.get(_LEAVING) == _IS_LEAVING,
+                pause_seconds=(
+                    _parse_pause(headers) if status == _UNAVAILABLE_STATUS else 0.0
+                ),
+            ),
         )
 
     def caller_headers(self, headers: Headers) -> Headers:
@@ -176,6 +192,24 @@
     return tuple(parts)
 
 
+def _parse_pause(headers: Headers) -> float:
+    """Return the seconds for which a runner wants no requests, 0 if it asks for none.
+
+    Dates are ignored: clocks may differ, and runners give seconds.
+    """
+    text = headers.get(_RETRY_AFTER)
+    if text is None:
+        return 0.0
+    try:
+        seconds = float(text) if text.isascii() and "_" not in text else math.nan
+    except ValueError:
+        seconds = math.nan
+    if not 0 <= seconds < math.inf:
+        _log.debug("Ignored {} of a runner: {!r}.", _RETRY_AFTER, text)
+        return 0.0
+    return min(seconds, _MAX_PAUSE_SECONDS)
+
+
 def _connection_names(headers: Headers) -> frozenset[str]:
     """Return the header names that the ``connection`` header lists as hop-by-hop."""
     names = (headers.get("connection") or "").lower().split(",")
--- a/src/sassafraspin/routed/adapter.py
+++ b/src/sassafraspin/routed/adapter.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from sassafraspin.backends import PromptPart
+from sassafraspin.backends import PromptPart, ServerNotice
 from sassafraspin.http import Headers, Request, RequestProblem, Response
 
 if TYPE_CHECKING:
@@ -92,11 +92,14 @@
         Whether the server reports that it did not run the request.
     is_sealed : bool
         Whether it carries the seal header; callers reject a success without it.
+    notice : ServerNotice
+        What the server says about itself.
     """
 
     request_id: str | None
     not_run: bool
     is_sealed: bool
+    notice: ServerNotice = ServerNotice()
 
 
 class ProtocolAdapter(Protocol):
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -98,16 +98,23 @@
         return 0 if self.account is None else self.account.plain_tokens
 
     def slot_request(
-        self, tries: int, avoid: tuple[str, ...], elapsed_ms: int, stream_started: bool
+        self,
+        number: int,
+        tries: int,
+        avoid: tuple[str, ...],
+        elapsed_ms: int,
+        stream_started: bool,
     ) -> SlotRequest:
         """Return the slot request to send to the dispatcher.
 
         Parameters
         ----------
+        number : int
+            Number of slots that were requested for this call before.
         tries : int
             Number of backend servers that were already tried.
         avoid : tuple of str
-            Names of the backend servers that were already tried.
+            Names of the backend servers that must not be chosen.
         elapsed_ms : int
             Time since the call arrived.
         stream_started : bool
@@ -117,7 +124,7 @@
         idle_ms = 0 if stream_started else elapsed_ms
         patience_ms = self.route.patience_ms
         return SlotRequest(
-            request_id=f"{self.call_id}:{tries}",
+            request_id=f"{self.call_id}:{number}",
             service=self.service,
             client_account=self.account_name or "",
             profile=self.route.name,
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from sassafraspin.backends import ServerNotices
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.problems import InternalFailure
 from sassafraspin.daemon.slots import SlotClient
@@ -56,6 +57,8 @@
         Client for the dispatcher.
     client : HttpClient
         Client for the backend servers.
+    notices : ServerNotices
+        What backend servers have said about themselves.
     generator : random.Random
         Selects a service on routes that split their traffic over several services.
     """
@@ -67,6 +70,7 @@
         routing_view: RoutingView,
         slots: SlotClient,
         client: HttpClient,
+        notices: ServerNotices,
         generator: random.Random,
     ) -> None:
         self._node = node
@@ -74,6 +78,7 @@
         self._routing_view = routing_view
         self._slots = slots
         self._client = client
+        self._notices = notices
         self._generator = generator
         self._in_flight = 0
 
@@ -110,6 +115,7 @@
             self._adapter,
             self._slots,
             self._client,
+            self._notices,
             call,
             context.responder,
             context.started_at,
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -3,8 +3,10 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
+import msgspec
 import trio
 
+from sassafraspin.backends import ServerNotice, ServerNotices, ServerRun
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.dispatch import (
@@ -24,7 +26,11 @@
     Responder,
     Response,
 )
-from sassafraspin.routed.adapter import BackendTarget, ProtocolAdapter
+from sassafraspin.routed.adapter import (
+    BackendTarget,
+    ProtocolAdapter,
+    ResponseMetadata,
+)
 from sassafraspin.routed.call import RoutedCall
 from sassafraspin.routed.problems import (
     AccountOverCap,
@@ -37,7 +43,7 @@
 from sassafraspin.routed.stream import StreamHead, StreamRelay
 from sassafraspin.routes import RouteKind
 from sassafraspin.settings import Address
-from sassafraspin.telemetry.events import TryEnded, log_event
+from sassafraspin.telemetry.events import ServerNoticed, TryEnded, log_event
 
 __all__ = ["RoutedExchange"]
 
@@ -45,6 +51,9 @@
 _BEGINNING_SECONDS = 0.5
 """A server that wrote an answer for longer did not crash for it."""
 
+_MAX_UNUSED_GRANTS = 3
+"""Grants that may come to nothing before a call is refused."""
+
 _MS_PER_SECOND = 1000
 
 
@@ -58,6 +67,11 @@
     """The request was not run: it was not sent, or the backend server refused it."""
 
 
+@dataclass(frozen=True)
+class Unused:
+    """The request was not sent, because the grant may not be used."""
+
+
 @dataclass(frozen=True)
 class Failed:
     """The backend server ran the request and returned an error."""
@@ -72,7 +86,7 @@
     reason: str
 
 
-AttemptOutcome = Delivered | NotRun | Failed | Lost
+AttemptOutcome = Delivered | NotRun | Unused | Failed | Lost
 """Outcome of an attempt at one backend server."""
 
 
@@ -109,6 +123,8 @@
         Acquires slots from the dispatcher and releases them.
     client : HttpClient
         Client for the backend servers.
+    notices : ServerNotices
+        What backend servers have said about themselves.
     call : RoutedCall
         The call to execute.
     responder : Responder
@@ -123,6 +139,7 @@
         adapter: ProtocolAdapter,
         slots: SlotClient,
         client: HttpClient,
+        notices: ServerNotices,
         call: RoutedCall,
         responder: Responder,
         started_at: float,
@@ -131,6 +148,7 @@
         self._adapter = adapter
         self._slots = slots
         self._client = client
+        self._notices = notices
         self._call = call
         self._responder = responder
         self._stream = StreamRelay(call.route.resumable, responder)
@@ -138,6 +156,11 @@
         self._last_failure: Failed | Lost | None = None
         self._may_have_run = False
         self._avoid: tuple[str, ...] = ()
+        self._unused_grants = 0
+
+    @property
+    def _tries(self) -> int:
+        return len(self._avoid)
 
     @property
     def _resume_after(self) -> str | None:
@@ -163,24 +186,32 @@
         )
 
     async def _run_attempts(self) -> None:
-        for attempt in range(self._call.route.max_tries):
-            if self._isolated_part is not None:
-                break
-            slot = await self._acquire_slot(attempt)
+        while self._may_try_again():
+            slot = await self._acquire_slot()
             if isinstance(slot, SlotRefusal):
                 await self._finish_without_success(slot)
                 return
             outcome = await self._attempt(slot)
+            if isinstance(outcome, Delivered):
+                return
+            if isinstance(outcome, Unused):
+                self._unused_grants += 1
+                continue
             self._avoid = (*self._avoid, slot.backend_id)
-            match outcome:
-                case Delivered():
-                    return
-                case Failed() | Lost():
-                    self._last_failure = outcome
-                    if not self._call.route.is_idempotent:
-                        break
+            if isinstance(outcome, Failed | Lost):
+                self._last_failure = outcome
         await self._finish_without_success(None)
 
+    def _may_try_again(self) -> bool:
+        if self._isolated_part is not None:
+            return False
+        if self._last_failure is not None and not self._call.route.is_idempotent:
+            return False
+        return (
+            self._tries < self._call.route.max_tries
+            and self._unused_grants < _MAX_UNUSED_GRANTS
+        )
+
     async def _finish_without_success(self, refusal: SlotRefusal | None) -> None:
         """Send the backend server's error response, or raise the problem that fits.
 
@@ -203,15 +234,30 @@
             case None:
                 raise NotDispatched(refusal)
 
-    async def _acquire_slot(self, attempt: int) -> SlotGrant | SlotRefusal:
+    async def _acquire_slot(self) -> SlotGrant | SlotRefusal:
+        paused = self._notices.paused(self._call.service, self._node.now())
         request = self._call.slot_request(
-            attempt, self._avoid, self._elapsed_ms(), self._responder.has_started
+            self._tries + self._unused_grants,
+            self._tries,
+            (*self._avoid, *paused),
+            self._elapsed_ms(),
+            self._responder.has_started,
         )
         try:
-            return await self._slots.acquire(request)
+            slot = await self._slots.acquire(request)
         except trio.Cancelled:
             self._slots.withdraw(request)
             raise
+        if isinstance(slot, SlotRefusal) and slot.reason is RefusalReason.NO_BACKEND:
+            return self._delay_until_pause_ends(slot)
+        return slot
+
+    def _delay_until_pause_ends(self, refusal: SlotRefusal) -> SlotRefusal:
+        """Return the refusal with the time at which the first server's pause ends."""
+        ends_in = self._notices.earliest_end(self._call.service, self._node.now())
+        if ends_in is None:
+            return refusal
+        return msgspec.structs.replace(refusal, retry_after_ms=_ms(ends_in) + 1)
 
     async def _attempt(self, grant: SlotGrant) -> AttemptOutcome:
         progress = _AttemptProgress(self._node.now())
@@ -229,7 +275,9 @@
     ) -> AttemptOutcome:
         # The part may have been isolated while the request waited for its slot.
         if self._isolated_part is not None or not self._slots.is_usable(grant):
-            return NotRun()
+            return Unused()
+        if self._notices.forbids(self._server_run(grant), self._node.now()):
+            return Unused()
         target = BackendTarget(
             grant.backend_id,
             self._call.account_name,
@@ -241,7 +289,7 @@
         self._may_have_run = True
         try:
             async with self._client.open(address, request) as response:
-                outcome = await self._read_response(response, progress)
+                outcome = await self._read_response(response, grant, progress)
         except ConnectFailed:
             outcome = NotRun()
         except ConnectionLost as error:
@@ -251,6 +299,21 @@
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
 
+    def _server_run(self, grant: SlotGrant) -> ServerRun:
+        return ServerRun(self._call.service, grant.backend_id, grant.incarnation)
+
+    def _record_notice(self, grant: SlotGrant, notice: ServerNotice) -> None:
+        run = self._server_run(grant)
+        if self._notices.record(run, notice, self._node.now()):
+            log_event(
+                ServerNoticed(
+                    run.name,
+                    run.incarnation,
+                    notice.leaving,
+                    _ms(notice.pause_seconds),
+                )
+            )
+
     async def _has_crashed(self, address: Address) -> bool:
         """Return whether a server that lost a request with shared parts has crashed.
 
@@ -261,19 +324,18 @@
         return await self._client.refuses_connections(address)
 
     async def _read_response(
-        self, response: OpenResponse, progress: _AttemptProgress
+        self, response: OpenResponse, grant: SlotGrant, progress: _AttemptProgress
     ) -> AttemptOutcome:
         progress.framing = response.framing
         metadata = self._adapter.read_response(response.status, response.headers)
-        own_id = self._call.metadata.request_id
-        # A request that was refused unread has no identifier to return.
-        if metadata.not_run and metadata.request_id in (None, own_id):
+        if not self._is_own(metadata):
+            raise ConnectionLost("the answer may belong to another request")
+        self._record_notice(grant, metadata.notice)
+        if metadata.not_run:
             # The head decides alone, whatever becomes of the body.
             self._may_have_run = False
             await response.discard()
             return NotRun()
-        if metadata.request_id != own_id:
-            raise ConnectionLost("the answer belongs to another request")
         is_success = 200 <= response.status < 300
         # Callers reject a success without the seal header.
         if is_success and not metadata.is_sealed:
@@ -293,6 +355,15 @@
         await self._responder.send(whole)
         return Delivered()
 
+    def _is_own(self, metadata: ResponseMetadata) -> bool:
+        """Return whether an answer belongs to this request.
+
+        A request that was refused unread has no identifier to return.
+        """
+        if metadata.request_id is None and metadata.not_run:
+            return True
+        return metadata.request_id == self._call.metadata.request_id
+
     async def _relay_stream(
         self, response: OpenResponse, headers: Headers, progress: _AttemptProgress
     ) -> AttemptOutcome:
@@ -325,6 +396,7 @@
                 self._call.shared_parts,
                 progress.server_crashed and has_just_begun,
                 progress.was_broken_off and has_just_begun,
+                self._notices.leaves(self._server_run(grant)),
             )
         )
 
@@ -341,7 +413,7 @@
                 table_version=self._call.table_version,
                 server=grant.backend_id,
                 grant=grant.grant_id,
-                tries=len(self._avoid),
+                tries=self._tries,
                 prompt_tokens=self._call.metadata.prompt_tokens,
                 answer_tokens=self._call.metadata.answer_tokens,
                 waited_ms=grant.waited_ms,
@@ -373,5 +445,7 @@
             return ReleaseResult.ANSWERED
         case NotRun():
             return ReleaseResult.NOT_SENT
+        case Unused():
+            return ReleaseResult.CANCELLED
         case Failed() | Lost():
             return ReleaseResult.FAILED
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -4,6 +4,7 @@
 import random
 
 from sassafraspin.admission import UsageReport
+from sassafraspin.backends import ServerNotices
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
@@ -130,12 +131,14 @@
             self.node, generator, _ignore_load_order, standby_scope, "standby"
         )
         self._slots = SlotClient(self.node, self._standby)
+        self._notices = ServerNotices()
         self.entry = RoutedEntry(
             self.node,
             adapter,
             self.routing_view,
             self._slots,
             self._client,
+            self._notices,
             generator,
         )
         operations = Operations(
@@ -166,6 +169,7 @@
         self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
+        self._notices.forget_ended(now, self._directory.incarnation_of)
         # The lease may have ended since the pools were updated, which closes them.
         if self._control.leads(self.node.now()):
             self._directory_exchange.publish(self._dispatch.backends(), now)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -26,6 +26,7 @@
     "PartReadmitted",
     "ResourceUsage",
     "ServerLeaving",
+    "ServerNoticed",
     "StreamFailed",
     "TableInForce",
     "TryEnded",
@@ -232,6 +233,21 @@
     end: str
 
 
+@dataclass(frozen=True)
+class ServerNoticed(Event):
+    """A backend server said in an answer that it leaves, or asked for a pause.
+
+    This instance sends it no requests until it is restarted, or for ``pause_ms``.
+    """
+
+    part: ClassVar[str] = "entry"
+    text: ClassVar[str] = "A backend server wants no requests from this instance."
+    server: str
+    incarnation: int
+    leaving: bool
+    pause_ms: int
+
+
 @dataclass(frozen=True)
 class PartIsolated(Event):
     """Requests with a prompt part are refused from now on, by all instances.
@@ -315,6 +331,7 @@
     ResourceUsage,
     StreamFailed,
     TryEnded,
+    ServerNoticed,
     PartIsolated,
     PartReadmitted,
     CallRefused,
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,239 @@
+"""Servers that say in their answers that they leave or want a pause."""
+
+import math
+import unittest
+
+import trio
+
+from sassafraspin.backends import ServerNotice, ServerNotices, ServerRun
+from sassafraspin.http import Headers, Request, Responder, Response
+from sassafraspin.platform.adapter import PlatformAdapter
+from tests.routed_deployment import (
+    RoutedDeployment,
+    answer,
+    routed_deployment,
+    runner_headers,
+)
+
+GUARD_SECONDS = 60.0
+CALLS = 40
+RUN = ServerRun("desk", "i-1", 7)
+RESTARTED = ServerRun("desk", "i-1", 8)
+
+
+def leaving(request: Request) -> Headers:
+    """Return the headers of an answer of a server that leaves."""
+    return runner_headers(request).adding("server-leaving", "1")
+
+
+async def answer_leaving(request: Request, responder: Responder) -> None:
+    """Answer as a server that leaves and has not announced it."""
+    await responder.send(Response(200, leaving(request), b"answer"))
+
+
+def refusing(retry_after: str):
+    """Return the behaviour of a server that wants a pause."""
+
+    async def refuse(request: Request, responder: Responder) -> None:
+        headers = runner_headers(request).adding("x-not-executed", "1")
+        headers = headers.adding("retry-after", retry_after)
+        await responder.send(Response(503, headers, b"busy"))
+
+    return refuse
+
+
+class TestServerNotices(unittest.TestCase):
+    """Notices in force, by incarnation and time."""
+
+    def setUp(self):
+        self.notices = ServerNotices()
+
+    def test_server_that_leaves_gets_nothing_until_it_is_restarted(self):
+        self.notices.record(RUN, ServerNotice(leaving=True), 0.0)
+        self.assertTrue(self.notices.forbids(RUN, 1e9))
+        self.assertFalse(self.notices.forbids(RESTARTED, 1.0))
+        self.assertEqual(self.notices.paused("desk", 1.0), ())
+
+    def test_pause_ends_with_its_time(self):
+        self.notices.record(RUN, ServerNotice(pause_seconds=4.0), 10.0)
+        self.assertTrue(self.notices.forbids(RUN, 13.9))
+        self.assertEqual(self.notices.paused("desk", 13.9), ("i-1",))
+        self.assertEqual(self.notices.paused("mill", 13.9), ())
+        self.assertFalse(self.notices.forbids(RUN, 14.0))
+
+    def test_later_notice_does_not_shorten_a_pause(self):
+        self.notices.record(RUN, ServerNotice(pause_seconds=4.0), 10.0)
+        self.assertFalse(
+            self.notices.record(RUN, ServerNotice(pause_seconds=0.5), 11.0)
+        )
+        self.assertTrue(self.notices.forbids(RUN, 13.9))
+        self.notices.record(RUN, ServerNotice(leaving=True), 11.0)
+        self.notices.record(RUN, ServerNotice(pause_seconds=0.5), 12.0)
+        self.assertTrue(self.notices.forbids(RUN, 100.0))
+
+    def test_earliest_end_of_the_pauses_of_a_service(self):
+        self.assertIsNone(self.notices.earliest_end("desk", 0.0))
+        other = ServerRun("desk", "i-2", 1)
+        self.notices.record(RUN, ServerNotice(pause_seconds=9.0), 0.0)
+        self.notices.record(other, ServerNotice(pause_seconds=4.0), 0.0)
+        self.assertEqual(self.notices.earliest_end("desk", 1.0), 3.0)
+
+    def test_notices_of_restarted_servers_and_ended_pauses_are_dropped(self):
+        self.notices.record(RUN, ServerNotice(pause_seconds=3_600.0), 0.0)
+        self.notices.forget_ended(1.0, lambda name: 7)
+        self.assertEqual(self.notices.paused("desk", 1.0), ("i-1",))
+        self.notices.forget_ended(1.0, lambda name: 8)
+        self.assertEqual(self.notices.paused("desk", 1.0), ())
+
+    def test_number_of_notices_is_bounded(self):
+        for number in range(10_000):
+            run = ServerRun("desk", f"i-{number}", 1)
+            self.notices.record(run, ServerNotice(pause_seconds=3_600.0), 0.0)
+        self.assertLess(len(self.notices.paused("desk", 1.0)), 5_000)
+
+
+class TestPlatformNotices(unittest.TestCase):
+    """Headers in which runners of the platform say so."""
+
+    def read(self, status: int, *headers: tuple[str, str]) -> ServerNotice:
+        adapter = PlatformAdapter(1_000)
+        return adapter.read_response(status, Headers(headers)).notice
+
+    def test_leaving(self):
+        self.assertTrue(self.read(200, ("server-leaving", "1")).leaving)
+        self.assertFalse(self.read(200, ("server-leaving", "0")).leaving)
+        self.assertFalse(self.read(200).leaving)
+
+    def test_pause(self):
+        self.assertEqual(self.read(503, ("retry-after", "4")).pause_seconds, 4.0)
+        self.assertEqual(self.read(503, ("retry-after", "0.5")).pause_seconds, 0.5)
+        self.assertEqual(self.read(503, ("retry-after", "3600")).pause_seconds, 3_600)
+        self.assertEqual(self.read(429, ("retry-after", "4")).pause_seconds, 0.0)
+
+    def test_values_that_are_no_number_of_seconds_are_ignored(self):
+        for text in (
+            "-1",
+            "1e400",
+            "nan",
+            "inf",
+            "",
+            "soon",
+            "1_0",
+            "\u0664",
+            "Wed, 21 Oct 2026 07:28:00 GMT",
+            "9" * 5_000,
+        ):
+            notice = self.read(503, ("retry-after", text))
+            with self.subTest(text=text[:20]):
+                self.assertEqual(notice.pause_seconds, 0.0)
+
+    def test_longest_pause_is_bounded(self):
+        pause = self.read(503, ("retry-after", "1e300")).pause_seconds
+        self.assertLess(pause, math.inf)
+        self.assertGreaterEqual(pause, 3_600)
+
+
+class NoticeTestCase(unittest.TestCase):
+    """Runs a scenario with a daemon and two servers."""
+
+    def run_scenario(self, scenario, runners: int = 2) -> None:
+        async def run() -> None:
+            with trio.fail_after(GUARD_SECONDS):
+                async with routed_deployment(runners) as deployment:
+                    await scenario(deployment)
+
+        trio.run(run)
+
+    async def call_all(self, deployment: RoutedDeployment) -> list[int]:
+        """Make calls at the same time; return their statuses."""
+        statuses = []
+
+        async def call() -> None:
+            statuses.append((await deployment.call("/unsafe/1")).status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLS):
+                nursery.start_soon(call)
+        return statuses
+
+
+class TestServersThatLeave(NoticeTestCase):
+    """``Server-Leaving`` in an answer."""
+
+    def test_no_request_follows_the_answer_that_says_so(self):
+        async def scenario(deployment):
+            first, second = deployment.runners
+            first.behaviour = answer_leaving
+            while not first.requests:
+                await deployment.call("/unsafe/1")
+            known = len(first.requests)
+            for _ in range(CALLS):
+                self.assertEqual((await deployment.call("/unsafe/1")).status, 200)
+            self.assertEqual(len(first.requests), known)
+            # It goes on to announce itself as ready.
+            await deployment.register(first)
+            statuses = await self.call_all(deployment)
+            self.assertEqual(set(statuses), {200})
+            self.assertEqual(len(first.requests), known)
+
+        self.run_scenario(scenario)
+
+    def test_callers_are_refused_at_once_if_the_only_server_leaves(self):
+        async def scenario(deployment):
+            [only] = deployment.runners
+            only.behaviour = answer_leaving
+            await deployment.call("/unsafe/1")
+            with trio.fail_after(5):
+                response = await deployment.call("/unsafe/1")
+            self.assertEqual(response.status, 503)
+            self.assertIsNotNone(response.headers.get("retry-after"))
+            self.assertEqual(len(only.requests), 1)
+
+        self.run_scenario(scenario, runners=1)
+
+
+class TestServersThatWantAPause(NoticeTestCase):
+    """``Retry-After`` with a refusal."""
+
+    def test_others_serve_during_the_pause(self):
+        async def scenario(deployment):
+            first, second = deployment.runners
+            first.behaviour = refusing("3600")
+            while not first.requests:
+                await deployment.call("/safe/1")
+            known = len(first.requests)
+            for _ in range(CALLS):
+                self.assertEqual((await deployment.call("/unsafe/1")).status, 200)
+            self.assertEqual(set(await self.call_all(deployment)), {200})
+            self.assertEqual(len(first.requests), known)
+
+        self.run_scenario(scenario)
+
+    def test_callers_are_told_when_the_first_pause_ends(self):
+        async def scenario(deployment):
+            first, second = deployment.runners
+            first.behaviour = refusing("300")
+            second.behaviour = refusing("120")
+            while not (first.requests and second.requests):
+                await deployment.call("/safe/1")
+            known = len(first.requests) + len(second.requests)
+            with trio.fail_after(5):
+                response = await deployment.call("/unsafe/1")
+            self.assertEqual(response.status, 503)
+            retry_after = float(response.headers.get("retry-after"))
+            self.assertGreater(retry_after, 60.0)
+            self.assertLessEqual(retry_after, 120.1)
+            self.assertEqual(len(first.requests) + len(second.requests), known)
+
+        self.run_scenario(scenario)
+
+    def test_server_serves_again_after_its_pause(self):
+        async def scenario(deployment):
+            [only] = deployment.runners
+            only.behaviour = refusing("0.2")
+            self.assertEqual((await deployment.call("/unsafe/1")).status, 503)
+            only.behaviour = answer
+            while (await deployment.call("/unsafe/1")).status != 200:
+                await trio.sleep(0.05)
+
+        self.run_scenario(scenario, runners=1)
