Correct the estimated time to first token by each first token

Cause: the backlog of a server added the time of each prompt and nothing took away what was wrong, neither a first token nor a request that ended early; and the prefill rate was learned only from grants that had found no backlog, which never come where the assumed rate is too low. Ruled out: the size of the sample of servers, the slots.

A backlog now holds its prompts; a first token ends its prompt and all earlier ones, and a request that ends without an answer takes its prompt along. The prefill rate follows the ratio of measured to expected time, backlog included, as a geometric mean.

--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -32,8 +32,10 @@
         Monotonic time at which the answer is expected to be complete.
     revoked_at : float or None
         Monotonic time at which the request was preempted by a higher tier.
-    had_idle_prefill : bool
-        Whether the server had no other prompt to prefill at the time of the grant.
+    expected_first_token : float
+        Time to first token that was expected at the time of the grant, in seconds.
+    prefill_rate : float
+        Prefill rate of the server that this estimate was made with.
     limits_counted : int
         Number of slow limits for which the request was counted, while running, in the
         comparison of a new version with the old one.
@@ -46,7 +48,8 @@
     expires_at: float
     expected_end: float
     revoked_at: float | None = None
-    had_idle_prefill: bool = True
+    expected_first_token: float = 0.0
+    prefill_rate: float = 1.0
     limits_counted: int = 0
 
     @property
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -244,6 +244,7 @@
 
     def release(self, release: SlotRelease, now: float) -> list[SendToEntry]:
         """Release the slot of a request that has ended and record its outcome."""
+        self._record_first_token(release, now)
         grant = self._end_grant(release.grant_id, now)
         if grant is None:
             return []
@@ -404,6 +405,7 @@
         request = waiting.request
         self._grant_counter += 1
         announcement = choice.backend.announcement
+        first_token = expected_first_token(choice.backend, request, now)
         message = SlotGrant(
             request.request_id,
             f"{self._grant_id_prefix}-{self._grant_counter}",
@@ -412,7 +414,7 @@
             announcement.address.port,
             version,
             self._settings.grant_use_within_ms,
-            int(expected_first_token(choice.backend, request, now) * 1000),
+            int(first_token * 1000),
             int((now - waiting.queued_at) * 1000),
             self._use_until(request, waiting.queued_at, now),
             announcement.incarnation,
@@ -424,10 +426,13 @@
             now,
             waiting.deadline + _GRANT_EXPIRY_MARGIN_SECONDS,
             now + choice.expected_seconds,
-            had_idle_prefill=choice.backend.backlog.wait(now) == 0,
+            expected_first_token=first_token,
+            prefill_rate=choice.backend.speed.prefill_rate,
         )
-        prefill = uncached_tokens(choice.backend, request)
-        choice.backend.backlog.add(choice.backend.speed.prefill_seconds(prefill), now)
+        prefill = choice.backend.speed.prefill_seconds(
+            uncached_tokens(choice.backend, request)
+        )
+        choice.backend.backlog.add(grant.grant_id, prefill, now)
         if not request.tries:
             self._budget.record_first_attempt(now)
         self._grants.add(grant)
@@ -457,6 +462,9 @@
             return None
         self._limits.finish(grant.request)
         self._gate.record_end(grant.message.version)
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is not None:
+            backend.backlog.cancel(grant_id, now)
         self._servers.release(grant.message.backend_id, grant_id, now)
         return grant
 
@@ -477,10 +485,6 @@
         match release.result:
             case ReleaseResult.ANSWERED:
                 backend.record_success()
-                if grant.had_idle_prefill:
-                    backend.speed.observe_prefill(
-                        grant.request.prompt_tokens, release.first_token_ms / 1000
-                    )
                 backend.speed.observe_decode(
                     release.answer_tokens,
                     (release.total_ms - release.first_token_ms) / 1000,
@@ -490,6 +494,23 @@
             case ReleaseResult.CANCELLED:
                 pass
 
+    def _record_first_token(self, release: SlotRelease, now: float) -> None:
+        """Correct the estimates for a server by the first token of a request."""
+        grant = self._grants.get(release.grant_id)
+        if grant is None or release.result is not ReleaseResult.ANSWERED:
+            return
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is None:
+            return
+        seconds = release.first_token_ms / _MS_PER_SECOND
+        backend.backlog.finish(grant.grant_id, min(now, grant.granted_at + seconds))
+        backend.speed.observe_first_token(
+            grant.request.prompt_tokens,
+            grant.expected_first_token,
+            seconds,
+            grant.prefill_rate,
+        )
+
     def _send(self, entry: str, message: DispatchMessage) -> None:
         self._effects.append(SendToEntry(entry, message))
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -84,7 +84,9 @@
         (server,) = backends(1)
         self.send_updates((server,), 0.0)
         for _ in range(60):
-            server.speed.observe_prefill(2_000, 0.1)
+            expected = server.speed.prefill_seconds(2_000)
+            rate = server.speed.prefill_rate
+            server.speed.observe_first_token(2_000, expected, 0.05, rate)
         self.assertEqual(self.send_updates((server,), 0.1), 1)
         self.assertEqual(self.send_updates((server,), 0.2), 0)
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -85,17 +85,36 @@
 
     def test_prompts_add_up(self):
         backlog = PrefillBacklog()
-        backlog.add(0.5, 10.0)
-        backlog.add(0.25, 10.1)
+        backlog.add("a", 0.5, 10.0)
+        backlog.add("b", 0.25, 10.1)
         self.assertAlmostEqual(backlog.wait(10.1), 0.65)
         self.assertEqual(backlog.wait(11.0), 0.0)
 
     def test_prompt_of_a_cancelled_request_is_subtracted(self):
         backlog = PrefillBacklog()
-        backlog.add(0.5, 10.0)
-        backlog.subtract(0.4, 10.0)
+        backlog.add("a", 0.4, 10.0)
+        backlog.add("b", 0.1, 10.0)
+        backlog.cancel("a", 10.0)
         self.assertAlmostEqual(backlog.wait(10.0), 0.1)
 
+    def test_first_token_ends_its_prompt_and_all_earlier_ones(self):
+        backlog = PrefillBacklog()
+        for number in range(4):
+            backlog.add(f"r{number}", 1.0, 10.0)
+        backlog.finish("r2", 10.5)
+        self.assertAlmostEqual(backlog.wait(10.5), 1.0)
+        backlog.finish("r1", 11.0)
+        self.assertAlmostEqual(backlog.wait(11.0), 0.5)
+        backlog.finish("r3", 11.2)
+        self.assertEqual(backlog.wait(11.2), 0.0)
+
+    def test_later_prompt_does_not_start_before_it_is_sent(self):
+        backlog = PrefillBacklog()
+        backlog.add("a", 1.0, 10.0)
+        backlog.add("b", 0.5, 10.8)
+        backlog.finish("a", 10.2)
+        self.assertAlmostEqual(backlog.wait(10.9), 0.4)
+
 
 class TestSpeedEstimate(unittest.TestCase):
     """Rates are estimated from measurements."""
@@ -104,8 +123,10 @@
         speed = SpeedEstimate(10_000.0, 100.0)
         # Time to first token of 2,000 tokens at 25,000 tokens per second: the prefill,
         # 2/48 longer because of attention (see _LONG_PROMPT_TOKENS), and a decode step.
+        measured = 2_000 * (1 + 2 / 48) / 25_000 + 0.01
         for _ in range(60):
-            speed.observe_prefill(2_000, 2_000 * (1 + 2 / 48) / 25_000 + 0.01)
+            expected = speed.prefill_seconds(2_000) + 0.01
+            speed.observe_first_token(2_000, expected, measured, speed.prefill_rate)
         self.assertAlmostEqual(speed.prefill_rate, 25_000, delta=250)
 
     def test_prefill_time_grows_faster_than_prompt_length(self):
