--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -225,10 +225,10 @@
     Retries on another backend server are limited to the share ``retry_share`` of the
     requests within ``retry_window_ms``, plus ``retry_allowance``.
 
-    Every ``directory_interval_ms`` a dispatcher sends its full list of backend servers
-    to the other dispatchers, which keep an entry for ``directory_keep_ms``. Usage caps
-    apply to any period of ``cap_window_ms`` and may be exceeded by the share
-    ``cap_overshoot``.
+    Instances keep a backend server that no dispatcher has confirmed for
+    ``directory_keep_ms``. ``directory_interval_ms`` has no effect; it is accepted for
+    settings files of earlier builds. Usage caps apply to any period of
+    ``cap_window_ms`` and may be exceeded by the share ``cap_overshoot``.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
