--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -31,6 +31,7 @@
 
 _PAGE_DIGEST_BITS = 32
 
+_EXPIRY_SECONDS = 1.0
 _REFRESH_SECONDS = 1.0
 """Interval at which a dispatcher confirms the servers in its own directory."""
 
@@ -144,6 +145,7 @@
 class _Entry:
     announcement: Announcement
     at: float
+    page: int
     fingerprint: int
 
 
@@ -163,6 +165,7 @@
         self._pages = [0] * _PAGES
         self._digest: int | None = None
         self._confirmed_at = float("-inf")
+        self._next_expiry_at = float("-inf")
         self._revision = 0
 
     @property
@@ -250,20 +253,22 @@
             if number >= len(theirs) or theirs[number] != digest
         )
 
-    def page_content(self, page: int) -> tuple[Announcement, ...]:
-        """Return the announcements in a page, those of servers that leave included."""
-        return tuple(
-            entry.announcement
-            for backend_id, entry in self._entries.items()
-            if _page_of(backend_id) == page
-        )
+    def page_contents(
+        self, pages: Collection[int]
+    ) -> dict[int, tuple[Announcement, ...]]:
+        """Return the announcements by page, those of servers that leave included."""
+        contents: dict[int, list[Announcement]] = {page: [] for page in pages}
+        for entry in self._entries.values():
+            if entry.page in contents:
+                contents[entry.page].append(entry.announcement)
+        return {page: tuple(content) for page, content in contents.items()}
 
     def apply_listing(self, listing: DirectoryListing) -> None:
         """Remove the servers in the listed pages that the listing does not name."""
         names = set(listing.names)
         pages = set(listing.pages)
-        for backend_id in list(self._entries):
-            if backend_id not in names and _page_of(backend_id) in pages:
+        for backend_id, entry in list(self._entries.items()):
+            if entry.page in pages and backend_id not in names:
                 self._remove(backend_id)
 
     def incarnation_of(self, backend_id: str) -> int | None:
@@ -283,23 +288,28 @@
         if known is not None and known.announcement.order > announcement.order:
             return
         fingerprint = _fingerprint(announcement)
-        self._entries[announcement.id] = _Entry(announcement, now, fingerprint)
+        page = _page_of(announcement.id) if known is None else known.page
+        self._entries[announcement.id] = _Entry(announcement, now, page, fingerprint)
         before = 0 if known is None else known.fingerprint
-        self._change_page(announcement.id, before ^ fingerprint)
+        self._change_page(page, before ^ fingerprint)
         if known is None or _differs(announcement, known.announcement):
             self._revision += 1
 
     def _remove(self, backend_id: str) -> None:
         entry = self._entries.pop(backend_id)
-        self._change_page(backend_id, entry.fingerprint)
+        self._change_page(entry.page, entry.fingerprint)
         self._revision += 1
 
-    def _change_page(self, backend_id: str, difference: int) -> None:
+    def _change_page(self, page: int, difference: int) -> None:
         if difference:
-            self._pages[_page_of(backend_id)] ^= difference
+            self._pages[page] ^= difference
             self._digest = None
 
     def _expire(self, now: float) -> None:
+        """Remove what was not confirmed for too long, once a second at most."""
+        if now < self._next_expiry_at:
+            return
+        self._next_expiry_at = now + _EXPIRY_SECONDS
         for backend_id, entry in list(self._entries.items()):
             kept_at = entry.at
             if not entry.announcement.leaving:
--- a/src/sassafraspin/routed/directory_exchange.py
+++ b/src/sassafraspin/routed/directory_exchange.py
@@ -153,9 +153,10 @@
         """Yield updates, each followed by the listing of its pages."""
         pages: list[int] = []
         content: list[Announcement] = []
-        for page in self._directory.differing_pages(query):
+        differing = self._directory.differing_pages(query)
+        for page, announcements in self._directory.page_contents(differing).items():
             pages.append(page)
-            content += self._directory.page_content(page)
+            content += announcements
             if len(content) >= _NAMES_PER_LISTING:
                 yield from _messages(pages, content)
                 pages, content = [], []
