End a drain that accepts a connection while its listener closes, and let the first dispatcher retry

- Seven tests in which a safe call or a stream goes on elsewhere: a leader without reports of a predecessor allows no retry for one window, the very first one too.

--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -44,6 +44,8 @@
         self._connections: set[ServerConnection] = set()
         self._draining = False
         self._drained = trio.Event()
+        self._accept_loops = 0
+        self._accept_loops_ended = trio.Event()
 
     def set_limits(self, limits: HttpLimits) -> None:
         """Set the limits for connections accepted from now on."""
@@ -57,8 +59,9 @@
         task_status.started()
         try:
             async with trio.open_nursery() as nursery:
+                self._accept_loops = len(self._listeners)
                 for listener in self._listeners:
-                    nursery.start_soon(self._accept_from, listener, nursery)
+                    nursery.start_soon(self._run_accept_loop, listener, nursery)
                 await self._drained.wait()
                 nursery.cancel_scope.cancel()
         finally:
@@ -74,6 +77,8 @@
         await self._accept_pending()
         for listener in self._listeners:
             await listener.aclose()
+        if self._accept_loops:
+            await self._accept_loops_ended.wait()
         for connection in list(self._connections):
             connection.close_when_idle()
         self._check_drained()
@@ -86,6 +91,16 @@
                 return
             await trio.lowlevel.checkpoint()
 
+    async def _run_accept_loop(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        try:
+            await self._accept_from(listener, nursery)
+        finally:
+            self._accept_loops -= 1
+            if not self._accept_loops:
+                self._accept_loops_ended.set()
+
     async def _accept_from(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -6,7 +6,12 @@
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.node import Node
-from sassafraspin.dispatch.budget import RetryBudget, RetryLog, RetryReport
+from sassafraspin.dispatch.budget import (
+    RetryBudget,
+    RetryHistory,
+    RetryLog,
+    RetryReport,
+)
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.moves import Move, MovePhase
 from sassafraspin.routes import DeclaredTable, RoutedService
@@ -50,9 +55,11 @@
         self._declared: DeclaredTable | None = None
         self._services: tuple[ServiceSettings, ...] = ()
         self._was_leader = False
+        self._is_first_dispatcher = False
 
     def services(self) -> tuple[ServiceSettings, ...]:
         """Return the services of the routing table."""
+        self._follow_leadership()
         declared = self._node.configuration.state.routing
         if declared is not None and declared is not self._declared:
             self._declared = declared
@@ -61,16 +68,21 @@
         return self._services
 
     def owns(self, service: str) -> bool:
-        """Return whether this instance leads; the leader owns every service.
+        """Return whether this instance leads; the leader owns every service."""
+        return self._follow_leadership()
 
-        The first call after it has become the leader restarts the usage caps.
+    def _follow_leadership(self) -> bool:
+        """Return whether this instance leads.
+
+        The first call after it has become the leader restarts caps and budgets.
         """
         is_leader = self._control.leads(self._node.now())
         if is_leader and not self._was_leader:
             self._restart_caps()
+            # Without a routing table nobody can have dispatched before.
+            routing = self._node.configuration.state.routing
+            self._is_first_dispatcher = routing is None
             self._budgets.clear()
-            # Retries are allowed only once a reserve for them was reported.
-            self._next_report_at = float("-inf")
         self._was_leader = is_leader
         return is_leader
 
@@ -81,8 +93,12 @@
     def retry_budget(self, service: str) -> RetryBudget:
         """Return a retry budget that continues those of the previous dispatchers."""
         history = self._retry_log.history(service, self._node.now())
+        if self._is_first_dispatcher and service not in self._budgets:
+            history = RetryHistory()
         budget = RetryBudget(self.settings(), history)
         self._budgets[service] = budget
+        # Retries are allowed only once a reserve for them was reported.
+        self._next_report_at = float("-inf")
         return budget
 
     def record_usage(self, report: UsageReport | RetryReport) -> None:
