--- a/src/sassafraspin/daemon/messages.py
+++ b/src/sassafraspin/daemon/messages.py
@@ -9,7 +9,7 @@
 from sassafraspin.discovery import DiscoveryMessage
 from sassafraspin.dispatch import DispatchMessage
 from sassafraspin.dispatch.budget import RetryReport
-from sassafraspin.dispatch.directory import (
+from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
     DirectoryQuery,
     DirectoryUpdate,
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -1,4 +1,4 @@
-"""Directory of backend servers that each instance keeps, and its updates.
+"""Directory of backend servers that each instance keeps.
 
 Its content is summarized by digests of pages, so that instances find out what they
 lack without sending it.
@@ -10,21 +10,14 @@
 import msgspec
 import xxhash
 
-from sassafraspin.backends import Announcement, Backend
-from sassafraspin.settings import Address
+from sassafraspin.backends import Announcement
+from sassafraspin.dispatch.directory_messages import (
+    DirectoryListing,
+    DirectoryQuery,
+    DirectoryUpdate,
+)
 
-__all__ = [
-    "BackendDirectory",
-    "DirectoryListing",
-    "DirectoryPublisher",
-    "DirectoryQuery",
-    "DirectoryUpdate",
-    "ServerEntry",
-    "split_updates",
-]
-
-_MAX_UPDATE_BYTES = 1_000
-"""Size of the servers in an update, so that it fits into a datagram."""
+__all__ = ["BackendDirectory"]
 
 _PAGES = 64
 """Number of pages; the digests of all of them fit into a datagram."""
@@ -32,115 +25,13 @@
 _PAGE_DIGEST_BITS = 32
 
 _EXPIRY_SECONDS = 1.0
-_REFRESH_SECONDS = 1.0
-"""Interval at which a dispatcher confirms the servers in its own directory."""
+"""Shortest interval between two searches for servers that were not confirmed."""
 
 _SPEED_CHANGE_RATIO = 1.2
 """Ratio between the current and the last published speed of a server above which it
 is published again."""
 
 
-class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
-    """What is sent of an announcement; ``speeds`` are those of prefill and decode."""
-
-    id: str
-    incarnation: int
-    sequence: int
-    service: str
-    host: str
-    port: int
-    availability_zone: str
-    hardware: str
-    versions: tuple[str, ...]
-    ttl_ms: int
-    slots: int
-    kv_tokens: int
-    speeds: tuple[float, float]
-    leaving: bool
-
-    @classmethod
-    def of(cls, announcement: Announcement) -> "ServerEntry":
-        """Return the entry of an announcement."""
-        return cls(
-            announcement.id,
-            announcement.incarnation,
-            announcement.sequence,
-            announcement.service,
-            announcement.address.host,
-            announcement.address.port,
-            announcement.availability_zone,
-            announcement.hardware,
-            announcement.versions,
-            announcement.ttl_ms,
-            announcement.slots,
-            announcement.kv_tokens,
-            (
-                announcement.prefill_tokens_per_second,
-                announcement.decode_tokens_per_second,
-            ),
-            announcement.leaving,
-        )
-
-    def to_announcement(self) -> Announcement:
-        """Return the announcement, without its reports of load and cache."""
-        prefill_rate, decode_rate = self.speeds
-        return Announcement(
-            id=self.id,
-            incarnation=self.incarnation,
-            service=self.service,
-            address=Address(self.host, self.port),
-            availability_zone=self.availability_zone,
-            hardware=self.hardware,
-            versions=self.versions,
-            ttl_ms=self.ttl_ms,
-            slots=self.slots,
-            kv_tokens=self.kv_tokens,
-            prefill_tokens_per_second=prefill_rate,
-            decode_tokens_per_second=decode_rate,
-            leaving=self.leaving,
-            sequence=self.sequence,
-        )
-
-
-class DirectoryUpdate(
-    msgspec.Struct, frozen=True, tag="DirectoryEntries", array_like=True
-):
-    """Part of a dispatcher's view of its backend servers.
-
-    ``gone`` maps the names of removed servers to their last known incarnations.
-    """
-
-    entries: tuple[ServerEntry, ...]
-    gone: dict[str, int] = {}
-
-    @classmethod
-    def of(cls, *announcements: Announcement) -> "DirectoryUpdate":
-        """Return the update with some announcements."""
-        return cls(tuple(map(ServerEntry.of, announcements)))
-
-
-class DirectoryQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Asks for the pages of a directory that the sender lacks.
-
-    Parameters
-    ----------
-    digest : int
-        Digest of the directory that is wanted.
-    pages : tuple of int
-        Digests of the sender's pages.
-    """
-
-    digest: int
-    pages: tuple[int, ...]
-
-
-class DirectoryListing(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Names of all servers in some pages; their announcements are sent as updates."""
-
-    pages: tuple[int, ...]
-    names: tuple[str, ...]
-
-
 @dataclass(frozen=True)
 class _Entry:
     announcement: Announcement
@@ -318,72 +209,6 @@
                 self._remove(backend_id)
 
 
-class DirectoryPublisher:
-    """Finds what a dispatcher has to publish: what its own directory lacks.
-
-    A dispatcher starts from the directory that its predecessor published, so that
-    nothing is sent for a change of the dispatcher alone.
-
-    Parameters
-    ----------
-    directory : BackendDirectory
-        The directory of this instance; updated with what is published.
-    """
-
-    def __init__(self, directory: BackendDirectory) -> None:
-        self._directory = directory
-        self._own: dict[str, int] = {}
-        self._next_refresh_at = float("-inf")
-
-    def updates(
-        self, backends: tuple[Backend, ...], now: float
-    ) -> list[DirectoryUpdate]:
-        """Apply what has changed to the directory and return it for the others."""
-        announcements = [_observed_announcement(backend) for backend in backends]
-        names = {item.id for item in announcements}
-        updates = split_updates(list(filter(self._directory.lacks, announcements)))
-        gone = self._gone(names)
-        if gone:
-            updates.append(DirectoryUpdate((), gone))
-        self._own = {item.id: item.incarnation for item in announcements}
-        for update in updates:
-            self._directory.apply(update, now)
-        if now >= self._next_refresh_at:
-            self._next_refresh_at = now + _REFRESH_SECONDS
-            self._directory.refresh(names, now)
-        return updates
-
-    def stop(self) -> None:
-        """Forget this dispatcher's servers: another one publishes from now on."""
-        self._own = {}
-
-    def _gone(self, names: set[str]) -> dict[str, int]:
-        """Return the servers to remove, with their incarnations.
-
-        Servers that leave, and that this dispatcher never had, end by themselves.
-        """
-        known = {**self._directory.incarnations(), **self._own}
-        return {name: known[name] for name in known.keys() - names}
-
-
-def split_updates(announcements: list[Announcement]) -> list[DirectoryUpdate]:
-    """Return updates that fit into datagrams."""
-    updates: list[DirectoryUpdate] = []
-    entries: list[ServerEntry] = []
-    size = 0
-    for announcement in announcements:
-        entry = ServerEntry.of(announcement)
-        entry_size = len(msgspec.msgpack.encode(entry))
-        if entries and size + entry_size > _MAX_UPDATE_BYTES:
-            updates.append(DirectoryUpdate(tuple(entries)))
-            entries, size = [], 0
-        entries.append(entry)
-        size += entry_size
-    if entries:
-        updates.append(DirectoryUpdate(tuple(entries)))
-    return updates
-
-
 def _page_of(backend_id: str) -> int:
     return xxhash.xxh64_intdigest(backend_id.encode()) % _PAGES
 
@@ -417,16 +242,6 @@
     )
 
 
-def _observed_announcement(backend: Backend) -> Announcement:
-    """Return the announcement with the measured speed and the withdrawal applied."""
-    return replace(
-        backend.announcement,
-        prefill_tokens_per_second=backend.speed.prefill_rate,
-        decode_tokens_per_second=backend.speed.decode_rate,
-        leaving=backend.announcement.leaving or backend.is_withdrawn,
-    )
-
-
 def _differs(announcement: Announcement, before: Announcement) -> bool:
     """Return whether another incarnation, offer or clearly other speed is announced."""
     if _offer(announcement) != _offer(before):
--- /dev/null
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -0,0 +1,70 @@
+"""What a dispatcher has to publish of its backend servers."""
+
+from dataclasses import replace
+
+from sassafraspin.backends import Announcement, Backend
+from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.dispatch.directory_messages import DirectoryUpdate, split_updates
+
+__all__ = ["DirectoryPublisher"]
+
+_REFRESH_SECONDS = 1.0
+"""Interval at which a dispatcher confirms the servers in its own directory."""
+
+
+class DirectoryPublisher:
+    """Finds what a dispatcher has to publish: what its own directory lacks.
+
+    A dispatcher starts from the directory that its predecessor published, so that
+    nothing is sent for a change of the dispatcher alone.
+
+    Parameters
+    ----------
+    directory : BackendDirectory
+        The directory of this instance; updated with what is published.
+    """
+
+    def __init__(self, directory: BackendDirectory) -> None:
+        self._directory = directory
+        self._own: dict[str, int] = {}
+        self._next_refresh_at = float("-inf")
+
+    def updates(
+        self, backends: tuple[Backend, ...], now: float
+    ) -> list[DirectoryUpdate]:
+        """Apply what has changed to the directory and return it for the others."""
+        announcements = [_observed_announcement(backend) for backend in backends]
+        names = {item.id for item in announcements}
+        updates = split_updates(list(filter(self._directory.lacks, announcements)))
+        gone = self._gone(names)
+        if gone:
+            updates.append(DirectoryUpdate((), gone))
+        self._own = {item.id: item.incarnation for item in announcements}
+        for update in updates:
+            self._directory.apply(update, now)
+        if now >= self._next_refresh_at:
+            self._next_refresh_at = now + _REFRESH_SECONDS
+            self._directory.refresh(names, now)
+        return updates
+
+    def stop(self) -> None:
+        """Forget this dispatcher's servers: another one publishes from now on."""
+        self._own = {}
+
+    def _gone(self, names: set[str]) -> dict[str, int]:
+        """Return the servers to remove, with their incarnations.
+
+        Servers that leave, and that this dispatcher never had, end by themselves.
+        """
+        known = {**self._directory.incarnations(), **self._own}
+        return {name: known[name] for name in known.keys() - names}
+
+
+def _observed_announcement(backend: Backend) -> Announcement:
+    """Return the announcement with the measured speed and the withdrawal applied."""
+    return replace(
+        backend.announcement,
+        prefill_tokens_per_second=backend.speed.prefill_rate,
+        decode_tokens_per_second=backend.speed.decode_rate,
+        leaving=backend.announcement.leaving or backend.is_withdrawn,
+    )
--- a/src/sassafraspin/routed/directory_exchange.py
+++ b/src/sassafraspin/routed/directory_exchange.py
@@ -13,12 +13,16 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch.directory import (
     BackendDirectory,
+)
+from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
-    DirectoryPublisher,
     DirectoryQuery,
     DirectoryUpdate,
     split_updates,
 )
+from sassafraspin.dispatch.directory_publisher import (
+    DirectoryPublisher,
+)
 from sassafraspin.rpc.pacing import ByteBudget
 
 __all__ = ["DirectoryExchange"]
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -1,7 +1,6 @@
 """Execution of one call: slots, attempts at backend servers, and the answer."""
 
 from contextlib import aclosing
-from dataclasses import dataclass
 
 import msgspec
 import trio
@@ -17,7 +16,6 @@
     SlotRelease,
 )
 from sassafraspin.http import (
-    BodyFraming,
     ConnectFailed,
     ConnectionLost,
     Headers,
@@ -31,6 +29,16 @@
     ProtocolAdapter,
     ResponseMetadata,
 )
+from sassafraspin.routed.attempt import (
+    AttemptOutcome,
+    AttemptProgress,
+    Delivered,
+    Failed,
+    Lost,
+    NotRun,
+    Unused,
+    release_result,
+)
 from sassafraspin.routed.call import RoutedCall
 from sassafraspin.routed.problems import (
     AccountOverCap,
@@ -57,59 +65,6 @@
 _MS_PER_SECOND = 1000
 
 
-@dataclass(frozen=True)
-class Delivered:
-    """The caller received the complete answer."""
-
-
-@dataclass(frozen=True)
-class NotRun:
-    """The request was not run: it was not sent, or the backend server refused it."""
-
-
-@dataclass(frozen=True)
-class Unused:
-    """The request was not sent, because the grant may not be used."""
-
-
-@dataclass(frozen=True)
-class Failed:
-    """The backend server ran the request and returned an error."""
-
-    response: Response
-
-
-@dataclass(frozen=True)
-class Lost:
-    """The request may have run, and no valid complete answer arrived."""
-
-    reason: str
-
-
-AttemptOutcome = Delivered | NotRun | Unused | Failed | Lost
-"""Outcome of an attempt at one backend server."""
-
-
-@dataclass
-class _AttemptProgress:
-    sent_at: float
-    first_data_at: float | None = None
-    last_data_at: float = 0.0
-    longest_pause: float = 0.0
-    events: int = 0
-    framing: BodyFraming | None = None
-    was_broken_off: bool = False
-    server_crashed: bool = False
-
-    def record_data(self, now: float) -> None:
-        """Record that a complete answer or a chunk of a stream has arrived."""
-        if self.first_data_at is None:
-            self.first_data_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self.last_data_at)
-        self.last_data_at = now
-
-
 class RoutedExchange:
     """Executes one call on a backend server, with retries.
 
@@ -260,18 +215,18 @@
         return msgspec.structs.replace(refusal, retry_after_ms=_ms(ends_in) + 1)
 
     async def _attempt(self, grant: SlotGrant) -> AttemptOutcome:
-        progress = _AttemptProgress(self._node.now())
+        progress = AttemptProgress(self._node.now())
         result = ReleaseResult.CANCELLED
         try:
             outcome = await self._send(grant, progress)
-            result = _release_result(outcome)
+            result = release_result(outcome)
             return outcome
         finally:
             self._release(grant, result, progress)
             self._log_attempt(grant, result, progress)
 
     async def _send(
-        self, grant: SlotGrant, progress: _AttemptProgress
+        self, grant: SlotGrant, progress: AttemptProgress
     ) -> AttemptOutcome:
         # The part may have been isolated while the request waited for its slot.
         if self._isolated_part is not None or not self._slots.is_usable(grant):
@@ -324,7 +279,7 @@
         return await self._client.refuses_connections(address)
 
     async def _read_response(
-        self, response: OpenResponse, grant: SlotGrant, progress: _AttemptProgress
+        self, response: OpenResponse, grant: SlotGrant, progress: AttemptProgress
     ) -> AttemptOutcome:
         progress.framing = response.framing
         metadata = self._adapter.read_response(response.status, response.headers)
@@ -366,7 +321,7 @@
         return metadata.request_id == self._call.metadata.request_id
 
     async def _relay_stream(
-        self, response: OpenResponse, headers: Headers, progress: _AttemptProgress
+        self, response: OpenResponse, headers: Headers, progress: AttemptProgress
     ) -> AttemptOutcome:
         is_resumed = self._resume_after is not None
         head = StreamHead(response.status, headers, response.is_framed, is_resumed)
@@ -379,7 +334,7 @@
         return Delivered()
 
     def _release(
-        self, grant: SlotGrant, result: ReleaseResult, progress: _AttemptProgress
+        self, grant: SlotGrant, result: ReleaseResult, progress: AttemptProgress
     ) -> None:
         now = self._node.now()
         first_data_at = progress.first_data_at or now
@@ -402,7 +357,7 @@
         )
 
     def _log_attempt(
-        self, grant: SlotGrant, result: ReleaseResult, progress: _AttemptProgress
+        self, grant: SlotGrant, result: ReleaseResult, progress: AttemptProgress
     ) -> None:
         first = progress.first_data_at
         log_event(
@@ -438,15 +393,3 @@
 
 def _ms(seconds: float) -> int:
     return int(seconds * _MS_PER_SECOND)
-
-
-def _release_result(outcome: AttemptOutcome) -> ReleaseResult:
-    match outcome:
-        case Delivered():
-            return ReleaseResult.ANSWERED
-        case NotRun():
-            return ReleaseResult.NOT_SENT
-        case Unused():
-            return ReleaseResult.CANCELLED
-        case Failed() | Lost():
-            return ReleaseResult.FAILED
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -12,7 +12,9 @@
     RetryLog,
     RetryReport,
 )
-from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.dispatch.directory import (
+    BackendDirectory,
+)
 from sassafraspin.moves import Move, MovePhase
 from sassafraspin.routes import DeclaredTable, RoutedService
 from sassafraspin.settings import DispatchSettings, ServiceSettings
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -27,6 +27,8 @@
 from sassafraspin.dispatch.budget import RetryReport
 from sassafraspin.dispatch.directory import (
     BackendDirectory,
+)
+from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
     DirectoryQuery,
     DirectoryUpdate,
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -8,7 +8,9 @@
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch.budget import RetryBudget
-from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.dispatch.directory import (
+    BackendDirectory,
+)
 from sassafraspin.moves import Move
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routes import RoutedAccount
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,13 +9,17 @@
 from sassafraspin.daemon.messages import PeerMessage
 from sassafraspin.dispatch.directory import (
     BackendDirectory,
+)
+from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
-    DirectoryPublisher,
     DirectoryQuery,
     DirectoryUpdate,
     ServerEntry,
     split_updates,
 )
+from sassafraspin.dispatch.directory_publisher import (
+    DirectoryPublisher,
+)
 from sassafraspin.membership import Member, View
 from sassafraspin.routed.directory_exchange import DirectoryExchange
 from sassafraspin.rpc.datagrams import MAX_DATAGRAM_BYTES
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -12,7 +12,9 @@
 from sassafraspin.admission import AccountLimits
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.dispatch import SlotGrant, SlotRequest
-from sassafraspin.dispatch.directory import DirectoryUpdate
+from sassafraspin.dispatch.directory_messages import (
+    DirectoryUpdate,
+)
 from sassafraspin.dispatch.messages import DispatchMessage
 from sassafraspin.dispatch.pool import Pool
 from sassafraspin.dispatch.versions import VersionGate
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -9,7 +9,12 @@
 from sassafraspin.backends import Backend
 from sassafraspin.daemon.dispatcher_health import DispatcherHealth
 from sassafraspin.dispatch.budget import RetryBudget
-from sassafraspin.dispatch.directory import BackendDirectory, DirectoryPublisher
+from sassafraspin.dispatch.directory import (
+    BackendDirectory,
+)
+from sassafraspin.dispatch.directory_publisher import (
+    DirectoryPublisher,
+)
 from sassafraspin.membership import Member, View
 from sassafraspin.routed.standby_scope import StandbyScope
 from sassafraspin.routes import DeclaredTable
