Look servers up by address, and compare states before copying announcements

Cause, by a profile of the model and by timing: each announcement was compared with the addresses of all servers, and each tick copied the announcement of each server to see whether it had changed; both grow with the square of the fleet, since each server announces itself every 1.2 s.

Of several servers at one address that a predecessor knew, the newest is adopted.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 import msgspec
 import xxhash
@@ -17,7 +18,7 @@
     DirectoryUpdate,
 )
 
-__all__ = ["BackendDirectory"]
+__all__ = ["BackendDirectory", "ServerState"]
 
 _PAGES = 64
 """Number of pages; the digests of all of them fit into a datagram."""
@@ -27,11 +28,57 @@
 _EXPIRY_SECONDS = 1.0
 """Shortest interval between two searches for servers that were not confirmed."""
 
+
 _SPEED_CHANGE_RATIO = 1.2
 """Ratio between the current and the last published speed of a server above which it
 is published again."""
 
 
+class ServerState(NamedTuple):
+    """An announcement with what a dispatcher has observed of the server since."""
+
+    announcement: Announcement
+    leaving: bool
+    prefill_rate: float
+    decode_rate: float
+
+    @classmethod
+    def announced(cls, announcement: Announcement) -> "ServerState":
+        """Return the state of a server that nobody has observed."""
+        return cls(
+            announcement,
+            announcement.leaving,
+            announcement.prefill_tokens_per_second,
+            announcement.decode_tokens_per_second,
+        )
+
+    def differs(self, known: Announcement) -> bool:
+        """Return whether another incarnation, offer or clearly other speed is known."""
+        own = self.announcement
+        return (
+            own.incarnation != known.incarnation
+            or self.leaving != known.leaving
+            or own.slots != known.slots
+            or own.versions != known.versions
+            or own.address != known.address
+            or _has_changed(self.prefill_rate, known.prefill_tokens_per_second)
+            or _has_changed(self.decode_rate, known.decode_tokens_per_second)
+        )
+
+    def to_announcement(self) -> Announcement:
+        """Return the announcement to publish."""
+        return replace(
+            self.announcement,
+            prefill_tokens_per_second=self.prefill_rate,
+            decode_tokens_per_second=self.decode_rate,
+            leaving=self.leaving,
+        )
+
+
+def _has_changed(rate: float, known: float) -> bool:
+    return rate > _SPEED_CHANGE_RATIO * known or known > _SPEED_CHANGE_RATIO * rate
+
+
 @dataclass(frozen=True)
 class _Entry:
     announcement: Announcement
@@ -114,18 +161,10 @@
                 self._entries[backend_id] = replace(entry, at=now)
         self._expire(now)
 
-    def lacks(self, announcement: Announcement) -> bool:
-        """Return whether an announcement has to be published.
-
-        It has if it says that the server leaves, was restarted, has other slots or a
-        clearly other speed.
-        """
-        known = self._entries.get(announcement.id)
-        if known is None:
-            return True
-        if known.announcement.order > announcement.order:
-            return False
-        return _differs(announcement, known.announcement)
+    def find(self, backend_id: str) -> Announcement | None:
+        """Return the announcement of a server, ``None`` if it is not known."""
+        entry = self._entries.get(backend_id)
+        return None if entry is None else entry.announcement
 
     def incarnations(self) -> dict[str, int]:
         """Return the incarnation of each server that does not leave."""
@@ -183,7 +222,8 @@
         self._entries[announcement.id] = _Entry(announcement, now, page, fingerprint)
         before = 0 if known is None else known.fingerprint
         self._change_page(page, before ^ fingerprint)
-        if known is None or _differs(announcement, known.announcement):
+        state = ServerState.announced(announcement)
+        if known is None or state.differs(known.announcement):
             self._revision += 1
 
     def _remove(self, backend_id: str) -> None:
@@ -230,24 +270,3 @@
         )
     )
     return xxhash.xxh64_intdigest(identity) >> (64 - _PAGE_DIGEST_BITS)
-
-
-def _offer(announcement: Announcement) -> tuple[object, ...]:
-    return (
-        announcement.incarnation,
-        announcement.leaving,
-        announcement.slots,
-        announcement.versions,
-        announcement.address,
-    )
-
-
-def _differs(announcement: Announcement, before: Announcement) -> bool:
-    """Return whether another incarnation, offer or clearly other speed is announced."""
-    if _offer(announcement) != _offer(before):
-        return True
-    speeds = (
-        (before.prefill_tokens_per_second, announcement.prefill_tokens_per_second),
-        (before.decode_tokens_per_second, announcement.decode_tokens_per_second),
-    )
-    return any(max(pair) > _SPEED_CHANGE_RATIO * min(pair) for pair in speeds)
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -1,9 +1,7 @@
 """What a dispatcher has to publish of its backend servers."""
 
-from dataclasses import replace
-
-from sassafraspin.backends import Announcement, Backend
-from sassafraspin.dispatch.directory import BackendDirectory
+from sassafraspin.backends import Backend
+from sassafraspin.dispatch.directory import BackendDirectory, ServerState
 from sassafraspin.dispatch.directory_messages import DirectoryUpdate, split_updates
 
 __all__ = ["DirectoryPublisher"]
@@ -33,13 +31,20 @@
         self, backends: tuple[Backend, ...], now: float
     ) -> list[DirectoryUpdate]:
         """Apply what has changed to the directory and return it for the others."""
-        announcements = [_observed_announcement(backend) for backend in backends]
-        names = {item.id for item in announcements}
-        updates = split_updates(list(filter(self._directory.lacks, announcements)))
+        changed = [
+            state.to_announcement()
+            for state in map(_state, backends)
+            if self._lacks(state)
+        ]
+        names = {backend.announcement.id for backend in backends}
+        updates = split_updates(changed)
         gone = self._gone(names)
         if gone:
             updates.append(DirectoryUpdate((), gone))
-        self._own = {item.id: item.incarnation for item in announcements}
+        self._own = {
+            backend.announcement.id: backend.announcement.incarnation
+            for backend in backends
+        }
         for update in updates:
             self._directory.apply(update, now)
         if now >= self._next_refresh_at:
@@ -51,6 +56,13 @@
         """Forget this dispatcher's servers: another one publishes from now on."""
         self._own = {}
 
+    def _lacks(self, state: ServerState) -> bool:
+        """Return whether the directory does not have this or a later state."""
+        known = self._directory.find(state.announcement.id)
+        if known is None:
+            return True
+        return known.order <= state.announcement.order and state.differs(known)
+
     def _gone(self, names: set[str]) -> dict[str, int]:
         """Return the servers to remove, with their incarnations.
 
@@ -60,11 +72,8 @@
         return {name: known[name] for name in known.keys() - names}
 
 
-def _observed_announcement(backend: Backend) -> Announcement:
+def _state(backend: Backend) -> ServerState:
     """Return the announcement with the measured speed and the withdrawal applied."""
-    return replace(
-        backend.announcement,
-        prefill_tokens_per_second=backend.speed.prefill_rate,
-        decode_tokens_per_second=backend.speed.decode_rate,
-        leaving=backend.announcement.leaving or backend.is_withdrawn,
-    )
+    announcement, speed = backend.announcement, backend.speed
+    leaving = announcement.leaving or backend.is_withdrawn
+    return ServerState(announcement, leaving, speed.prefill_rate, speed.decode_rate)
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -5,6 +5,7 @@
 
 from sassafraspin.backends import Announcement, Backend, Reservation
 from sassafraspin.dispatch.messages import SlotRequest
+from sassafraspin.settings import Address
 
 __all__ = ["ServerTable"]
 
@@ -61,6 +62,7 @@
     def __init__(self, generator: random.Random) -> None:
         self._generator = generator
         self._backends: dict[str, Backend] = {}
+        self._by_address: dict[Address, str] = {}
         self._accepting: list[Backend] = []
         self._free = _RandomSet()
         self._open_slots = 0
@@ -130,51 +132,73 @@
         if backend is not None:
             before = backend.announcement
             backend.apply_announcement(announcement, now)
+            self._index_address(backend)
             if not _has_same_capacity(before, announcement):
                 self.refresh(now)
             return False
-        self._backends[announcement.id] = Backend(announcement, now)
+        self._add(announcement, now)
         self.refresh(now)
         return True
 
     def adopt(self, announcements: tuple[Announcement, ...], now: float) -> None:
-        """Add all servers that the previous dispatcher knew."""
-        for announcement in announcements:
-            self._backends[announcement.id] = Backend(announcement, now)
+        """Add all servers that the previous dispatcher knew.
+
+        Of several at one address, the newest is added.
+        """
+        for announcement in sorted(announcements, key=lambda item: item.incarnation):
+            if self._claim_address(announcement):
+                self._add(announcement, now)
         self.refresh(now)
 
     def replace(self, announcements: tuple[Announcement, ...], now: float) -> None:
         """Keep exactly the servers that are announced, with what is known of them."""
         names = {announcement.id for announcement in announcements}
         for backend_id in self._backends.keys() - names:
-            del self._backends[backend_id]
-            self._free.set(backend_id, False)
+            self._remove(backend_id)
         for announcement in announcements:
             backend = self._backends.get(announcement.id)
             if backend is None:
-                self._backends[announcement.id] = Backend(announcement, now)
+                self._add(announcement, now)
             else:
                 backend.apply_announcement(announcement, now)
+                self._index_address(backend)
         self.refresh(now)
 
+    def _add(self, announcement: Announcement, now: float) -> None:
+        backend = Backend(announcement, now)
+        self._backends[announcement.id] = backend
+        self._index_address(backend)
+
+    def _remove(self, backend_id: str) -> None:
+        backend = self._backends.pop(backend_id)
+        self._free.set(backend_id, False)
+        if self._by_address.get(backend.announcement.address) == backend_id:
+            del self._by_address[backend.announcement.address]
+
+    def _index_address(self, backend: Backend) -> None:
+        announcement = backend.announcement
+        self._by_address[announcement.address] = announcement.id
+
     def _claim_address(self, announcement: Announcement) -> bool:
-        """Remove older servers with the same address; return whether none is newer."""
-        for backend_id, backend in list(self._backends.items()):
-            other = backend.announcement
-            if other.address != announcement.address or other.id == announcement.id:
-                continue
-            if other.incarnation > announcement.incarnation:
-                return False
-            del self._backends[backend_id]
-            self._free.set(backend_id, False)
+        """Remove an older server with the address; return whether none is newer."""
+        backend_id = self._by_address.get(announcement.address)
+        if backend_id is None or backend_id == announcement.id:
+            return True
+        backend = self._backends.get(backend_id)
+        if backend is None or backend.announcement.address != announcement.address:
+            # It has left, or moved to another address.
+            return True
+        other = backend.announcement
+        if other.incarnation > announcement.incarnation:
+            return False
+        self._remove(backend_id)
         return True
 
     def refresh(self, now: float) -> None:
         """Remove expired servers and recompute which ones accept work."""
         for backend_id, backend in list(self._backends.items()):
             if backend.is_expired(now) and not backend.busy_slots:
-                del self._backends[backend_id]
-                self._free.set(backend_id, False)
+                self._remove(backend_id)
         self._accepting = sorted(
             (item for item in self._backends.values() if item.accepts_work(now)),
             key=lambda item: item.announcement.id,
