--- a/src/sassafraspin/backends/notices.py
+++ b/src/sassafraspin/backends/notices.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 __all__ = ["ServerNotice", "ServerNotices", "ServerRun"]
@@ -79,23 +79,19 @@
         Servers that leave are not among them: their dispatcher is told, and must be
         free to choose their next incarnation.
         """
-        return tuple(
-            sorted(
-                run.name
-                for run, until in self._closed_until.items()
-                if run.service == service and now < until < math.inf
-            )
-        )
+        return tuple(sorted(run.name for run, _ in self._pauses(service, now)))
 
     def earliest_end(self, service: str, now: float) -> float | None:
         """Return the seconds until the first pause at a service ends, if any."""
-        ends = [
-            until - now
-            for run, until in self._closed_until.items()
-            if run.service == service and now < until < math.inf
-        ]
+        ends = (until - now for _, until in self._pauses(service, now))
         return min(ends, default=None)
 
+    def _pauses(self, service: str, now: float) -> Iterator[tuple[ServerRun, float]]:
+        """Yield the servers of a service that want a pause, and when it ends."""
+        for run, until in self._closed_until.items():
+            if run.service == service and now < until < math.inf:
+                yield run, until
+
     def forget_ended(
         self, now: float, incarnation_of: Callable[[str], int | None]
     ) -> None:
--- a/src/sassafraspin/dispatch/budget.py
+++ b/src/sassafraspin/dispatch/budget.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -100,7 +100,7 @@
     first_attempts: _CountWindow
     retries: _CountWindow
     reserved: int = 0
-    reported_at: float = field(default=-math.inf)
+    reported_at: float = -math.inf
 
 
 class RetryLog:
@@ -176,7 +176,7 @@
         self._unreported_first_attempts += 1
 
     def record_retry(self, now: float) -> None:
-        """Count a retry that was allowed by another dispatcher."""
+        """Count a retry, also one that another dispatcher has allowed."""
         self._retries.add(1, now)
         self._unreported_retries += 1
 
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -28,7 +28,6 @@
 _EXPIRY_SECONDS = 1.0
 """Shortest interval between two searches for servers that were not confirmed."""
 
-
 _SPEED_CHANGE_RATIO = 1.2
 """Ratio between the current and the last published speed of a server above which it
 is published again."""
@@ -203,8 +202,8 @@
 
     def incarnation_of(self, backend_id: str) -> int | None:
         """Return the newest known incarnation of a server, ``None`` if not known."""
-        entry = self._entries.get(backend_id)
-        return None if entry is None else entry.announcement.incarnation
+        known = self.find(backend_id)
+        return None if known is None else known.incarnation
 
     def of_service(self, service: str) -> Iterator[Announcement]:
         """Yield the announcements of a service's servers that are not leaving."""
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -1,5 +1,7 @@
 """What a dispatcher has to publish of its backend servers."""
 
+from collections.abc import KeysView
+
 from sassafraspin.backends import Backend
 from sassafraspin.dispatch.directory import BackendDirectory, ServerState
 from sassafraspin.dispatch.directory_messages import DirectoryUpdate, split_updates
@@ -36,20 +38,20 @@
             for state in map(_state, backends)
             if self._lacks(state)
         ]
-        names = {backend.announcement.id for backend in backends}
-        updates = split_updates(changed)
-        gone = self._gone(names)
-        if gone:
-            updates.append(DirectoryUpdate((), gone))
-        self._own = {
+        own = {
             backend.announcement.id: backend.announcement.incarnation
             for backend in backends
         }
+        updates = split_updates(changed)
+        gone = self._gone(own.keys())
+        if gone:
+            updates.append(DirectoryUpdate((), gone))
+        self._own = own
         for update in updates:
             self._directory.apply(update, now)
         if now >= self._next_refresh_at:
             self._next_refresh_at = now + _REFRESH_SECONDS
-            self._directory.refresh(names, now)
+            self._directory.refresh(own.keys(), now)
         return updates
 
     def stop(self) -> None:
@@ -63,7 +65,7 @@
             return True
         return known.order <= state.announcement.order and state.differs(known)
 
-    def _gone(self, names: set[str]) -> dict[str, int]:
+    def _gone(self, names: KeysView[str]) -> dict[str, int]:
         """Return the servers to remove, with their incarnations.
 
         Servers that leave, and that this dispatcher never had, end by themselves.
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -24,8 +24,8 @@
 """Lifetime of a registration in heartbeat intervals, so that three may be lost."""
 
 _RETRY_BUDGET_FRACTION = 0.8
-"""Fraction of the platform's retry budget that is used. The rest covers retries that a
-replaced dispatcher had already counted."""
+"""Fraction of the platform's retry budget that is used. The rest covers retries that
+instances allow by themselves while no dispatcher responds."""
 
 _ELECTION_TIMEOUT_MS = 400
 """A lost leader is replaced within twice this time. Heartbeats are sent four times per
--- a/src/sassafraspin/platform/registration.py
+++ b/src/sassafraspin/platform/registration.py
@@ -44,10 +44,6 @@
     born: _Counter = 0
 
 
-class _Identity(msgspec.Struct):
-    id: _Name
-
-
 _DECODER = msgspec.json.Decoder(_Registration)
 
 
@@ -70,7 +66,7 @@
     """
     try:
         item = _DECODER.decode(body)
-        msgspec.convert({"id": backend_id}, _Identity)
+        msgspec.convert(backend_id, _Name)
     except (ValueError, msgspec.DecodeError, RecursionError) as error:
         raise InvalidInput(_SOURCE, (Problem("$", str(error)),)) from error
     address = _parse_address(item.address)
--- a/src/sassafraspin/routed/directory_exchange.py
+++ b/src/sassafraspin/routed/directory_exchange.py
@@ -11,24 +11,20 @@
 
 from sassafraspin.backends import Announcement, Backend
 from sassafraspin.daemon.node import Node
-from sassafraspin.dispatch.directory import (
-    BackendDirectory,
-)
+from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
     DirectoryQuery,
     DirectoryUpdate,
     split_updates,
 )
-from sassafraspin.dispatch.directory_publisher import (
-    DirectoryPublisher,
-)
+from sassafraspin.dispatch.directory_publisher import DirectoryPublisher
 from sassafraspin.rpc.pacing import ByteBudget
 
 __all__ = ["DirectoryExchange"]
 
 _PUSH_BYTES_PER_SECOND = 250_000.0
-"""A sixth of the slowest link of a control instance, 100 Mbit/s, for pushes to all."""
+"""2 Mbit/s for pushes to all, a small part of the link of a control instance."""
 
 _PAGE_BYTES_PER_SECOND = 1_000_000.0
 _BURST_SECONDS = 0.5
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -25,9 +25,7 @@
     UnknownGrants,
 )
 from sassafraspin.dispatch.budget import RetryReport
-from sassafraspin.dispatch.directory import (
-    BackendDirectory,
-)
+from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.dispatch.directory_messages import (
     DirectoryListing,
     DirectoryQuery,
