--- a/src/sassafraspin/backends/notices.py
+++ b/src/sassafraspin/backends/notices.py
@@ -21,10 +21,14 @@
         Whether the server leaves and wants no new requests until it is restarted.
     pause_seconds : float
         Time for which the server wants no requests from this instance, 0 for none.
+    rate_limit : float or None
+        Requests a second that the server takes from all instances together, ``None``
+        if it names no limit.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
+    rate_limit: float | None = None
 
     @property
     def is_empty(self) -> bool:
--- a/src/sassafraspin/platform/adapter.py
+++ b/src/sassafraspin/platform/adapter.py
@@ -29,6 +29,7 @@
 _NOT_RUN = "x-not-executed"
 _LEAVING = "server-leaving"
 _IS_LEAVING = "1"
+_RATE_LIMIT = "server-limit"  # requests a second from all instances together
 _RETRY_AFTER = "retry-after"
 _UNAVAILABLE_STATUS = 503
 _KEY_SCHEME = "token"
@@ -126,6 +127,7 @@
                 pause_seconds=(
                     _parse_pause(headers) if status == _UNAVAILABLE_STATUS else 0.0
                 ),
+                rate_limit=_parse_amount(headers, _RATE_LIMIT),
             ),
         )
 
@@ -197,17 +199,22 @@
 
     Dates are ignored: clocks may differ, and runners give seconds.
     """
-    text = headers.get(_RETRY_AFTER)
+    return min(_parse_amount(headers, _RETRY_AFTER) or 0.0, _MAX_PAUSE_SECONDS)
+
+
+def _parse_amount(headers: Headers, name: str) -> float | None:
+    """Return a finite number that is not negative, ``None`` if the header has none."""
+    text = headers.get(name)
     if text is None:
-        return 0.0
+        return None
     try:
-        seconds = float(text) if text.isascii() and "_" not in text else math.nan
+        amount = float(text) if text.isascii() and "_" not in text else math.nan
     except ValueError:
-        seconds = math.nan
-    if not 0 <= seconds < math.inf:
-        _log.debug("Ignored {} of a runner: {!r}.", _RETRY_AFTER, text)
-        return 0.0
-    return min(seconds, _MAX_PAUSE_SECONDS)
+        amount = math.nan
+    if 0 <= amount < math.inf:
+        return amount
+    _log.debug("Ignored {} of a runner: {!r}.", name, text)
+    return None
 
 
 def _connection_names(headers: Headers) -> frozenset[str]:
--- a/src/sassafraspin/routed/attempt.py
+++ b/src/sassafraspin/routed/attempt.py
@@ -60,6 +60,7 @@
     longest_pause: float = 0.0
     events: int = 0
     framing: BodyFraming | None = None
+    rate_limit: float | None = None
     was_broken_off: bool = False
     server_crashed: bool = False
 
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -285,6 +285,7 @@
         metadata = self._adapter.read_response(response.status, response.headers)
         if not self._is_own(response, metadata):
             raise ConnectionLost("the answer may belong to another request")
+        progress.rate_limit = metadata.notice.rate_limit
         self._record_notice(grant, metadata.notice)
         if metadata.not_run:
             # The head decides alone, whatever becomes of the body.
@@ -383,6 +384,7 @@
                 server_crashed=progress.server_crashed,
                 broken_off=progress.was_broken_off,
                 framing=None if progress.framing is None else progress.framing.value,
+                rate_limit=progress.rate_limit,
                 end=result.value,
             )
         )
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -204,7 +204,8 @@
     if it ends with its connection, empty if no answer began. ``parts`` are the prompt
     parts that other requests may share, ``server_crashed`` says that the server refused
     connections after the answer was lost, and ``broken_off`` that it closed or reset
-    the connection before its answer was complete.
+    the connection before its answer was complete. ``rate_limit`` is the limit that the
+    server named in its answer, in requests a second, empty if it named none.
     """
 
     part: ClassVar[str] = "entry"
@@ -230,6 +231,7 @@
     server_crashed: bool
     broken_off: bool
     framing: str | None
+    rate_limit: float | None
     end: str
 
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -129,6 +129,17 @@
             with self.subTest(text=text[:20]):
                 self.assertEqual(notice.pause_seconds, 0.0)
 
+    def test_rate_limit(self):
+        self.assertIsNone(self.read(200).rate_limit)
+        self.assertEqual(self.read(200, ("server-limit", "2.7")).rate_limit, 2.7)
+        self.assertEqual(self.read(500, ("server-limit", "0")).rate_limit, 0.0)
+
+    def test_rate_limits_that_are_no_number_of_requests_are_ignored(self):
+        odd = ("-1", "1e400", "nan", "inf", "", "2,7", "soon", "1_0", "\u0664")
+        for text in (*odd, "9" * 400, "9" * 5_000):
+            with self.subTest(text=text[:20]):
+                self.assertIsNone(self.read(200, ("server-limit", text)).rate_limit)
+
     def test_longest_pause_is_bounded(self):
         pause = self.read(503, ("retry-after", "1e300")).pause_seconds
         self.assertLess(pause, math.inf)
