Grant no more than the rate limits that backend servers name

Cause: a statement of a server about the sum over all instances had no holder. Nobody read the header, and a server's capacity was a number of slots, never a rate. Ruled out: that each instance obeys it alone (no rate fell at the naming) and that it is known too late (the first break precedes any change of the leader).

The dispatcher, where all slots are granted, keeps a bucket for each limited server. It starts empty, so a successor adds nothing to what the last one sent. Each grant carries the known limit; an answer that differs is reported when its head is read, and ends or raises the limit only if its request was granted under it. The directory publishes limits; standbys take equal shares.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -14,6 +14,7 @@
     prefix_hashes,
 )
 from sassafraspin.backends.prompts import PromptPart, shared_parts
+from sassafraspin.backends.rate_limit import RateLimit
 from sassafraspin.backends.retirement import Retirement, RetirementStore
 from sassafraspin.backends.speed import SpeedEstimate
 
@@ -26,6 +27,7 @@
     "PrefixCacheView",
     "PrefillBacklog",
     "PromptPart",
+    "RateLimit",
     "Reservation",
     "Retirement",
     "RetirementStore",
--- a/src/sassafraspin/backends/announcement.py
+++ b/src/sassafraspin/backends/announcement.py
@@ -92,6 +92,9 @@
     sequence : int
         Number that increases with each announcement of an incarnation, so that delayed
         announcements are recognised; 0 if the backend server does not number them.
+    rate_limit : float or None
+        Requests a second that it takes from all instances together, as published by
+        its dispatcher; servers name it in their answers, not in announcements.
     """
 
     __pydantic_config__ = _STRICT
@@ -112,6 +115,7 @@
     load: LoadReport = field(default_factory=LoadReport)
     cache: CacheReport = field(default_factory=CacheReport)
     sequence: _Count = 0
+    rate_limit: Annotated[float, Field(gt=0)] | None = None
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -5,6 +5,7 @@
 from sassafraspin.backends.announcement import Announcement
 from sassafraspin.backends.backlog import PrefillBacklog
 from sassafraspin.backends.prefixes import PrefixCacheView
+from sassafraspin.backends.rate_limit import RateLimit
 from sassafraspin.backends.speed import SpeedEstimate
 
 __all__ = ["Backend", "Reservation"]
@@ -57,6 +58,7 @@
         self._ejections = 0
         self._ejected_until = float("-inf")
         self._withdrawn = False
+        self._rate_limit: RateLimit | None = None
 
     @property
     def announcement(self) -> Announcement:
@@ -78,6 +80,11 @@
         """Return the estimated time until all prompts sent so far are prefilled."""
         return self._backlog
 
+    @property
+    def rate_limit(self) -> RateLimit | None:
+        """Return the limit that the server has named, ``None`` if it has none."""
+        return self._rate_limit
+
     @property
     def reservations(self) -> tuple[Reservation, ...]:
         """Return the reservations of requests that are granted and not released."""
@@ -97,7 +104,8 @@
         """Apply an announcement unless it is older than the current one.
 
         A higher incarnation means that the server has restarted: its prefix cache and
-        backlog are empty, and earlier failures and a withdrawal no longer count.
+        backlog are empty, and earlier failures, a withdrawal and a rate limit no longer
+        count.
         """
         if self._is_outdated(announcement):
             return
@@ -107,6 +115,7 @@
             self._failures = 0
             self._ejected_until = float("-inf")
             self._withdrawn = False
+            self._rate_limit = None
         self._announcement = announcement
         self._expires_at = now + announcement.ttl_ms / 1000
         self._cache.apply_report(announcement.cache)
@@ -137,6 +146,21 @@
         """
         self._withdrawn = True
 
+    def limit_rate(self, rate_limit: RateLimit | None) -> None:
+        """Set or end the rate limit until the server restarts."""
+        self._rate_limit = rate_limit
+
+    def allows_request(self, now: float) -> bool:
+        """Return whether the rate limit allows another request now."""
+        return self._rate_limit is None or self._rate_limit.allows_request(now)
+
+    def usable_slots(self, now: float) -> int:
+        """Return the number of busy slots and of those that may be used now."""
+        slots = self._announcement.slots
+        if self._rate_limit is None:
+            return slots
+        return min(slots, self.busy_slots + int(self._rate_limit.level(now)))
+
     def is_expired(self, now: float) -> bool:
         """Return whether the time to live of the latest announcement has ended."""
         return now >= self._expires_at
--- a/src/sassafraspin/backends/notices.py
+++ b/src/sassafraspin/backends/notices.py
@@ -7,6 +7,9 @@
 
 __all__ = ["ServerNotice", "ServerNotices", "ServerRun"]
 
+_LEAST_RATE = 0.1
+"""Requests a second to a server that takes fewer, or none."""
+
 _MAX_SERVERS = 4_096
 """Number of servers beyond which the oldest notices are dropped."""
 
@@ -30,6 +33,16 @@
     pause_seconds: float = 0.0
     rate_limit: float | None = None
 
+    @property
+    def request_rate(self) -> float | None:
+        """Return the requests a second to send at most, ``None`` for no limit.
+
+        Only an answer can end a limit, so some requests are always sent.
+        """
+        if self.rate_limit is None:
+            return None
+        return max(self.rate_limit, _LEAST_RATE)
+
     @property
     def is_empty(self) -> bool:
         """Return whether the server wants requests as before."""
--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -36,6 +36,9 @@
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget for a new pool of a service."""
 
+    def rate_share(self) -> float:
+        """Return the part of the servers' rate limits that a new pool may use."""
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -106,6 +109,10 @@
         """Return a budget of its own: owners of a service do not report its use."""
         return RetryBudget(self.settings())
 
+    def rate_share(self) -> float:
+        """Return the whole: a service has one dispatcher."""
+        return 1.0
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -12,6 +12,7 @@
     ActiveGrant,
     AnnounceBackend,
     HeldGrants,
+    RateLimitNotice,
     RefusalReason,
     SlotRefusal,
     SlotRelease,
@@ -35,6 +36,7 @@
     SlotRequest
     | ActiveGrant
     | SlotRelease
+    | RateLimitNotice
     | HeldGrants
     | SlotWithdraw
     | AnnounceBackend
@@ -208,6 +210,8 @@
                 self._send_all(pool.adopt(source, message, now))
             case SlotRelease():
                 self._send_all(pool.release(message, now))
+            case RateLimitNotice():
+                self._send_all(pool.record_rate_limit(message, now))
             case HeldGrants():
                 self._send_all(pool.reconcile(source, message, now))
             case SlotWithdraw():
@@ -241,6 +245,7 @@
             now,
             self._scope.known_backends(service.name),
             self._scope.retry_budget(service.name),
+            self._scope.rate_share(),
         )
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -12,6 +12,7 @@
 from sassafraspin.dispatch import (
     ActiveGrant,
     HeldGrants,
+    RateLimitNotice,
     RefusalReason,
     SlotGrant,
     SlotRefusal,
@@ -139,6 +140,10 @@
         self._grants.pop(release.grant_id, None)
         self._notify_dispatchers(release.service, release)
 
+    def report_rate_limit(self, notice: RateLimitNotice) -> None:
+        """Report a rate limit that the dispatcher did not know, or that has ended."""
+        self._notify_dispatchers(notice.service, notice)
+
     def allow_revocation(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
         """Register ``scope``, to be cancelled if the dispatcher revokes the grant."""
         held = self._grants.get(grant.grant_id)
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -40,6 +40,7 @@
     leaving: bool
     prefill_rate: float
     decode_rate: float
+    rate_limit: float | None
 
     @classmethod
     def announced(cls, announcement: Announcement) -> "ServerState":
@@ -49,6 +50,7 @@
             announcement.leaving,
             announcement.prefill_tokens_per_second,
             announcement.decode_tokens_per_second,
+            announcement.rate_limit,
         )
 
     def differs(self, known: Announcement) -> bool:
@@ -60,6 +62,7 @@
             or own.slots != known.slots
             or own.versions != known.versions
             or own.address != known.address
+            or _has_other_limit(self.rate_limit, known.rate_limit)
             or _has_changed(self.prefill_rate, known.prefill_tokens_per_second)
             or _has_changed(self.decode_rate, known.decode_tokens_per_second)
         )
@@ -71,9 +74,16 @@
             prefill_tokens_per_second=self.prefill_rate,
             decode_tokens_per_second=self.decode_rate,
             leaving=self.leaving,
+            rate_limit=self.rate_limit,
         )
 
 
+def _has_other_limit(limit: float | None, known: float | None) -> bool:
+    if limit is None or known is None:
+        return limit is not known
+    return _has_changed(limit, known)
+
+
 def _has_changed(rate: float, known: float) -> bool:
     return rate > _SPEED_CHANGE_RATIO * known or known > _SPEED_CHANGE_RATIO * rate
 
@@ -114,7 +124,8 @@
     def digest(self) -> int:
         """Return the digest of the servers that do not leave; never 0.
 
-        It covers what identifies a server and its offer, not its measured speed.
+        It covers what identifies a server, its offer and its rate limit, not its
+        measured speed.
         """
         if self._digest is None:
             pages = msgspec.msgpack.encode(self._pages)
@@ -256,16 +267,18 @@
     """Return a hash of what identifies a server and its offer, 0 if it leaves."""
     if announcement.leaving:
         return 0
-    identity = msgspec.msgpack.encode(
-        (
-            announcement.id,
-            announcement.incarnation,
-            announcement.service,
-            announcement.address.host,
-            announcement.address.port,
-            announcement.availability_zone,
-            announcement.versions,
-            announcement.slots,
-        )
+    fields = (
+        announcement.id,
+        announcement.incarnation,
+        announcement.service,
+        announcement.address.host,
+        announcement.address.port,
+        announcement.availability_zone,
+        announcement.versions,
+        announcement.slots,
     )
+    # Instances of older builds know no limits.
+    if announcement.rate_limit is not None:
+        fields += (announcement.rate_limit,)
+    identity = msgspec.msgpack.encode(fields)
     return xxhash.xxh64_intdigest(identity) >> (64 - _PAGE_DIGEST_BITS)
--- a/src/sassafraspin/dispatch/directory_messages.py
+++ b/src/sassafraspin/dispatch/directory_messages.py
@@ -34,6 +34,7 @@
     kv_tokens: int
     speeds: tuple[float, float]
     leaving: bool
+    rate_limit: float | None = None
 
     @classmethod
     def of(cls, announcement: Announcement) -> "ServerEntry":
@@ -56,6 +57,7 @@
                 announcement.decode_tokens_per_second,
             ),
             announcement.leaving,
+            announcement.rate_limit,
         )
 
     def to_announcement(self) -> Announcement:
@@ -76,6 +78,7 @@
             decode_tokens_per_second=decode_rate,
             leaving=self.leaving,
             sequence=self.sequence,
+            rate_limit=self.rate_limit,
         )
 
 
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -78,4 +78,8 @@
     """Return the announcement with the measured speed and the withdrawal applied."""
     announcement, speed = backend.announcement, backend.speed
     leaving = announcement.leaving or backend.is_withdrawn
-    return ServerState(announcement, leaving, speed.prefill_rate, speed.decode_rate)
+    limit = backend.rate_limit
+    named = None if limit is None else limit.named
+    return ServerState(
+        announcement, leaving, speed.prefill_rate, speed.decode_rate, named
+    )
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -12,6 +12,7 @@
     "DispatchMessage",
     "HeldGrants",
     "LOWEST_TIER",
+    "RateLimitNotice",
     "RefusalReason",
     "ReleaseResult",
     "SlotGrant",
@@ -119,7 +120,8 @@
     ``waited_ms`` is the time that the request waited for the slot. ``use_until`` is
     the time on the entry instance's clock at which the grant ends, whenever it
     arrives; ``None`` if the request did not say when it was sent. ``incarnation`` is
-    that of the backend server, 0 from older builds.
+    that of the backend server, 0 from older builds. ``rate_limit`` is the limit of the
+    server that the dispatcher knows, in requests a second, ``None`` if it knows none.
     """
 
     request_id: str
@@ -133,6 +135,7 @@
     waited_ms: int = 0
     use_until: float | None = None
     incarnation: int = 0
+    rate_limit: float | None = None
 
 
 class SlotWaiting(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -192,6 +195,19 @@
     server_leaves: bool = False
 
 
+class RateLimitNotice(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Reports that an answer named another rate limit than the grant of its request.
+
+    ``rate_limit`` is in requests a second, ``None`` if the answer named no limit.
+    """
+
+    service: str
+    grant_id: str
+    backend_id: str
+    incarnation: int
+    rate_limit: float | None
+
+
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Lists all slots in use by an entry instance, to detect lost releases."""
 
@@ -231,6 +247,7 @@
     | SlotRefusal
     | ActiveGrant
     | SlotRelease
+    | RateLimitNotice
     | HeldGrants
     | SlotWithdraw
     | SlotRevoke
--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -102,13 +102,15 @@
         """
         if self.is_discovering(now):
             return 0.0
-        slots = self._servers.open_slots
+        slots = self._servers.open_slots(now)
         free = slots - len(self._grants)
         if free > len(self._queue):
             return 0.0
         account = request.client_account
         ahead = self._queue.count_ahead(request.tier, account, late)
-        return self._slot_wait(max(0, ahead - max(free, 0)), slots, now)
+        position = max(0, ahead - max(free, 0))
+        slot_wait = self._slot_wait(position, slots, now)
+        return max(slot_wait, self._servers.rate_wait(position, now))
 
     def _slot_wait(self, position: int, slots: int, now: float) -> float:
         """Return the time until a queue position gets a slot, in seconds."""
@@ -176,7 +178,7 @@
             reason,
             retry_ms,
             int(self.expected_wait(request, now) * 1000),
-            self._servers.open_slots,
+            self._servers.open_slots(now),
             len(self._grants),
             len(self._queue),
         )
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -18,6 +18,7 @@
     ActiveGrant,
     DispatchMessage,
     HeldGrants,
+    RateLimitNotice,
     RefusalReason,
     ReleaseResult,
     SlotGrant,
@@ -39,6 +40,7 @@
     uncached_tokens,
 )
 from sassafraspin.settings import DispatchSettings
+from sassafraspin.telemetry.events import RateLimitChanged, log_event
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
 
@@ -96,6 +98,8 @@
         time for servers to announce themselves.
     budget : RetryBudget or None
         Retry budget of the service, ``None`` for a new one.
+    rate_share : float
+        Part of the servers' rate limits that the pool may use.
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         now: float,
         known: tuple[Announcement, ...] = (),
         budget: RetryBudget | None = None,
+        rate_share: float = 1.0,
     ) -> None:
         self._service = service
         self._settings = settings
@@ -116,7 +121,7 @@
         self._budget = budget or RetryBudget(settings)
         self._gate = gate
         self._grant_id_prefix = grant_id_prefix
-        self._servers = ServerTable(generator)
+        self._servers = ServerTable(generator, rate_share)
         self._queue = WaitingQueue()
         self._grants = GrantTable()
         self._grant_counter = 0
@@ -166,7 +171,7 @@
             self._service,
             len(self._servers.all),
             len(self._servers.accepting),
-            self._servers.open_slots,
+            self._servers.open_slots(now),
             len(self._grants),
             len(self._queue),
         )
@@ -251,6 +256,37 @@
         self._record_outcome(grant, release, now)
         return self._grant_free_slots(now)
 
+    def record_rate_limit(
+        self, notice: RateLimitNotice, now: float
+    ) -> list[SendToEntry]:
+        """Apply a rate limit that a server has named in an answer, or no longer names.
+
+        A lower limit applies at once. A higher one, or none, does if the answer is
+        certainly later than the one that named the limit in force: its request was
+        granted under that limit.
+        """
+        backend = self._servers.get(notice.backend_id)
+        if backend is None:
+            return []
+        known = backend.rate_limit
+        is_same_run = backend.announcement.incarnation == notice.incarnation
+        if not is_same_run or notice.rate_limit == (known and known.named):
+            return []
+        grant = self._grants.get(notice.grant_id)
+        if known is not None and not _is_lower(notice.rate_limit, known.named):
+            is_later = (
+                grant is not None
+                and grant.message.rate_limit == known.named
+                and grant.granted_at >= known.set_at
+            )
+            if not is_later:
+                return []
+        log_event(
+            RateLimitChanged(notice.backend_id, notice.incarnation, notice.rate_limit)
+        )
+        self._servers.limit_rate(backend, notice.rate_limit, now)
+        return self._grant_free_slots(now)
+
     def reconcile(self, entry: str, held: HeldGrants, now: float) -> list[SendToEntry]:
         """End the grants whose release was lost; request those that are unknown."""
         known = frozenset(held.grant_ids)
@@ -405,6 +441,7 @@
         request = waiting.request
         self._grant_counter += 1
         announcement = choice.backend.announcement
+        rate_limit = choice.backend.rate_limit
         first_token = expected_first_token(choice.backend, request, now)
         message = SlotGrant(
             request.request_id,
@@ -418,6 +455,7 @@
             int((now - waiting.queued_at) * 1000),
             self._use_until(request, waiting.queued_at, now),
             announcement.incarnation,
+            None if rate_limit is None else rate_limit.named,
         )
         grant = Grant(
             waiting.entry,
@@ -436,7 +474,9 @@
         if not request.tries:
             self._budget.record_first_attempt(now)
         self._grants.add(grant)
-        self._reserve(choice.backend, grant)
+        if rate_limit is not None:
+            rate_limit.count_request(now)
+        self._reserve(choice.backend, grant, now)
         self._servers.record_prefixes(choice.backend, request)
         self._gate.record_start(version)
         self._send(waiting.entry, message)
@@ -450,11 +490,11 @@
         for grant in self._grants:
             is_here = grant.message.backend_id == backend_id
             if is_here and grant.grant_id not in reserved:
-                self._reserve(backend, grant)
+                self._reserve(backend, grant, now)
 
-    def _reserve(self, backend: Backend, grant: Grant) -> None:
+    def _reserve(self, backend: Backend, grant: Grant, now: float) -> None:
         reservation = Reservation(grant.grant_id, grant.request.tokens)
-        self._servers.reserve(backend, reservation)
+        self._servers.reserve(backend, reservation, now)
 
     def _end_grant(self, grant_id: str, now: float) -> Grant | None:
         grant = self._grants.remove(grant_id)
@@ -519,6 +559,10 @@
         return effects
 
 
+def _is_lower(rate_limit: float | None, known: float) -> bool:
+    return rate_limit is not None and rate_limit < known
+
+
 def _server_time(
     backend: Backend, request: SlotRequest, answer_tokens: int
 ) -> ServerTime:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -3,7 +3,7 @@
 import random
 from collections import OrderedDict
 
-from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.backends import Announcement, Backend, RateLimit, Reservation
 from sassafraspin.dispatch.messages import SlotRequest
 from sassafraspin.settings import Address
 
@@ -57,15 +57,19 @@
     ----------
     generator : random.Random
         Samples the servers to compare when there are many.
+    rate_share : float
+        Part of the servers' rate limits that this table may use.
     """
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(self, generator: random.Random, rate_share: float = 1.0) -> None:
         self._generator = generator
+        self._rate_share = rate_share
         self._backends: dict[str, Backend] = {}
         self._by_address: dict[Address, str] = {}
         self._accepting: list[Backend] = []
         self._free = _RandomSet()
-        self._open_slots = 0
+        self._unlimited_slots = 0
+        self._limited: list[Backend] = []
         self._best_prefill_rate = 1.0
         self._best_decode_rate = 1.0
         self._prefix_holders: OrderedDict[int, str] = OrderedDict()
@@ -80,10 +84,33 @@
         """Return the servers that accepted work at the last refresh, by name."""
         return tuple(self._accepting)
 
-    @property
-    def open_slots(self) -> int:
-        """Return the number of slots, free or busy, of servers that accept work."""
-        return self._open_slots
+    def open_slots(self, now: float) -> int:
+        """Return the number of slots of servers that accept work, free or busy.
+
+        Of a server with a rate limit, only those free slots count that it allows to use
+        now.
+        """
+        limited = sum(backend.usable_slots(now) for backend in self._limited)
+        return self._unlimited_slots + limited
+
+    def rate_wait(self, position: int, now: float) -> float:
+        """Return the time until the rate limits allow a request, in seconds.
+
+        It is 0 if a server that accepts work has no limit.
+
+        Parameters
+        ----------
+        position : int
+            Number of requests that are sent before.
+        now : float
+            Monotonic time in seconds.
+        """
+        if len(self._limited) < len(self._accepting):
+            return 0.0
+        limits = [item.rate_limit for item in self._limited]
+        rate = sum(limit.rate for limit in limits)
+        missing = position + 1 - sum(limit.level(now) for limit in limits)
+        return max(0.0, missing / rate) if rate else 0.0
 
     @property
     def accepts_work(self) -> bool:
@@ -162,12 +189,25 @@
             else:
                 backend.apply_announcement(announcement, now)
                 self._index_address(backend)
+                self._follow_limit(backend, announcement, now)
         self.refresh(now)
 
     def _add(self, announcement: Announcement, now: float) -> None:
         backend = Backend(announcement, now)
         self._backends[announcement.id] = backend
         self._index_address(backend)
+        self._follow_limit(backend, announcement, now)
+
+    def _follow_limit(
+        self, backend: Backend, announcement: Announcement, now: float
+    ) -> None:
+        """Apply the rate limit that a dispatcher has published, if it is a new one.
+
+        Only an answer of the server ends a limit.
+        """
+        named, known = announcement.rate_limit, backend.rate_limit
+        if named is not None and (known is None or known.named != named):
+            backend.limit_rate(RateLimit(named, self._rate_share, now))
 
     def _remove(self, backend_id: str) -> None:
         backend = self._backends.pop(backend_id)
@@ -203,18 +243,32 @@
             (item for item in self._backends.values() if item.accepts_work(now)),
             key=lambda item: item.announcement.id,
         )
-        self._open_slots = sum(item.announcement.slots for item in self._accepting)
+        self._limited = [
+            item for item in self._accepting if item.rate_limit is not None
+        ]
+        self._unlimited_slots = sum(
+            item.announcement.slots
+            for item in self._accepting
+            if item.rate_limit is None
+        )
         speeds = [item.speed for item in self._accepting]
         self._best_prefill_rate = max((s.prefill_rate for s in speeds), default=1.0)
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
-            self._free.set(backend_id, backend_id in accepting and _has_slot(backend))
+            is_free = backend_id in accepting and _is_free(backend, now)
+            self._free.set(backend_id, is_free)
+
+    def limit_rate(self, backend: Backend, named: float | None, now: float) -> None:
+        """Set the rate limit that a server has named, or end it."""
+        limit = None if named is None else RateLimit(named, self._rate_share, now)
+        backend.limit_rate(limit)
+        self.refresh(now)
 
-    def reserve(self, backend: Backend, reservation: Reservation) -> None:
+    def reserve(self, backend: Backend, reservation: Reservation, now: float) -> None:
         """Reserve capacity on a server."""
         backend.reserve(reservation)
-        if not _has_slot(backend):
+        if not _is_free(backend, now):
             self._free.set(backend.announcement.id, False)
 
     def release(self, backend_id: str, grant_id: str, now: float) -> None:
@@ -224,7 +278,7 @@
             return
         backend.release(grant_id)
         if backend.accepts_work(now):
-            self._free.set(backend_id, _has_slot(backend))
+            self._free.set(backend_id, _is_free(backend, now))
 
     def withdraw(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a server; return whether it is known."""
@@ -311,6 +365,7 @@
         and backend.has_room(request.tokens)
         and backend.announcement.id not in request.avoid
         and backend.accepts_work(now)
+        and backend.allows_request(now)
     )
 
 
@@ -318,8 +373,10 @@
     return version in backend.announcement.versions
 
 
-def _has_slot(backend: Backend) -> bool:
-    return backend.busy_slots < backend.announcement.slots
+def _is_free(backend: Backend, now: float) -> bool:
+    """Return whether a server has a free slot that it allows to use now."""
+    has_slot = backend.busy_slots < backend.announcement.slots
+    return has_slot and backend.allows_request(now)
 
 
 def _has_same_capacity(before: Announcement, after: Announcement) -> bool:
--- a/src/sassafraspin/routed/attempt.py
+++ b/src/sassafraspin/routed/attempt.py
@@ -24,7 +24,12 @@
 
 @dataclass(frozen=True)
 class NotRun:
-    """The request was not run: it was not sent, or the backend server refused it."""
+    """The request was not run: it was not sent, or the backend server refused it.
+
+    ``names_limit`` says that the server named a rate limit with its refusal.
+    """
+
+    names_limit: bool = False
 
 
 @dataclass(frozen=True)
@@ -78,9 +83,10 @@
     match outcome:
         case Delivered():
             return ReleaseResult.ANSWERED
+        # A refusal by a rate limit is no failure of the server.
+        case Unused() | NotRun(names_limit=True):
+            return ReleaseResult.CANCELLED
         case NotRun():
             return ReleaseResult.NOT_SENT
-        case Unused():
-            return ReleaseResult.CANCELLED
         case Failed() | Lost():
             return ReleaseResult.FAILED
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -9,6 +9,7 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.dispatch import (
+    RateLimitNotice,
     RefusalReason,
     ReleaseResult,
     SlotGrant,
@@ -258,6 +259,7 @@
         return ServerRun(self._call.service, grant.backend_id, grant.incarnation)
 
     def _record_notice(self, grant: SlotGrant, notice: ServerNotice) -> None:
+        self._report_rate_limit(grant, notice)
         run = self._server_run(grant)
         if self._notices.record(run, notice, self._node.now()):
             log_event(
@@ -269,6 +271,19 @@
                 )
             )
 
+    def _report_rate_limit(self, grant: SlotGrant, notice: ServerNotice) -> None:
+        """Tell the dispatcher if the server names another limit than it knows."""
+        if notice.request_rate != grant.rate_limit:
+            self._slots.report_rate_limit(
+                RateLimitNotice(
+                    self._call.service,
+                    grant.grant_id,
+                    grant.backend_id,
+                    grant.incarnation,
+                    notice.request_rate,
+                )
+            )
+
     async def _has_crashed(self, address: Address) -> bool:
         """Return whether a server that lost a request with shared parts has crashed.
 
@@ -291,7 +306,7 @@
             # The head decides alone, whatever becomes of the body.
             self._may_have_run = False
             await response.discard()
-            return NotRun()
+            return NotRun(names_limit=metadata.notice.rate_limit is not None)
         is_success = 200 <= response.status < 300
         # Callers reject a success without the seal header.
         if is_success and not metadata.is_sealed:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -133,6 +133,10 @@
         """Return the dispatch settings of this instance."""
         return self._node.settings.dispatch
 
+    def rate_share(self) -> float:
+        """Return the whole: only the leader dispatches."""
+        return 1.0
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -15,6 +15,7 @@
     ActiveGrant,
     AnnounceBackend,
     HeldGrants,
+    RateLimitNotice,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -253,7 +254,7 @@
                 self._dispatch.receive(source.name, message)
             case SlotRequest() | ActiveGrant() | SlotWithdraw():
                 self._dispatch.receive(source.name, message)
-            case HeldGrants() | AnnounceBackend():
+            case HeldGrants() | AnnounceBackend() | RateLimitNotice():
                 self._dispatch.receive(source.name, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(source.name, message)
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -93,6 +93,10 @@
             self._budgets[service] = RetryBudget(self.settings())
         return self._budgets[service]
 
+    def rate_share(self) -> float:
+        """Return an equal part: any instance may use any server."""
+        return 1 / self._instance_count
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -26,6 +26,7 @@
     "PartReadmitted",
     "ResourceUsage",
     "ServerLeaving",
+    "RateLimitChanged",
     "ServerNoticed",
     "StreamFailed",
     "TableInForce",
@@ -250,6 +251,21 @@
     pause_ms: int
 
 
+@dataclass(frozen=True)
+class RateLimitChanged(Event):
+    """A backend server named another rate limit in an answer, or none any more.
+
+    The dispatcher sends it no more than ``rate_limit`` requests a second from now on;
+    empty if it has no limit.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "The rate limit of a backend server changed."
+    server: str
+    incarnation: int
+    rate_limit: float | None
+
+
 @dataclass(frozen=True)
 class PartIsolated(Event):
     """Requests with a prompt part are refused from now on, by all instances.
@@ -333,6 +349,7 @@
     ResourceUsage,
     StreamFailed,
     TryEnded,
+    RateLimitChanged,
     ServerNoticed,
     PartIsolated,
     PartReadmitted,
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -19,6 +19,7 @@
 import msgspec
 import trio
 
+from sassafraspin.dispatch import RateLimitNotice
 from sassafraspin.http import Headers, Request
 from sassafraspin.membership import Member, MemberIdentity
 from sassafraspin.platform.adapter import PlatformAdapter
@@ -47,6 +48,7 @@
 _TICK_SECONDS = 0.1
 _ANNOUNCEMENT_SECONDS = 1.2
 _LEASE_SECONDS = 3.0
+_RATE_LIMIT = 2.7
 _HEADERS = Headers((("host", "control"),))
 
 
@@ -64,6 +66,8 @@
         Time that is played.
     freeze_leader_at : float or None
         When the leader freezes, for two seconds.
+    name_limit_at : float or None
+        When the leader is told that a server has named a rate limit.
     control_megabits, member_megabits : float
         Rates of the links.
     seed : int
@@ -75,6 +79,7 @@
     control: int = 6
     seconds: float = 15.0
     freeze_leader_at: float | None = None
+    name_limit_at: float | None = None
     control_megabits: float = 100.0
     member_megabits: float = 5.0
     seed: int = 1
@@ -100,6 +105,9 @@
         Longest time that a message of a control instance waited for its link.
     complete_directories : int
         Instances that knew all servers at the end.
+    limit_known_seconds : float or None
+        Time until every instance knew the rate limit that was named, ``None`` if one of
+        them did not learn it.
     """
 
     terms: set[int] = field(default_factory=set)
@@ -110,6 +118,7 @@
     dropped_messages: int = 0
     longest_queue_seconds: float = 0.0
     complete_directories: int = 0
+    limit_known_seconds: float | None = None
 
 
 class _Link:
@@ -171,6 +180,8 @@
                 nursery.start_soon(self._announce, number)
             if self._shape.freeze_leader_at is not None:
                 nursery.start_soon(self._freeze_leader)
+            if self._shape.name_limit_at is not None:
+                nursery.start_soon(self._name_limit)
             await self._watch()
             nursery.cancel_scope.cancel()
         self._report.complete_directories = sum(
@@ -228,6 +239,24 @@
         await trio.sleep(2.0)
         self._frozen.discard(leader)
 
+    async def _name_limit(self) -> None:
+        """Tell the leader of a limit and wait until every instance knows it."""
+        await trio.sleep_until(self._shape.name_limit_at)
+        leader = self._leader()
+        assert leader is not None
+        server = next(self._runtimes[leader]._directory.of_service("desk"))
+        notice = RateLimitNotice(
+            "desk", "g", server.id, server.incarnation, _RATE_LIMIT
+        )
+        self._runtimes[leader].receive(MemberIdentity(leader, 1), notice)
+        while not all(
+            runtime._directory.find(server.id).rate_limit == _RATE_LIMIT
+            for runtime in self._runtimes.values()
+        ):
+            await trio.sleep(0.01)
+        named_at = self._shape.name_limit_at
+        self._report.limit_known_seconds = trio.current_time() - named_at
+
     async def _watch(self) -> None:
         step = 0.01
         while self._leader() is None and trio.current_time() < self._shape.seconds:
--- a/tests/pool_model.py
+++ b/tests/pool_model.py
@@ -6,6 +6,7 @@
 from sassafraspin.admission import AccountLimits
 from sassafraspin.backends import Announcement
 from sassafraspin.dispatch import (
+    RateLimitNotice,
     RefusalReason,
     ReleaseResult,
     SlotGrant,
@@ -95,6 +96,7 @@
         self.waiting: dict[str, SlotRequest] = {}
         self.running: dict[str, Running] = {}
         self.refused: list[Refused] = []
+        self.refusals: list[SlotRefusal] = []
         self.granted: list[str] = []
         self._counter = 0
         self._announcements = 0
@@ -114,6 +116,7 @@
         deadline_ms: int = 5_000,
         cancellable: bool = False,
         account: str = "a",
+        avoid: tuple[str, ...] = (),
     ) -> SlotRequest:
         """Request a slot."""
         self._counter += 1
@@ -128,11 +131,24 @@
             answer_tokens,
             deadline_ms,
             cancellable,
+            avoid=avoid,
         )
         self.waiting[request.request_id] = request
         self._run(self.pool.request("entry-1", request, self.now))
         return request
 
+    def name_limit(
+        self, number: int, rate_limit: float | None, grant_id: str = ""
+    ) -> None:
+        """Report the rate limit that a server named in the answer to a request."""
+        notice = RateLimitNotice(SERVICE, grant_id, f"runner-{number}", 1, rate_limit)
+        self._run(self.pool.record_rate_limit(notice, self.now))
+
+    def grants_of(self, number: int) -> list[SlotGrant]:
+        """Return the grants of a server that are in use."""
+        grants = (item.grant for item in self.running.values())
+        return [grant for grant in grants if grant.backend_id == f"runner-{number}"]
+
     def advance(self, seconds: float) -> None:
         """Advance the clock in the daemon's ticks; running requests end when due."""
         end = self.now + seconds
@@ -200,6 +216,7 @@
         self.running[grant.request_id] = Running(request, grant, self.now + seconds)
 
     def _on_refusal(self, refusal: SlotRefusal) -> None:
+        self.refusals.append(refusal)
         request = self.waiting.pop(refusal.request_id)
         self.refused.append(Refused(request, refusal.reason, self.now))
         self._check_refusal(request, refusal.reason)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,22 @@
 """What a leader that takes over sends in its first second, by member."""
 
 
+MAX_LIMIT_SECONDS = 3.0
+"""Time within which every instance in touch has to obey a rate limit."""
+
+
+class TestLimitsInLargeFleets(unittest.TestCase):
+    """A rate limit that one instance was told is known to all."""
+
+    def test_limit_is_known_to_all_in_time(self):
+        for instances in (10, 200):
+            with self.subTest(instances=instances):
+                shape = FleetShape(instances, 162, seconds=12.0, name_limit_at=8.0)
+                seconds = play_fleet(shape).limit_known_seconds
+                self.assertIsNotNone(seconds)
+                self.assertLess(seconds, MAX_LIMIT_SECONDS)
+
+
 class TestLeaderOfLargeFleets(unittest.TestCase):
     """One leader while nothing fails, and the next one soon after it froze."""
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -6,8 +6,10 @@
 import trio
 
 from sassafraspin.backends import ServerNotice, ServerNotices, ServerRun
+from sassafraspin.dispatch import ReleaseResult
 from sassafraspin.http import Headers, Request, Responder, Response
 from sassafraspin.platform.adapter import PlatformAdapter
+from sassafraspin.routed.attempt import NotRun, release_result
 from tests.routed_deployment import (
     FakeRunner,
     RoutedDeployment,
@@ -33,6 +35,16 @@
     await responder.send(Response(200, leaving(request), b"answer"))
 
 
+def naming_limit(text: str):
+    """Return the behaviour of a server that names a rate limit."""
+
+    async def answer_with_limit(request: Request, responder: Responder) -> None:
+        headers = runner_headers(request).adding("server-limit", text)
+        await responder.send(Response(200, headers, b"answer"))
+
+    return answer_with_limit
+
+
 def refusing(retry_after: str):
     """Return the behaviour of a server that wants a pause."""
 
@@ -252,6 +264,50 @@
         self.run_scenario(scenario, runners=1)
 
 
+class TestServersThatNameALimit(NoticeTestCase):
+    """``Server-Limit`` in an answer."""
+
+    async def refused_by_limit(self, text: str) -> tuple[list[int], int]:
+        """Let one of two servers name a limit; return statuses and its requests."""
+        result: tuple[list[int], int] = [], 0
+        async with routed_deployment(2) as deployment:
+            first, _ = deployment.runners
+            first.behaviour = naming_limit(text)
+            while not first.requests:
+                await deployment.call("/unsafe/1")
+            known = len(first.requests)
+            statuses = [
+                (await deployment.call("/unsafe/1")).status for _ in range(CALLS)
+            ]
+            result = statuses, len(first.requests) - known
+        return result
+
+    def name_limit(self, text: str) -> tuple[list[int], int]:
+        async def run() -> tuple[list[int], int]:
+            with trio.fail_after(GUARD_SECONDS):
+                return await self.refused_by_limit(text)
+
+        return trio.run(run)
+
+    def test_refusal_with_a_limit_is_no_failure_of_the_server(self):
+        result = release_result(NotRun(names_limit=True))
+        self.assertIs(result, ReleaseResult.CANCELLED)
+
+    def test_others_serve_what_exceeds_the_limit(self):
+        for text in ("0", "0.000001"):
+            with self.subTest(text=text):
+                statuses, used = self.name_limit(text)
+                self.assertEqual(set(statuses), {200})
+                self.assertLess(used, CALLS / 4)
+
+    def test_values_that_are_no_number_of_requests_limit_nothing(self):
+        for text in ("-1", "1e400", "nan", "", "2,7", "9" * 400):
+            with self.subTest(text=text[:20]):
+                statuses, used = self.name_limit(text)
+                self.assertEqual(set(statuses), {200})
+                self.assertGreater(used, 0)
+
+
 class RepeatingServer:
     """Writes a refusal once more, without an identifier, on the same connection.
 
