Log a digest by which equal requests are recognised

Observability for BUDGET: route and account were logged, and many sound requests share both, so no log could tell whether the requests under which servers crashed were equal. No decision depends on it.

--- a/src/sassafraspin/isolation/__init__.py
+++ b/src/sassafraspin/isolation/__init__.py
@@ -2,6 +2,7 @@
 
 from sassafraspin.isolation.evidence import CrashEvidence, PartVerdict
 from sassafraspin.isolation.messages import CrashReport, SuspectedCrash
+from sassafraspin.isolation.signatures import request_signature
 from sassafraspin.isolation.store import IsolatedPart, IsolationStore
 
 __all__ = [
@@ -11,4 +12,5 @@
     "IsolationStore",
     "PartVerdict",
     "SuspectedCrash",
+    "request_signature",
 ]
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -7,6 +7,7 @@
 from sassafraspin.backends import shared_parts
 from sassafraspin.dispatch import LOWEST_TIER, SlotRequest
 from sassafraspin.http import Request
+from sassafraspin.isolation import request_signature
 from sassafraspin.routed.adapter import CallMetadata
 from sassafraspin.routed.problems import NoRoute, UnknownKey
 from sassafraspin.routes import (
@@ -53,6 +54,8 @@
         Tokens in one event of the answer stream.
     table_version : int
         Version of the routing table that was used.
+    signature : str
+        Digest that equal requests share.
     """
 
     call_id: str
@@ -64,6 +67,7 @@
     deadline_ms: int
     tokens_per_event: int
     table_version: int
+    signature: str
 
     @property
     def tier(self) -> int:
@@ -186,4 +190,11 @@
         min(timeout_ms, route.timeout_ms),
         index.tokens_per_event(service),
         index.table.version,
+        request_signature(
+            service,
+            "" if account is None else account.name,
+            request.method,
+            request.target,
+            request.body,
+        ),
     )
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -396,6 +396,7 @@
                 total_ms=_ms(self._node.now() - progress.sent_at),
                 events=progress.events,
                 parts=self._call.shared_parts,
+                signature=self._call.signature,
                 server_crashed=progress.server_crashed,
                 broken_off=progress.was_broken_off,
                 framing=None if progress.framing is None else progress.framing.value,
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -200,13 +200,15 @@
     ``waited_ms`` is the time spent waiting for a slot at the dispatcher, ``asked_ms``
     the time from the arrival of the request until it was sent to the server,
     ``expected_first_ms`` the dispatcher's estimate of ``first_ms``, and ``tries`` the
-    number of servers that were tried before. ``framing`` is how the server declared the
-    end of its answer: ``length``, ``chunked``, ``none`` without a body, ``connection``
-    if it ends with its connection, empty if no answer began. ``parts`` are the prompt
-    parts that other requests may share, ``server_crashed`` says that the server refused
-    connections after the answer was lost, and ``broken_off`` that it closed or reset
-    the connection before its answer was complete. ``rate_limit`` is the limit that the
-    server named in its answer, in requests a second, empty if it named none.
+    number of servers that were tried before. ``signature`` is a digest that equal
+    requests of an account to a service share. ``framing`` is how the server declared
+    the end of its answer: ``length``, ``chunked``, ``none`` without a body,
+    ``connection`` if it ends with its connection, empty if no answer began. ``parts``
+    are the prompt parts that other requests may share, ``server_crashed`` says that the
+    server refused connections after the answer was lost, and ``broken_off`` that it
+    closed or reset the connection before its answer was complete. ``rate_limit`` is the
+    limit that the server named in its answer, in requests a second, empty if it named
+    none.
     """
 
     part: ClassVar[str] = "entry"
@@ -229,6 +231,7 @@
     total_ms: int
     events: int
     parts: tuple[str, ...]
+    signature: str
     server_crashed: bool
     broken_off: bool
     framing: str | None
