--- a/tests/drain_deployment.py
+++ b/tests/drain_deployment.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from sassafraspin.http import ConnectFailed, ConnectionLost, Headers, Request, Response
+from sassafraspin.settings import Address
 from tests.drain_world import (
     CONTROL_NAMES,
     INSTANCE_NAMES,
@@ -233,7 +234,7 @@
         }
         self.contact = Contact(self.instances, self.links)
         self.servers = {
-            name: Server(name, number, self._exchange, self._acknowledged, self._fork())
+            name: self._make_server(name, number)
             for number, name in enumerate(
                 (f"s{number}" for number in range(1, servers + 1)), start=1
             )
@@ -266,6 +267,9 @@
                 logger.remove(handler)
         return self.report
 
+    def _make_server(self, name: str, number: int) -> Server:
+        return Server(name, number, self._exchange, self._acknowledged, self._fork())
+
     # State
 
     def leader(self) -> Instance | None:
@@ -293,7 +297,9 @@
             return
         self.note(f"start {name}")
         self.contact.change(
-            lambda: instance.start(self._nursery, self._deliver, self._reach),
+            lambda: instance.start(
+                self._nursery, self._deliver, self._reach, self._refuses
+            ),
             [name],
         )
 
@@ -475,7 +481,7 @@
             if name not in self.idle:
                 self._send_call(name, kind)
 
-    def _send_call(self, name: str, kind: str) -> None:
+    def _send_call(self, name: str, kind: str, body: bytes = b"question") -> None:
         self._call_counter += 1
         request_id = f"call-{self._call_counter}"
         headers = Headers(
@@ -485,7 +491,7 @@
                 ("authorization", f"Token {KEY}"),
             )
         )
-        request = Request("POST", f"/{kind}/x", headers, b"question")
+        request = Request("POST", f"/{kind}/x", headers, body)
         responder = CallResponder()
         call = Call(
             request_id,
@@ -515,6 +521,10 @@
         if len(call.runs) > 1 and not call.is_idempotent:
             self._violate("TWICE", call)
 
+    def _refuses(self, address: Address) -> bool:
+        """Return whether no process listens on the address of a server."""
+        return False
+
     async def _reach(self, instance: Instance, request: Request) -> Answer:
         """Answer a request that an instance sends to a server."""
         server = self.servers[request.headers.get("x-expect-instance")]
--- a/tests/drain_world.py
+++ b/tests/drain_world.py
@@ -320,15 +320,19 @@
     reach : callable
         Coroutine function that is called with the instance and the request, and
         returns the answer of the server.
+    refuses : callable
+        Returns whether no process listens on an address.
     """
 
     def __init__(
         self,
         instance: "Instance",
         reach: Callable[["Instance", Request], Awaitable[Answer]],
+        refuses: Callable[[Address], bool],
     ) -> None:
         self._instance = instance
         self._reach = reach
+        self._refuses = refuses
 
     @asynccontextmanager
     async def open(self, address: Address, request: Request) -> AsyncIterator[Answer]:
@@ -336,8 +340,8 @@
         yield await self._reach(self._instance, request)
 
     async def refuses_connections(self, address: Address) -> bool:
-        """Return that the address accepts connections."""
-        return False
+        """Return whether no process listens on an address."""
+        return self._refuses(address)
 
     def close_unusable(self) -> None:
         """Do nothing: there are no connections."""
@@ -393,13 +397,14 @@
         nursery: trio.Nursery,
         deliver: Callable[[str, str, bytes], None],
         reach: Callable[["Instance", Request], Awaitable[Answer]],
+        refuses: Callable[[Address], bool],
     ) -> None:
         """Start a process with a new incarnation; a control instance has its disk."""
         self.incarnation += 1
         self.gate = Gate()
         self._inbox.clear()
         self._port = Port(self, lambda peer, frame: deliver(self.name, peer, frame))
-        client = ServerClient(self, reach)
+        client = ServerClient(self, reach, refuses)
         with _patched_surroundings(self.clock, self._files, client):
             self.runtime = RoutedRuntime(
                 _settings(self),
