Try equal requests one at a time after a crash, and isolate them after three

Cause: a crash that a request causes was held against its server unless the request named parts of a prompt. Copies at several instances had nothing in common, and a retry looked as fresh as the first try. Ruled out: late evidence (there was none) and faulty servers (each crash has a request of one route and account, and the servers answer others in between).

Parts and equal requests are signatures in one mechanism now. A suspect runs at one server at a time and apart from other suspects, after three crashes once in three seconds; an answer clears it, the third crash finds it. Verdicts on requests end after ten minutes.

Tests: the requests of the harmful parts' tests said that no two are alike and had equal bodies; requests with other prompts have other bodies now.

--- a/benchmarks/isolation_cost.py
+++ b/benchmarks/isolation_cost.py
@@ -11,7 +11,12 @@
 import msgspec
 
 from sassafraspin.dispatch import ReleaseResult, SlotRelease
-from sassafraspin.isolation import CrashEvidence, IsolatedPart, IsolationStore
+from sassafraspin.isolation import (
+    CrashEvidence,
+    IsolatedPart,
+    IsolationStore,
+    request_signature,
+)
 
 _REPEATS = 20_000
 _ENDS = 256
@@ -36,6 +41,9 @@
     answer_us = _microseconds(lambda: _record_answer(evidence), _REPEATS)
     look_up_us = _microseconds(lambda: store.find(_PARTS), _REPEATS)
     tick_us = _microseconds(lambda: CrashEvidence().find_harmful(1.0), _REPEATS)
+    sign_us = _microseconds(lambda: _sign(2_000), _REPEATS)
+    sign_large_ms = _microseconds(lambda: _sign(4_000_000), 20) / 1000
+    suspicion_us = _microseconds(lambda: evidence.suspicion(_sign(0)), _REPEATS)
     find_ms = _microseconds(lambda: _full_evidence().find_harmful(1e6), 20) / 1000
     build_ms = _microseconds(_full_evidence, 20) / 1000
     report = evidence.report(1.0)
@@ -45,6 +53,9 @@
         "bytes of a report with two parts, beside one without": (
             f"{_release_bytes(_PARTS)}, {_release_bytes(())}"
         ),
+        "signature of a request of 2 kB": f"{sign_us:.2f} us",
+        "signature of a request of 4 MB": f"{sign_large_ms:.2f} ms",
+        "signature of an empty request, and its suspicion": f"{suspicion_us:.2f} us",
         "periodic look without evidence": f"{tick_us:.2f} us",
         "search for a harmful part with 256 ends of 7 requests": (
             f"{find_ms - build_ms:.1f} ms"
@@ -55,6 +66,11 @@
     }
 
 
+def _sign(body_bytes: int) -> str:
+    body = b"x" * body_bytes
+    return request_signature("scribe-pool", "lehu860", "POST", "/rpd/2f", body)
+
+
 def _record_answer(evidence: CrashEvidence) -> None:
     evidence.record_answer(_PARTS, 1.0)
     evidence.record_running("server0", 0.5, 1.0)
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -98,7 +98,10 @@
 
 
 class IsolatePart(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Refuse requests with a prompt part, under which the named servers crashed."""
+    """Refuse requests under which the named servers crashed.
+
+    ``part`` is their signature: that of a prompt part, or of equal requests.
+    """
 
     change_id: str
     at_ms: int
@@ -123,7 +126,7 @@
 
 
 class ReadmitPart(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Accept requests with an isolated prompt part again."""
+    """Accept requests with an isolated signature again."""
 
     change_id: str
     operator: str
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -19,9 +19,11 @@
     SlotRequest,
     SlotWithdraw,
 )
+from sassafraspin.dispatch.grants import Grant
 from sassafraspin.dispatch.loading import LoadOrder, LoadPlanner
 from sassafraspin.dispatch.pool import Pool, PoolStatus, SendToEntry
 from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.isolation import Suspects
 from sassafraspin.membership import MemberTimings
 from sassafraspin.moves import RolloutSettings
 from sassafraspin.settings import ServiceSettings
@@ -62,6 +64,8 @@
     label : str
         Part of the grant identifiers that keeps them distinct from those of another
         ``DispatchService`` in the same process.
+    suspects : Suspects or None
+        Knows which requests may have crashed servers, ``None`` if nobody does.
     """
 
     def __init__(
@@ -71,12 +75,14 @@
         order: Callable[[LoadOrder, Callable[[], None]], None],
         scope: DispatchScope,
         label: str = "main",
+        suspects: Suspects | None = None,
     ) -> None:
         self._node = node
         self._generator = generator
         self._send_order = order
         self._scope = scope
         self._grant_label = label
+        self._suspects = suspects
         self._opened_pools = 0
         self._pools: dict[str, Pool] = {}
         self._planners: dict[str, LoadPlanner] = {}
@@ -167,6 +173,11 @@
                 return backend.announcement
         return None
 
+    def grant_of(self, release: SlotRelease) -> Grant | None:
+        """Return the grant that a message releases, ``None`` if it is not known."""
+        pool = self._pools.get(release.service)
+        return None if pool is None else pool.grant(release.grant_id)
+
     def apply_retirements(self) -> None:
         """Stop using the servers that the control log has retired.
 
@@ -246,6 +257,7 @@
             self._scope.known_backends(service.name),
             self._scope.retry_budget(service.name),
             self._scope.rate_share(),
+            self._suspects,
         )
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -19,6 +19,7 @@
 from sassafraspin.dispatch.messages import RefusalReason, SlotRequest
 from sassafraspin.dispatch.overload import OverloadControl
 from sassafraspin.dispatch.servers import ServerTable
+from sassafraspin.dispatch.trials import Trials
 
 __all__ = ["Admission"]
 
@@ -27,6 +28,9 @@
 _DEFAULT_RETRY_SECONDS = 1.0
 """Retry delay if no backend server may be chosen or the retry budget is exhausted."""
 
+_MAX_WAITING_COPIES = 4
+"""Equal requests in the queue, while they are suspected of a crash."""
+
 _REFUSAL_DELIVERY_MS = 120
 """Time reserved for a refusal to reach the caller: up to 50 ms until the dispatcher
 decides (the minimum interval of its scan for late requests), and the rest for
@@ -54,6 +58,8 @@
         Backend servers.
     overload : OverloadControl
         Estimates waiting times and sends refusals.
+    trials : Trials
+        Decides when requests may run that may have crashed servers.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
         grants: GrantTable,
         servers: ServerTable,
         overload: OverloadControl,
+        trials: Trials,
     ) -> None:
         self._limits = limits
         self._budget = budget
@@ -71,6 +78,7 @@
         self._grants = grants
         self._servers = servers
         self._overload = overload
+        self._trials = trials
 
     def admit(self, entry: str, request: SlotRequest, now: float) -> None:
         """Queue a request or refuse it.
@@ -114,6 +122,10 @@
             request
         ):
             return RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
+        if self._trials.is_suspect(request):
+            pause = self._trials.pause(request, now)
+            if pause > 0 or self._waiting_copies(request) >= _MAX_WAITING_COPIES:
+                return RefusalReason.ON_TRIAL, max(pause, _DEFAULT_RETRY_SECONDS)
         if request.tries and not self._budget.try_acquire(now):
             return RefusalReason.RETRY_BUDGET, _DEFAULT_RETRY_SECONDS
         decision = self._limits.admit(request, now)
@@ -121,6 +133,11 @@
             return RefusalReason.ACCOUNT_LIMIT, decision.retry_after
         return None
 
+    def _waiting_copies(self, request: SlotRequest) -> int:
+        """Return the number of equal requests in the queue."""
+        signature = request.signature
+        return sum(item.request.signature == signature for item in self._queue)
+
     def _waiting(self, entry: str, request: SlotRequest, now: float) -> WaitingRequest:
         """Return the queue item for a request.
 
--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -69,6 +69,7 @@
     def __init__(self) -> None:
         self._grants: dict[str, Grant] = {}
         self._by_request: dict[str, Grant] = {}
+        self._by_signature: dict[str, dict[str, Grant]] = {}
         self._cancellable: list[dict[str, Grant]] = [{} for _ in range(LOWEST_TIER + 1)]
         self._revoked = 0
         self._ends: list[float] = []
@@ -102,6 +103,10 @@
         """Return the grant of a request."""
         return self._by_request.get(request_id)
 
+    def of_signature(self, signature: str) -> tuple[Grant, ...]:
+        """Return the grants of equal requests."""
+        return tuple(self._by_signature.get(signature, {}).values())
+
     @property
     def mean_seconds(self) -> float:
         """Return the expected mean time from the grant to the end of the answer."""
@@ -137,6 +142,9 @@
         """Add a grant."""
         self._grants[grant.grant_id] = grant
         self._by_request[grant.request.request_id] = grant
+        if grant.request.signature:
+            equal = self._by_signature.setdefault(grant.request.signature, {})
+            equal[grant.grant_id] = grant
         insort(self._ends, grant.expected_end)
         self._expected_end_sum += grant.expected_end
         self._granted_at_sum += grant.granted_at
@@ -155,6 +163,7 @@
         if grant is None:
             return None
         self._by_request.pop(grant.request.request_id, None)
+        self._remove_signature(grant)
         self._cancellable[grant.request.tier].pop(grant_id, None)
         self._revoked -= grant.revoked
         del self._ends[bisect_left(self._ends, grant.expected_end)]
@@ -165,6 +174,13 @@
             self._granted_at_sum = 0.0
         return grant
 
+    def _remove_signature(self, grant: Grant) -> None:
+        signature = grant.request.signature
+        equal = self._by_signature.get(signature, {})
+        equal.pop(grant.grant_id, None)
+        if not equal:
+            self._by_signature.pop(signature, None)
+
 
 def _is_being_cancelled(grant: Grant, now: float) -> bool:
     return (
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -39,6 +39,7 @@
     ACCOUNT_LIMIT = "account-limit"
     NOT_DISPATCHER = "not-dispatcher"
     RETRY_BUDGET = "retry-budget"
+    ON_TRIAL = "on-trial"
 
 
 class ReleaseResult(StrEnum):
@@ -86,6 +87,8 @@
         Number of backend servers that the request was sent to before.
     asked_at : float or None
         Time of the entry instance's clock at which it sent this message, in seconds.
+    signature : str
+        Signature that equal requests share, empty if it is not known.
     """
 
     request_id: str
@@ -106,6 +109,7 @@
     charged_tokens: int = 0
     tries: int = 0
     asked_at: float | None = None
+    signature: str = ""
 
     @property
     def tokens(self) -> int:
@@ -178,7 +182,8 @@
     ``may_have_crashed_server`` says that the server crashed while it was to answer the
     request, or soon after it had begun to; ``was_broken_off`` says that the server
     closed or reset the connection then. ``server_leaves`` says that the server
-    reported in its answer that it leaves.
+    reported in its answer that it leaves, and ``server_failed_it`` that the answer was
+    a complete one with an error status.
     """
 
     service: str
@@ -193,6 +198,7 @@
     may_have_crashed_server: bool = False
     was_broken_off: bool = False
     server_leaves: bool = False
+    server_failed_it: bool = False
 
 
 class RateLimitNotice(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -30,7 +30,9 @@
 )
 from sassafraspin.dispatch.overload import OverloadControl
 from sassafraspin.dispatch.servers import ServerTable
+from sassafraspin.dispatch.trials import Trials
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
+from sassafraspin.isolation import NoSuspects, Suspects
 from sassafraspin.routing import (
     BackendChoice,
     choose_backend,
@@ -100,6 +102,8 @@
         Retry budget of the service, ``None`` for a new one.
     rate_share : float
         Part of the servers' rate limits that the pool may use.
+    suspects : Suspects or None
+        Knows which requests may have crashed servers, ``None`` if nobody does.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         known: tuple[Announcement, ...] = (),
         budget: RetryBudget | None = None,
         rate_share: float = 1.0,
+        suspects: Suspects | None = None,
     ) -> None:
         self._service = service
         self._settings = settings
@@ -124,6 +129,7 @@
         self._servers = ServerTable(generator, rate_share)
         self._queue = WaitingQueue()
         self._grants = GrantTable()
+        self._trials = Trials(suspects or NoSuspects(), self._grants, now)
         self._grant_counter = 0
         self._effects: list[SendToEntry] = []
         self._overload = OverloadControl(
@@ -142,6 +148,7 @@
             self._grants,
             self._servers,
             self._overload,
+            self._trials,
         )
         self._servers.adopt(known, now)
 
@@ -155,6 +162,10 @@
         """Return the known backend servers."""
         return self._servers.all
 
+    def grant(self, grant_id: str) -> Grant | None:
+        """Return a grant that is in use, ``None`` if it is not known."""
+        return self._grants.get(grant_id)
+
     def server(self, backend_id: str) -> Backend | None:
         """Return a backend server by name, ``None`` if it is not known."""
         return self._servers.get(backend_id)
@@ -408,6 +419,8 @@
 
     def _try_grant(self, waiting: WaitingRequest, now: float) -> bool:
         request = waiting.request
+        if not self._trials.may_start(request, now):
+            return False
         version = self._gate.choose_version()
         choice = self._choose(waiting, version, now)
         other = self._gate.fallback_version(version)
@@ -433,7 +446,9 @@
             and now + expected_first_token(backend, request, now)
             <= waiting.disconnects_at
         ]
-        return choose_backend(candidates, request, now)
+        return choose_backend(
+            self._trials.choose(candidates, request, now), request, now
+        )
 
     def _grant(
         self, waiting: WaitingRequest, choice: BackendChoice, version: str, now: float
@@ -474,6 +489,7 @@
         if not request.tries:
             self._budget.record_first_attempt(now)
         self._grants.add(grant)
+        self._trials.record_start(grant, now)
         if rate_limit is not None:
             rate_limit.count_request(now)
         self._reserve(choice.backend, grant, now)
--- a/src/sassafraspin/isolation/store.py
+++ b/src/sassafraspin/isolation/store.py
@@ -1,4 +1,4 @@
-"""Isolated prompt parts, as agreed in the control log."""
+"""Isolated prompt parts and requests, as agreed in the control log."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -10,14 +10,14 @@
 
 @dataclass(frozen=True)
 class IsolatedPart:
-    """A prompt part whose requests are refused.
+    """A prompt part whose requests are refused, or an equal request that is.
 
     Parameters
     ----------
     part : str
-        Identifier of the part.
+        Signature: the identifier of the part, or the digest of the request.
     servers : tuple of str
-        Backend servers that crashed with requests that have the part.
+        Backend servers that crashed with requests that have it.
     since_ms : int
         Wall clock time of the isolation, in milliseconds since 1970.
     """
--- a/src/sassafraspin/routed/attempt.py
+++ b/src/sassafraspin/routed/attempt.py
@@ -68,6 +68,7 @@
     rate_limit: float | None = None
     was_broken_off: bool = False
     server_crashed: bool = False
+    server_failed_it: bool = False
 
     def record_data(self, now: float) -> None:
         """Record that a complete answer or a chunk of a stream has arrived."""
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -55,7 +55,7 @@
     table_version : int
         Version of the routing table that was used.
     signature : str
-        Digest that equal requests share.
+        Signature that equal requests share.
     """
 
     call_id: str
@@ -89,6 +89,11 @@
         """Return the identifiers of the prompt parts shared with other requests."""
         return shared_parts(self.metadata.prompt)
 
+    @property
+    def signatures(self) -> tuple[str, ...]:
+        """Return all signatures that other requests may share."""
+        return (*self.shared_parts, self.signature)
+
     @property
     def accepts_encodings(self) -> bool:
         """Return whether the caller asked for an encoded answer."""
@@ -150,6 +155,7 @@
             leaves_within_ms=max(1, patience_ms - idle_ms) if patience_ms else 0,
             charged_tokens=self.charged_tokens,
             tries=tries,
+            signature=self.signature,
         )
 
 
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -46,8 +46,8 @@
     AnswerLost,
     NoAnswerInTime,
     NotDispatched,
-    PartRefused,
     ServerRefused,
+    isolation_problem,
 )
 from sassafraspin.routed.stream import StreamHead, StreamRelay
 from sassafraspin.routes import RouteKind
@@ -124,10 +124,10 @@
         return self._stream.last_event_id or self._call.metadata.resume_after
 
     @property
-    def _isolated_part(self) -> str | None:
-        """Return a part of the prompt that is isolated, ``None`` if none is."""
+    def _isolated(self) -> str | None:
+        """Return a signature of the call that is isolated, ``None`` if none is."""
         isolation = self._node.configuration.state.isolation
-        return isolation.find(self._call.shared_parts)
+        return isolation.find(self._call.signatures)
 
     async def run(self) -> None:
         """Answer the call; raises ``RequestProblem`` if it cannot be answered."""
@@ -159,7 +159,7 @@
         await self._finish_without_success(None)
 
     def _may_try_again(self) -> bool:
-        if self._isolated_part is not None:
+        if self._isolated is not None:
             return False
         if self._last_failure is not None and not self._call.route.is_idempotent:
             return False
@@ -181,8 +181,8 @@
                 raise AnswerLost("the stream broke and could not go on elsewhere")
             case Lost(reason):
                 raise AnswerLost(reason)
-            case None if self._isolated_part is not None:
-                raise PartRefused(self._isolated_part)
+            case None if self._isolated is not None:
+                raise isolation_problem(self._isolated)
             case None if refusal is None:
                 raise ServerRefused("no backend server that was tried took it")
             case None if refusal.reason is RefusalReason.ACCOUNT_LIMIT:
@@ -229,8 +229,8 @@
     async def _send(
         self, grant: SlotGrant, progress: AttemptProgress
     ) -> AttemptOutcome:
-        # The part may have been isolated while the request waited for its slot.
-        if self._isolated_part is not None or not self._slots.is_usable(grant):
+        # It may have been isolated while the request waited for its slot.
+        if self._isolated is not None or not self._slots.is_usable(grant):
             return Unused()
         if self._notices.forbids(self._server_run(grant), self._node.now()):
             return Unused()
@@ -251,7 +251,10 @@
         except ConnectionLost as error:
             outcome = Lost(str(error))
             progress.was_broken_off = error.is_closed
-            progress.server_crashed = await self._has_crashed(address)
+            if error.is_closed or self._call.shared_parts:
+                progress.server_crashed = await self._client.refuses_connections(
+                    address
+                )
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
 
@@ -284,15 +287,6 @@
                 )
             )
 
-    async def _has_crashed(self, address: Address) -> bool:
-        """Return whether a server that lost a request with shared parts has crashed.
-
-        Other requests give no reason to look, and each look opens a connection.
-        """
-        if not self._call.shared_parts:
-            return False
-        return await self._client.refuses_connections(address)
-
     async def _read_response(
         self, response: OpenResponse, grant: SlotGrant, progress: AttemptProgress
     ) -> AttemptOutcome:
@@ -321,6 +315,7 @@
         body = await response.read()
         whole = Response(response.status, headers, body, response.is_framed)
         if not is_success:
+            progress.server_failed_it = True
             return Failed(whole)
         progress.record_data(self._node.now())
         await self._responder.send(whole)
@@ -369,6 +364,7 @@
                 progress.server_crashed and has_just_begun,
                 progress.was_broken_off and has_just_begun,
                 self._notices.leaves(self._server_run(grant)),
+                progress.server_failed_it,
             )
         )
 
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -1,24 +1,39 @@
-"""Isolation of harmful prompt parts by the control leader."""
+"""Isolation of prompt parts and requests that crash servers, by the control leader."""
 
 import uuid
 
-from sassafraspin.control import IsolatePart
+from sassafraspin.control import Command, IsolatePart, ReadmitPart
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.messages import Propose
-from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.node import Node, wall_clock_ms
 from sassafraspin.dispatch import ReleaseResult, SlotRelease
-from sassafraspin.isolation import CrashEvidence, CrashReport, PartVerdict
-from sassafraspin.telemetry.events import PartIsolated, log_event
-
-__all__ = ["PartIsolation"]
+from sassafraspin.dispatch.grants import Grant
+from sassafraspin.isolation import (
+    CrashEvidence,
+    CrashReport,
+    Harmful,
+    SignatureKind,
+    SignatureVerdict,
+    Suspicion,
+    signature_kind,
+)
+from sassafraspin.telemetry.events import PartIsolated, RequestIsolated, log_event
+
+__all__ = ["SignatureIsolation"]
 
 _PROPOSAL_INTERVAL_SECONDS = 0.3
 _REPORT_INTERVAL_SECONDS = 0.5
 _REPORT_RETENTION_SECONDS = 60.0
 _MS_PER_SECOND = 1000
 
+_REQUEST_ISOLATION_MS = 600_000
+"""Time after which an isolated request is tried again: its service may be mended."""
+
+_EXPIRY_INTERVAL_SECONDS = 10.0
+_EXPIRY_OPERATOR = "expiry"
 
-class PartIsolation:
+
+class SignatureIsolation:
     """Collects the evidence of all entry instances and proposes isolations.
 
     Entry instances report how each request ended to the dispatcher, which is the
@@ -39,26 +54,36 @@
         self._evidence = CrashEvidence()
         self._proposed: dict[str, IsolatePart] = {}
         self._next_proposal_at = 0.0
+        self._next_expiry_at = 0.0
         self._last_report = CrashReport()
         self._reported_at = node.now()
         self._was_leader = False
 
-    def record(self, release: SlotRelease) -> None:
-        """Record how a request with shared prompt parts ended."""
+    def suspicion(self, signature: str) -> Suspicion:
+        """Return how far an equal request is suspected."""
+        isolation = self._node.configuration.state.isolation
+        if signature in self._proposed or isolation.find((signature,)) is not None:
+            return Harmful()
+        return self._evidence.suspicion(signature)
+
+    def record(self, release: SlotRelease, grant: Grant | None) -> None:
+        """Record how a request ended; ``grant`` is that of its slot, if it is known."""
         now = self._node.now()
-        server, parts = release.backend_id, release.parts
-        if not parts:
-            return
-        if release.result is ReleaseResult.ANSWERED:
+        server, incarnation = release.backend_id, 0
+        signatures = release.parts
+        if grant is not None:
+            incarnation = grant.message.incarnation
+            signatures = tuple(filter(None, (*signatures, grant.request.signature)))
+        if release.result is ReleaseResult.ANSWERED or release.server_failed_it:
             sent_at = now - release.total_ms / _MS_PER_SECOND
-            self._evidence.record_answer(parts, now)
-            self._evidence.record_running(server, sent_at, now)
-        elif self._is_explained(release):
+            self._evidence.record_answer(signatures, now)
+            self._evidence.record_running(server, sent_at, now, incarnation)
+        elif not signatures or self._is_explained(signatures):
             return
         elif release.may_have_crashed_server:
-            self._evidence.record_crash(server, parts, now)
+            self._evidence.record_crash(server, signatures, now, incarnation)
         elif release.was_broken_off:
-            self._evidence.record_loss(server, parts, now)
+            self._evidence.record_loss(server, signatures, now, incarnation)
 
     def tick(self) -> None:
         """On the leader, isolate the parts found and report what is suspected."""
@@ -73,6 +98,7 @@
             self._isolate(verdict)
         self._send_report(now)
         self._propose_again(now)
+        self._readmit_expired(now)
 
     def on_report(self, report: CrashReport) -> None:
         """Keep the latest report of the leader."""
@@ -113,19 +139,39 @@
             if isolation.find((part,)) is None
         }
         for command in self._proposed.values():
-            self._node.send(self._node.name, Propose(command))
+            self._propose(command)
 
-    def _is_explained(self, release: SlotRelease) -> bool:
-        """Return whether a part that was found already explains the crash."""
-        if any(part in self._proposed for part in release.parts):
+    def _readmit_expired(self, now: float) -> None:
+        """End the isolation of requests after some time; parts stay isolated."""
+        if now < self._next_expiry_at:
+            return
+        self._next_expiry_at = now + _EXPIRY_INTERVAL_SECONDS
+        isolated_before = wall_clock_ms() - _REQUEST_ISOLATION_MS
+        for item in self._node.configuration.state.isolation.all_parts():
+            is_request = signature_kind(item.part) is SignatureKind.REQUEST
+            if is_request and item.since_ms < isolated_before:
+                change_id = f"expire-{uuid.uuid4().hex}"
+                self._propose(ReadmitPart(change_id, _EXPIRY_OPERATOR, 0, item.part))
+
+    def _is_explained(self, signatures: tuple[str, ...]) -> bool:
+        """Return whether a signature that was found already explains the crash."""
+        if any(signature in self._proposed for signature in signatures):
             return True
         isolation = self._node.configuration.state.isolation
-        return isolation.find(release.parts) is not None
-
-    def _isolate(self, verdict: PartVerdict) -> None:
-        log_event(PartIsolated(verdict.part, verdict.servers, verdict.was_answered))
-        self._node.metrics.count("isolated_parts")
-        change_id = f"isolate-{uuid.uuid4().hex}"
-        command = IsolatePart(change_id, 0, verdict.part, verdict.servers)
-        self._proposed[verdict.part] = command
+        return isolation.find(signatures) is not None
+
+    def _isolate(self, verdict: SignatureVerdict) -> None:
+        signature, servers = verdict.signature, verdict.servers
+        match signature_kind(signature):
+            case SignatureKind.PART:
+                log_event(PartIsolated(signature, servers, verdict.was_answered))
+                self._node.metrics.count("isolated_parts")
+            case SignatureKind.REQUEST:
+                log_event(RequestIsolated(signature, servers, verdict.was_answered))
+                self._node.metrics.count("isolated_requests")
+        command = IsolatePart(f"isolate-{uuid.uuid4().hex}", 0, signature, servers)
+        self._proposed[signature] = command
+        self._propose(command)
+
+    def _propose(self, command: Command) -> None:
         self._node.send(self._node.name, Propose(command))
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -232,13 +232,13 @@
                 return RolloutState.RUNNING, move.spec.to_version
 
     def isolated_parts(self) -> tuple[IsolatedPart, ...]:
-        """Return the isolated prompt parts; raises ``NotCurrent`` unless leading."""
+        """Return what is isolated; raises ``NotCurrent`` unless leading."""
         if not self.is_leader:
             raise NotCurrent("this instance does not lead")
         return self._node.configuration.state.isolation.all_parts()
 
     async def readmit_part(self, part: str) -> bool:
-        """Accept a prompt part again; return whether it was isolated."""
+        """Accept a part or request again; return whether it was isolated."""
         if not any(item.part == part for item in self.isolated_parts()):
             return False
         change_id = f"readmit-{uuid.uuid4().hex}"
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -2,6 +2,7 @@
 
 from sassafraspin.dispatch import SlotRefusal
 from sassafraspin.http import Execution, RequestProblem
+from sassafraspin.isolation import SignatureKind, signature_kind
 
 __all__ = [
     "AccountOverCap",
@@ -11,9 +12,11 @@
     "NotCurrent",
     "NotDispatched",
     "PartRefused",
+    "RequestRefused",
     "RetirementPending",
     "ServerRefused",
     "UnknownKey",
+    "isolation_problem",
 ]
 
 
@@ -118,6 +121,33 @@
         )
 
 
+class RequestRefused(RequestProblem):
+    """An equal request was isolated because servers crashed when they answered it.
+
+    The status states that the request was not run.
+    """
+
+    status = 503
+    reason = "request-isolated"
+    title = "The request is isolated"
+    retry_after_ms = 60_000
+
+    def __init__(self, signature: str) -> None:
+        super().__init__(
+            f"backend servers crashed under equal requests ({signature}); change the "
+            "request, or ask an operator to readmit it"
+        )
+
+
+def isolation_problem(signature: str) -> RequestProblem:
+    """Return the problem of a call with an isolated signature."""
+    match signature_kind(signature):
+        case SignatureKind.PART:
+            return PartRefused(signature)
+        case SignatureKind.REQUEST:
+            return RequestRefused(signature)
+
+
 class AnswerLost(RequestProblem):
     """The request was sent and no complete answer arrived; it may have run."""
 
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -44,7 +44,7 @@
 from sassafraspin.routed.adapter import ProtocolAdapter
 from sassafraspin.routed.directory_exchange import DirectoryExchange
 from sassafraspin.routed.entry import RoutedEntry
-from sassafraspin.routed.isolation import PartIsolation
+from sassafraspin.routed.isolation import SignatureIsolation
 from sassafraspin.routed.leader_scope import LeaderScope
 from sassafraspin.routed.operations import Operations
 from sassafraspin.routed.retirement import RetirementView
@@ -108,7 +108,7 @@
             self.node, base_folder, generator, network.set_peer_address
         )
         dispatch = own_settings.dispatch
-        self._isolation = PartIsolation(self.node, self._control)
+        self._isolation = SignatureIsolation(self.node, self._control)
         self._directory = BackendDirectory(dispatch.directory_keep_ms / _MS_PER_SECOND)
         self._directory_exchange = DirectoryExchange(
             self.node,
@@ -118,7 +118,11 @@
         leader_scope = LeaderScope(self.node, self._control, self._directory)
         self._leader_scope = leader_scope
         self._dispatch = DispatchService(
-            self.node, generator, _ignore_load_order, leader_scope
+            self.node,
+            generator,
+            _ignore_load_order,
+            leader_scope,
+            suspects=self._isolation,
         )
         standby_scope = StandbyScope(
             self.node,
@@ -250,7 +254,8 @@
             case HeartbeatReply():
                 self._on_heartbeat_reply(source.name, message, now)
             case SlotRelease():
-                self._isolation.record(message)
+                grant = self._dispatch.grant_of(message)
+                self._isolation.record(message, grant)
                 self._dispatch.receive(source.name, message)
             case SlotRequest() | ActiveGrant() | SlotWithdraw():
                 self._dispatch.receive(source.name, message)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -24,6 +24,7 @@
     "LeaderChanged",
     "PartIsolated",
     "PartReadmitted",
+    "RequestIsolated",
     "ResourceUsage",
     "ServerLeaving",
     "RateLimitChanged",
@@ -285,9 +286,24 @@
     was_answered: bool
 
 
+@dataclass(frozen=True)
+class RequestIsolated(Event):
+    """Requests that equal one another are refused from now on, by all instances.
+
+    ``servers`` crashed while they were to answer one of them, or soon after they had
+    begun to, and ``was_answered`` says whether such a request was answered before.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "A request crashes servers; equal ones are refused."
+    signature: str
+    servers: tuple[str, ...]
+    was_answered: bool
+
+
 @dataclass(frozen=True)
 class PartReadmitted(Event):
-    """An operator ended the isolation of a prompt part."""
+    """An operator ended the isolation of a prompt part or a request."""
 
     part: ClassVar[str] = "dispatch"
     text: ClassVar[str] = "Requests with an isolated part are accepted again."
@@ -355,6 +371,7 @@
     RateLimitChanged,
     ServerNoticed,
     PartIsolated,
+    RequestIsolated,
     PartReadmitted,
     CallRefused,
     CallEnded,
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -10,7 +10,7 @@
 
 from sassafraspin.http import ConnectFailed, ConnectionLost, Headers, Request
 from sassafraspin.settings import Address
-from tests.drain_deployment import CONTACT_SECONDS, DrainModel
+from tests.drain_deployment import CONTACT_SECONDS, DrainModel, Report
 from tests.drain_world import (
     INSTANCE_NAMES,
     Answer,
@@ -19,8 +19,9 @@
     Instance,
     Server,
 )
+from tests.limit_model import disturb
 
-__all__ = ["CrashModel", "CrashShape"]
+__all__ = ["CrashModel", "CrashShape", "play_random_crashes"]
 
 ALLOWED_RETRIES = 3
 """Stated bound; it was not measured."""
@@ -216,3 +217,25 @@
                 text=f"{self._late_arrivals} copies reached servers later than "
                 f"{CONTACT_SECONDS} s after the third crash; {self.crashes} crashes",
             )
+
+
+def play_random_crashes(seed: int, seconds: float = 40.0) -> Report:
+    """Play random servers and loads, and faults of one instance at a time."""
+    generator = random.Random(seed)
+    shape = CrashShape(
+        servers=generator.choice((3, 4, 8)),
+        harmful_per_second=generator.choice((0.5, 3.0)),
+        popular_share=generator.choice((0.0, 0.5)),
+        accepts_connections=generator.random() < 0.5,
+        lost_share=generator.choice((0.0, 0.0, 0.05)),
+    )
+
+    async def scenario(model: CrashModel) -> None:
+        model.start_harmful()
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await disturb(model, generator)
+            await trio.sleep(generator.uniform(0.5, 6.0))
+        model.mend_all()
+
+    return CrashModel(seed, shape).run(scenario)
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -20,7 +20,7 @@
     LeavePlan,
 )
 
-__all__ = ["LimitModel", "play_random_limits"]
+__all__ = ["LimitModel", "disturb", "play_random_limits"]
 
 WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
@@ -159,7 +159,7 @@
         end = trio.current_time() + seconds
         while trio.current_time() < end:
             _change_limits(model, generator)
-            await _disturb(model, generator)
+            await disturb(model, generator)
             await trio.sleep(generator.uniform(0.5, 6.0))
         model.mend_all()
 
@@ -175,7 +175,8 @@
         model.name_limit(server, generator.choice((None, 0.0, 0.3, 1.0, 2.7, 8.0)))
 
 
-async def _disturb(model: LimitModel, generator: random.Random) -> None:
+async def disturb(model: DrainModel, generator: random.Random) -> None:
+    """Kill, pause or cut one instance for a while, the leader more often."""
     leader = model.leader()
     name = leader.name if leader is not None and generator.random() < 0.4 else None
     name = name or generator.choice(INSTANCE_NAMES)
--- a/tests/pool_model.py
+++ b/tests/pool_model.py
@@ -17,6 +17,7 @@
 )
 from sassafraspin.dispatch.pool import Pool
 from sassafraspin.dispatch.versions import VersionGate
+from sassafraspin.isolation import Suspects
 from sassafraspin.settings import Address, ClientAccountSettings, DispatchSettings
 
 SERVICE = "model"
@@ -75,6 +76,8 @@
         Maximum length of the queue.
     accounts : tuple of ClientAccountSettings
         Accounts with limits.
+    suspects : Suspects or None
+        Knows which requests may have crashed servers.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         servers: int = 2,
         waiting_requests: int = 8,
         accounts: tuple[ClientAccountSettings, ...] = (),
+        suspects: Suspects | None = None,
     ) -> None:
         self.now = 10.0
         self.pool = Pool(
@@ -92,6 +96,7 @@
             random.Random(1),
             "term",
             0.0,
+            suspects=suspects,
         )
         self.waiting: dict[str, SlotRequest] = {}
         self.running: dict[str, Running] = {}
@@ -117,6 +122,7 @@
         cancellable: bool = False,
         account: str = "a",
         avoid: tuple[str, ...] = (),
+        signature: str = "",
     ) -> SlotRequest:
         """Request a slot."""
         self._counter += 1
@@ -132,6 +138,7 @@
             deadline_ms,
             cancellable,
             avoid=avoid,
+            signature=signature,
         )
         self.waiting[request.request_id] = request
         self._run(self.pool.request("entry-1", request, self.now))
--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -107,14 +107,18 @@
         return await self.control("PUT", f"instances/{runner.name}", document)
 
     def request(self, path: str, request_id: str = "id-1", **headers: str) -> Request:
-        """Return a caller's request; keyword ``x_name`` sets header ``x-name``."""
+        """Return a caller's request; keyword ``x_name`` sets header ``x-name``.
+
+        Requests with other prompts have other bodies.
+        """
         items = {
             "host": "mill.example",
             "x-request-id": request_id,
             "authorization": "Token key",
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
-        return Request("POST", path, Headers(tuple(items.items())), b"question")
+        body = headers.get("x_prefix_hash", "question").encode()
+        return Request("POST", path, Headers(tuple(items.items())), body)
 
     async def call(self, path: str, **headers: str) -> Response:
         """Send a caller's request and return the complete response."""
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -276,7 +276,7 @@
 
     def _check(self, now: float) -> None:
         while (verdict := self._evidence.find_harmful(now)) is not None:
-            self.found.append(verdict.part)
+            self.found.append(verdict.signature)
 
     def _is_lost(self) -> bool:
         return self._generator.random() < self._day.report_loss
@@ -382,7 +382,7 @@
     def test_part_that_was_never_answered_is_found_before_one_that_was(self):
         self.evidence.record_answer(("first",), 0.0)
         verdict = self.end_servers(4, ("first", "bad"), 1.0)
-        self.assertEqual(verdict.part, "bad")
+        self.assertEqual(verdict.signature, "bad")
         self.assertEqual(verdict.servers, ("s1.0", "s2.0", "s3.0", "s4.0"))
 
     def test_found_part_explains_the_ends_of_the_other_parts(self):
@@ -393,14 +393,14 @@
         self.end_servers(2, ("part",))
         self.evidence.record_answer(("part",), 5.0)
         self.assertIsNone(self.end_servers(4, ("part",), 6.0))
-        self.assertEqual(self.end_servers(1, ("part",), 10.0).part, "part")
+        self.assertEqual(self.end_servers(1, ("part",), 10.0).signature, "part")
 
     def test_servers_that_end_at_one_moment_count_twice_at_most(self):
         for number in range(9):
             self.evidence.record_crash(f"s{number}", ("part",), number / 100)
         self.assertIsNone(self.evidence.find_harmful(1.0))
         self.assertIsNone(self.end_servers(1, ("part",), 2.0))
-        self.assertEqual(self.end_servers(1, ("part",), 3.0).part, "part")
+        self.assertEqual(self.end_servers(1, ("part",), 3.0).signature, "part")
 
     def test_several_requests_at_one_server_count_once(self):
         for _ in range(9):
@@ -443,7 +443,7 @@
         self.answer()
         verdicts = [self.lose(f"s{number}", "bad") for number in range(4)]
         self.assertEqual(verdicts[:3], [None] * 3)
-        self.assertEqual(verdicts[3].part, "bad")
+        self.assertEqual(verdicts[3].signature, "bad")
 
     def test_nothing_is_found_before_answers_show_that_others_are_served(self):
         verdicts = [self.lose(f"s{number}", "bad") for number in range(9)]
@@ -468,7 +468,7 @@
         for _ in range(3):
             self.assertIsNone(self.lose("s0", "bad"))
             self.answer(1)
-        self.assertEqual(self.lose("s0", "bad").part, "bad")
+        self.assertEqual(self.lose("s0", "bad").signature, "bad")
 
     def test_server_that_is_down_does_not_crash_again(self):
         self.answer()
@@ -496,7 +496,7 @@
         successor = CrashEvidence()
         successor.adopt(self.evidence.report(self.now), self.now)
         self.evidence = successor
-        self.assertEqual(self.lose("s3", "bad").part, "bad")
+        self.assertEqual(self.lose("s3", "bad").signature, "bad")
 
 
 class TestIsolatedParts(unittest.TestCase):
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -93,6 +93,7 @@
     """
 
     server_count = 4
+    harmful = HARMFUL
 
     def run_scenario(
         self,
@@ -106,7 +107,12 @@
                 ):
                     servers: list[EndingServer] = []
                     for _ in range(self.server_count):
-                        await nursery.start(keep_running, deployment, servers)
+                        await nursery.start(
+                            keep_running,
+                            deployment,
+                            servers,
+                            lambda: EndingServer(self.harmful),
+                        )
                     await scenario(deployment, servers)
                     nursery.cancel_scope.cancel()
 
