Continue a broken stream only by events of the same encoding

Callers of a route with resumption got a JSON document in the middle of their event stream, at times with an end that made it look complete, when the next server answered 200 with another media type; and a stream behind a document that had broken off. Cause: the head of the next answer was compared with that of the first for its framing only. What the caller was told of the body has to stay true of all that follows, so the media type and the encoding are compared, and an answer that differs counts as lost.

Ruled out by the others: errors (500, 502, 503, 404, run or not) and heads without an end after a broken stream, and heads that are cut at each third byte, closed or reset: nothing of them reaches the caller, and no end looks complete.

--- a/src/sassafraspin/routed/stream.py
+++ b/src/sassafraspin/routed/stream.py
@@ -40,7 +40,19 @@
     def has_events(self) -> bool:
         """Return whether the body consists of events, as it does without a type."""
         content_type = self.headers.get("content-type")
-        return content_type is None or content_type.startswith(_EVENT_STREAM)
+        return content_type is None or content_type.lower().startswith(_EVENT_STREAM)
+
+    def continues(self, first: "StreamHead") -> bool:
+        """Return whether the body may follow what was sent of another one.
+
+        The caller has the head of the first one, and what it says has to stay true.
+        """
+        is_alike = self._encoding == first._encoding
+        return is_alike and self.has_events and first.has_events
+
+    @property
+    def _encoding(self) -> str | None:
+        return self.headers.get("content-encoding")
 
 
 class StreamRelay:
@@ -63,7 +75,7 @@
         self._splitter = EventSplitter()
         self._last_event_id: str | None = None
         self._head = StreamHead(200, Headers())
-        self._is_caller_framed = True
+        self._caller_head: StreamHead | None = None
         self._position = StreamPosition()
 
     @property
@@ -75,7 +87,16 @@
         return self._last_event_id
 
     def start_attempt(self, head: StreamHead) -> None:
-        """Begin a stream; discard an incomplete event of the previous one."""
+        """Begin a stream; discard an incomplete event of the previous one.
+
+        Raises
+        ------
+        ConnectionLost
+            If the stream can't follow what the caller has received.
+        """
+        first = self._caller_head
+        if first is not None and not head.continues(first):
+            raise ConnectionLost("the answer does not continue the stream")
         self._head = head
         self._splitter.take_remainder()
         self._position = StreamPosition()
@@ -105,7 +126,7 @@
         if rest and self._is_new(EventBlock.from_bytes(rest)):
             await self._write(rest)
         await self._start()
-        if self._is_caller_framed and not self._head.is_framed:
+        if self._caller_head.is_framed and not self._head.is_framed:
             raise ConnectionLost("the end of the stream is not declared")
         await self._responder.finish()
 
@@ -122,10 +143,9 @@
             )
 
     async def _start(self) -> None:
-        if self._responder.has_started:
+        if self._caller_head is not None:
             return
-        head = self._head
-        self._is_caller_framed = head.is_framed
+        self._caller_head = head = self._head
         await self._responder.start(head.status, head.headers, is_framed=head.is_framed)
 
     async def _write(self, data: bytes) -> None:
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -191,6 +191,92 @@
                 self.assertEqual(self.receive(path, script), expected, path)
 
 
+class TestOtherAnswersAfterAStream(ScriptedTestCase):
+    """What the next server answers after a stream broke off, if no events follow."""
+
+    first_head = b"content-type: text/event-stream\r\n"
+
+    def receive_after_stream(self, framing: bytes, answer: Script) -> Received:
+        """Return what a caller gets if another answer follows the first event."""
+        event = chunk(EVENTS[0]) if framing == CHUNKED else EVENTS[0]
+        broken = Script(SUCCESS + self.first_head + framing + event, Ending.RESET)
+        return self.receive("/resumed/1", broken, answer)
+
+    def assert_unchanged(self, answer: bytes) -> None:
+        """Check that nothing of an answer reaches the caller, and no end does."""
+        for framing in (CHUNKED, UNFRAMED):
+            with self.subTest(framing=framing, answer=answer[:90]):
+                received = self.receive_after_stream(framing, Script(answer))
+                self.assertEqual(received.body, EVENTS[0])
+                self.assertTrue(received.is_broken)
+
+    def test_errors(self):
+        body = b"content-length: 6\r\n\r\nfailed"
+        for status in (b"500 Failed", b"502 Bad", b"503 Busy", b"404 Gone"):
+            head = b"HTTP/1.1 " + status + b"\r\n" + IDENTITY
+            self.assert_unchanged(head + body)
+            self.assert_unchanged(head + b"x-not-executed: 1\r\n" + body)
+
+    def test_head_without_end(self):
+        self.assert_unchanged(SUCCESS + b"content-type: text/ev")
+
+    def test_document_of_another_media_type(self):
+        document = b'{"error": "none"}'
+        for framing in (
+            b"content-length: %d\r\n\r\n" % len(document) + document,
+            CHUNKED + chunk(document) + LAST_CHUNK,
+            UNFRAMED + document,
+        ):
+            head = SUCCESS + b"content-type: application/json\r\n"
+            self.assert_unchanged(head + framing)
+
+    def test_document_that_breaks_off_is_not_followed_by_a_stream(self):
+        document = Script(
+            SUCCESS + b"content-type: application/json\r\n" + CHUNKED + chunk(b"{"),
+            Ending.RESET,
+        )
+        whole = chunk(b"".join(EVENTS)) + LAST_CHUNK
+        stream = Script(SUCCESS + self.first_head + CHUNKED + whole)
+        received = self.receive("/resumed/1", document, stream)
+        self.assertEqual((received.body, received.is_broken), (b"{", True))
+
+    def test_events_of_the_same_media_type_follow(self):
+        rest = chunk(b"".join(EVENTS[1:])) + LAST_CHUNK
+        for content_type in (b"text/event-stream; charset=utf-8", b"Text/Event-Stream"):
+            head = SUCCESS + b"content-type: " + content_type + b"\r\n" + CHUNKED
+            received = self.receive_after_stream(CHUNKED, Script(head + rest))
+            expected = (b"".join(EVENTS), False)
+            self.assertEqual((received.body, received.is_broken), expected)
+
+
+class TestCutHeads(ScriptedTestCase):
+    """A server that stops in the middle of the head of its answer."""
+
+    def test_no_head_that_is_cut_looks_like_an_answer(self):
+        heads = (
+            SUCCESS + b"content-length: 6\r\n\r\n",
+            SUCCESS + b"content-type: text/event-stream\r\n" + CHUNKED,
+        )
+        for head in heads:
+            for ending in (Ending.CLOSED, Ending.RESET):
+                scripts = [Script(head[:end], ending) for end in range(1, len(head), 3)]
+                with self.subTest(head=head, ending=ending):
+                    self.assert_not_answered(scripts)
+
+    def assert_not_answered(self, scripts: list[Script]) -> None:
+        """Check that no call is answered with a success, whatever its route."""
+
+        async def scenario(deployment, server):
+            for number in range(len(scripts)):
+                path = ("/unsafe/1", "/stream/1")[number % 2]
+                received.append(await receive(deployment, path))
+
+        received: list[Received] = []
+        self.run_scenario(scripts, scenario)
+        for answer in received:
+            self.assertIn(answer.status, (502, 503))
+
+
 class TestAnswersWithoutDeclaredEnd(ScriptedTestCase):
     """Plain answers that end with their connection are not given a length."""
 
