Answer calls that outlast a planned stop, and take none that come too late

Callers of an instance that stops as planned found their connections closed without an answer at the end of the drain, among them requests that may not be repeated and that had come while it was stopping: the rest of a request whose first bytes had arrived before was read, sent to a server and cut. Cause: the drain ended by cancelling its connections, and nothing compared the time limit of a call with the time that was left.

A call that comes while connections drain is refused as not run if its time limit lies beyond the end of the drain, so that another instance serves it. What is left at the end gets a final answer: 504 if it was sent, 503 if not. Started streams stay visibly incomplete.

--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -82,6 +82,10 @@
         for connection in list(self._connections):
             connection.close_when_idle()
         self._check_drained()
+        await self.wait_drained()
+
+    async def wait_drained(self) -> None:
+        """Wait until a drain that has begun is complete."""
         await self._drained.wait()
 
     async def _accept_pending(self) -> None:
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -51,6 +51,7 @@
 __all__ = ["RoutedDaemon"]
 
 _TICK_SECONDS = 0.1
+_FINAL_ANSWERS_SECONDS = 0.3
 _SEARCH_TICK_SECONDS = 0.05
 _MS_PER_SECOND = 1000
 
@@ -165,23 +166,33 @@
     async def shut_down(self) -> None:
         """Fail readiness, drain requests in flight, then give up the lease.
 
-        Requests that outlast the drain timeout are aborted.
+        Calls that outlast the drain timeout get a final answer; what remains is aborted.
         """
         self._draining = True
         log_event(InstanceStopping(self._member.name, self._in_flight))
         await trio.sleep(self._settings.readiness_grace_ms / _MS_PER_SECOND)
         timeout = self._settings.drain_timeout_ms / _MS_PER_SECOND
         cut = 0
+        if self._runtime is not None:
+            self._runtime.entry.stop_at(steady_time() + timeout)
         with trio.move_on_after(timeout) as scope:
             await self._caller_server.drain()
         if scope.cancelled_caught:
             cut = self._in_flight
+            await self._stop_calls()
         if self._runtime is not None:
             self._runtime.node.lease.leave()
             self._runtime.tick()
         log_event(InstanceStopped(self._member.name, cut))
         self._drained.set()
 
+    async def _stop_calls(self) -> None:
+        """End the calls in flight, and wait until their answers were sent."""
+        if self._runtime is not None:
+            self._runtime.entry.stop_calls()
+        with trio.move_on_after(_FINAL_ANSWERS_SECONDS):
+            await self._caller_server.wait_drained()
+
     async def _handle_signals(self, signals, scope: trio.CancelScope) -> None:
         async with trio.open_nursery() as nursery:
             async for number in signals:
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -1,5 +1,6 @@
 """HTTP entry point for calls on the routes of the routing table."""
 
+import math
 import random
 from dataclasses import dataclass, replace
 
@@ -14,6 +15,7 @@
 from sassafraspin.routed.call import RoutedCall, match_call
 from sassafraspin.routed.exchange import RoutedExchange
 from sassafraspin.routed.problems import (
+    InstanceStops,
     NoRoute,
     NotCurrent,
     NotDispatched,
@@ -81,12 +83,26 @@
         self._notices = notices
         self._generator = generator
         self._in_flight = 0
+        self._exchanges: set[RoutedExchange] = set()
+        self._stops_at = math.inf
 
     @property
     def in_flight(self) -> int:
         """Return the number of calls in progress."""
         return self._in_flight
 
+    def stop_at(self, time: float) -> None:
+        """Take no more calls that may last longer than until this time.
+
+        Callers that are told so at once are served by another instance.
+        """
+        self._stops_at = time
+
+    def stop_calls(self) -> None:
+        """End all calls with a final answer; started streams are left incomplete."""
+        for exchange in self._exchanges:
+            exchange.stop()
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Handle one HTTP request from a caller."""
         context = _CallContext(request, responder, self._node.now())
@@ -110,6 +126,8 @@
         index = await self._wait_for_routes(metadata)
         call = self._match_call(context.request, metadata, index)
         context.call = call
+        if context.started_at + call.deadline_ms / _MS_PER_SECOND > self._stops_at:
+            raise InstanceStops("the instance stops; send the request again")
         exchange = RoutedExchange(
             self._node,
             self._adapter,
@@ -120,7 +138,11 @@
             context.responder,
             context.started_at,
         )
-        await exchange.run()
+        self._exchanges.add(exchange)
+        try:
+            await exchange.run()
+        finally:
+            self._exchanges.discard(exchange)
         self._node.metrics.count(f"answered.{call.route.name}")
 
     def _match_call(
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -1,6 +1,7 @@
 """Execution of one call: slots, attempts at backend servers, and the answer."""
 
 from contextlib import aclosing
+from typing import NoReturn
 
 import msgspec
 import trio
@@ -44,9 +45,11 @@
 from sassafraspin.routed.problems import (
     AccountOverCap,
     AnswerLost,
+    InstanceStops,
     NoAnswerInTime,
     NotDispatched,
     ServerRefused,
+    StoppedBeforeAnswer,
     isolation_problem,
 )
 from sassafraspin.routed.stream import StreamHead, StreamRelay
@@ -113,6 +116,8 @@
         self._may_have_run = False
         self._avoid: tuple[str, ...] = ()
         self._unused_grants = 0
+        self._time_limit = trio.CancelScope()
+        self._is_stopped = False
 
     @property
     def _tries(self) -> int:
@@ -132,15 +137,30 @@
     async def run(self) -> None:
         """Answer the call; raises ``RequestProblem`` if it cannot be answered."""
         remaining_ms = self._call.deadline_ms - self._elapsed_ms()
-        with trio.move_on_after(max(0.0, remaining_ms / _MS_PER_SECOND)):
+        remaining = max(0.0, remaining_ms / _MS_PER_SECOND)
+        self._time_limit.deadline = trio.current_time() + remaining
+        with self._time_limit:
             await self._run_attempts()
             return
-        if self._may_have_run or self._last_failure is not None:
+        has_run = self._may_have_run or self._last_failure is not None
+        if self._is_stopped:
+            self._raise_stopped(has_run)
+        if has_run:
             raise NoAnswerInTime("the time of the request ran out")
         raise NotDispatched(
             SlotRefusal(self._call.call_id, RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
         )
 
+    def stop(self) -> None:
+        """End the call now with a final answer, as the instance stops."""
+        self._is_stopped = True
+        self._time_limit.cancel()
+
+    def _raise_stopped(self, has_run: bool) -> NoReturn:
+        if has_run:
+            raise StoppedBeforeAnswer("the instance stopped before the answer")
+        raise InstanceStops("the instance stops; send the request again")
+
     async def _run_attempts(self) -> None:
         while self._may_try_again():
             slot = await self._acquire_slot()
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -7,6 +7,7 @@
 __all__ = [
     "AccountOverCap",
     "AnswerLost",
+    "InstanceStops",
     "NoAnswerInTime",
     "NoRoute",
     "NotCurrent",
@@ -15,6 +16,7 @@
     "RequestRefused",
     "RetirementPending",
     "ServerRefused",
+    "StoppedBeforeAnswer",
     "UnknownKey",
     "isolation_problem",
 ]
@@ -45,6 +47,24 @@
     retry_after_ms = 500
 
 
+class InstanceStops(RequestProblem):
+    """The instance stops, and the answer might not be complete before its end."""
+
+    status = 503
+    reason = "instance-stops"
+    title = "Not run"
+    retry_after_ms = 100
+
+
+class StoppedBeforeAnswer(RequestProblem):
+    """The request was sent, and the instance stopped before its answer was complete."""
+
+    status = 504
+    reason = "stopped-before-answer"
+    title = "No answer before the stop"
+    execution = Execution.UNKNOWN
+
+
 class RetirementPending(RequestProblem):
     """Some instances may still send requests to a backend server that leaves.
 
--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -157,15 +157,18 @@
 
 
 @asynccontextmanager
-async def routed_deployment(runners: int = 2) -> AsyncIterator[RoutedDeployment]:
+async def routed_deployment(
+    runners: int = 2, drain_timeout_ms: int = 5_000
+) -> AsyncIterator[RoutedDeployment]:
     """Run a daemon with registered runners; yield once it is ready."""
     ports = free_ports(4 + runners)
     addresses = [Address(HOST, port) for port in ports]
     listen = RoutedListen(*addresses[:4])
     with tempfile.TemporaryDirectory() as folder:
-        daemon = RoutedDaemon(
-            _settings(listen, Path(folder) / "data"), PlatformAdapter(60_000), 1
+        settings = replace(
+            _settings(listen, Path(folder) / "data"), drain_timeout_ms=drain_timeout_ms
         )
+        daemon = RoutedDaemon(settings, PlatformAdapter(60_000), 1)
         deployment = RoutedDeployment(daemon, listen)
         async with trio.open_nursery() as nursery:
             await nursery.start(daemon.run)
