Make the trials of a request rarer with each crash

Without answers of others nothing tells a harmful request from faulty servers, so there was no verdict, and a trial every three seconds. The pause grows with each crash now, to a minute. With a constant pause the new case of test_no_other_calls fails.

--- a/src/sassafraspin/dispatch/trials.py
+++ b/src/sassafraspin/dispatch/trials.py
@@ -20,8 +20,11 @@
 """Crashes from which a suspect waits for a server that runs no other one."""
 
 _SPACED_CRASHES = 3
-_SPACING_SECONDS = 3.0
-"""Interval between the trials of a request after this number of crashes."""
+_BASE_SPACING_SECONDS = 3.0
+_SPACING_FACTOR = 4.0
+_MAX_SPACING_SECONDS = 60.0
+"""Interval between the trials of a request: the base after ``_SPACED_CRASHES`` crashes,
+and longer by the factor after each further one."""
 
 _MAX_STARTS = 1_024
 
@@ -56,9 +59,9 @@
         match self._suspects.suspicion(request.signature):
             case Suspected(crashes) if crashes >= _SPACED_CRASHES:
                 started_at = self._starts.get(request.signature, self._opened_at)
-                return max(0.0, started_at + _SPACING_SECONDS - now)
+                return max(0.0, started_at + _spacing(crashes) - now)
             case Harmful():
-                return _SPACING_SECONDS
+                return _MAX_SPACING_SECONDS
             case _:
                 return 0.0
 
@@ -128,5 +131,11 @@
         return {grant.message.backend_id for grant in self._strict_trials.values()}
 
 
+def _spacing(crashes: int) -> float:
+    exponent = crashes - _SPACED_CRASHES
+    spacing = _BASE_SPACING_SECONDS * _SPACING_FACTOR**exponent
+    return min(_MAX_SPACING_SECONDS, spacing)
+
+
 def _has_just_begun(grant: Grant, now: float) -> bool:
     return now - grant.granted_at < _TRIAL_SECONDS
--- a/tests/test_equal_requests.py
+++ b/tests/test_equal_requests.py
@@ -72,6 +72,7 @@
     def test_no_other_calls(self):
         shape = CrashShape(calls_per_second=1.0, popular_share=1.0)
         self.play(replace(shape, accepts_connections=False))
+        self.play(replace(shape, calls_per_second=0.001, harmful_per_second=1.0))
 
     def test_dispatcher_that_ends_half_way(self):
         async def scenario(model):
--- a/tests/test_request_isolation.py
+++ b/tests/test_request_isolation.py
@@ -184,6 +184,19 @@
         self.model.advance(2.5)
         self.assertIsNotNone(self.ask())
 
+    def test_trials_become_rarer_with_each_crash(self):
+        pauses = []
+        for crashes in (3, 4, 5, 6, 300):
+            self.suspect(crashes)
+            self.model.now += 100.0
+            for number in range(3):
+                self.model.announce(number)
+            self.assertIsNotNone(self.ask())
+            self.ask()
+            pauses.append(self.model.refusals[-1].retry_after_ms / 1000)
+            self.model.advance(0.5)
+        self.assertEqual([round(pause) for pause in pauses], [3, 12, 30, 30, 30])
+
     def test_copies_that_wait_are_few(self):
         self.suspect(2)
         self.ask(answer_tokens=50)
