Split the order of rate limits from the pool, and take them from the directory only

Read as a newcomer: the decision which of two answers is later is a function of its own. A limit in a server's announcement is ignored, as its page says; the first announcement of a server had set it.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -29,6 +29,7 @@
     UnknownGrants,
 )
 from sassafraspin.dispatch.overload import OverloadControl
+from sassafraspin.dispatch.rate_limits import replaces_limit
 from sassafraspin.dispatch.servers import ServerTable
 from sassafraspin.dispatch.trials import Trials
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
@@ -270,28 +271,13 @@
     def record_rate_limit(
         self, notice: RateLimitNotice, now: float
     ) -> list[SendToEntry]:
-        """Apply a rate limit that a server has named in an answer, or no longer names.
-
-        A lower limit applies at once. A higher one, or none, does if the answer is
-        certainly later than the one that named the limit in force: its request was
-        granted under that limit.
-        """
+        """Apply the rate limit of a server, as one of its answers has named it."""
         backend = self._servers.get(notice.backend_id)
-        if backend is None:
-            return []
-        known = backend.rate_limit
-        is_same_run = backend.announcement.incarnation == notice.incarnation
-        if not is_same_run or notice.rate_limit == (known and known.named):
+        if backend is None or backend.announcement.incarnation != notice.incarnation:
             return []
         grant = self._grants.get(notice.grant_id)
-        if known is not None and not _is_lower(notice.rate_limit, known.named):
-            is_later = (
-                grant is not None
-                and grant.message.rate_limit == known.named
-                and grant.granted_at >= known.set_at
-            )
-            if not is_later:
-                return []
+        if not replaces_limit(notice, backend.rate_limit, grant):
+            return []
         log_event(
             RateLimitChanged(notice.backend_id, notice.incarnation, notice.rate_limit)
         )
@@ -575,10 +561,6 @@
         return effects
 
 
-def _is_lower(rate_limit: float | None, known: float) -> bool:
-    return rate_limit is not None and rate_limit < known
-
-
 def _server_time(
     backend: Backend, request: SlotRequest, answer_tokens: int
 ) -> ServerTime:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -174,7 +174,7 @@
         """
         for announcement in sorted(announcements, key=lambda item: item.incarnation):
             if self._claim_address(announcement):
-                self._add(announcement, now)
+                self._add_published(announcement, now)
         self.refresh(now)
 
     def replace(self, announcements: tuple[Announcement, ...], now: float) -> None:
@@ -185,7 +185,7 @@
         for announcement in announcements:
             backend = self._backends.get(announcement.id)
             if backend is None:
-                self._add(announcement, now)
+                self._add_published(announcement, now)
             else:
                 backend.apply_announcement(announcement, now)
                 self._index_address(backend)
@@ -196,7 +196,10 @@
         backend = Backend(announcement, now)
         self._backends[announcement.id] = backend
         self._index_address(backend)
-        self._follow_limit(backend, announcement, now)
+
+    def _add_published(self, announcement: Announcement, now: float) -> None:
+        self._add(announcement, now)
+        self._follow_limit(self._backends[announcement.id], announcement, now)
 
     def _follow_limit(
         self, backend: Backend, announcement: Announcement, now: float
