Forget a request after its only crash unless it comes again within a minute

Most requests that a crash breaks off never come again, so no answer clears them: they were reported to the control instances twice a second, and looked through, for ten minutes. Equal requests with two crashes stay suspected.

--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -20,6 +20,9 @@
 _SEARCH_INTERVAL_SECONDS = 0.2
 _LEAST_LOSS_SHARE = 0.03
 _CRASH_RETENTION_SECONDS = 600.0
+_SINGLE_CRASH_SECONDS = 60.0
+"""Time within which a request has to come again after its only crash."""
+
 _MAX_CRASHES = 256
 _MAX_REQUESTS_PER_CRASH = 64
 _MAX_ANSWERED = 10_000
@@ -220,7 +223,7 @@
         return None
 
     def report(self, now: float) -> CrashReport:
-        """Return the latest crashes with the parts that are still suspected."""
+        """Return the latest crashes with the signatures that are still suspected."""
         crashes = (self._suspected_crash(crash, now) for crash in self._crashes)
         suspected = [crash for crash in crashes if crash.requests]
         return CrashReport(
@@ -243,16 +246,31 @@
 
     def _suspected_crash(self, crash: Crash, now: float) -> SuspectedCrash:
         remaining = (
-            tuple(sorted(part for part in request if self._is_suspected(part, crash)))
+            tuple(
+                sorted(item for item in request if self._is_relevant(item, crash, now))
+            )
             for request in crash.requests
         )
-        suspected = tuple(parts for parts in remaining if parts)
+        suspected = tuple(signatures for signatures in remaining if signatures)
         age_ms = int((now - crash.at) * _MS_PER_SECOND)
         requests = suspected[:_MAX_REPORTED_REQUESTS]
         return SuspectedCrash(
             crash.server, age_ms, requests, crash.is_refused, crash.incarnation
         )
 
+    def _is_relevant(self, signature: str, crash: Crash, now: float) -> bool:
+        """Return whether a crash may still tell something of a signature.
+
+        Most requests that a crash breaks off never come again, so that no answer
+        clears them.
+        """
+        if not self._is_suspected(signature, crash):
+            return False
+        if signature_kind(signature) is SignatureKind.PART:
+            return True
+        is_recent = now - crash.at < _SINGLE_CRASH_SECONDS
+        return is_recent or len(self._crashes_of_request.get(signature, ())) > 1
+
     def _is_suspected(self, signature: str, crash: Crash) -> bool:
         """Return whether a signature was not answered since the crash."""
         return crash.at > self._answered_at.get(signature, float("-inf"))
@@ -269,12 +287,12 @@
             self._index_all()
 
     def _drop_cleared(self, now: float) -> None:
-        """Drop settled crashes of which no part is suspected any more."""
+        """Drop settled crashes that tell nothing any more."""
         self._crashes = deque(
             crash
             for crash in self._crashes
             if now < crash.settled_at
-            or any(self._is_suspected(item, crash) for item in crash.signatures())
+            or any(self._is_relevant(item, crash, now) for item in crash.signatures())
         )
         self._index_all()
 
--- a/tests/test_request_isolation.py
+++ b/tests/test_request_isolation.py
@@ -103,6 +103,14 @@
         successor.record_crash("s5", (HARMFUL,), 5.0)
         self.assertEqual(successor.find_harmful(6.0).signature, HARMFUL)
 
+    def test_request_that_does_not_come_again_is_soon_not_reported(self):
+        self.crash(1.0, SOUND)
+        self.crash(2.0, HARMFUL)
+        self.crash(3.0, HARMFUL)
+        self.assertEqual(len(self.evidence.report(30.0).crashes), 3)
+        reported = self.evidence.report(100.0).crashes
+        self.assertEqual([item.server for item in reported], ["s2.0", "s3.0"])
+
     def test_answers_of_many_requests_do_not_displace_those_of_parts(self):
         self.evidence.record_answer(("part",), 0.0)
         for number in range(20_000):
