--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -55,6 +55,8 @@
     (SignatureKind.REQUEST, True): _Proof(4, 5e-5),
 }
 
+_LEAST_CRASHES = min(proof.crashes for proof in _PROOFS.values())
+
 
 @dataclass(frozen=True)
 class SignatureVerdict:
@@ -306,15 +308,15 @@
         explained by the other signatures of its requests, then an equal request.
         """
         suspected = self._crashes_by_signature(crashes)
-        counted = {item: crashes_that_count(own) for item, own in suspected.items()}
-        counts = {item: len(own) for item, own in counted.items()}
         harmful = [
             item
-            for item in suspected
-            if self._is_harmful(item, counted[item], suspected[item], now)
+            for item, own in suspected.items()
+            if len(own) >= _LEAST_CRASHES
+            and self._is_harmful(item, crashes_that_count(own), own, now)
         ]
         if not harmful:
             return None
+        counts = {item: len(crashes_that_count(own)) for item, own in suspected.items()}
 
         def rank(item: str) -> tuple[bool, int, int, int, bool, str]:
             crashes = suspected[item]
