Say once what a found signature, a named limit and a stop are

Read again: whether a signature was found was asked in two places of routed/isolation.py, the limit of a server was unwrapped in three, and the refusal of a stopping instance was worded twice. One piece each; behaviour as before. Linter; 79 tests of the modules concerned pass.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -85,6 +85,11 @@
         """Return the limit that the server has named, ``None`` if it has none."""
         return self._rate_limit
 
+    @property
+    def named_rate_limit(self) -> float | None:
+        """Return the limit over all instances, in requests a second, or ``None``."""
+        return None if self._rate_limit is None else self._rate_limit.named
+
     @property
     def reservations(self) -> tuple[Reservation, ...]:
         """Return the reservations of requests that are granted and not released."""
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -78,8 +78,10 @@
     """Return the announcement with the measured speed and the withdrawal applied."""
     announcement, speed = backend.announcement, backend.speed
     leaving = announcement.leaving or backend.is_withdrawn
-    limit = backend.rate_limit
-    named = None if limit is None else limit.named
     return ServerState(
-        announcement, leaving, speed.prefill_rate, speed.decode_rate, named
+        announcement,
+        leaving,
+        speed.prefill_rate,
+        speed.decode_rate,
+        backend.named_rate_limit,
     )
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -456,7 +456,7 @@
             int((now - waiting.queued_at) * 1000),
             self._use_until(request, waiting.queued_at, now),
             announcement.incarnation,
-            None if rate_limit is None else rate_limit.named,
+            choice.backend.named_rate_limit,
         )
         grant = Grant(
             waiting.entry,
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -208,8 +208,8 @@
 
         Only an answer of the server ends a limit.
         """
-        named, known = announcement.rate_limit, backend.rate_limit
-        if named is not None and (known is None or known.named != named):
+        named = announcement.rate_limit
+        if named is not None and named != backend.named_rate_limit:
             backend.limit_rate(RateLimit(named, self._rate_share, now))
 
     def _remove(self, backend_id: str) -> None:
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -127,7 +127,7 @@
         call = self._match_call(context.request, metadata, index)
         context.call = call
         if context.started_at + call.deadline_ms / _MS_PER_SECOND > self._stops_at:
-            raise InstanceStops("the instance stops; send the request again")
+            raise InstanceStops()
         exchange = RoutedExchange(
             self._node,
             self._adapter,
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -159,7 +159,7 @@
     def _raise_stopped(self, has_run: bool) -> NoReturn:
         if has_run:
             raise StoppedBeforeAnswer("the instance stopped before the answer")
-        raise InstanceStops("the instance stops; send the request again")
+        raise InstanceStops()
 
     async def _run_attempts(self) -> None:
         while self._may_try_again():
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -61,8 +61,7 @@
 
     def suspicion(self, signature: str) -> Suspicion:
         """Return how far an equal request is suspected."""
-        isolation = self._node.configuration.state.isolation
-        if signature in self._proposed or isolation.find((signature,)) is not None:
+        if self._is_found((signature,)):
             return Harmful()
         return self._evidence.suspicion(signature)
 
@@ -78,7 +77,7 @@
             sent_at = now - release.total_ms / _MS_PER_SECOND
             self._evidence.record_answer(signatures, now)
             self._evidence.record_running(server, sent_at, now, incarnation)
-        elif not signatures or self._is_explained(signatures):
+        elif not signatures or self._is_found(signatures):
             return
         elif release.may_have_crashed_server:
             self._evidence.record_crash(server, signatures, now, incarnation)
@@ -153,8 +152,8 @@
                 change_id = f"expire-{uuid.uuid4().hex}"
                 self._propose(ReadmitPart(change_id, _EXPIRY_OPERATOR, 0, item.part))
 
-    def _is_explained(self, signatures: tuple[str, ...]) -> bool:
-        """Return whether a signature that was found already explains the crash."""
+    def _is_found(self, signatures: tuple[str, ...]) -> bool:
+        """Return whether one of the signatures was found already."""
         if any(signature in self._proposed for signature in signatures):
             return True
         isolation = self._node.configuration.state.isolation
--- a/src/sassafraspin/routed/problems.py
+++ b/src/sassafraspin/routed/problems.py
@@ -55,6 +55,9 @@
     title = "Not run"
     retry_after_ms = 100
 
+    def __init__(self) -> None:
+        super().__init__("the instance stops; send the request again")
+
 
 class StoppedBeforeAnswer(RequestProblem):
     """The request was sent, and the instance stopped before its answer was complete."""
