Review: an acknowledged rollout order has no effect

Shown: an order for a service whose earlier rollout still runs is answered 200 and dropped (LOST). The stand-ins and the process control of all scripts are in review/support.

--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and process control that the scripts of the review share."""
