--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -144,6 +144,13 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    def control_logs(self) -> list[Path]:
+        """Return the log files of the control replicas, by instance."""
+        return [
+            next((self._folder / f"data-{number}").rglob("control.log"))
+            for number in range(self.count)
+        ]
+
     def stop(self) -> None:
         """End every process that was started."""
         for process in self._processes.values():
--- a/review/support/script.py
+++ b/review/support/script.py
@@ -66,7 +66,8 @@
         deployment = Deployment(Path(temporary), memory_mb=memory_mb)
         try:
             status = asyncio.run(_run(case, deployment, record, with_trouble))
-        except (CannotRun, TimeoutError, OSError) as error:
+        except Exception as error:
+            # Only a broken rule may end with 1.
             record.result(f"cannot run: {error!r}")
         finally:
             deployment.stop()
