Start a control replica again from its disk after an error that passes

All requests were refused with 503 from then on, changes were never acknowledged, and the acknowledged configuration could not be read back, although all disks had room and all processes ran.

Cause: ControlNode kept the first StorageError for the life of the process, and ControlService disabled the control role for good if it came at the start. The list of control instances was not saved again either. On related paths: a log was used as it could be read, although what a failed sync or a killed process left unsynced is lost with the power; a folder whose sync had failed was not synced again.

Ruled out: damage by the partial write and errors that go on, both of which would have logged more.

Why it works: the replica is ahead of its disk after a failed write, so it is discarded and a new one starts from what is durable, once a new log file can be written. Nothing is acknowledged meanwhile, as nothing is written.

--- a/src/sassafraspin/control/disk.py
+++ b/src/sassafraspin/control/disk.py
@@ -49,6 +49,9 @@
     learner: its votes count only after the new identity was added to the voters,
     because it may have lost entries and votes stored under the old identity.
 
+    The log is written anew whenever it is opened: bytes that were written, but not
+    synced, can be read back and are still lost with the power.
+
     Parameters
     ----------
     files : Files
@@ -57,13 +60,23 @@
 
     def __init__(self, files: Files) -> None:
         self._files = files
-        self._persistent_state = self._load() or self._initialize()
+        self._synced_bytes: int | None = None
+        self._persistent_state = self._open()
 
     @property
     def persistent_state(self) -> PersistentState:
         """Return the state that was on the disk when it was opened."""
         return self._persistent_state
 
+    def reload(self) -> PersistentState:
+        """Read the durable state back after a ``StorageError``.
+
+        Bytes of a failed append are cut off. Raises ``StorageError`` while the disk
+        refuses writes.
+        """
+        self._persistent_state = self._open()
+        return self._persistent_state
+
     def save_term(self, effect: SaveTerm) -> None:
         """Write the term and the vote durably."""
         self._append(_TermRecord(effect.term, effect.voted_for))
@@ -86,25 +99,37 @@
             _EntriesRecord(effect.snapshot.index + 1, effect.entries),
         )
         content = b"".join(frame_record(_ENCODER.encode(item)) for item in records)
-        self._files.replace(_LOG_FILE, content)
+        self._synced_bytes = None
+        self._replace_log(content)
 
     def _append(self, record: _Record) -> None:
-        self._files.append(_LOG_FILE, frame_record(_ENCODER.encode(record)))
+        assert self._synced_bytes is not None
+        data = frame_record(_ENCODER.encode(record))
+        self._files.append(_LOG_FILE, data)
+        self._synced_bytes += len(data)
+
+    def _replace_log(self, content: bytes) -> None:
+        self._files.replace(_LOG_FILE, content)
+        self._synced_bytes = len(content)
+
+    def _open(self) -> PersistentState:
+        return self._load() or self._initialize()
 
     def _initialize(self) -> PersistentState:
         persistent_state = PersistentState(disk_id=uuid.uuid4().hex)
         identity = frame_record(
             _ENCODER.encode(_DiskIdentity(persistent_state.disk_id))
         )
+        self._synced_bytes = None
         self._files.remove(_SNAPSHOT_FILE)
-        self._files.replace(_LOG_FILE, identity)
+        self._replace_log(identity)
         return persistent_state
 
     def _load(self) -> PersistentState | None:
         content = self._files.read(_LOG_FILE)
         if content is None:
             return None
-        scan = scan_records(content)
+        scan = scan_records(content[: self._synced_bytes])
         snapshot = self._load_snapshot()
         if scan.end is ScanEnd.CORRUPT or snapshot is None:
             _log.error(
@@ -116,8 +141,10 @@
             _log.warning(
                 "Discarding an incomplete record at the end of the control log."
             )
-            self._files.replace(_LOG_FILE, content[: scan.valid_bytes])
-        return _rebuild_state(scan.payloads, snapshot)
+        state = _rebuild_state(scan.payloads, snapshot)
+        if state is not None:
+            self._replace_log(content[: scan.valid_bytes])
+        return state
 
     def _load_snapshot(self) -> Snapshot | None:
         content = self._files.read(_SNAPSHOT_FILE)
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -23,7 +23,12 @@
     SendToReplica,
 )
 from sassafraspin.control.messages import CommandEntry, ReplicaMessage
-from sassafraspin.control.replica import ControlReplica, ReplicaTimings, Role
+from sassafraspin.control.replica import (
+    ControlReplica,
+    PersistentState,
+    ReplicaTimings,
+    Role,
+)
 from sassafraspin.control.transfers import ConfigTransfers
 from sassafraspin.membership import (
     ConfigUpdate,
@@ -37,6 +42,7 @@
 )
 from sassafraspin.storage import StorageError
 from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import ControlDiskReopened, log_event
 
 __all__ = ["ControlNode", "ControlNodeSettings", "ProposalResult"]
 
@@ -44,6 +50,8 @@
 
 _PROPOSAL_TIMEOUT_SECONDS = 5.0
 
+_REOPEN_INTERVAL_SECONDS = 0.25
+
 _REACHED_INDEX_SECONDS = 0.02
 """Time for which the lowest index of the members is kept; many tasks may ask for it."""
 
@@ -140,19 +148,7 @@
         self._disk = disk
         self._configuration = configuration
         self._send = send
-        self._saved_term = SaveTerm(
-            disk.persistent_state.term, disk.persistent_state.voted_for
-        )
-        self._replica = ControlReplica(
-            settings.name,
-            settings.configured,
-            disk.persistent_state,
-            settings.replica,
-            generator,
-            now,
-            started_at,
-            settings.voters,
-        )
+        self._generator = generator
         self._member_table: MemberTable | None = None
         self._leads_since = now
         self._reached_at = float("-inf")
@@ -160,7 +156,8 @@
         self._transfers = ConfigTransfers(configuration)
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
-        self._execute_all(self._replica.start())
+        self._next_reopen_at = float("-inf")
+        self._start_replica(disk.persistent_state, now, started_at)
 
     @property
     def replica(self) -> ControlReplica:
@@ -169,7 +166,7 @@
 
     @property
     def failure(self) -> StorageError | None:
-        """Return the storage error that stopped this node, if any."""
+        """Return the storage error that this node recovers from, if any."""
         return self._failure
 
     def leads(self, now: float) -> bool:
@@ -179,6 +176,7 @@
     def tick(self, now: float) -> None:
         """Advance the replica's timers and expire proposals; as leader, plan a view."""
         if self._failure is not None:
+            self._reopen_disk(now)
             return
         self._execute_all(self._replica.tick(now))
         self._expire_proposals(now)
@@ -309,7 +307,7 @@
         that outcome. Only the ``outcome`` of the result may be ``None``:
 
         - At once if this instance does not hold the leader lease. Nothing is proposed.
-        - Later if this instance loses the leadership, if a storage error stops it, or
+        - Later if this instance loses the leadership, if a storage error occurs, or
           after a timeout. The outcome is unknown: the command may still be applied.
 
         In both cases the command may be proposed again with the same ``change_id``.
@@ -363,11 +361,45 @@
         for callback in proposal.callbacks:
             callback(ProposalResult(change_id, outcome))
 
+    def _start_replica(
+        self, state: PersistentState, now: float, started_at: float | None
+    ) -> None:
+        """Start a replica from the durable state."""
+        self._saved_term = SaveTerm(state.term, state.voted_for)
+        self._replica = ControlReplica(
+            self._settings.name,
+            self._settings.configured,
+            state,
+            self._settings.replica,
+            self._generator,
+            now,
+            started_at,
+            self._settings.voters,
+        )
+        self._execute_all(self._replica.start())
+
+    def _reopen_disk(self, now: float) -> None:
+        """Start again from the disk once it takes writes again.
+
+        The replica is ahead of the disk: it counts on writes that have failed.
+        """
+        if now < self._next_reopen_at:
+            return
+        self._next_reopen_at = now + _REOPEN_INTERVAL_SECONDS
+        try:
+            state = self._disk.reload()
+        except StorageError as error:
+            _log.debug("The control disk still fails: {}.", error)
+            return
+        self._failure = None
+        self._start_replica(state, now, now)
+        log_event(ControlDiskReopened(self._replica.term, self._replica.log.last_index))
+
     def _execute_all(self, effects: list[Effect]) -> None:
-        """Execute effects in order; a storage error stops this node permanently.
+        """Execute effects in order; after a storage error, skip the rest of them.
 
-        Effects after a failed write are skipped, so the replica never acknowledges
-        state that is not durable.
+        The replica never acknowledges state that is not durable. It is discarded, and
+        a new one starts from the disk; see ``_reopen_disk``.
         """
         try:
             for effect in effects:
@@ -375,7 +407,7 @@
         except StorageError as error:
             self._failure = error
             self._member_table = None
-            _log.error("Control service stopped by a storage error: {}.", error)
+            _log.error("Storage error; starting again from the disk: {}.", error)
             for change_id in list(self._proposals):
                 self._complete_proposal(change_id, None)
             return
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -39,6 +39,8 @@
 
 _SILENT_AFTER_HEARTBEATS = 2
 
+_REOPEN_INTERVAL_SECONDS = 0.25
+
 _FIRST_ANNOUNCEMENTS_SECONDS = 0.5
 """Time at the start of a term in which the leader is announced with each tick."""
 
@@ -49,8 +51,9 @@
 class ControlService:
     """Connects the control-plane replica to the daemon's network, disk and clock.
 
-    Does nothing on instances without the control role. A disk failure stops only
-    the control role; the rest of the daemon keeps running.
+    Does nothing on instances without the control role. A disk failure suspends only
+    the control role, until the disk takes writes again; the rest of the daemon keeps
+    running.
 
     Parameters
     ----------
@@ -72,12 +75,15 @@
         set_peer_address: Callable[[NamedAddress], None],
     ) -> None:
         self._node = node
+        self._base_folder = base_folder
+        self._generator = generator
         self._set_peer_address = set_peer_address
         self._moves = MoveCoordinator(RolloutSettings())
         self._pushed_index: int | None = None
         self._next_announcement_at = float("-inf")
         self._storage_failure: StorageError | None = None
-        self._control_node = self._make_control_node(base_folder, generator)
+        self._next_open_at = float("-inf")
+        self._control_node = self._make_control_node()
 
     def status(self) -> ControlStatus | None:
         """Return the state of the control role, ``None`` on instances without it."""
@@ -129,6 +135,8 @@
 
     def tick(self, now: float) -> None:
         """Advance timers; on the leader, push commands and drive running moves."""
+        if self._storage_failure is not None and now >= self._next_open_at:
+            self._control_node = self._make_control_node()
         control_node = self._control_node
         if control_node is None:
             return
@@ -190,26 +198,30 @@
         if self._control_node is not None:
             self._control_node.receive(source, message, now)
 
-    def _make_control_node(
-        self, base_folder: Path, generator: random.Random
-    ) -> ControlNode | None:
+    def _make_control_node(self) -> ControlNode | None:
+        """Open the disk; after a storage error, ``tick`` tries again."""
         settings = self._node.settings
         if not settings.has_control_role:
             return None
         assert settings.control.data_folder is not None
         try:
-            folder = DataFolder(base_folder / settings.control.data_folder)
+            folder = DataFolder(self._base_folder / settings.control.data_folder)
             disk = ReplicaDisk(folder)
         except StorageError as error:
+            if self._storage_failure is None:
+                _log.error("Cannot open control storage, trying again: {}.", error)
             self._storage_failure = error
-            _log.error("Cannot open control storage; control role disabled: {}.", error)
+            self._next_open_at = self._node.now() + _REOPEN_INTERVAL_SECONDS
             return None
+        if self._storage_failure is not None:
+            self._storage_failure = None
+            _log.info("The control storage is open.")
         return ControlNode(
             _control_node_settings(settings),
             disk,
             self._node.configuration,
             self._node.send,
-            generator,
+            self._generator,
             self._node.now(),
             wall_clock_ms,
             self._node.started_at,
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -12,6 +12,7 @@
 from sassafraspin.daemon.setup import local_member
 from sassafraspin.discovery import (
     ControlDiscovery,
+    ControlInstanceStore,
     ControlMap,
     Seek,
 )
@@ -31,14 +32,13 @@
 from sassafraspin.routed.setup import (
     discovery_settings,
     instance_card,
-    open_control_store,
 )
 from sassafraspin.routes import CallerLimits
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import (
     NamedAddress,
 )
-from sassafraspin.storage import StorageError
+from sassafraspin.storage import DataFolder, StorageError
 from sassafraspin.telemetry import part_logger
 from sassafraspin.telemetry.events import (
     ControlChanged,
@@ -53,6 +53,7 @@
 _TICK_SECONDS = 0.1
 _FINAL_ANSWERS_SECONDS = 0.3
 _SEARCH_TICK_SECONDS = 0.05
+_SAVE_RETRY_SECONDS = 0.5
 _MS_PER_SECOND = 1000
 
 _CONTROL_WAIT_SECONDS = 0.3
@@ -95,7 +96,9 @@
             PeerMessage,
             self._receive,
         )
-        self._control_store = open_control_store(settings)
+        self._control_store: ControlInstanceStore | None = None
+        self._saved_control: tuple[NamedAddress, ...] = ()
+        self._next_save_at = float("-inf")
         self._discovery = ControlDiscovery(
             discovery_settings(settings),
             instance_card(settings, self._member),
@@ -242,6 +245,7 @@
         while True:
             self._runtime.tick()
             self._update_control(self._runtime.node)
+            self._save_control()
             self._apply_caller_limits(self._runtime.node)
             await trio.sleep(_TICK_SECONDS)
 
@@ -256,7 +260,6 @@
             return
         log_event(ControlChanged(names))
         self._discovery.replace_control(control)
-        self._save_control()
 
     def _apply_caller_limits(self, node: Node) -> None:
         """Apply the caller limits of the current routing table."""
@@ -275,19 +278,48 @@
         )
 
     def _save_control(self) -> None:
-        """Save the control instances, so that a restart needs no seeds."""
-        if self._control_store is None:
+        """Save the control instances, so that a restart needs no seeds.
+
+        After a storage error it is tried again.
+        """
+        control = self._discovery.control
+        if self._settings.data_folder is None or control == self._saved_control:
             return
+        now = steady_time()
+        if now < self._next_save_at:
+            return
+        self._next_save_at = now + _SAVE_RETRY_SECONDS
         try:
-            self._control_store.save(self._discovery.control)
+            self._open_store().save(control)
         except StorageError as error:
             _log.error("Cannot save the control instances: {}.", error)
+            return
+        self._saved_control = control
+        self._next_save_at = float("-inf")
+
+    def _load_control(self) -> tuple[NamedAddress, ...]:
+        """Return the saved control instances, empty if they cannot be read."""
+        if self._settings.data_folder is None:
+            return ()
+        try:
+            return self._open_store().load()
+        except StorageError as error:
+            _log.error("Cannot read the control instances: {}.", error)
+            return ()
+
+    def _open_store(self) -> ControlInstanceStore:
+        """Return the store of the control instances; raises ``StorageError``."""
+        if self._control_store is None:
+            self._control_store = ControlInstanceStore(
+                DataFolder(self._settings.data_folder)
+            )
+        return self._control_store
 
     async def _discover_control(self) -> None:
         """Load the control instances from disk or ask other instances for them."""
-        saved = () if self._control_store is None else self._control_store.load()
-        if saved:
-            self._discovery.receive(ControlMap(saved))
+        self._saved_control = self._load_control()
+        if self._saved_control:
+            self._discovery.receive(ControlMap(self._saved_control))
         while not self._discovery.control:
             for address, seek in self._discovery.tick(steady_time()):
                 name = f"seed-{address.host}"
@@ -296,9 +328,8 @@
                 )
                 self._network.send(name, seek)
             await trio.sleep(_SEARCH_TICK_SECONDS)
+        self._save_control()
         control = self._discovery.control
-        if control != saved:
-            self._save_control()
         for address in control:
             self._network.set_peer_address(address)
         log_event(ControlChanged(tuple(address.name for address in control)))
--- a/src/sassafraspin/routed/setup.py
+++ b/src/sassafraspin/routed/setup.py
@@ -6,7 +6,7 @@
 from sassafraspin.control import Configuration
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.setup import member_timings
-from sassafraspin.discovery import ControlInstanceStore, DiscoverySettings, InstanceCard
+from sassafraspin.discovery import DiscoverySettings, InstanceCard
 from sassafraspin.membership import Member, MemberLease
 from sassafraspin.routed.settings import RoutedSettings
 from sassafraspin.rpc import PeerNetwork
@@ -16,14 +16,12 @@
     ListenSettings,
     NamedAddress,
 )
-from sassafraspin.storage import DataFolder, StorageError
-from sassafraspin.telemetry import Metrics, part_logger
+from sassafraspin.telemetry import Metrics
 
 __all__ = [
     "daemon_settings",
     "instance_card",
     "make_node",
-    "open_control_store",
     "discovery_settings",
 ]
 
@@ -32,8 +30,6 @@
 _VIEW_RETENTION_MS = 0
 """Earlier views place request records, which this daemon does not keep."""
 
-_log = part_logger("daemon")
-
 
 def make_node(settings: DaemonSettings, member: Member, network: PeerNetwork) -> Node:
     """Return the context that the components of a daemon share."""
@@ -101,17 +97,6 @@
     )
 
 
-def open_control_store(settings: RoutedSettings) -> ControlInstanceStore | None:
-    """Return the store of control instances, ``None`` without a usable disk."""
-    if settings.data_folder is None:
-        return None
-    try:
-        return ControlInstanceStore(DataFolder(settings.data_folder))
-    except StorageError as error:
-        _log.error("Cannot open the data folder: {}.", error)
-        return None
-
-
 def _voters(settings: RoutedSettings) -> int:
     """Return the number of voters that tolerate the losses in the settings."""
     return 2 * settings.tolerated_losses + 1
--- a/src/sassafraspin/storage/files.py
+++ b/src/sassafraspin/storage/files.py
@@ -37,7 +37,11 @@
         """Return the content of a file, ``None`` if it does not exist."""
 
     def append(self, name: str, data: bytes) -> None:
-        """Append bytes to a file and sync it to disk."""
+        """Append bytes to a file and sync it to disk.
+
+        After an error, any part of the bytes may be in the file, and what it holds may
+        not be durable. It must be replaced before the next append.
+        """
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file durably; a crash leaves either the old or the new content."""
@@ -84,6 +88,8 @@
             _write_all(descriptor, data)
             os.fdatasync(descriptor)
         except OSError as error:
+            # The next append syncs the folder again, should that have failed here.
+            self._close(name)
             raise _to_storage_error(error) from error
 
     def replace(self, name: str, data: bytes) -> None:
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -14,6 +14,7 @@
     "CallEnded",
     "CallRefused",
     "ControlChanged",
+    "ControlDiskReopened",
     "DispatcherLost",
     "DispatcherRegained",
     "EVENTS",
@@ -80,6 +81,19 @@
     instances: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class ControlDiskReopened(Event):
+    """The control disk takes writes again after a storage error.
+
+    ``term`` and ``last_index`` are those of the log on the disk.
+    """
+
+    part: ClassVar[str] = "control"
+    text: ClassVar[str] = "The control replica restarted from its disk."
+    term: int
+    last_index: int
+
+
 @dataclass(frozen=True)
 class TableInForce(Event):
     """The instance uses another routing table from now on."""
@@ -360,6 +374,7 @@
     InstanceStopping,
     InstanceStopped,
     ControlChanged,
+    ControlDiskReopened,
     TableInForce,
     LeaderChanged,
     ServerLeaving,
--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -92,12 +92,16 @@
     # Faults
 
     def crash(self, name: str) -> None:
-        """Crash a node; unsynced writes are lost."""
+        """Cut a node's power; unsynced writes are lost."""
+        self.kill(name)
+        self.nodes[name].files.crash()
+
+    def kill(self, name: str) -> None:
+        """Kill a node's process; its files stay as they are, synced or not."""
         node = self.nodes[name]
         if node.control is not None:
             node.crashed_at = node.clock.now()
         node.control = None
-        node.files.crash()
 
     def restart(self, name: str, loading: float | None = None) -> None:
         """Start a node from its disk.
@@ -128,8 +132,10 @@
                 lambda: int(self.network.now * 1000),
                 self._process_start(node, loading),
             )
-        except (SimulatedCrash, StorageError):
+        except SimulatedCrash:
             self.crash(name)
+        except StorageError:
+            self.kill(name)
 
     def _process_start(self, node: QuorumNode, loading: float | None) -> float:
         """Return the start time of a node's new process, after the old one crashed."""
@@ -238,14 +244,16 @@
             self._check_acknowledged(self._state(leader), leader.name)
 
     def check_recovery(self) -> None:
-        """Remove all faults and check that the quorum recovers."""
+        """Remove all faults and check that the quorum recovers.
+
+        Only nodes that have crashed are started again.
+        """
         self.network.blocked_links.clear()
         for name, node in self.nodes.items():
             node.frozen = False
             node.files.full = False
+            node.files.fails_to_sync = False
             node.files.crash_after_writes = None
-            if node.control is not None and node.control.failure is not None:
-                self.crash(name)
             self.restart(name)
         self.run(30.0)
         leader = self.leader()
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from sassafraspin.storage import DiskFull
+from sassafraspin.storage import DiskFull, StorageError
 
 MAX_CLOCK_DRIFT = 0.04
 
@@ -105,68 +105,86 @@
     Parameters
     ----------
     syncs : bool
-        Whether appended bytes survive a crash; ``False`` injects a defect.
+        Whether appended bytes survive a loss of power; ``False`` injects a defect.
     """
 
     def __init__(self, syncs: bool = True) -> None:
         self._syncs = syncs
+        self._cached: dict[str, bytes] = {}
         self._durable: dict[str, bytes] = {}
-        self._unsynced: dict[str, bytes] = {}
+        self._lost_ranges: dict[str, list[tuple[int, int]]] = {}
         self.crash_after_writes: int | None = None
         self.torn_bytes = 0
         self.full = False
+        self.fails_to_sync = False
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, ``None`` if it does not exist."""
-        if name not in self._durable and name not in self._unsynced:
-            return None
-        return self._durable.get(name, b"") + self._unsynced.get(name, b"")
+        return self._cached.get(name)
 
     def append(self, name: str, data: bytes) -> None:
-        """Append bytes to a file."""
-        self._fail_if_full()
+        """Append bytes to a file.
+
+        A full disk takes the first ``torn_bytes`` of them. Bytes that fail to sync can
+        be read until the power is lost, and no later sync makes them durable.
+        """
+        if self.full:
+            self._cached[name] = self._cached.get(name, b"") + data[: self.torn_bytes]
+            raise DiskFull("data folder: no space left")
         if self._is_crash_due():
             torn = data[: self.torn_bytes]
             self._durable[name] = self._durable.get(name, b"") + torn
             raise SimulatedCrash
+        start = len(self._cached.get(name, b""))
+        self._cached[name] = self._cached.get(name, b"") + data
+        if self.fails_to_sync:
+            lost = self._lost_ranges.setdefault(name, [])
+            lost.append((start, len(self._cached[name])))
+            raise StorageError("data folder: input/output error")
         if self._syncs:
-            self._durable[name] = self._durable.get(name, b"") + data
-        else:
-            self._unsynced[name] = self._unsynced.get(name, b"") + data
+            self._durable[name] = self._synced_content(name)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically."""
-        self._fail_if_full()
+        if self.full:
+            raise DiskFull("data folder: no space left")
+        if self.fails_to_sync:
+            raise StorageError("data folder: input/output error")
         if self._is_crash_due():
             raise SimulatedCrash
-        self._unsynced.pop(name, None)
-        self._durable[name] = data
+        self._lost_ranges.pop(name, None)
+        self._cached[name] = self._durable[name] = data
 
     def remove(self, name: str) -> None:
         """Remove a file."""
-        self._durable.pop(name, None)
-        self._unsynced.pop(name, None)
+        for files in (self._cached, self._durable, self._lost_ranges):
+            files.pop(name, None)
 
     def crash(self) -> None:
-        """Discard unsynced bytes."""
-        self._unsynced.clear()
+        """Lose the power: discard bytes that are not durable."""
+        self._cached = dict(self._durable)
+        self._lost_ranges.clear()
         self.crash_after_writes = None
 
     def erase(self) -> None:
         """Erase all files."""
+        self._cached.clear()
         self._durable.clear()
-        self._unsynced.clear()
+        self._lost_ranges.clear()
         self.crash_after_writes = None
 
     def flip_bit(self, name: str, position: int) -> None:
         """Flip one bit of a file."""
         content = bytearray(self._durable[name])
         content[position % len(content)] ^= 1
-        self._durable[name] = bytes(content)
-
-    def _fail_if_full(self) -> None:
-        if self.full:
-            raise DiskFull("data folder: no space left")
+        self._cached[name] = self._durable[name] = bytes(content)
+
+    def _synced_content(self, name: str) -> bytes:
+        """Return what a sync makes durable: zeros where an earlier sync has failed."""
+        content = bytearray(self._cached[name])
+        for start, end in self._lost_ranges.get(name, ()):
+            content[start:end] = bytes(end - start)
+        return bytes(content)
 
     def _is_crash_due(self) -> bool:
         if self.crash_after_writes is None:
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -100,9 +100,18 @@
         if self.model.lose_disk(node):
             self.model.restart(node)
 
-    @rule(node=NODES, full=st.booleans())
-    def fill_disk(self, node, full):
+    @rule(node=NODES)
+    def kill(self, node):
+        self.model.kill(node)
+
+    @rule(node=NODES, full=st.booleans(), taken=st.integers(0, 30))
+    def fill_disk(self, node, full, taken):
         self.model.nodes[node].files.full = full
+        self.model.nodes[node].files.torn_bytes = taken
+
+    @rule(node=NODES, fails=st.booleans())
+    def fail_syncs(self, node, fails):
+        self.model.nodes[node].files.fails_to_sync = fails
 
     @rule(node=NODES, frozen=st.booleans())
     def freeze(self, node, frozen):
