Cut a damaged last record of the control log, and recover what it may have held

The write was torn, with its full length. No instance became ready again; the acknowledged configuration could not be read back. With the write torn on all three disks, they founded a new quorum and answered 404.

Cause: a last record of full length with a wrong checksum was taken for damage to what was stored, so the whole log was discarded. Discarded disks called themselves empty.

Why it works: nothing tells an interrupted write from damage at the end of a file, so the record is cut, and the replica is recovering: it counts for votes, commits and leases only together with all voters that are not lost, until the leader has shown that it lacks nothing. Such a quorum shares a sound voter with each earlier one. Damage before a valid record still discards the disk, whose identity now says that it founds no quorum.

--- a/src/sassafraspin/control/disk.py
+++ b/src/sassafraspin/control/disk.py
@@ -1,6 +1,7 @@
 """Durable state of a control replica: log, snapshot and disk identity."""
 
 import uuid
+from dataclasses import replace
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from sassafraspin.control.replica import PersistentState
 from sassafraspin.storage import Files, ScanEnd, frame_record, scan_records
 from sassafraspin.telemetry import part_logger
+from sassafraspin.telemetry.events import ControlLogCut, log_event
 
 __all__ = ["ReplicaDisk"]
 
@@ -21,11 +23,13 @@
 
 class _DiskIdentity(msgspec.Struct, frozen=True, tag="identity"):
     disk_id: str
+    may_bootstrap: bool = True
 
 
 class _TermRecord(msgspec.Struct, frozen=True, tag="term"):
     term: int
     voted_for: str | None
+    recovering: bool = False
 
 
 class _EntriesRecord(msgspec.Struct, frozen=True, tag="entries"):
@@ -43,11 +47,14 @@
 class ReplicaDisk:
     """Stores the durable state of a replica.
 
-    An incomplete record at the end of the log is discarded: a crash interrupted its
-    write, so it was never acknowledged. After any other corruption the log and the
-    snapshot are discarded and the disk gets a new identity. The replica rejoins as a
-    learner: its votes count only after the new identity was added to the voters,
-    because it may have lost entries and votes stored under the old identity.
+    A damaged record at the end of the log is cut. A write that was interrupted leaves
+    one and was never acknowledged, but damage to the last record looks the same, so the
+    replica is recovering from then on; see ``Quorum``.
+
+    After any other corruption the log and the snapshot are discarded and the disk gets
+    a new identity. The replica rejoins as a learner: its votes count only after the new
+    identity was added to the voters, because it may have lost entries and votes stored
+    under the old identity. The disk bootstraps no quorum, as it belonged to one.
 
     The log is written anew whenever it is opened: bytes that were written, but not
     synced, can be read back and are still lost with the power.
@@ -79,7 +86,7 @@
 
     def save_term(self, effect: SaveTerm) -> None:
         """Write the term and the vote durably."""
-        self._append(_TermRecord(effect.term, effect.voted_for))
+        self._append(_term_record(effect))
 
     def append(self, effect: AppendToDisk) -> None:
         """Write log entries durably."""
@@ -94,17 +101,16 @@
         snapshot = frame_record(_ENCODER.encode(effect.snapshot))
         self._files.replace(_SNAPSHOT_FILE, snapshot)
         records = (
-            _DiskIdentity(self._persistent_state.disk_id),
-            _TermRecord(term.term, term.voted_for),
+            self._identity,
+            _term_record(term),
             _EntriesRecord(effect.snapshot.index + 1, effect.entries),
         )
-        content = b"".join(frame_record(_ENCODER.encode(item)) for item in records)
         self._synced_bytes = None
-        self._replace_log(content)
+        self._replace_log(b"".join(map(_frame, records)))
 
     def _append(self, record: _Record) -> None:
         assert self._synced_bytes is not None
-        data = frame_record(_ENCODER.encode(record))
+        data = _frame(record)
         self._files.append(_LOG_FILE, data)
         self._synced_bytes += len(data)
 
@@ -112,38 +118,52 @@
         self._files.replace(_LOG_FILE, content)
         self._synced_bytes = len(content)
 
+    @property
+    def _identity(self) -> _DiskIdentity:
+        state = self._persistent_state
+        return _DiskIdentity(state.disk_id, state.may_bootstrap)
+
     def _open(self) -> PersistentState:
-        return self._load() or self._initialize()
+        content = self._files.read(_LOG_FILE)
+        if content is None and self._files.read(_SNAPSHOT_FILE) is None:
+            return self._initialize(may_bootstrap=True)
+        state = self._load((content or b"")[: self._synced_bytes])
+        if state is None:
+            _log.error(
+                "Control log or snapshot is corrupt; discarding both and rejoining "
+                "as a learner."
+            )
+            return self._initialize(may_bootstrap=False)
+        return state
 
-    def _initialize(self) -> PersistentState:
-        persistent_state = PersistentState(disk_id=uuid.uuid4().hex)
-        identity = frame_record(
-            _ENCODER.encode(_DiskIdentity(persistent_state.disk_id))
-        )
+    def _initialize(self, may_bootstrap: bool) -> PersistentState:
+        """Start with an empty log and a new identity.
+
+        The snapshot is removed last. Until then it shows that there was a log.
+        """
+        state = PersistentState(uuid.uuid4().hex, may_bootstrap=may_bootstrap)
         self._synced_bytes = None
+        self._replace_log(_frame(_DiskIdentity(state.disk_id, may_bootstrap)))
         self._files.remove(_SNAPSHOT_FILE)
-        self._replace_log(identity)
-        return persistent_state
+        return state
 
-    def _load(self) -> PersistentState | None:
-        content = self._files.read(_LOG_FILE)
-        if content is None:
-            return None
-        scan = scan_records(content[: self._synced_bytes])
+    def _load(self, content: bytes) -> PersistentState | None:
+        """Return the state on the disk, ``None`` if it is corrupt."""
+        scan = scan_records(content)
         snapshot = self._load_snapshot()
         if scan.end is ScanEnd.CORRUPT or snapshot is None:
-            _log.error(
-                "Control log or snapshot is corrupt; discarding both and rejoining "
-                "as a learner."
-            )
             return None
-        if scan.end is ScanEnd.TORN:
-            _log.warning(
-                "Discarding an incomplete record at the end of the control log."
-            )
         state = _rebuild_state(scan.payloads, snapshot)
-        if state is not None:
-            self._replace_log(content[: scan.valid_bytes])
+        if state is None:
+            return None
+        kept = content[: scan.valid_bytes]
+        if scan.end is ScanEnd.TORN:
+            state = replace(state, recovering=True)
+            kept += _frame(_TermRecord(state.term, state.voted_for, recovering=True))
+            last_index = snapshot.index + len(state.entries)
+            cut = len(content) - scan.valid_bytes
+            log_event(ControlLogCut(cut, state.term, last_index))
+        self._replace_log(kept)
         return state
 
     def _load_snapshot(self) -> Snapshot | None:
@@ -159,6 +179,14 @@
             return None
 
 
+def _term_record(saved: SaveTerm) -> _TermRecord:
+    return _TermRecord(saved.term, saved.voted_for, saved.recovering)
+
+
+def _frame(record: _Record) -> bytes:
+    return frame_record(_ENCODER.encode(record))
+
+
 def _rebuild_state(
     payloads: tuple[bytes, ...], snapshot: Snapshot
 ) -> PersistentState | None:
@@ -167,8 +195,8 @@
     Returns ``None`` if a record cannot be decoded, if entries are missing between two
     records, or if no record holds the disk identity.
     """
-    disk_id = None
-    term = SaveTerm(0, None)
+    identity = None
+    term = _TermRecord(0, None)
     log = ReplicatedLog(snapshot)
     for payload in payloads:
         try:
@@ -177,17 +205,24 @@
             return None
         match record:
             case _DiskIdentity():
-                disk_id = record.disk_id
+                identity = record
             case _TermRecord():
-                term = SaveTerm(record.term, record.voted_for)
+                term = record
             case _EntriesRecord():
                 if record.first_index > log.last_index + 1:
                     return None
                 _replay_record(log, record)
-    if disk_id is None:
+    if identity is None:
         return None
-    entries = log.entries_from(snapshot.index + 1)
-    return PersistentState(disk_id, term.term, term.voted_for, snapshot, entries)
+    return PersistentState(
+        identity.disk_id,
+        term.term,
+        term.voted_for,
+        snapshot,
+        log.entries_from(snapshot.index + 1),
+        term.recovering,
+        identity.may_bootstrap,
+    )
 
 
 def _replay_record(log: ReplicatedLog, record: _EntriesRecord) -> None:
--- a/src/sassafraspin/control/effects.py
+++ b/src/sassafraspin/control/effects.py
@@ -17,10 +17,11 @@
 
 @dataclass(frozen=True)
 class SaveTerm:
-    """Write the term and the vote in that term durably."""
+    """Write the term, the vote in that term and whether the replica is recovering."""
 
     term: int
     voted_for: str | None
+    recovering: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/control/election.py
+++ b/src/sassafraspin/control/election.py
@@ -1,9 +1,11 @@
 """Election timer and vote counting of a control replica."""
 
+import math
 import random
 from typing import TYPE_CHECKING
 
 from sassafraspin.control.messages import Voter
+from sassafraspin.control.quorum import Quorum
 
 if TYPE_CHECKING:
     from sassafraspin.control.replica import ReplicaTimings
@@ -48,6 +50,9 @@
         self._timings = timings
         self._generator = generator
         self._votes: set[Voter] = set()
+        self._recovering: set[Voter] = set()
+        self._answered_at: dict[Voter, float] = {}
+        self._campaigning_since = now
         self._is_pre_vote = False
         self._last_contact = started_at
         self._election_due_at = self._first_due(now)
@@ -86,6 +91,8 @@
     def record_contact(self, now: float) -> None:
         """Record a message from the leader and restart the election timer."""
         self._last_contact = now
+        self._campaigning_since = now
+        self._answered_at.clear()
         self.postpone(now)
 
     def has_recent_leader(self, now: float) -> bool:
@@ -95,15 +102,45 @@
         """
         return now - self._last_contact < self._timings.election_timeout
 
-    def start(self, pre: bool) -> None:
+    def start(self, pre: bool, recovering: bool) -> None:
         """Start an election or a pre-vote with a vote for this replica."""
         self._is_pre_vote = pre
-        self._votes = {self._own}
+        self._votes = set()
+        self._recovering = set()
+        self.add_vote(self._own, recovering)
 
-    def add_vote(self, voter: Voter) -> None:
+    def record_answer(self, voter: Voter, now: float) -> None:
+        """Record that an instance has answered with a disk, for or against."""
+        self._answered_at[voter] = now
+
+    def add_vote(self, voter: Voter, recovering: bool) -> None:
         """Count a vote for this replica."""
         self._votes.add(voter)
+        if recovering:
+            self._recovering.add(voter)
+
+    def is_won(self, voters: tuple[Voter, ...], now: float) -> bool:
+        """Return whether a quorum of the voters voted for this replica."""
+        quorum = Quorum(voters, self._recovering, self.lost_voters(voters, now))
+        return quorum.is_reached_by(self._votes)
+
+    def lost_voters(self, voters: tuple[Voter, ...], now: float) -> frozenset[Voter]:
+        """Return the voters that count as lost while there is no leader.
+
+        Their instance has answered with another disk, or not at all for as long as it
+        takes to replace it.
+        """
+        return frozenset(
+            voter
+            for voter in voters
+            if voter != self._own and self._is_lost(voter, now)
+        )
 
-    def has_majority(self, voters: tuple[Voter, ...]) -> bool:
-        """Return whether a majority of the voters voted for this replica."""
-        return 2 * len(self._votes & set(voters)) > len(voters)
+    def _is_lost(self, voter: Voter, now: float) -> bool:
+        answered = self._answered_at
+        if any(item.name == voter.name and item != voter for item in answered):
+            return True
+        if self._timings.replace_after is None:
+            return False
+        heard_at = max(self._campaigning_since, answered.get(voter, -math.inf))
+        return now - heard_at >= self._timings.replace_after
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sassafraspin.control.messages import Voter
+from sassafraspin.control.quorum import Quorum
 from sassafraspin.control.transit import slow_link_seconds, transit_timeout
 
 if TYPE_CHECKING:
@@ -43,6 +44,14 @@
         the time that they take on a slow link. Small ones count as lost after one.
     snapshot_sent : float
         Time at which a snapshot was last sent, in seconds.
+    recovery : str
+        Recovery that the peer is in, empty if it is in none; see ``Quorum``.
+    recovery_since : float
+        Time at which the leader learned of it, in seconds.
+    recovery_index : int
+        Last index of the leader's log at that time.
+    is_recovered : bool
+        Whether the peer was told that the recovery is complete.
     """
 
     next_index: int
@@ -54,6 +63,10 @@
     sent_bytes: int = 0
     retransmit_heartbeats: int = _FIRST_RETRANSMIT_HEARTBEATS
     snapshot_sent: float = float("-inf")
+    recovery: str = ""
+    recovery_since: float = float("-inf")
+    recovery_index: int = 0
+    is_recovered: bool = False
 
     @property
     def is_sending(self) -> bool:
@@ -73,12 +86,24 @@
         Timeouts.
     now : float
         Monotonic time in seconds.
+    recovering : bool
+        Whether the leader itself is recovering; see ``Quorum``.
+    lost : frozenset of Voter
+        Voters that counted as lost in the election.
     """
 
     def __init__(
-        self, own: Voter, last_index: int, timings: "ReplicaTimings", now: float
+        self,
+        own: Voter,
+        last_index: int,
+        timings: "ReplicaTimings",
+        now: float,
+        recovering: bool = False,
+        lost: frozenset[Voter] = frozenset(),
     ) -> None:
         self._own = own
+        self._is_recovering = recovering
+        self._lost = set(lost)
         self._first_next_index = last_index + 1
         self._timings = timings
         self._since = now
@@ -94,8 +119,14 @@
         return self._term_committed
 
     def record_term_committed(self) -> None:
-        """Record that an entry of this term is committed."""
+        """Record that an entry of this term is committed.
+
+        That ends a recovery of the leader: the quorum that elected it and the one that
+        committed the entry make up for what it may have lost.
+        """
         self._term_committed = True
+        self._is_recovering = False
+        self._cached_contact = None
 
     def peers(self, voters: tuple[Voter, ...]) -> tuple[Voter, ...]:
         """Return the other voters and the learners, which all receive entries."""
@@ -205,7 +236,65 @@
             progress.sent_at = float("-inf")
             progress.retransmit_heartbeats = _FIRST_RETRANSMIT_HEARTBEATS
         progress.contact = max(progress.contact, sent_at)
+        self._lost.discard(peer)
+        self._cached_contact = None
+
+    def accept_reply(
+        self, peer: Voter, recovery: str, last_index: int, now: float
+    ) -> bool:
+        """Record whether a peer is recovering; return whether its reply counts.
+
+        What it had stored before it began to recover does not count any more. A reply
+        that it sent before that is ignored.
+
+        Parameters
+        ----------
+        peer : Voter
+            The sender of the reply.
+        recovery : str
+            Its recovery, as in ``AppendReply``.
+        last_index : int
+            Last index of the leader's log.
+        now : float
+            Monotonic time in seconds.
+        """
+        progress = self._progress_of(peer)
+        if recovery == progress.recovery:
+            return True
+        if not recovery and not progress.is_recovered:
+            return False
         self._cached_contact = None
+        if not recovery:
+            progress.recovery = ""
+            return True
+        self._progress[peer] = _Progress(
+            last_index + 1,
+            progress.since,
+            recovery=recovery,
+            recovery_since=now,
+            recovery_index=last_index,
+        )
+        return True
+
+    def completed_recovery(
+        self, peer: Voter, voters: tuple[Voter, ...], now: float
+    ) -> str:
+        """Return the recovery of a peer that is complete, empty if there is none.
+
+        The peer has stored all that it may have acknowledged, and a quorum has followed
+        this leader since it began to recover. So there was no later leader then, whose
+        entries or votes it might have lost.
+        """
+        progress = self._progress_of(peer)
+        is_complete = (
+            progress.recovery != ""
+            and progress.match_index >= progress.recovery_index
+            and self._majority_contact(voters, now) >= progress.recovery_since
+        )
+        if not is_complete:
+            return ""
+        progress.is_recovered = True
+        return progress.recovery
 
     def heartbeat_due(self, now: float) -> bool:
         """Return whether the heartbeat interval has elapsed."""
@@ -216,12 +305,14 @@
         self._last_heartbeat = now
 
     def majority_match(self, voters: tuple[Voter, ...], last_index: int) -> int:
-        """Return the highest index that a majority of the voters has stored."""
-        matches = [
-            last_index if voter == self._own else self._progress_of(voter).match_index
+        """Return the highest index that a quorum of the voters has stored."""
+        matches = {
+            voter: last_index
+            if voter == self._own
+            else self._progress_of(voter).match_index
             for voter in voters
-        ]
-        return _majority_value(matches) if matches else 0
+        }
+        return int(max(0, self._quorum(voters).value(matches)))
 
     def lease_until(self, voters: tuple[Voter, ...], now: float) -> float:
         """Return the end of the leader lease; no other leader is elected before it."""
@@ -236,13 +327,17 @@
     def confirmed_peers(
         self, voters: tuple[Voter, ...], commit_index: int, now: float
     ) -> set[Voter]:
-        """Return the peers that are alive and have stored every committed entry."""
+        """Return the peers that are alive and have stored every committed entry.
+
+        A recovering peer is not among them.
+        """
         alive_since = now - self._timings.election_timeout
         return {
             peer
             for peer in self.peers(voters)
             if self._progress_of(peer).contact > alive_since
             and self._progress_of(peer).match_index >= commit_index
+            and not self._progress_of(peer).recovery
         }
 
     def is_disk_lost(self, voter: Voter) -> bool:
@@ -263,25 +358,28 @@
         return now - contact > 2 * self._timings.election_timeout
 
     def _majority_contact(self, voters: tuple[Voter, ...], now: float) -> float:
-        """Return the latest send time that a majority of the voters has answered.
+        """Return the latest send time that a quorum of the voters has answered.
 
         The value is cached, because it is needed for every message.
         """
         if self._cached_contact is None or self._cached_contact[0] is not voters:
-            contacts = [
-                math.inf if voter == self._own else self._progress_of(voter).contact
+            contacts = {
+                voter: math.inf
+                if voter == self._own
+                else self._progress_of(voter).contact
                 for voter in voters
-            ]
-            contact = _majority_value(contacts) if contacts else -math.inf
-            self._cached_contact = voters, contact
+            }
+            self._cached_contact = voters, self._quorum(voters).value(contacts)
         return min(now, self._cached_contact[1])
 
+    def _quorum(self, voters: tuple[Voter, ...]) -> Quorum:
+        recovering = {peer for peer, item in self._progress.items() if item.recovery}
+        if self._is_recovering:
+            recovering.add(self._own)
+        lost = {voter for voter in voters if self.is_disk_lost(voter)}
+        return Quorum(voters, recovering, lost | self._lost)
+
     def _progress_of(self, peer: Voter) -> _Progress:
         if peer not in self._progress:
             self._progress[peer] = _Progress(self._first_next_index)
         return self._progress[peer]
-
-
-def _majority_value(values: list) -> float:
-    """Return the highest value that a majority of the values reaches."""
-    return sorted(values, reverse=True)[len(values) // 2]
--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -79,6 +79,7 @@
     """Reply to a vote request.
 
     ``term`` is the term of the request, ``current_term`` that of the replying replica.
+    ``recovering`` is set while it may have lost votes and entries; see ``Quorum``.
     """
 
     term: int
@@ -86,13 +87,15 @@
     granted: bool
     disk_id: str
     current_term: int
+    recovering: bool = False
 
 
 class AppendRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Entries after ``previous_index``; also serves as the leader's heartbeat.
 
     ``sent_at`` is a time of the leader's clock. The reply returns it, and the leader
-    lease is counted from it.
+    lease is counted from it. ``recovered`` names the recovery of the receiver that is
+    complete: it has stored again all that it may have acknowledged before.
     """
 
     term: int
@@ -101,6 +104,7 @@
     entries: tuple[Entry, ...]
     commit_index: int
     sent_at: float
+    recovered: str = ""
 
 
 class InstallSnapshot(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -115,7 +119,8 @@
     """Reply to an ``AppendRequest`` or an ``InstallSnapshot``.
 
     On success ``match_index`` is the last index known to match the leader's log,
-    otherwise the index to retry from.
+    otherwise the index to retry from. ``recovery`` names the recovery that the replica
+    is in; it is empty unless it may have lost votes and entries.
     """
 
     term: int
@@ -123,6 +128,7 @@
     match_index: int
     disk_id: str
     sent_at: float
+    recovery: str = ""
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -42,7 +42,11 @@
 )
 from sassafraspin.storage import StorageError
 from sassafraspin.telemetry import part_logger
-from sassafraspin.telemetry.events import ControlDiskReopened, log_event
+from sassafraspin.telemetry.events import (
+    ControlDiskReopened,
+    ControlRecovered,
+    log_event,
+)
 
 __all__ = ["ControlNode", "ControlNodeSettings", "ProposalResult"]
 
@@ -365,7 +369,7 @@
         self, state: PersistentState, now: float, started_at: float | None
     ) -> None:
         """Start a replica from the durable state."""
-        self._saved_term = SaveTerm(state.term, state.voted_for)
+        self._saved_term = SaveTerm(state.term, state.voted_for, state.recovering)
         self._replica = ControlReplica(
             self._settings.name,
             self._settings.configured,
@@ -417,6 +421,8 @@
         match effect:
             case SaveTerm():
                 self._disk.save_term(effect)
+                if self._saved_term.recovering and not effect.recovering:
+                    log_event(ControlRecovered(effect.term, self._replica.leader))
                 self._saved_term = effect
             case AppendToDisk():
                 self._disk.append(effect)
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -81,13 +81,35 @@
 
 @dataclass(frozen=True)
 class PersistentState:
-    """Durable state of a replica."""
+    """Durable state of a replica.
+
+    Parameters
+    ----------
+    disk_id : str
+        Identity of the disk.
+    term : int
+        Current term.
+    voted_for : str or None
+        Vote in the current term.
+    snapshot : Snapshot
+        State before the first entry.
+    entries : tuple of Entry
+        Entries after the snapshot.
+    recovering : bool
+        Whether the end of the log was cut, so that entries and votes may be missing
+        that were acknowledged; see ``Quorum``.
+    may_bootstrap : bool
+        Whether the disk may bootstrap a quorum while it is empty. It may not if it
+        held a log that was discarded.
+    """
 
     disk_id: str
     term: int = 0
     voted_for: str | None = None
     snapshot: Snapshot = EMPTY_SNAPSHOT
     entries: tuple[Entry, ...] = ()
+    recovering: bool = False
+    may_bootstrap: bool = True
 
 
 class ControlReplica:
@@ -141,6 +163,11 @@
         )
         self._term = persistent_state.term
         self._voted_for = persistent_state.voted_for
+        self._may_bootstrap = persistent_state.may_bootstrap
+        # Tells the replies of this recovery from those of earlier ones.
+        self._recovery = (
+            f"{generator.getrandbits(64):016x}" if persistent_state.recovering else ""
+        )
         self._log = ReplicatedLog(persistent_state.snapshot, persistent_state.entries)
         self._commit_index = persistent_state.snapshot.index
         self._applied_index = persistent_state.snapshot.index
@@ -155,7 +182,9 @@
 
     @property
     def _is_empty(self) -> bool:
-        return not self._log.voters and self._log.last_index == 0
+        """Return whether this disk may bootstrap a quorum."""
+        is_empty = not self._log.voters and self._log.last_index == 0
+        return is_empty and self._may_bootstrap
 
     @property
     def role(self) -> Role:
@@ -201,6 +230,11 @@
         """Return whether this replica, with its current disk, is a voter."""
         return self._own in self._log.voters
 
+    @property
+    def is_recovering(self) -> bool:
+        """Return whether this replica may have lost what it had acknowledged."""
+        return self._recovery != ""
+
     def has_lease(self, now: float) -> bool:
         """Return whether this replica is the leader and no other leader can exist now.
 
@@ -363,7 +397,7 @@
         self._request_votes(pre=False, term=self._term, now=now)
 
     def _request_votes(self, pre: bool, term: int, now: float) -> None:
-        self._election.start(pre)
+        self._election.start(pre, self.is_recovering)
         request = VoteRequest(term, pre, self._log.last_index, self._log.last_term)
         for voter in self._log.voters:
             if voter != self._own:
@@ -371,7 +405,7 @@
         self._count_votes(now)
 
     def _count_votes(self, now: float) -> None:
-        if not self._election.has_majority(self._log.voters):
+        if not self._election.is_won(self._log.voters, now):
             return
         if self._election.is_pre_vote:
             self._start_election(now)
@@ -389,7 +423,12 @@
         else:
             granted = self._grant_vote(source, request, now)
         reply = VoteReply(
-            request.term, request.pre, granted, self._own.disk_id, self._term
+            request.term,
+            request.pre,
+            granted,
+            self._own.disk_id,
+            self._term,
+            self.is_recovering,
         )
         self._send(source, reply)
 
@@ -438,15 +477,24 @@
         ):
             return
         asked_term = self._term + 1 if reply.pre else self._term
-        if reply.granted and reply.term == asked_term:
-            self._election.add_vote(Voter(source, reply.disk_id))
-            self._count_votes(now)
+        if reply.term != asked_term:
+            return
+        voter = Voter(source, reply.disk_id)
+        self._election.record_answer(voter, now)
+        if reply.granted:
+            self._election.add_vote(voter, reply.recovering)
+        self._count_votes(now)
 
     def _become_leader(self, now: float) -> None:
         self._set_role(Role.LEADER)
         self._leader = self._name
         self._leadership = Leadership(
-            self._own, self._log.last_index, self._timings, now
+            self._own,
+            self._log.last_index,
+            self._timings,
+            now,
+            self.is_recovering,
+            self._election.lost_voters(self._log.voters, now),
         )
         self._append(NoopEntry(self._term), now)
 
@@ -531,6 +579,7 @@
         If the log no longer has the previous entry, a heartbeat refers to the start of
         the log, where all logs match.
         """
+        assert self._leadership is not None
         previous_term = self._log.term_at(previous_index)
         if previous_term is None:
             previous_index, previous_term = 0, 0
@@ -541,6 +590,7 @@
             entries,
             self._commit_index,
             now,
+            self._leadership.completed_recovery(peer, self._log.voters, now),
         )
         self._send(peer.name, request)
 
@@ -556,6 +606,9 @@
             # A replica that hears the leader does not announce a new disk.
             self._register_learner(peer, now)
             return
+        last_index = self._log.last_index
+        if not leadership.accept_reply(peer, reply.recovery, last_index, now):
+            return
         leadership.record_contact(peer, reply.sent_at)
         if not reply.success:
             if not leadership.is_in_transit(peer, now):
@@ -576,6 +629,7 @@
         if index <= self._commit_index or self._log.term_at(index) != self._term:
             return
         leadership.record_term_committed()
+        self._end_recovery(self._name)
         self._advance_commit_to(index)
 
     def _register_learner(self, learner: Voter, now: float) -> None:
@@ -610,13 +664,12 @@
             self._reject_append(source, request)
             return
         self._store_new_entries(request)
+        if request.recovered == self._recovery:
+            self._end_recovery(source)
         end = request.previous_index + len(request.entries)
         self._advance_commit_to(min(request.commit_index, end))
         match_index = max(end, self._commit_index)
-        reply = AppendReply(
-            self._term, True, match_index, self._own.disk_id, request.sent_at
-        )
-        self._send(source, reply)
+        self._reply_to_append(source, True, match_index, request.sent_at)
 
     def _matches_previous_entry(self, request: AppendRequest) -> bool:
         """Return whether the log matches the leader's before the request's entries.
@@ -632,8 +685,7 @@
         self, source: str, term: int, sent_at: float, now: float
     ) -> bool:
         if term < self._term:
-            reply = AppendReply(self._term, False, 0, self._own.disk_id, sent_at)
-            self._send(source, reply)
+            self._reply_to_append(source, False, 0, sent_at)
             return False
         if term > self._term or self._role is not Role.FOLLOWER:
             self._become_follower(term, source)
@@ -644,8 +696,30 @@
     def _reject_append(self, source: str, request: AppendRequest) -> None:
         """Reject an append and tell the leader which index to retry from."""
         hint = self._log.conflict_hint(request.previous_index, self._commit_index)
-        reply = AppendReply(self._term, False, hint, self._own.disk_id, request.sent_at)
-        self._send(source, reply)
+        self._reply_to_append(source, False, hint, request.sent_at)
+
+    def _reply_to_append(
+        self, leader: str, success: bool, match_index: int, sent_at: float
+    ) -> None:
+        reply = AppendReply(
+            self._term,
+            success,
+            match_index,
+            self._own.disk_id,
+            sent_at,
+            self._recovery,
+        )
+        self._send(leader, reply)
+
+    def _end_recovery(self, leader: str) -> None:
+        """End a recovery; a vote in this term that may be lost counts as the leader's.
+
+        Nothing happens if this replica is not recovering.
+        """
+        if not self.is_recovering:
+            return
+        self._recovery = ""
+        self._save_term(self._term, self._voted_for or leader)
 
     def _store_new_entries(self, request: AppendRequest) -> None:
         first = self._log.merge(request.previous_index, request.entries)
@@ -665,10 +739,7 @@
             self._commit_index = snapshot.index
             self._applied_index = snapshot.index
         match_index = max(snapshot.index, self._commit_index)
-        reply = AppendReply(
-            self._term, True, match_index, self._own.disk_id, message.sent_at
-        )
-        self._send(source, reply)
+        self._reply_to_append(source, True, match_index, message.sent_at)
 
     # Shared helpers
 
@@ -682,7 +753,7 @@
     def _save_term(self, term: int, voted_for: str | None) -> None:
         self._term = term
         self._voted_for = voted_for
-        self._effects.append(SaveTerm(term, voted_for))
+        self._effects.append(SaveTerm(term, voted_for, self.is_recovering))
 
     def _send(self, name: str, message: ReplicaMessage) -> None:
         self._effects.append(SendToReplica(name, message))
--- a/src/sassafraspin/storage/records.py
+++ b/src/sassafraspin/storage/records.py
@@ -12,8 +12,6 @@
 _HEADER = struct.Struct("<IQ")
 """Payload length in bytes, then a 64-bit checksum of the length and the payload."""
 
-MAX_RECORD_BYTES = 64 * 1024 * 1024
-
 
 class ScanEnd(StrEnum):
     """How the scan of a file of records ended."""
@@ -34,13 +32,11 @@
     valid_bytes : int
         Total length of the valid records, in bytes.
     end : ScanEnd
-        ``TORN`` if the file ends within a record, or if only zero bytes follow the
-        valid records. A crash during an append can leave either: the file may have
-        grown before its data was synced. A damaged length that exceeds the rest of
-        the file is ``TORN`` too.
-        ``CORRUPT`` if a checksum does not match or a length exceeds
-        ``MAX_RECORD_BYTES``. This is taken as damage to stored records, not as an
-        interrupted append.
+        ``TORN`` if the last record is damaged. An interrupted append leaves that: the
+        file may lack any part of it, at its old length or at its new one. Damage to
+        the last record that was stored looks the same.
+        ``CORRUPT`` if a valid record follows the damage, so that the damaged one had
+        been stored.
     """
 
     payloads: tuple[bytes, ...]
@@ -58,22 +54,38 @@
     payloads: list[bytes] = []
     position = 0
     while position < len(content):
-        rest = len(content) - position
-        if rest < _HEADER.size or not any(content[position:]):
-            return RecordScan(tuple(payloads), position, ScanEnd.TORN)
-        length, checksum = _HEADER.unpack_from(content, position)
-        if length > MAX_RECORD_BYTES:
-            return RecordScan(tuple(payloads), position, ScanEnd.CORRUPT)
-        if rest < _HEADER.size + length:
-            return RecordScan(tuple(payloads), position, ScanEnd.TORN)
-        start = position + _HEADER.size
-        payload = content[start : start + length]
-        if _checksum(payload) != checksum:
-            return RecordScan(tuple(payloads), position, ScanEnd.CORRUPT)
+        payload = _payload_at(content, position)
+        if payload is None:
+            has_more = _has_record_after(content, position)
+            end = ScanEnd.CORRUPT if has_more else ScanEnd.TORN
+            return RecordScan(tuple(payloads), position, end)
         payloads.append(payload)
-        position = start + length
+        position += _HEADER.size + len(payload)
     return RecordScan(tuple(payloads), position, ScanEnd.COMPLETE)
 
 
+def _payload_at(content: bytes, position: int) -> bytes | None:
+    """Return the payload of the record at a position, ``None`` if it is not valid."""
+    start = position + _HEADER.size
+    if start > len(content):
+        return None
+    length, checksum = _HEADER.unpack_from(content, position)
+    if start + length > len(content):
+        return None
+    payload = content[start : start + length]
+    return payload if _checksum(payload) == checksum else None
+
+
+def _has_record_after(content: bytes, position: int) -> bool:
+    """Return whether a valid record starts anywhere after a position.
+
+    The length of the damaged record may be damaged too.
+    """
+    return any(
+        _payload_at(content, start) is not None
+        for start in range(position + 1, len(content) - _HEADER.size + 1)
+    )
+
+
 def _checksum(payload: bytes) -> int:
     return xxhash.xxh3_64_intdigest(struct.pack("<I", len(payload)) + payload)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -15,6 +15,8 @@
     "CallRefused",
     "ControlChanged",
     "ControlDiskReopened",
+    "ControlLogCut",
+    "ControlRecovered",
     "DispatcherLost",
     "DispatcherRegained",
     "EVENTS",
@@ -94,6 +96,35 @@
     last_index: int
 
 
+@dataclass(frozen=True)
+class ControlLogCut(Event):
+    """A damaged record was cut from the end of the control log at the start.
+
+    An interrupted write leaves one, and so does damage to what was acknowledged; the
+    replica is recovering until a leader has shown that it lacks nothing. ``bytes``
+    were cut; ``term`` and ``last_index`` are those of the log that remains.
+    """
+
+    part: ClassVar[str] = "storage"
+    text: ClassVar[str] = "The end of the control log was damaged and has been cut."
+    bytes: int
+    term: int
+    last_index: int
+
+
+@dataclass(frozen=True)
+class ControlRecovered(Event):
+    """A control replica whose log was cut lacks nothing any more.
+
+    ``leader`` is the control leader that it has followed.
+    """
+
+    part: ClassVar[str] = "control"
+    text: ClassVar[str] = "The control replica has recovered all that it may have lost."
+    term: int
+    leader: str | None
+
+
 @dataclass(frozen=True)
 class TableInForce(Event):
     """The instance uses another routing table from now on."""
@@ -375,6 +406,8 @@
     InstanceStopped,
     ControlChanged,
     ControlDiskReopened,
+    ControlLogCut,
+    ControlRecovered,
     TableInForce,
     LeaderChanged,
     ServerLeaving,
--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -164,8 +164,31 @@
     def lose_disk(self, name: str) -> bool:
         """Crash a node and erase its disk; return whether that was done.
 
-        It is done only if there is a leader other than this node, and if the other
-        voters are running with their own disks and form a majority.
+        It is done only if no more disks are lost than the quorum tolerates.
+        """
+        if not self._may_lose_disk(name):
+            return False
+        self.crash(name)
+        self.nodes[name].files.erase()
+        return True
+
+    def damage_log(self, name: str, position: int) -> bool:
+        """Crash a node and flip a bit near the end of its log.
+
+        It is done only if the disk may be lost; return whether it was done.
+        """
+        has_log = self.nodes[name].files.read("control.log") is not None
+        if not has_log or not self._may_lose_disk(name):
+            return False
+        self.crash(name)
+        self.nodes[name].files.flip_bit("control.log", -1 - position)
+        return True
+
+    def _may_lose_disk(self, name: str) -> bool:
+        """Return whether the quorum tolerates the loss of a node's disk.
+
+        There is a leader other than this node, and the other voters run with their own
+        disks, lack nothing and form a majority.
         """
         leader = self.leader()
         if leader is None or leader.name == name:
@@ -174,16 +197,14 @@
         intact = {
             node.control.replica.disk_id
             for node in self.nodes.values()
-            if node.control is not None and node.name != name
+            if node.control is not None
+            and node.name != name
+            and not node.control.replica.is_recovering
         }
         others = [voter for voter in voters if voter.name != name]
         if any(voter.disk_id not in intact for voter in others):
             return False
-        if 2 * len(others) <= len(voters):
-            return False
-        self.crash(name)
-        self.nodes[name].files.erase()
-        return True
+        return 2 * len(others) > len(voters)
 
     # Proposals
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -115,6 +115,7 @@
         self._lost_ranges: dict[str, list[tuple[int, int]]] = {}
         self.crash_after_writes: int | None = None
         self.torn_bytes = 0
+        self.hole_bytes = 0
         self.full = False
         self.fails_to_sync = False
 
@@ -125,14 +126,19 @@
     def append(self, name: str, data: bytes) -> None:
         """Append bytes to a file.
 
-        A full disk takes the first ``torn_bytes`` of them. Bytes that fail to sync can
-        be read until the power is lost, and no later sync makes them durable.
+        A full disk takes the first ``torn_bytes`` of them. So does a disk that loses
+        power, unless ``hole_bytes`` is set: then the file has its new length, and only
+        as many bytes are missing after the first ones. Bytes that fail to sync can be
+        read until the power is lost, and no later sync makes them durable.
         """
         if self.full:
             self._cached[name] = self._cached.get(name, b"") + data[: self.torn_bytes]
             raise DiskFull("data folder: no space left")
         if self._is_crash_due():
             torn = data[: self.torn_bytes]
+            if self.hole_bytes:
+                hole = min(self.hole_bytes, len(data) - len(torn))
+                torn += bytes(hole) + data[len(torn) + hole :]
             self._durable[name] = self._durable.get(name, b"") + torn
             raise SimulatedCrash
         start = len(self._cached.get(name, b""))
@@ -174,7 +180,7 @@
         self.crash_after_writes = None
 
     def flip_bit(self, name: str, position: int) -> None:
-        """Flip one bit of a file."""
+        """Flip one bit of a file; a negative position counts from its end."""
         content = bytearray(self._durable[name])
         content[position % len(content)] ^= 1
         self._cached[name] = self._durable[name] = bytes(content)
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -58,6 +58,7 @@
 
     syncs = True
     spares = 0
+    counts_damage = True
 
     @initialize(seed=st.integers(0, 2**16))
     def start(self, seed):
@@ -80,10 +81,29 @@
     def crash(self, node):
         self.model.crash(node)
 
-    @rule(node=NODES, writes=st.integers(0, 3), torn=st.integers(0, 30))
-    def crash_at_write(self, node, writes, torn):
-        self.model.nodes[node].files.crash_after_writes = writes
-        self.model.nodes[node].files.torn_bytes = torn
+    @rule(
+        node=NODES,
+        writes=st.integers(0, 3),
+        torn=st.integers(0, 30),
+        hole=st.integers(0, 30),
+    )
+    def crash_at_write(self, node, writes, torn, hole):
+        self.tear_next_write(node, writes, torn, hole)
+
+    @rule(torn=st.integers(0, 30), hole=st.integers(0, 30))
+    def lose_power_during_writes(self, torn, hole):
+        for name in self.model.nodes:
+            self.tear_next_write(name, 0, torn, hole)
+        leader = self.model.leader()
+        if leader is not None:
+            self.model.propose(leader.name)
+        self.model.run(0.3)
+        self.restart_all()
+
+    def tear_next_write(self, name, writes, torn, hole):
+        files = self.model.nodes[name].files
+        files.crash_after_writes = writes
+        files.torn_bytes, files.hole_bytes = torn, hole
 
     @rule(node=NODES)
     def restart(self, node):
@@ -104,6 +124,11 @@
     def kill(self, node):
         self.model.kill(node)
 
+    @rule(node=NODES, position=st.integers(0, 40))
+    def damage_log(self, node, position):
+        if self.counts_damage and self.model.damage_log(node, position):
+            self.model.restart(node)
+
     @rule(node=NODES, full=st.booleans(), taken=st.integers(0, 30))
     def fill_disk(self, node, full, taken):
         self.model.nodes[node].files.full = full
@@ -138,9 +163,13 @@
 
 
 class SpareMachine(QuorumMachine):
-    """Random faults with a spare instance that may replace a lost voter."""
+    """Random faults with a spare instance that may replace a lost voter.
+
+    A voter that is silent counts as lost here, which is one disk less to damage.
+    """
 
     spares = 1
+    counts_damage = False
 
     @rule()
     def crash_spare(self):
