Answer an order by its outcome in the control log

Cause: the control log refuses such a move, and Operations took every known outcome for an acceptance. The same held for a version that is in force already, for one that was replaced since it was read, for the readmission of a part, and for the log line and the counter of a step of a move. An unknown outcome closed the connection without an answer, as its problem was raised with an argument that it does not take.

Why it works: each kind of outcome is matched in one place, for both daemons: accepted and unchanged are in force, a conflict and a refusal get 409 with the reason, an unknown outcome 503. Orders that were accepted are still acknowledged again.

--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -11,6 +11,7 @@
     ControlNode,
     ControlNodeSettings,
     MoveCoordinator,
+    OutcomeKind,
     ProposalResult,
     ReplicaDisk,
     ReplicaTimings,
@@ -284,9 +285,11 @@
 
     def _report_move(self, end: ProposalResult) -> None:
         """Log and count each committed step of a move."""
-        if end.outcome is None or end.outcome.move is None:
+        outcome = end.outcome
+        if outcome is None or outcome.kind is not OutcomeKind.ACCEPTED:
             return
-        move = end.outcome.move
+        move = outcome.move
+        assert move is not None
         name = move.spec.name
         self._node.metrics.count(f"move.{move.phase}")
         match move.phase:
--- a/src/sassafraspin/daemon/operations.py
+++ b/src/sassafraspin/daemon/operations.py
@@ -11,19 +11,14 @@
 from sassafraspin.control import (
     CommandOutcome,
     DeclareMove,
-    OutcomeKind,
     PutProfile,
     UndoMove,
 )
 from sassafraspin.daemon.access import AccessControl
 from sassafraspin.daemon.announcements import AnnouncementClient
 from sassafraspin.daemon.node import Node
-from sassafraspin.daemon.problems import (
-    Conflict,
-    ControlUnavailable,
-    UnknownPath,
-)
-from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.daemon.problems import UnknownPath
+from sassafraspin.daemon.proposals import ProposalClient, require_in_force
 from sassafraspin.daemon.status import InstanceStatus
 from sassafraspin.http import (
     Headers,
@@ -154,25 +149,7 @@
     async def _commit(
         self, command: PutProfile | DeclareMove | UndoMove
     ) -> CommandOutcome:
-        outcome = await self._proposals.propose(command)
-        if outcome is None:
-            raise ControlUnavailable
-        if outcome.kind in (OutcomeKind.ACCEPTED, OutcomeKind.UNCHANGED):
-            return outcome
-        raise Conflict(_conflict_message(outcome))
-
-
-def _conflict_message(outcome: CommandOutcome) -> str:
-    if outcome.profile is not None:
-        current = outcome.profile
-        return (
-            f"version {current.profile.version} by {current.operator} is in force "
-            f"(change {current.change_id}); {outcome.reason}"
-        )
-    if outcome.move is not None:
-        move = outcome.move
-        return f"{outcome.reason}: move {move.spec.name!r} is {move.phase}"
-    return outcome.reason
+        return require_in_force(await self._proposals.propose(command))
 
 
 def _existing(value: T | None, name: str) -> T:
--- a/src/sassafraspin/daemon/proposals.py
+++ b/src/sassafraspin/daemon/proposals.py
@@ -3,12 +3,13 @@
 import msgspec
 import trio
 
-from sassafraspin.control import Command, CommandOutcome
+from sassafraspin.control import Command, CommandOutcome, OutcomeKind
 from sassafraspin.daemon.messages import Propose, ProposeReply
 from sassafraspin.daemon.node import Node
+from sassafraspin.daemon.problems import Conflict, ControlUnavailable
 from sassafraspin.daemon.replies import PendingReplies
 
-__all__ = ["ProposalClient"]
+__all__ = ["ProposalClient", "require_in_force"]
 
 _RETRY_INTERVAL_SECONDS = 0.3
 _TIMEOUT_SECONDS = 5.0
@@ -74,3 +75,40 @@
 def with_timestamp(command: Command, at_ms: int) -> Command:
     """Return a copy of the command with its ``at_ms`` set."""
     return msgspec.structs.replace(command, at_ms=at_ms)
+
+
+def require_in_force(outcome: CommandOutcome | None) -> CommandOutcome:
+    """Return the outcome of a command that is in force.
+
+    Parameters
+    ----------
+    outcome : CommandOutcome or None
+        Outcome of a proposal, ``None`` if it is not known.
+
+    Raises
+    ------
+    ControlUnavailable
+        If the outcome is not known.
+    Conflict
+        If the command has no effect.
+    """
+    if outcome is None:
+        raise ControlUnavailable
+    match outcome.kind:
+        case OutcomeKind.ACCEPTED | OutcomeKind.UNCHANGED:
+            return outcome
+        case OutcomeKind.CONFLICT | OutcomeKind.REFUSED:
+            raise Conflict(_conflict_message(outcome))
+
+
+def _conflict_message(outcome: CommandOutcome) -> str:
+    if outcome.profile is not None:
+        current = outcome.profile
+        return (
+            f"version {current.profile.version} by {current.operator} is in force "
+            f"(change {current.change_id}); {outcome.reason}"
+        )
+    if outcome.move is not None:
+        move = outcome.move
+        return f"{outcome.reason}: move {move.spec.name!r} is {move.phase}"
+    return outcome.reason
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -5,16 +5,21 @@
 from enum import StrEnum
 
 from sassafraspin.backends import Announcement, Retirement
-from sassafraspin.control import Command, DeclareMove, PutTable, ReadmitPart
+from sassafraspin.control import (
+    CommandOutcome,
+    DeclareMove,
+    OutcomeKind,
+    PutTable,
+    ReadmitPart,
+)
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
 from sassafraspin.daemon.leaves import LeaveTracker
 from sassafraspin.daemon.node import Node, wall_clock_ms
-from sassafraspin.daemon.problems import ControlUnavailable
-from sassafraspin.daemon.proposals import ProposalClient
+from sassafraspin.daemon.proposals import ProposalClient, require_in_force
 from sassafraspin.isolation import IsolatedPart
 from sassafraspin.membership import Member
-from sassafraspin.moves import Move, MovePhase, MoveSpec
+from sassafraspin.moves import Move, MovePhase, MoveRefusal, MoveSpec
 from sassafraspin.routed.problems import NotCurrent, RetirementPending
 from sassafraspin.routed.retirement import RetirementView, ServerRetirement
 from sassafraspin.routes import DeclaredTable, RoutingTable
@@ -109,10 +114,17 @@
         return Address(member.host, self._node.member.control_port)
 
     async def put_table(self, table: RoutingTable, source: bytes) -> None:
-        """Propose a routing table; only a version above the current takes effect."""
+        """Propose a routing table; only a version above the current takes effect.
+
+        Raises
+        ------
+        ControlUnavailable
+            If it is unknown whether the table was accepted.
+        """
         digest = hashlib.blake2b(source, digest_size=8).hexdigest()
         change_id = f"table-{table.version}-{digest}"
-        await self._commit(PutTable(change_id, 0, DeclaredTable(table, source)))
+        command = PutTable(change_id, 0, DeclaredTable(table, source))
+        require_in_force(await self._proposals.propose(command))
 
     def read_table(self) -> DeclaredTable | None:
         """Return the current routing table; raises ``NotCurrent`` unless leading."""
@@ -196,11 +208,27 @@
     async def start_rollout(self, service: str, target: str, seconds: float) -> None:
         """Declare a move to a version, to be finished within ``seconds``.
 
-        A retried order has no effect.
+        A retried order is acknowledged again and has no effect.
+
+        Raises
+        ------
+        Conflict
+            If the move is refused, for example while another one of the service runs.
+        ControlUnavailable
+            If it is unknown whether the move was declared.
         """
-        latest = self._latest_move(service)
-        if latest is not None and self._is_duplicate(latest, target):
+        if self._is_ordered(service, target):
             return
+        outcome = await self._declare(service, target, seconds)
+        if _is_outdated(outcome):
+            # Another move of the service ended after its version was read.
+            outcome = await self._declare(service, target, seconds)
+        if not _is_declared(outcome, target):
+            require_in_force(outcome)
+
+    async def _declare(
+        self, service: str, target: str, seconds: float
+    ) -> CommandOutcome | None:
         moves = self._node.configuration.state.moves
         version = moves.versions.get(service) or self._dispatch.version_of(service)
         spec = MoveSpec(
@@ -213,8 +241,8 @@
             exposed_share=_CANARY_SHARE,
             soak_ms=_SOAK_MS,
         )
-        change_id = f"move-{spec.name}"
-        await self._commit(DeclareMove(change_id, _OPERATOR, 0, spec))
+        command = DeclareMove(f"move-{spec.name}", _OPERATOR, 0, spec)
+        return await self._proposals.propose(command)
 
     def rollout_status(self, service: str) -> tuple[RolloutState, str] | None:
         """Return the state and target version of the latest rollout of a service."""
@@ -241,15 +269,30 @@
         """Accept a part or request again; return whether it was isolated."""
         if not any(item.part == part for item in self.isolated_parts()):
             return False
-        change_id = f"readmit-{uuid.uuid4().hex}"
-        await self._commit(ReadmitPart(change_id, _OPERATOR, 0, part))
+        command = ReadmitPart(f"readmit-{uuid.uuid4().hex}", _OPERATOR, 0, part)
+        outcome = require_in_force(await self._proposals.propose(command))
+        if outcome.kind is OutcomeKind.UNCHANGED:
+            return False
         log_event(PartReadmitted(part))
         return True
 
     def _latest_move(self, service: str) -> Move | None:
+        moves = self._moves_of(service)
+        return moves[-1] if moves else None
+
+    def _moves_of(self, service: str) -> list[Move]:
         moves = self._node.configuration.state.moves.all_moves()
-        of_service = [move for move in moves if move.spec.service == service]
-        return of_service[-1] if of_service else None
+        return [move for move in moves if move.spec.service == service]
+
+    def _is_ordered(self, service: str, target: str) -> bool:
+        """Return whether an order for a version counts as a retry of an earlier one."""
+        moves = self._moves_of(service)
+        if not moves:
+            return False
+        latest = moves[-1]
+        if latest.phase is MovePhase.DONE and latest.spec.to_version == target:
+            return True
+        return any(self._is_duplicate(move, target) for move in moves)
 
     def _is_duplicate(self, move: Move, target: str) -> bool:
         if move.spec.to_version != target:
@@ -257,12 +300,20 @@
         age_ms = wall_clock_ms() - move.declared_at_ms
         return not move.phase.is_final or age_ms < _DUPLICATE_WINDOW_MS
 
-    async def _commit(self, command: Command) -> None:
-        outcome = await self._proposals.propose(command)
-        if outcome is None:
-            raise ControlUnavailable(
-                "the control quorum did not decide in time; send it again"
-            )
+
+def _is_declared(outcome: CommandOutcome | None, target: str) -> bool:
+    """Return whether a move to the target was refused because one runs already.
+
+    The same order may be sent to two instances at once.
+    """
+    if outcome is None or outcome.reason != MoveRefusal.SERVICE_BUSY:
+        return False
+    return outcome.move is not None and outcome.move.spec.to_version == target
+
+
+def _is_outdated(outcome: CommandOutcome | None) -> bool:
+    """Return whether a move was refused for the version that it starts from."""
+    return outcome is not None and outcome.reason == MoveRefusal.WRONG_VERSION
 
 
 def _contradicts(announcement: Announcement, before: Announcement | None) -> bool:
