Propose a step of a move again after a refusal

What callers would see: a bad version keeps its share of requests until the end of its move. The leader decides on a rollback while the step before it is still on its way, so the rollback is refused, and it is never proposed again; nor is that of the deadline.

Cause: a step counts as done once its identifier has an outcome, whichever it is, and the identifier named the move, the phase and the share, but not the phase that it starts from.

The new test in tests/test_moves.py plays it: before, the move stays in the phase loading.

Why it works: a step that starts from another phase has another identifier, and a move never returns to a phase, so a step that was refused is not due again.

--- a/src/sassafraspin/control/move_coordinator.py
+++ b/src/sassafraspin/control/move_coordinator.py
@@ -58,5 +58,8 @@
 
 
 def _transition_id(step: MoveStep) -> str:
-    """Return the ``change_id`` of a transition; a move makes each one at most once."""
-    return f"move-{step.name}-{step.phase}-{step.share:.3f}"
+    """Return the ``change_id`` of a transition; a move makes each one at most once.
+
+    One that was refused starts from a phase that the move has left for good.
+    """
+    return f"move-{step.name}-{step.expected_phase}-{step.phase}-{step.share:.3f}"
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -13,6 +13,13 @@
     run_state_machine_as_test,
 )
 
+from sassafraspin.control import (
+    AdvanceMove,
+    ControlState,
+    DeclareMove,
+    MoveCoordinator,
+    OutcomeKind,
+)
 from sassafraspin.dispatch import ReleaseResult, SlotRelease, SlotRequest
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.moves import (
@@ -278,6 +285,37 @@
         self.assertGreaterEqual(self.completed_at(13_000, 15_000), 14_000)
 
 
+class TestRefusedSteps(unittest.TestCase):
+    """Steps that were decided on a phase that the move has left meanwhile."""
+
+    def test_rollback_is_proposed_again_after_a_refusal(self):
+        # Guards against a bad version that keeps its share as a refusal looks final.
+        state = ControlState()
+        state.apply(1, DeclareMove("declare", "ayse", 0, spec()))
+        coordinator = MoveCoordinator(RolloutSettings())
+        late: list[AdvanceMove] = []
+        failing = MoveEvidence(
+            "move", MovePhase.DECLARED, 0, 0, 0, 0, 0, 1, RollbackReason.FAILURES, ""
+        )
+        coordinator.receive(failing)
+        coordinator.tick(state, 100, late.append)
+        loading = MoveStep(
+            "move", MovePhase.DECLARED, MovePhase.LOADING, 0, RollbackReason.NONE, ""
+        )
+        state.apply(2, AdvanceMove("loading", 100, loading))
+        for index, command in enumerate(late, start=3):
+            outcome = state.apply(index, command)
+            self.assertIs(outcome.kind, OutcomeKind.REFUSED)
+        for now_ms in range(200, 1_000, 100):
+            coordinator.tick(
+                state, now_ms, lambda command: state.apply(state.index + 1, command)
+            )
+        self.assertIn(
+            state.moves.get("move").phase,
+            (MovePhase.ROLLING_BACK, MovePhase.ROLLED_BACK),
+        )
+
+
 class TestVersionGate(unittest.TestCase):
     """Share of the new version while its servers are often full."""
 
