End a connection after a message that can be read in two lengths

Cause: such a request was read by its chunks, as h11 does, and the connection went on. The other end may go by the length, so RFC 9112, section 6.1, has the server close the connection in any case. The same held for answers: after one with both, or with a body where none can be, the connection was used again.

Why it works: a request with both is refused with 400 and ends its connection, an answer is read by its chunks and its connection is not used again; one function tells both.

--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -8,7 +8,7 @@
 
 from sassafraspin.errors import RemoteFailure
 from sassafraspin.http.checkpoints import CheckpointCounter
-from sassafraspin.http.messages import Headers, Request
+from sassafraspin.http.messages import Headers, Request, has_two_framings
 
 __all__ = [
     "AnswerTooLarge",
@@ -22,7 +22,9 @@
 
 _READ_CHUNK_BYTES = 65_536
 
-_STATUSES_WITHOUT_BODY = (204, 304)
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+_STATUSES_WITHOUT_BODY = (_NO_CONTENT, _NOT_MODIFIED)
 
 
 class BodyFraming(enum.Enum):
@@ -129,6 +131,7 @@
         self._last_used = trio.current_time()
         self._declared_body_bytes = 0
         self._framing = BodyFraming.NONE
+        self._has_doubtful_end = False
         self._is_closed = False
         self._requests = 0
         self._checkpoints = CheckpointCounter()
@@ -158,10 +161,11 @@
         """Prepare the connection for another request; return whether that is possible.
 
         A connection with surplus bytes after a complete response is not reused: they
-        would be taken for the response to the next request.
+        would be taken for the response to the next request. Nor is one after a response
+        whose end its server may see elsewhere.
         """
         self._last_used = trio.current_time()
-        if self._protocol.trailing_data[0]:
+        if self._protocol.trailing_data[0] or self._has_doubtful_end:
             return False
         try:
             self._protocol.start_next_cycle()
@@ -195,6 +199,7 @@
         informational_responses = 0
         while isinstance(event, h11.InformationalResponse):
             informational_responses += 1
+            self._has_doubtful_end |= _has_doubtful_end(event)
             if informational_responses > self._limits.informational_responses:
                 raise ConnectionLost("the server sends too many 1xx responses")
             event = await self._next_event()
@@ -202,6 +207,7 @@
             raise ConnectionLost("the server closed before its answer", is_closed=True)
         headers = Headers.from_wire(event.headers)
         self._framing = _body_framing(request, event, headers)
+        self._has_doubtful_end |= _has_doubtful_end(event)
         self._declared_body_bytes = 0
         if self._framing is BodyFraming.LENGTH:
             self._declared_body_bytes = int(headers.get("content-length") or 0)
@@ -274,6 +280,22 @@
     return BodyFraming.CONNECTION
 
 
+def _has_doubtful_end(response: h11.Response | h11.InformationalResponse) -> bool:
+    """Return whether the server may see the end of its response elsewhere.
+
+    It declares a length and chunks, or a body where none can be (RFC 9112, section 6).
+    A response to HEAD and a 304 declare the length of what they stand for.
+    """
+    headers = Headers.from_wire(response.headers)
+    if has_two_framings(headers):
+        return True
+    is_chunked = headers.get("transfer-encoding") is not None
+    status = response.status_code
+    if status == _NO_CONTENT or isinstance(response, h11.InformationalResponse):
+        return is_chunked or headers.get("content-length") not in (None, "0")
+    return False
+
+
 def _headers_with_length(request: Request) -> list[tuple[str, str]]:
     headers = list(request.headers.items)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -8,7 +8,12 @@
 import trio
 
 from sassafraspin.http.checkpoints import CheckpointCounter
-from sassafraspin.http.messages import Headers, Request, Response
+from sassafraspin.http.messages import (
+    Headers,
+    Request,
+    Response,
+    has_two_framings,
+)
 from sassafraspin.http.problems import (
     BadRequest,
     BodyTooLarge,
@@ -177,12 +182,15 @@
         head = await self._read_head()
         if isinstance(head, _Closed):
             return head
+        headers = Headers.from_wire(head.headers)
+        if has_two_framings(headers):
+            raise BadRequest("the request declares both a length and chunks")
         with trio.move_on_after(self._limits.body_timeout_ms / _MS_PER_SECOND):
             body = await self._read_body(head)
             return Request(
                 head.method.decode("ascii"),
                 head.target.decode("ascii", "replace"),
-                Headers.from_wire(head.headers),
+                headers,
                 body,
             )
         raise RequestTimeout("body")
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["Headers", "Request", "Response"]
+__all__ = ["Headers", "Request", "Response", "has_two_framings"]
 
 
 @dataclass(frozen=True)
@@ -85,3 +85,13 @@
     headers: Headers = field(default_factory=Headers)
     body: bytes = b""
     is_framed: bool = True
+
+
+def has_two_framings(headers: Headers) -> bool:
+    """Return whether a message declares both a length and chunks.
+
+    Its two ends may read different lengths, and take the rest for another message
+    (RFC 9112, section 6.3).
+    """
+    is_chunked = headers.get("transfer-encoding") is not None
+    return is_chunked and headers.get("content-length") is not None
