Hand the place of a control instance that shuts down over to its successor

Two core machines had been replaced; after the final fault all instances refused with not-current, and the configuration did not come.

Cause: the place of a voter went to its successor only after 3 s of silence, also when its machine was shut down in order, the successor started first. A removed machine counts no more once its successor has had time to catch up, so the next disk may be lost right after its end. Then one of three voters is left, for good.

Why it works: the instance says that it shuts down, and the leader adds a spare that has answered since and removes the voter, itself too. A voter counts as lost in a recovery after a time of its own, a third of the recovery time, not that of replacements.

--- a/src/sassafraspin/control/election.py
+++ b/src/sassafraspin/control/election.py
@@ -127,8 +127,7 @@
     def lost_voters(self, voters: tuple[Voter, ...], now: float) -> frozenset[Voter]:
         """Return the voters that count as lost while there is no leader.
 
-        Their instance has answered with another disk, or not at all for as long as it
-        takes to replace it.
+        Their instance has answered with another disk, or not at all for a long time.
         """
         return frozenset(
             voter
@@ -140,7 +139,7 @@
         answered = self._answered_at
         if any(item.name == voter.name and item != voter for item in answered):
             return True
-        if self._timings.replace_after is None:
+        if self._timings.lost_after is None:
             return False
         heard_at = max(self._campaigning_since, answered.get(voter, -math.inf))
-        return now - heard_at >= self._timings.replace_after
+        return now - heard_at >= self._timings.lost_after
--- a/src/sassafraspin/control/leadership.py
+++ b/src/sassafraspin/control/leadership.py
@@ -52,6 +52,9 @@
         Last index of the leader's log at that time.
     is_recovered : bool
         Whether the peer was told that the recovery is complete.
+    leaving_since : float
+        Time since which the instance of the peer is known to shut down, in seconds;
+        infinite if it does not.
     """
 
     next_index: int
@@ -67,6 +70,7 @@
     recovery_since: float = float("-inf")
     recovery_index: int = 0
     is_recovered: bool = False
+    leaving_since: float = math.inf
 
     @property
     def is_sending(self) -> bool:
@@ -239,6 +243,24 @@
         self._lost.discard(peer)
         self._cached_contact = None
 
+    def record_leaving(self, peer: Voter, is_leaving: bool, now: float) -> None:
+        """Record whether the instance of a peer shuts down."""
+        progress = self._progress_of(peer)
+        since = min(progress.leaving_since, now)
+        progress.leaving_since = since if is_leaving else math.inf
+
+    def leaving_since(self, peer: Voter) -> float:
+        """Return since when a peer is known to shut down; infinite if it does not."""
+        return self._progress_of(peer).leaving_since
+
+    def is_leaving(self, peer: Voter) -> bool:
+        """Return whether the instance of a peer shuts down."""
+        return self.leaving_since(peer) < math.inf
+
+    def has_answered_since(self, peer: Voter, since: float) -> bool:
+        """Return whether a peer has answered a message sent after a time."""
+        return self._progress_of(peer).contact > since
+
     def accept_reply(
         self, peer: Voter, recovery: str, last_index: int, now: float
     ) -> bool:
--- a/src/sassafraspin/control/messages.py
+++ b/src/sassafraspin/control/messages.py
@@ -120,7 +120,8 @@
 
     On success ``match_index`` is the last index known to match the leader's log,
     otherwise the index to retry from. ``recovery`` names the recovery that the replica
-    is in; it is empty unless it may have lost votes and entries.
+    is in; it is empty unless it may have lost votes and entries. ``leaving`` is set
+    while its instance shuts down.
     """
 
     term: int
@@ -129,6 +130,7 @@
     disk_id: str
     sent_at: float
     recovery: str = ""
+    leaving: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -161,6 +161,7 @@
         self._proposals: dict[str, _Proposal] = {}
         self._failure: StorageError | None = None
         self._next_reopen_at = float("-inf")
+        self._is_leaving = False
         self._start_replica(disk.persistent_state, now, started_at)
 
     @property
@@ -198,6 +199,19 @@
             )
         self._plan_view(now)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this instance shuts down."""
+        return self._is_leaving
+
+    def leave(self) -> None:
+        """Hand the place of this voter over to a spare, if there is one.
+
+        See ``ControlReplica.leave``.
+        """
+        self._is_leaving = True
+        self._replica.leave()
+
     def receive(self, source: str, message: ReplicaMessage, now: float) -> None:
         """Handle a message from another replica."""
         if self._failure is None:
@@ -380,6 +394,8 @@
             started_at,
             self._settings.voters,
         )
+        if self._is_leaving:
+            self._replica.leave()
         self._execute_all(self._replica.start())
 
     def _reopen_disk(self, now: float) -> None:
--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -71,12 +71,16 @@
     replace_after : float or None
         Time without an answer after which a spare replaces a voter; ``None`` if
         only the configured instances may be voters.
+    lost_after : float or None
+        Time without an answer after which a voter counts as lost in an election that
+        recovering voters decide, see ``Quorum``; ``None`` if it never does.
     """
 
     election_timeout: float = 1.0
     heartbeat: float = 0.2
     clock_drift: float = 0.05
     replace_after: float | None = None
+    lost_after: float | None = None
 
 
 @dataclass(frozen=True)
@@ -174,6 +178,7 @@
         self._role = Role.FOLLOWER
         self._leader: str | None = None
         self._leadership: Leadership | None = None
+        self._is_leaving = False
         self._effects: list[Effect] = []
 
     @property
@@ -246,6 +251,14 @@
             return False
         return now < leadership.lease_until(self._log.voters, now)
 
+    def leave(self) -> None:
+        """Hand the place of this voter over to a spare, if there is one.
+
+        The instance shuts down. It may not return, and the next voter may be lost as
+        soon as its successor has had time to catch up.
+        """
+        self._is_leaving = True
+
     def start(self) -> list[Effect]:
         """Return the effects that restore the state machine from the snapshot."""
         snapshot = self._log.snapshot
@@ -610,6 +623,7 @@
         if not leadership.accept_reply(peer, reply.recovery, last_index, now):
             return
         leadership.record_contact(peer, reply.sent_at)
+        leadership.record_leaving(peer, reply.leaving, now)
         if not reply.success:
             if not leadership.is_in_transit(peer, now):
                 leadership.rewind(peer, reply.match_index)
@@ -644,12 +658,12 @@
         """Add or remove one voter if the policy allows it."""
         before = self._log.voters
         voters = self._voter_policy.next_voters(
-            self._log, self._commit_index, leadership, now
+            self._log, self._commit_index, leadership, now, self._is_leaving
         )
         if voters is None:
             return
         self._append(VotersEntry(self._term, voters), now)
-        for removed in set(before).difference(voters):
+        for removed in set(before).difference((*voters, self._own)):
             if not leadership.is_disk_lost(removed):
                 self._register_learner(removed, now)
 
@@ -708,6 +722,7 @@
             self._own.disk_id,
             sent_at,
             self._recovery,
+            self._is_leaving,
         )
         self._send(leader, reply)
 
--- a/src/sassafraspin/control/voters.py
+++ b/src/sassafraspin/control/voters.py
@@ -1,5 +1,6 @@
 """Rule for changes of the voters: which voter the leader may add or remove next."""
 
+import math
 from collections.abc import Iterator
 
 from sassafraspin.control.leadership import Leadership
@@ -20,8 +21,10 @@
     - Every other voter may return with its disk, however long it is silent. It is
       removed only while there are more than ``size`` voters, so its replacement is
       added first.
-    - A learner is added if it is counted as above, no voter has its name, and there
-      are fewer than ``size`` voters or one of them is to be replaced.
+    - A voter is replaced if it is silent for long, or if its instance shuts down, also
+      that of the leader.
+    - A learner is added if it is counted as above and stays, no voter has its name, and
+      there are fewer than ``size`` voters or one of them is to be replaced.
 
     At each step, a majority of the voters remains if as many disks are lost as ``size``
     voters tolerate and all other voters return.
@@ -29,7 +32,7 @@
     Parameters
     ----------
     own : Voter
-        The leader, which is never removed.
+        The leader; it is removed only while it shuts down.
     configured : tuple of str
         Names of all control instances in the settings.
     size : int
@@ -61,13 +64,29 @@
         commit_index: int,
         leadership: Leadership,
         now: float,
+        is_leaving: bool = False,
     ) -> tuple[Voter, ...] | None:
-        """Return the voters after the next change, ``None`` if none is allowed."""
+        """Return the voters after the next change, ``None`` if none is allowed.
+
+        Parameters
+        ----------
+        log : ReplicatedLog
+            The leader's log.
+        commit_index : int
+            Index up to which entries are committed.
+        leadership : Leadership
+            What the leader knows of its peers.
+        now : float
+            Monotonic time in seconds.
+        is_leaving : bool
+            Whether the leader's instance shuts down.
+        """
         if not leadership.term_committed or log.voters_index > commit_index:
             return None
         confirmed = {self._own} | leadership.confirmed_peers(
             log.voters, commit_index, now
         )
+        leadership.record_leaving(self._own, is_leaving, now)
         for voters in self._candidates(log.voters, confirmed, leadership, now):
             if 2 * len(confirmed.intersection(voters)) > len(voters):
                 return voters
@@ -84,19 +103,42 @@
         lost = [voter for voter in others if leadership.is_disk_lost(voter)]
         for voter in lost:
             yield _without(voters, voter)
+        removable = [*others]
+        if leadership.is_leaving(self._own) and self._own in voters:
+            removable.append(self._own)
         if len(voters) > self._size and not lost:
-            yield _without(voters, self._least_needed(others, leadership, now))
-        replaceable = any(
-            self._is_replaceable(voter, leadership, now) for voter in others
-        )
-        if len(voters) < self._size + replaceable:
-            names = {voter.name for voter in voters}
-            for learner in sorted(confirmed.difference(voters)):
-                if learner.name not in names:
-                    yield tuple(sorted((*voters, learner)))
+            yield _without(voters, self._least_needed(removable, leadership, now))
+        replaceable = [
+            voter for voter in removable if self._is_replaceable(voter, leadership, now)
+        ]
+        if len(voters) < self._size + bool(replaceable):
+            yield from self._enlarged(voters, replaceable, confirmed, leadership)
+
+    def _enlarged(
+        self,
+        voters: tuple[Voter, ...],
+        replaceable: list[Voter],
+        confirmed: set[Voter],
+        leadership: Leadership,
+    ) -> Iterator[tuple[Voter, ...]]:
+        """Yield the voters with each learner that may be added.
+
+        A learner that replaces a voter which shuts down has answered since that is
+        known. Otherwise its disk may have been lost, with that of another voter.
+        """
+        names = {voter.name for voter in voters}
+        left_at = [leadership.leaving_since(voter) for voter in replaceable]
+        known_at = max((time for time in left_at if time < math.inf), default=-math.inf)
+        for learner in sorted(confirmed.difference(voters)):
+            if learner.name in names or leadership.is_leaving(learner):
+                continue
+            if leadership.has_answered_since(learner, known_at):
+                yield tuple(sorted((*voters, learner)))
 
     def _is_replaceable(self, voter: Voter, leadership: Leadership, now: float) -> bool:
         """Return whether another instance may take the place of a voter."""
+        if leadership.is_leaving(voter):
+            return True
         if self._replace_after is None:
             return voter.name not in self._configured
         return leadership.silent_for(voter, now) >= self._replace_after
@@ -104,10 +146,12 @@
     def _least_needed(
         self, others: list[Voter], leadership: Leadership, now: float
     ) -> Voter:
-        """Return a replaceable voter, the one silent longest."""
+        """Return a replaceable voter, the one silent longest, else one that leaves."""
 
         def rank(voter: Voter) -> tuple[bool, float]:
             is_replaceable = self._is_replaceable(voter, leadership, now)
+            if voter == self._own:
+                return is_replaceable, 0.0
             return is_replaceable, leadership.silent_for(voter, now)
 
         return max(others, key=rank)
--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -149,6 +149,11 @@
             self._announce_leader(control_node, now)
             self._advance_moves(control_node, now)
 
+    def leave(self) -> None:
+        """Hand the place of this control instance over to a spare, if there is one."""
+        if self._control_node is not None:
+            self._control_node.leave()
+
     def on_heartbeat(
         self,
         source: MemberIdentity,
@@ -322,6 +327,11 @@
                 if control.replace_after_ms is None
                 else control.replace_after_ms / _MS_PER_SECOND
             ),
+            lost_after=(
+                None
+                if control.lost_after_ms is None
+                else control.lost_after_ms / _MS_PER_SECOND
+            ),
         ),
         MemberTimings(control.member_lease_ms / _MS_PER_SECOND),
         control.snapshot_after_entries,
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -35,6 +35,10 @@
 """How long a control instance may be unresponsive before it is replaced: longer than a
 restart takes, shorter than the time in which another control instance may fail."""
 
+_LOST_FRACTION = 1 / 3
+"""Fraction of the time for a recovery, after which an unresponsive control instance
+counts as lost; the rest is for the recovery."""
+
 _ABORT_FRACTION = 5 / 6
 _ABORT_MARGIN_S = 0.4
 """Requests may be aborted only in the last sixth of the shutdown time, and are aborted
@@ -66,6 +70,7 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 8.0
+    recovery_s: float = 12.0
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
     budget_window_s: float = 10.0
@@ -147,6 +152,7 @@
             (),
             election_timeout_ms=_ELECTION_TIMEOUT_MS,
             replace_after_ms=_REPLACE_AFTER_MS,
+            lost_after_ms=int(_LOST_FRACTION * bounds.recovery_s * _MS_PER_SECOND),
         ),
         dispatch=replace(
             _DISPATCH,
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -173,6 +173,8 @@
         """
         self._draining = True
         log_event(InstanceStopping(self._member.name, self._in_flight))
+        if self._runtime is not None:
+            self._runtime.start_leaving()
         await trio.sleep(self._settings.readiness_grace_ms / _MS_PER_SECOND)
         timeout = self._settings.drain_timeout_ms / _MS_PER_SECOND
         cut = 0
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -201,6 +201,10 @@
         if heartbeat is not None:
             node.send(heartbeat.name, heartbeat.heartbeat)
 
+    def start_leaving(self) -> None:
+        """Prepare the other instances for the end of this one; it still serves."""
+        self._control.leave()
+
     def close(self) -> None:
         """Close every idle connection to backend servers."""
         self._client.close()
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -96,6 +96,8 @@
     compacted into a snapshot after ``snapshot_after_entries`` applied entries, or
     once its entries take ``snapshot_after_bytes``.
     ``voters`` is the size of the quorum, by default the number of ``instances``.
+    After ``lost_after_ms`` without an answer a control instance counts as lost if the
+    others have damaged logs; if it is not set, they wait for it.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -109,6 +111,7 @@
     snapshot_after_bytes: _Count = 4 * 1024 * 1024
     spare: bool = False
     replace_after_ms: _Milliseconds | None = None
+    lost_after_ms: _Milliseconds | None = None
     voters: Annotated[int, Field(ge=1, le=7)] | None = None
 
 
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -171,6 +171,10 @@
     spares = 1
     counts_damage = False
 
+    @rule(node=st.sampled_from(["c0", "c1", "c2", "s0"]))
+    def leave(self, node):
+        self.model.leave(node)
+
     @rule()
     def crash_spare(self):
         self.model.crash("s0")
