Send the control instances to members whose seeds know nothing

What callers would see: after a restart of all machines, instances without a disk refuse every request for good, though a leader is there and the configuration can be read.

Cause: an instance without a disk knows three seeds, and any instance may be one. If none of them has a disk, they ask each other without end. The leader announces itself to the members of its view, but who does not know the control instances ignores that.

Why it works: the leader's view holds the addresses of all members, so it sends the list of control instances to those that do not report, twice a second.

--- a/src/sassafraspin/daemon/control_service.py
+++ b/src/sassafraspin/daemon/control_service.py
@@ -24,6 +24,7 @@
 from sassafraspin.daemon.status import ControlStatus
 from sassafraspin.membership import (
     HeartbeatReply,
+    Member,
     MemberHeartbeat,
     MemberIdentity,
     MemberTimings,
@@ -128,6 +129,17 @@
             return False
         return self._control_node.is_in_force(index, since, self._node.now())
 
+    def silent_members(self, now: float) -> list[Member]:
+        """Return the members that do not report to this leader, none if it is none."""
+        if self._control_node is None or not self._control_node.leads(now):
+            return []
+        silence = _SILENT_AFTER_HEARTBEATS * self._heartbeat_seconds
+        return self._control_node.silent_members(silence, now)
+
+    @property
+    def _heartbeat_seconds(self) -> float:
+        return self._node.settings.control.heartbeat_interval_ms / _MS_PER_SECOND
+
     def lagging_members(self, index: int) -> tuple[str, ...]:
         """Return the names of the members that may act and lack a log index."""
         if self._control_node is None:
@@ -265,12 +277,10 @@
         """
         if now < self._next_announcement_at:
             return
-        interval_ms = self._node.settings.control.heartbeat_interval_ms
-        interval = interval_ms / _MS_PER_SECOND
-        silence = _SILENT_AFTER_HEARTBEATS * interval
-        silent = control_node.silent_members(silence, now)
+        silent = self.silent_members(now)
         if not silent:
             return
+        interval = self._heartbeat_seconds
         term_age = now - control_node.leads_since
         is_new = term_age < _FIRST_ANNOUNCEMENTS_SECONDS
         self._next_announcement_at = now + (0.0 if is_new else interval)
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -54,6 +54,7 @@
 _FINAL_ANSWERS_SECONDS = 0.3
 _SEARCH_TICK_SECONDS = 0.05
 _SAVE_RETRY_SECONDS = 0.5
+_INTRODUCTION_SECONDS = 0.5
 _MS_PER_SECOND = 1000
 
 _CONTROL_WAIT_SECONDS = 0.3
@@ -98,6 +99,7 @@
         )
         self._control_store: ControlInstanceStore | None = None
         self._saved_control: tuple[NamedAddress, ...] = ()
+        self._next_introduction_at = float("-inf")
         self._next_save_at = float("-inf")
         self._discovery = ControlDiscovery(
             discovery_settings(settings),
@@ -248,6 +250,7 @@
             self._runtime.tick()
             self._update_control(self._runtime.node)
             self._save_control()
+            self._introduce_control(self._runtime)
             self._apply_caller_limits(self._runtime.node)
             await trio.sleep(_TICK_SECONDS)
 
@@ -263,6 +266,21 @@
         log_event(ControlChanged(names))
         self._discovery.replace_control(control)
 
+    def _introduce_control(self, runtime: RoutedRuntime) -> None:
+        """Send the control instances to members that do not report to this leader.
+
+        They may have restarted, and the seeds that they ask may not know them either.
+        """
+        now = steady_time()
+        if now < self._next_introduction_at:
+            return
+        self._next_introduction_at = now + _INTRODUCTION_SECONDS
+        message = ControlMap(self._discovery.control)
+        for member in runtime.silent_members():
+            if member.name != self._member.name:
+                self._network.set_peer_address(member.address)
+                self._network.send(member.name, message)
+
     def _apply_caller_limits(self, node: Node) -> None:
         """Apply the caller limits of the current routing table."""
         declared = node.configuration.state.routing
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -201,6 +201,10 @@
         if heartbeat is not None:
             node.send(heartbeat.name, heartbeat.heartbeat)
 
+    def silent_members(self) -> list[Member]:
+        """Return the members that do not report to this leader, none if it is none."""
+        return self._control.silent_members(self.node.now())
+
     def start_leaving(self) -> None:
         """Prepare the other instances for the end of this one; it still serves."""
         self._control.leave()
--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -166,7 +166,8 @@
     listen = RoutedListen(*addresses[:4])
     with tempfile.TemporaryDirectory() as folder:
         settings = replace(
-            _settings(listen, Path(folder) / "data"), drain_timeout_ms=drain_timeout_ms
+            routed_settings(listen, Path(folder) / "data"),
+            drain_timeout_ms=drain_timeout_ms,
         )
         daemon = RoutedDaemon(settings, PlatformAdapter(60_000), 1)
         deployment = RoutedDeployment(daemon, listen)
@@ -202,7 +203,7 @@
             daemons = []
             for number, listen in enumerate(listens, start=1):
                 settings = replace(
-                    _settings(listen, Path(folder) / f"data-{number}", number),
+                    routed_settings(listen, Path(folder) / f"data-{number}", number),
                     seeds=seeds,
                     founds=number == 1,
                     tolerated_losses=(count - 1) // 2,
@@ -211,18 +212,16 @@
                 daemon = RoutedDaemon(settings, PlatformAdapter(60_000), number)
                 await nursery.start(daemon.run)
                 daemons.append(daemon)
-            client = HttpClient(TIMEOUTS)
-            await _put_configuration(client, listens)
+            await put_configuration(listens)
             while not all(daemon.is_ready for daemon in daemons):
                 await trio.sleep(0.05)
             try:
                 yield listens
             finally:
-                client.close()
                 nursery.cancel_scope.cancel()
 
 
-async def _put_configuration(client: HttpClient, listens: list[RoutedListen]) -> None:
+async def put_configuration(listens: list[RoutedListen]) -> None:
     """Offer the routing table to each daemon in turn until one accepts it."""
     request = Request(
         "PUT",
@@ -230,17 +229,22 @@
         Headers((("host", "control"),)),
         json.dumps(configuration()).encode(),
     )
-    while True:
-        for listen in listens:
-            response = await client.send(listen.control, request)
-            if response.status == 200:
-                return
-            await trio.sleep(0.05)
+    client = HttpClient(TIMEOUTS)
+    try:
+        while True:
+            for listen in listens:
+                response = await client.send(listen.control, request)
+                if response.status == 200:
+                    return
+                await trio.sleep(0.05)
+    finally:
+        client.close()
 
 
-def _settings(
+def routed_settings(
     listen: RoutedListen, data_folder: Path, number: int = 1
 ) -> RoutedSettings:
+    """Return the settings of an instance that bootstraps a quorum of its own."""
     return RoutedSettings(
         instance=InstanceSettings(f"front-{number}", "south", "a"),
         listen=listen,
