Bound the bodies of all answers that are read at the same time

What callers would see: a faulty server answers many requests with bodies without end. The instance keeps them all, runs out of memory and ends, with the requests of other callers.

Cause: a body that is read as a whole may have 16 MiB, and nothing bounded their sum.

Why it works: the bodies share 16 MiB, and the largest ones end as too large, so that a faulty server takes the memory from its own answers.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sassafraspin.http.body_budget import BodyBudget
 from sassafraspin.http.client_connection import (
     AnswerTooLarge,
     BodyFraming,
@@ -50,6 +51,8 @@
         Time limits.
     limits : ClientLimits
         Size limits of the body.
+    budget : BodyBudget
+        Memory that it shares with other bodies.
     """
 
     def __init__(
@@ -59,10 +62,12 @@
         connection: ClientConnection,
         timeouts: ClientTimeouts,
         limits: ClientLimits,
+        budget: BodyBudget,
     ) -> None:
         self._connection = connection
         self._timeouts = timeouts
         self._limits = limits
+        self._budget = budget
         self.status = status
         self.headers = headers
 
@@ -111,7 +116,8 @@
         Raises
         ------
         AnswerTooLarge
-            If the body, or its declared length, exceeds the limit.
+            If the body, or its declared length, exceeds the limit, or if it is the
+            largest of those that exceed the limit of all bodies together.
         ConnectionLost
             If the body is truncated or no byte arrives within the progress timeout.
         """
@@ -119,10 +125,14 @@
         if self._connection.declared_body_bytes > limit_bytes:
             raise AnswerTooLarge(limit_bytes)
         body = bytearray()
-        while (chunk := await self._connection.read_chunk()) is not None:
-            body += chunk
-            if len(body) > limit_bytes:
-                raise AnswerTooLarge(limit_bytes)
+        with self._budget.share() as share, share.scope:
+            while (chunk := await self._connection.read_chunk()) is not None:
+                body += chunk
+                if len(body) > limit_bytes:
+                    raise AnswerTooLarge(limit_bytes)
+                share.grow(len(chunk))
+        if share.is_evicted:
+            raise AnswerTooLarge(self._budget.limit_bytes)
         return bytes(body)
 
     async def discard(self) -> None:
@@ -164,6 +174,7 @@
     ) -> None:
         self._timeouts = timeouts
         self._limits = limits or ClientLimits()
+        self._budget = BodyBudget(self._limits.all_bodies_bytes)
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._next_check_at = 0.0
 
@@ -184,7 +195,12 @@
         try:
             status, headers = await connection.send_and_read_head(request)
             yield OpenResponse(
-                status, headers, connection, self._timeouts, self._limits
+                status,
+                headers,
+                connection,
+                self._timeouts,
+                self._limits,
+                self._budget,
             )
         finally:
             self._release(address, connection)
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -76,6 +76,8 @@
     body_bytes : int
         Largest body that is read as a whole; four times the default limit of callers'
         requests on the platform. Bodies that are read in chunks have no limit.
+    all_bodies_bytes : int
+        Largest size of all bodies together that are read as a whole at the same time.
     discarded_bytes : int
         Largest rest of a body that is read only to keep the connection.
     informational_responses : int
@@ -83,6 +85,7 @@
     """
 
     body_bytes: int = 16_777_216
+    all_bodies_bytes: int = 16_777_216
     discarded_bytes: int = 65_536
     informational_responses: int = 32
 
