Name a leader that has handed its place over among the control instances

A leader that shuts down leads on after its successor has taken its place. Members that do not find it among the control instances would ask one of these first, with each heartbeat.

--- a/src/sassafraspin/control/node.py
+++ b/src/sassafraspin/control/node.py
@@ -231,7 +231,7 @@
         if self._member_table is not None and self.leads(now):
             view = self._configuration.state.view
             lease = self._member_table.grant(identity, heartbeat, view, now)
-            voters = self._voter_names
+            voters = self._control_names
             update = self._transfers.reply_update(identity, heartbeat, now)
         elif leader == self._settings.name:
             leader = None
@@ -258,7 +258,7 @@
             self._replica.commit_index,
             0.0,
             update,
-            self._voter_names,
+            self._control_names,
             self._replica.term,
         )
 
@@ -302,8 +302,15 @@
         return self._member_table.lagging_members(index, view)
 
     @property
-    def _voter_names(self) -> tuple[str, ...]:
-        return tuple(voter.name for voter in self._replica.log.voters)
+    def _control_names(self) -> tuple[str, ...]:
+        """Return the names of the voters and, if it is none any more, of this leader.
+
+        A leader that shuts down leads on after its place was handed over.
+        """
+        names = [voter.name for voter in self._replica.log.voters]
+        if self._settings.name not in names:
+            names.append(self._settings.name)
+        return tuple(names)
 
     def push_update(
         self, identity: MemberIdentity, index: int, now: float
--- a/tests/test_passing_disk_errors.py
+++ b/tests/test_passing_disk_errors.py
@@ -62,6 +62,18 @@
         self.model.run(3.0)
         self.assertEqual(self.change(), before + 1)
 
+    def test_quorum_is_founded_after_a_disk_was_full_meanwhile(self):
+        # Guards against a first quorum that lacks a replica, or never forms.
+        model = QuorumModel(3, seed=4)
+        for node in model.nodes.values():
+            node.files.full = True
+        model.run(3.0)
+        self.assertIsNone(model.leader())
+        for name in ("c1", "c2", "c0"):
+            model.nodes[name].files.full = False
+            model.run(1.0)
+        model.check_recovery()
+
     def test_nothing_is_acknowledged_without_a_majority_of_disks(self):
         # Guards against acknowledging what is not durable while disks are full.
         before = self.change()
--- a/tests/test_voter_handover.py
+++ b/tests/test_voter_handover.py
@@ -81,7 +81,9 @@
             leaving = self.model.leader().name
             self.model.leave(leaving)
             self.model.run(1.0)
-            self.assertEqual(self.model.leader().name, leaving)
+            leader = self.model.leader()
+            self.assertEqual(leader.name, leaving)
+            self.assertIn(leaving, leader.control.announcement().voters)
             self.assertIn(SPARE, self.voters())
             self.assertNotIn(leaving, self.voters())
             self.model.crash(leaving)
