Decode the headers of an answer once, and name a predicate for what it tells

Cause: the check for an answer whose end is doubtful decoded all headers again, for each answer, though its caller has them. It takes the status and the decoded headers now; only informational answers are decoded for it. The predicate on a refused rollout tells that a move to the same target runs, and is named so. No behaviour changes.

--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -22,6 +22,7 @@
 
 _READ_CHUNK_BYTES = 65_536
 
+_FIRST_FINAL_STATUS = 200
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _STATUSES_WITHOUT_BODY = (_NO_CONTENT, _NOT_MODIFIED)
@@ -202,7 +203,9 @@
         informational_responses = 0
         while isinstance(event, h11.InformationalResponse):
             informational_responses += 1
-            self._has_doubtful_end |= _has_doubtful_end(event)
+            self._has_doubtful_end |= _has_doubtful_end(
+                event.status_code, Headers.from_wire(event.headers)
+            )
             if informational_responses > self._limits.informational_responses:
                 raise ConnectionLost("the server sends too many 1xx responses")
             event = await self._next_event()
@@ -210,7 +213,7 @@
             raise ConnectionLost("the server closed before its answer", is_closed=True)
         headers = Headers.from_wire(event.headers)
         self._framing = _body_framing(request, event, headers)
-        self._has_doubtful_end |= _has_doubtful_end(event)
+        self._has_doubtful_end |= _has_doubtful_end(event.status_code, headers)
         self._declared_body_bytes = 0
         if self._framing is BodyFraming.LENGTH:
             self._declared_body_bytes = int(headers.get("content-length") or 0)
@@ -283,20 +286,18 @@
     return BodyFraming.CONNECTION
 
 
-def _has_doubtful_end(response: h11.Response | h11.InformationalResponse) -> bool:
+def _has_doubtful_end(status: int, headers: Headers) -> bool:
     """Return whether the server may see the end of its response elsewhere.
 
     It declares a length and chunks, or a body where none can be (RFC 9112, section 6).
     A response to HEAD and a 304 declare the length of what they stand for.
     """
-    headers = Headers.from_wire(response.headers)
     if has_two_framings(headers):
         return True
+    if status != _NO_CONTENT and status >= _FIRST_FINAL_STATUS:
+        return False
     is_chunked = headers.get("transfer-encoding") is not None
-    status = response.status_code
-    if status == _NO_CONTENT or isinstance(response, h11.InformationalResponse):
-        return is_chunked or headers.get("content-length") not in (None, "0")
-    return False
+    return is_chunked or headers.get("content-length") not in (None, "0")
 
 
 def _headers_with_length(request: Request) -> list[tuple[str, str]]:
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -223,7 +223,7 @@
         if _is_outdated(outcome):
             # Another move of the service ended after its version was read.
             outcome = await self._declare(service, target, seconds)
-        if not _is_declared(outcome, target):
+        if not _is_running(outcome, target):
             require_in_force(outcome)
 
     async def _declare(
@@ -301,8 +301,8 @@
         return not move.phase.is_final or age_ms < _DUPLICATE_WINDOW_MS
 
 
-def _is_declared(outcome: CommandOutcome | None, target: str) -> bool:
-    """Return whether a move to the target was refused because one runs already.
+def _is_running(outcome: CommandOutcome | None, target: str) -> bool:
+    """Return whether a move was refused because one to the same target runs.
 
     The same order may be sent to two instances at once.
     """
