Evacuate availability zones, and serve calls in their home regions only

Cause: POST and DELETE of evacuations were answered 404, and allowed_regions of routes and tenants was read by nobody, so a zone could not be emptied and a call could be served anywhere.

Change: evacuations are orders of the control log with a store in the control state; each dispatcher marks the servers of the zones, the standby too. Regions travel with the slot request and bind the choice of the server, retries included.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -3,6 +3,7 @@
 from sassafraspin.backends.announcement import Announcement, CacheReport, LoadReport
 from sassafraspin.backends.backend import Backend, Reservation
 from sassafraspin.backends.backlog import PrefillBacklog
+from sassafraspin.backends.evacuation import Evacuation, EvacuationStore
 from sassafraspin.backends.notices import (
     ServerNotice,
     ServerNotices,
@@ -23,6 +24,8 @@
     "Announcement",
     "Backend",
     "CacheReport",
+    "Evacuation",
+    "EvacuationStore",
     "LoadReport",
     "PrefixCacheView",
     "PrefillBacklog",
--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -58,6 +58,7 @@
         self._ejections = 0
         self._ejected_until = float("-inf")
         self._withdrawn = False
+        self._is_evacuated = False
         self._rate_limit: RateLimit | None = None
 
     @property
@@ -151,6 +152,10 @@
         """
         self._withdrawn = True
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Set whether the server gets no new requests as its zone is evacuated."""
+        self._is_evacuated = is_evacuated
+
     def limit_rate(self, rate_limit: RateLimit | None) -> None:
         """Set or end the rate limit until the server restarts."""
         self._rate_limit = rate_limit
@@ -171,9 +176,10 @@
         return now >= self._expires_at
 
     def takes_requests(self, now: float) -> bool:
-        """Return whether the server is there and does not leave."""
+        """Return whether the server is there, does not leave, and its zone is open."""
         is_leaving = self._withdrawn or self._announcement.leaving
-        return not is_leaving and not self.is_expired(now)
+        is_closed = is_leaving or self._is_evacuated
+        return not is_closed and not self.is_expired(now)
 
     def accepts_work(self, now: float) -> bool:
         """Return whether new requests may be sent.
--- a/src/sassafraspin/control/commands.py
+++ b/src/sassafraspin/control/commands.py
@@ -17,12 +17,14 @@
     "Command",
     "CommandOutcome",
     "DeclareMove",
+    "EvacuateZone",
     "IsolatePart",
     "OutcomeKind",
     "PutProfile",
     "PutTable",
     "ReadmitPart",
     "ReinstateServer",
+    "ReopenZone",
     "RetireServer",
     "UndoMove",
     "decode_command",
@@ -125,6 +127,24 @@
     retirement: Retirement
 
 
+class EvacuateZone(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Send no new requests to the backend servers of an availability zone."""
+
+    change_id: str
+    operator: str
+    at_ms: int
+    zone: str
+
+
+class ReopenZone(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Use the backend servers of an evacuated availability zone again."""
+
+    change_id: str
+    operator: str
+    at_ms: int
+    zone: str
+
+
 class ReadmitPart(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Accept requests with an isolated signature again."""
 
@@ -145,6 +165,8 @@
     | ReadmitPart
     | RetireServer
     | ReinstateServer
+    | EvacuateZone
+    | ReopenZone
 )
 
 
--- a/src/sassafraspin/control/state.py
+++ b/src/sassafraspin/control/state.py
@@ -5,19 +5,26 @@
 
 import msgspec
 
-from sassafraspin.backends import Retirement, RetirementStore
+from sassafraspin.backends import (
+    Evacuation,
+    EvacuationStore,
+    Retirement,
+    RetirementStore,
+)
 from sassafraspin.control.commands import (
     AdvanceMove,
     ChangeView,
     Command,
     CommandOutcome,
     DeclareMove,
+    EvacuateZone,
     IsolatePart,
     OutcomeKind,
     PutProfile,
     PutTable,
     ReadmitPart,
     ReinstateServer,
+    ReopenZone,
     RetireServer,
     UndoMove,
 )
@@ -68,6 +75,7 @@
     isolated: tuple[IsolatedPart, ...] = ()
     retired: tuple[Retirement, ...] = ()
     last_retirement_index: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class ControlState:
@@ -93,6 +101,7 @@
         self._routing: DeclaredTable | None = None
         self._isolation = IsolationStore()
         self._retirements = RetirementStore()
+        self._evacuations = EvacuationStore()
         self._outcomes: OrderedDict[str, CommandOutcome] = OrderedDict()
 
     @property
@@ -125,6 +134,11 @@
         """Return the store of backend servers that get no new requests."""
         return self._retirements
 
+    @property
+    def evacuations(self) -> EvacuationStore:
+        """Return the store of evacuated availability zones."""
+        return self._evacuations
+
     @property
     def view(self) -> View:
         """Return the view in force."""
@@ -180,6 +194,7 @@
             self._isolation.all_parts(),
             self._retirements.all_retirements(),
             self._retirements.last_index,
+            self._evacuations.all_evacuations(),
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -199,6 +214,7 @@
         state._retirements = RetirementStore(
             snapshot.retired, snapshot.last_retirement_index
         )
+        state._evacuations = EvacuationStore(snapshot.evacuations)
         return state
 
     def _execute(self, command: Command) -> CommandOutcome:
@@ -236,6 +252,11 @@
                 )
             case ReinstateServer():
                 return _outcome(self._retirements.end(command.retirement))
+            case EvacuateZone():
+                evacuation = Evacuation(command.zone, command.at_ms)
+                return _outcome(self._evacuations.begin(evacuation))
+            case ReopenZone():
+                return _outcome(self._evacuations.end(command.zone))
 
     def _put_table(self, declared: DeclaredTable) -> CommandOutcome:
         """Install a routing table unless one of the same or a higher version exists."""
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -89,6 +89,7 @@
         self._next_report_at = 0.0
         self._view_number = 0
         self._backends_revision: Hashable | None = None
+        self._evacuated_zones: frozenset[str] = frozenset()
 
     def backends(self) -> tuple[Backend, ...]:
         """Return the backend servers of all pools."""
@@ -122,6 +123,7 @@
         self._drop_departed_entries()
         now = self._node.now()
         self.follow_directory()
+        self.follow_evacuations()
         for name, pool in self._pools.items():
             self._apply_move(services[name], pool)
             self._send_all(pool.tick(now))
@@ -155,6 +157,16 @@
         for name, pool in self._pools.items():
             self._send_all(pool.replace_servers(self._scope.known_backends(name), now))
 
+    def follow_evacuations(self) -> None:
+        """Stop using the servers of the zones that the control log has evacuated."""
+        zones = self._node.configuration.state.evacuations.zones
+        if zones == self._evacuated_zones:
+            return
+        self._evacuated_zones = zones
+        now = self._node.now()
+        for pool in self._pools.values():
+            self._send_all(pool.close_zones(zones, now))
+
     def version_of(self, service: str) -> str:
         """Return the version in force of a service.
 
@@ -259,6 +271,7 @@
             self._scope.rate_share(),
             self._suspects,
         )
+        pool.close_zones(self._node.configuration.state.evacuations.zones, now)
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
         self._apply_move(service, pool)
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -89,6 +89,8 @@
         Time of the entry instance's clock at which it sent this message, in seconds.
     signature : str
         Signature that equal requests share, empty if it is not known.
+    regions : tuple of str or None
+        Regions whose servers may be used; ``None`` for all of them.
     """
 
     request_id: str
@@ -110,6 +112,7 @@
     tries: int = 0
     asked_at: float | None = None
     signature: str = ""
+    regions: tuple[str, ...] | None = None
 
     @property
     def tokens(self) -> int:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -127,7 +127,7 @@
         self._budget = budget or RetryBudget(settings)
         self._gate = gate
         self._grant_id_prefix = grant_id_prefix
-        self._servers = ServerTable(generator, rate_share)
+        self._servers = ServerTable(generator, rate_share, settings.zone_regions)
         self._queue = WaitingQueue()
         self._grants = GrantTable()
         self._trials = Trials(suspects or NoSuspects(), self._grants, now)
@@ -203,6 +203,11 @@
             self._reserve_adopted(announcement.id, now)
         return self._grant_free_slots(now)
 
+    def close_zones(self, zones: frozenset[str], now: float) -> list[SendToEntry]:
+        """Send no new requests to the servers of exactly these availability zones."""
+        self._servers.close_zones(zones, now)
+        return self._grant_free_slots(now)
+
     def withdraw_server(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a backend server; return whether it is known.
 
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Mapping
 
 from sassafraspin.backends import Announcement, Backend, RateLimit, Reservation
 from sassafraspin.dispatch.messages import SlotRequest
@@ -59,11 +60,21 @@
         Samples the servers to compare when there are many.
     rate_share : float
         Part of the servers' rate limits that this table may use.
+    zone_regions : mapping of str to str or None
+        Region of each availability zone. Requests that are bound to some regions use
+        no server in a zone that is not listed.
     """
 
-    def __init__(self, generator: random.Random, rate_share: float = 1.0) -> None:
+    def __init__(
+        self,
+        generator: random.Random,
+        rate_share: float = 1.0,
+        zone_regions: Mapping[str, str] | None = None,
+    ) -> None:
         self._generator = generator
         self._rate_share = rate_share
+        self._zone_regions = zone_regions or {}
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._backends: dict[str, Backend] = {}
         self._by_address: dict[Address, str] = {}
         self._accepting: list[Backend] = []
@@ -119,10 +130,20 @@
 
     def avoids_all(self, request: SlotRequest) -> bool:
         """Return whether a request may use none of the servers that accept work."""
-        if len(request.avoid) < len(self._accepting):
+        if request.regions is None and len(request.avoid) < len(self._accepting):
             return False
-        names = {item.announcement.id for item in self._accepting}
-        return bool(names) and names <= set(request.avoid)
+        avoided = set(request.avoid)
+        return bool(self._accepting) and all(
+            item.announcement.id in avoided or not self._is_in_regions(item, request)
+            for item in self._accepting
+        )
+
+    def _is_in_regions(self, backend: Backend, request: SlotRequest) -> bool:
+        """Return whether a server is in a region that a request is bound to."""
+        if request.regions is None:
+            return True
+        zone = backend.announcement.availability_zone
+        return self._zone_regions.get(zone) in request.regions
 
     @property
     def has_free_slot(self) -> bool:
@@ -192,6 +213,15 @@
                 self._follow_limit(backend, announcement, now)
         self.refresh(now)
 
+    def close_zones(self, zones: frozenset[str], now: float) -> None:
+        """Send no new requests to the servers of exactly these availability zones.
+
+        Requests that run there are not affected.
+        """
+        if zones != self._evacuated_zones:
+            self._evacuated_zones = zones
+            self.refresh(now)
+
     def _add(self, announcement: Announcement, now: float) -> None:
         backend = Backend(announcement, now)
         self._backends[announcement.id] = backend
@@ -242,6 +272,9 @@
         for backend_id, backend in list(self._backends.items()):
             if backend.is_expired(now) and not backend.busy_slots:
                 self._remove(backend_id)
+            else:
+                zone = backend.announcement.availability_zone
+                backend.set_evacuated(zone in self._evacuated_zones)
         self._accepting = sorted(
             (item for item in self._backends.values() if item.accepts_work(now)),
             key=lambda item: item.announcement.id,
@@ -345,10 +378,19 @@
             compared = self._accepting
         else:
             compared = self._sample_servers(request)
-        fitting = [item for item in compared if _fits(item, request, version, now)]
+        fitting = self._fitting(compared, request, version, now)
         if fitting or limit is not None or len(compared) == len(self._accepting):
             return fitting
-        return [item for item in self._accepting if _fits(item, request, version, now)]
+        return self._fitting(self._accepting, request, version, now)
+
+    def _fitting(
+        self, servers: list[Backend], request: SlotRequest, version: str, now: float
+    ) -> list[Backend]:
+        return [
+            item
+            for item in servers
+            if _fits(item, request, version, now) and self._is_in_regions(item, request)
+        ]
 
     def _sample_servers(self, request: SlotRequest) -> list[Backend]:
         names = self._free.draw(_SAMPLE_SERVERS, self._generator)
@@ -389,4 +431,5 @@
         and before.versions == after.versions
         and before.slots == after.slots
         and before.leaving == after.leaving
+        and before.availability_zone == after.availability_zone
     )
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -83,7 +83,8 @@
 
     ``node_name`` is the host name, ``seeds`` are ``control`` addresses, ``bootstrap``
     is true only on the first start of the deployment, and ``internal_ports`` are the
-    first and last port for messages between instances.
+    first and last port for messages between instances. ``zones`` maps availability
+    zones to regions.
     """
 
     node_name: str
@@ -96,6 +97,7 @@
     listen: _Listen
     data_dir: str = ""
     heartbeat_ms: int = 1_200
+    zones: dict[str, str] = {}
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -161,6 +163,7 @@
             retry_share=_RETRY_BUDGET_FRACTION * bounds.retry_budget_ratio,
             retry_allowance=int(_RETRY_BUDGET_FRACTION * bounds.budget_slack),
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
+            zone_regions=boot.zones,
         ),
         http=HttpLimits(connections=2_000),
         readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -93,6 +93,14 @@
                 return await self._start_rollout(request)
             case ("GET", root, "rollouts", service) if root == _ROOT:
                 return self._read_rollout(service)
+            case ("POST", root, "evacuations", zone) if root == _ROOT:
+                return await self._evacuate(zone)
+            case ("DELETE", root, "evacuations", zone) if root == _ROOT:
+                await self._operations.reopen(zone)
+                return Response(200)
+            case ("GET", root, "evacuations") if root == _ROOT:
+                evacuations = self._operations.evacuations()
+                return Response(200, _JSON, msgspec.json.encode(evacuations))
             case ("GET", root, "isolated-parts") if root == _ROOT:
                 parts = self._operations.isolated_parts()
                 return Response(200, _JSON, msgspec.json.encode(parts))
@@ -129,6 +137,12 @@
         )
         return Response(200)
 
+    async def _evacuate(self, zone: str) -> Response:
+        if not self._operations.knows_zone(zone):
+            raise NotFound(f"no availability zone is named {zone!r}")
+        await self._operations.evacuate(zone)
+        return Response(200)
+
     async def _readmit_part(self, part: str) -> Response:
         if not await self._operations.readmit_part(part):
             raise NotFound(f"the part {part!r} is not isolated")
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -38,7 +38,8 @@
     """A route.
 
     ``target_latency_ms`` is the latency objective, ``target_gap_ms`` the longest gap
-    between events, and ``priority`` 0 is the highest.
+    between events, and ``priority`` 0 is the highest. Without ``allowed_regions``,
+    calls may be served in all regions.
     """
 
     name: str
@@ -54,6 +55,7 @@
     max_attempts: int = 1
     public: bool = False
     stream_resume: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Engine(msgspec.Struct):
@@ -86,6 +88,7 @@
     plain_tokens: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Document(msgspec.Struct):
@@ -140,6 +143,7 @@
         max_tries=item.max_attempts,
         public=item.public,
         resumable=item.stream_resume,
+        regions=tuple(item.allowed_regions),
     )
 
 
@@ -183,6 +187,7 @@
         plain_tokens=item.plain_tokens,
         rate_per_second=item.rate_per_s,
         burst=item.burst,
+        regions=tuple(item.allowed_regions),
     )
 
 
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -99,6 +99,18 @@
         """Return whether the caller asked for an encoded answer."""
         return self.request.headers.get("accept-encoding") not in (None, "identity")
 
+    @property
+    def regions(self) -> tuple[str, ...] | None:
+        """Return the regions in which the call may be served, ``None`` for all.
+
+        Where the route and the account have some, both bind.
+        """
+        bound = self.route.regions
+        own = () if self.account is None else self.account.regions
+        if not own:
+            return bound or None
+        return tuple(name for name in own if not bound or name in bound)
+
     @property
     def charged_tokens(self) -> int:
         """Return the tokens charged against the account's usage cap."""
@@ -156,6 +168,7 @@
             charged_tokens=self.charged_tokens,
             tries=tries,
             signature=self.signature,
+            regions=self.regions,
         )
 
 
--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -4,13 +4,15 @@
 import uuid
 from enum import StrEnum
 
-from sassafraspin.backends import Announcement, Retirement
+from sassafraspin.backends import Announcement, Evacuation, Retirement
 from sassafraspin.control import (
     CommandOutcome,
     DeclareMove,
+    EvacuateZone,
     OutcomeKind,
     PutTable,
     ReadmitPart,
+    ReopenZone,
 )
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.dispatch_service import DispatchService
@@ -24,7 +26,12 @@
 from sassafraspin.routed.retirement import RetirementView, ServerRetirement
 from sassafraspin.routes import DeclaredTable, RoutingTable
 from sassafraspin.settings import Address
-from sassafraspin.telemetry.events import PartReadmitted, ServerLeaving, log_event
+from sassafraspin.telemetry.events import (
+    PartReadmitted,
+    ServerLeaving,
+    ZoneOrdered,
+    log_event,
+)
 
 __all__ = ["Operations", "RolloutState"]
 
@@ -259,6 +266,52 @@
             case _:
                 return RolloutState.RUNNING, move.spec.to_version
 
+    def knows_zone(self, zone: str) -> bool:
+        """Return whether a zone is one of the deployment or of a backend server."""
+        return zone in self._node.settings.dispatch.zone_regions or any(
+            backend.announcement.availability_zone == zone
+            for backend in self._dispatch.backends()
+        )
+
+    async def evacuate(self, zone: str) -> None:
+        """Send no new requests to the servers of a zone; requests there run on.
+
+        A retried order is acknowledged again and has no effect.
+
+        Raises
+        ------
+        ControlUnavailable
+            If it is unknown whether the order is in force.
+        """
+        change_id = f"evacuate-{uuid.uuid4().hex}"
+        await self._change_zone(EvacuateZone(change_id, _OPERATOR, 0, zone), zone, True)
+
+    async def reopen(self, zone: str) -> None:
+        """Use the servers of a zone again; an open zone stays as it is.
+
+        Raises
+        ------
+        ControlUnavailable
+            If it is unknown whether the order is in force.
+        """
+        change_id = f"reopen-{uuid.uuid4().hex}"
+        await self._change_zone(ReopenZone(change_id, _OPERATOR, 0, zone), zone, False)
+
+    async def _change_zone(
+        self, command: EvacuateZone | ReopenZone, zone: str, is_evacuated: bool
+    ) -> None:
+        started_at = self._node.now()
+        outcome = require_in_force(await self._proposals.propose(command))
+        after_ms = int((self._node.now() - started_at) * _MS_PER_SECOND)
+        is_new = outcome.kind is OutcomeKind.ACCEPTED
+        log_event(ZoneOrdered(zone, is_evacuated, is_new, after_ms))
+
+    def evacuations(self) -> tuple[Evacuation, ...]:
+        """Return the evacuations in force; raises ``NotCurrent`` unless leading."""
+        if not self.is_leader:
+            raise NotCurrent("this instance does not lead")
+        return self._node.configuration.state.evacuations.all_evacuations()
+
     def isolated_parts(self) -> tuple[IsolatedPart, ...]:
         """Return what is isolated; raises ``NotCurrent`` unless leading."""
         if not self.is_leader:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -55,7 +55,12 @@
 from sassafraspin.rpc import PeerNetwork
 from sassafraspin.settings import NamedAddress
 from sassafraspin.telemetry import part_logger
-from sassafraspin.telemetry.events import LeaderChanged, ResourceUsage, log_event
+from sassafraspin.telemetry.events import (
+    EvacuationsInForce,
+    LeaderChanged,
+    ResourceUsage,
+    log_event,
+)
 from sassafraspin.telemetry.resources import ReportSchedule, resident_bytes
 
 __all__ = ["RoutedRuntime"]
@@ -157,6 +162,7 @@
         self._report_schedule = ReportSchedule(self.node.now())
         self._logged_leader: str | None = None
         self._reported_retirement = 0
+        self._logged_zones: frozenset[str] = frozenset()
 
     @property
     def has_table(self) -> bool:
@@ -171,6 +177,7 @@
         self._slots.tick()
         self._dispatch.tick()
         self._standby.tick()
+        self._log_evacuations()
         self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
@@ -201,6 +208,12 @@
         if heartbeat is not None:
             node.send(heartbeat.name, heartbeat.heartbeat)
 
+    def _log_evacuations(self) -> None:
+        zones = self.node.configuration.state.evacuations.zones
+        if zones != self._logged_zones:
+            self._logged_zones = zones
+            log_event(EvacuationsInForce(tuple(sorted(zones))))
+
     def silent_members(self) -> list[Member]:
         """Return the members that do not report to this leader, none if it is none."""
         return self._control.silent_members(self.node.now())
--- a/src/sassafraspin/routes/table.py
+++ b/src/sassafraspin/routes/table.py
@@ -70,6 +70,8 @@
         Whether calls need no API key.
     resumable : bool
         Whether another backend server may continue an interrupted stream.
+    regions : tuple of str
+        Regions in which calls may be served, empty for all.
     """
 
     name: str
@@ -85,6 +87,7 @@
     max_tries: int
     public: bool
     resumable: bool
+    regions: tuple[str, ...] = ()
 
     @property
     def is_idempotent(self) -> bool:
@@ -147,6 +150,8 @@
         Tokens charged for a request without token counts.
     rate_per_second, burst : float
         Usage cap as refill rate and size of a bucket; a rate of 0 means no cap.
+    regions : tuple of str
+        Regions in which the account's calls may be served, empty for all.
     """
 
     name: str
@@ -156,6 +161,7 @@
     plain_tokens: int
     rate_per_second: float
     burst: float
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -232,6 +232,9 @@
     ``directory_keep_ms``. ``directory_interval_ms`` has no effect; it is accepted for
     settings files of earlier builds. Usage caps apply to any period of
     ``cap_window_ms`` and may be exceeded by the share ``cap_overshoot``.
+
+    ``zone_regions`` maps availability zones to regions, for requests that may only be
+    served in some regions.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -250,6 +253,7 @@
     retry_share: Annotated[float, Field(ge=0, le=1)] = 0.2
     retry_allowance: Annotated[int, Field(ge=0, le=1_000_000)] = 50
     retry_window_ms: _Milliseconds = 10_000
+    zone_regions: dict[Name, Name] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -20,6 +20,7 @@
     "DispatcherLost",
     "DispatcherRegained",
     "EVENTS",
+    "EvacuationsInForce",
     "Event",
     "InstanceStarted",
     "InstanceStopped",
@@ -35,6 +36,7 @@
     "StreamFailed",
     "TableInForce",
     "TryEnded",
+    "ZoneOrdered",
     "describe_events",
     "log_event",
 ]
@@ -355,6 +357,31 @@
     prompt_part: str
 
 
+@dataclass(frozen=True)
+class ZoneOrdered(Event):
+    """An operator's order to evacuate a zone, or to reopen it, was acknowledged.
+
+    ``is_new`` is false if the order was in force before, as when it is sent again;
+    ``after_ms`` is the time from its arrival until it was acknowledged.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "An order about a zone is in force."
+    zone: str
+    is_evacuated: bool
+    is_new: bool
+    after_ms: int
+
+
+@dataclass(frozen=True)
+class EvacuationsInForce(Event):
+    """The servers of these zones get no new requests from this instance any more."""
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "The evacuated zones have changed."
+    zones: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class CallRefused(Event):
     """A call was refused, or its answer was cut off.
@@ -421,6 +448,8 @@
     PartIsolated,
     RequestIsolated,
     PartReadmitted,
+    ZoneOrdered,
+    EvacuationsInForce,
     CallRefused,
     CallEnded,
 )
