Pace servers that start or recover, and keep to the rate of cold ones

Change: the dispatcher limits the requests in flight at such a server and adapts the limit to its answers, reported with the first token. A cold server has a token bucket of its declared rate, divided over few instances in standby. Both are published in the directory for successors.

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -9,18 +9,23 @@
     ServerNotices,
     ServerRun,
 )
+from sassafraspin.backends.pace import Pace, PaceChange, PaceReason
 from sassafraspin.backends.prefixes import (
     PREFIX_BLOCK_BYTES,
     PrefixCacheView,
     prefix_hashes,
 )
 from sassafraspin.backends.prompts import PromptPart, shared_parts
-from sassafraspin.backends.rate_limit import RateLimit
+from sassafraspin.backends.rate_limit import STRICT_SHARE, RateLimit
 from sassafraspin.backends.retirement import Retirement, RetirementStore
 from sassafraspin.backends.speed import SpeedEstimate
 
 __all__ = [
     "PREFIX_BLOCK_BYTES",
+    "STRICT_SHARE",
+    "Pace",
+    "PaceChange",
+    "PaceReason",
     "Announcement",
     "Backend",
     "CacheReport",
--- a/src/sassafraspin/backends/announcement.py
+++ b/src/sassafraspin/backends/announcement.py
@@ -95,6 +95,12 @@
     rate_limit : float or None
         Requests a second that it takes from all instances together, as published by
         its dispatcher; servers name it in their answers, not in announcements.
+    cold_ms : int
+        How much longer the server is slow after its start, in milliseconds; 0 if it is
+        not cold.
+    pace : int
+        Requests in flight that its dispatcher allows, as published by the dispatcher; 0
+        if it allows all slots.
     """
 
     __pydantic_config__ = _STRICT
@@ -116,6 +122,8 @@
     cache: CacheReport = field(default_factory=CacheReport)
     sequence: _Count = 0
     rate_limit: Annotated[float, Field(gt=0)] | None = None
+    cold_ms: _Count = 0
+    pace: _Count = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -1,9 +1,11 @@
 """State of one backend server, as known to the dispatcher of its service."""
 
+import math
 from dataclasses import dataclass
 
 from sassafraspin.backends.announcement import Announcement
 from sassafraspin.backends.backlog import PrefillBacklog
+from sassafraspin.backends.pace import Pace, PaceChange
 from sassafraspin.backends.prefixes import PrefixCacheView
 from sassafraspin.backends.rate_limit import RateLimit
 from sassafraspin.backends.speed import SpeedEstimate
@@ -13,6 +15,7 @@
 _FAILURES_BEFORE_EJECTION = 3
 _BASE_EJECTION_SECONDS = 2.0
 _MAX_EJECTION_SECONDS = 60.0
+_MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True)
@@ -60,6 +63,9 @@
         self._withdrawn = False
         self._is_evacuated = False
         self._rate_limit: RateLimit | None = None
+        self._pace = Pace(announcement.slots)
+        self._cold_until = now + announcement.cold_ms / _MS_PER_SECOND
+        self._cold_limit: RateLimit | None = None
 
     @property
     def announcement(self) -> Announcement:
@@ -91,6 +97,36 @@
         """Return the limit over all instances, in requests a second, or ``None``."""
         return None if self._rate_limit is None else self._rate_limit.named
 
+    @property
+    def pace(self) -> Pace:
+        """Return the limit of the requests in flight."""
+        return self._pace
+
+    @property
+    def slot_limit(self) -> int:
+        """Return the number of slots that may be in use at the present pace."""
+        return min(self._announcement.slots, self._pace.limit)
+
+    @property
+    def cold_limit(self) -> RateLimit | None:
+        """Return the limit while the server is cold, ``None`` if it has none."""
+        return self._cold_limit
+
+    @property
+    def is_rate_limited(self) -> bool:
+        """Return whether any rate limit is in force."""
+        return self._rate_limit is not None or self._cold_limit is not None
+
+    @property
+    def request_rate(self) -> float:
+        """Return the requests a second that the limits in force allow."""
+        return min((limit.rate for limit in self._limits), default=math.inf)
+
+    @property
+    def _limits(self) -> tuple[RateLimit, ...]:
+        limits = (self._rate_limit, self._cold_limit)
+        return tuple(limit for limit in limits if limit is not None)
+
     @property
     def reservations(self) -> tuple[Reservation, ...]:
         """Return the reservations of requests that are granted and not released."""
@@ -115,6 +151,8 @@
         """
         if self._is_outdated(announcement):
             return
+        self._cold_until = now + announcement.cold_ms / _MS_PER_SECOND
+        self._pace.set_slots(announcement.slots)
         if announcement.incarnation > self._announcement.incarnation:
             self._cache = PrefixCacheView()
             self._backlog = PrefillBacklog()
@@ -152,24 +190,53 @@
         """
         self._withdrawn = True
 
-    def set_evacuated(self, is_evacuated: bool) -> None:
-        """Set whether the server gets no new requests as its zone is evacuated."""
+    def set_evacuated(self, is_evacuated: bool) -> bool:
+        """Set whether the server gets no new requests as its zone is evacuated.
+
+        Returns whether an evacuation has ended.
+        """
+        has_ended = self._is_evacuated and not is_evacuated
         self._is_evacuated = is_evacuated
+        return has_ended
 
     def limit_rate(self, rate_limit: RateLimit | None) -> None:
         """Set or end the rate limit until the server restarts."""
         self._rate_limit = rate_limit
 
+    def limit_cold_rate(self, rate_limit: RateLimit | None) -> None:
+        """Set or end the rate limit that holds while the server is cold."""
+        self._cold_limit = rate_limit
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server is still slow after its start."""
+        return now < self._cold_until
+
+    def cold_seconds(self, now: float) -> float:
+        """Return how much longer the server is slow after its start, in seconds."""
+        return max(0.0, self._cold_until - now)
+
+    def restart_pace(self, now: float) -> PaceChange:
+        """Let the server bear little at first, as after a start."""
+        return self._pace.restart(now)
+
     def allows_request(self, now: float) -> bool:
-        """Return whether the rate limit allows another request now."""
-        return self._rate_limit is None or self._rate_limit.allows_request(now)
+        """Return whether the rate limits allow another request now."""
+        return all(limit.allows_request(now) for limit in self._limits)
+
+    def count_request(self, now: float) -> None:
+        """Count a request that is sent now against the rate limits."""
+        for limit in self._limits:
+            limit.count_request(now)
 
     def usable_slots(self, now: float) -> int:
         """Return the number of busy slots and of those that may be used now."""
-        slots = self._announcement.slots
-        if self._rate_limit is None:
-            return slots
-        return min(slots, self.busy_slots + int(self._rate_limit.level(now)))
+        levels = (int(limit.level(now)) for limit in self._limits)
+        level = min(levels, default=self.slot_limit)
+        return min(self.slot_limit, self.busy_slots + level)
+
+    def request_level(self, now: float) -> float:
+        """Return the number of requests that the limits in force allow now."""
+        return min((limit.level(now) for limit in self._limits), default=math.inf)
 
     def is_expired(self, now: float) -> bool:
         """Return whether the time to live of the latest announcement has ended."""
@@ -197,7 +264,7 @@
         An idle server has room for any request, even a larger one than its KV memory.
         Services that are not model engines announce 0 KV tokens: only slots count.
         """
-        if self.busy_slots >= self._announcement.slots:
+        if self.busy_slots >= self.slot_limit:
             return False
         if self._announcement.kv_tokens == 0 or not self._reservations:
             return True
--- a/src/sassafraspin/backends/rate_limit.py
+++ b/src/sassafraspin/backends/rate_limit.py
@@ -1,10 +1,13 @@
 """Rate limit of one backend server, as enforced by one dispatcher."""
 
-__all__ = ["RateLimit"]
+__all__ = ["STRICT_SHARE", "RateLimit"]
 
 _BURST_SECONDS = 0.25
 """Requests that may be sent at once, in seconds of the rate."""
 
+STRICT_SHARE = 1 / (1 + _BURST_SECONDS)
+"""Part of a rate for which a burst and the refill of a second stay within the rate."""
+
 
 class RateLimit:
     """Token bucket for the requests that may be sent to a server.
@@ -28,6 +31,7 @@
         self._level = 0.0
         self._refilled_at = now
         self._set_at = now
+        self._counted = 0
 
     @property
     def named(self) -> float:
@@ -44,6 +48,11 @@
         """Return the monotonic time since which the limit is in force."""
         return self._set_at
 
+    @property
+    def counted(self) -> int:
+        """Return the number of requests that were sent under this limit."""
+        return self._counted
+
     def level(self, now: float) -> float:
         """Return the number of requests that may be sent now."""
         capacity = max(1.0, _BURST_SECONDS * self._rate)
@@ -59,3 +68,4 @@
     def count_request(self, now: float) -> None:
         """Count a request that is sent now."""
         self._level = self.level(now) - 1
+        self._counted += 1
--- a/src/sassafraspin/daemon/dispatch_scope.py
+++ b/src/sassafraspin/daemon/dispatch_scope.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from sassafraspin.admission import AccountLimits, Limits
-from sassafraspin.backends import Announcement, Backend
+from sassafraspin.backends import STRICT_SHARE, Announcement, Backend
 from sassafraspin.daemon.node import Node, dispatch_key
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.ledger import Ledger
@@ -39,6 +39,17 @@
     def rate_share(self) -> float:
         """Return the part of the servers' rate limits that a new pool may use."""
 
+    def cold_share(self, backend_id: str, rate: float) -> float:
+        """Return the part of the rate of a cold server that a new pool may use.
+
+        Parameters
+        ----------
+        backend_id : str
+            Name of the server.
+        rate : float
+            Requests a second that it takes from all instances together while cold.
+        """
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -113,6 +124,10 @@
         """Return the whole: a service has one dispatcher."""
         return 1.0
 
+    def cold_share(self, backend_id: str, rate: float) -> float:
+        """Return the part that leaves room for bursts: one instance dispatches."""
+        return STRICT_SHARE
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -11,6 +11,7 @@
 from sassafraspin.dispatch import (
     ActiveGrant,
     AnnounceBackend,
+    FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
     RefusalReason,
@@ -39,6 +40,7 @@
     | ActiveGrant
     | SlotRelease
     | RateLimitNotice
+    | FirstTokenNotice
     | HeldGrants
     | SlotWithdraw
     | AnnounceBackend
@@ -126,6 +128,7 @@
         self.follow_evacuations()
         for name, pool in self._pools.items():
             self._apply_move(services[name], pool)
+            pool.set_cold_rate(services[name].cold_rate, now)
             self._send_all(pool.tick(now))
             if services[name].loads_versions:
                 self._send_load_order(name, pool, now)
@@ -235,6 +238,8 @@
                 self._send_all(pool.release(message, now))
             case RateLimitNotice():
                 self._send_all(pool.record_rate_limit(message, now))
+            case FirstTokenNotice():
+                self._send_all(pool.record_first_token(message, now))
             case HeldGrants():
                 self._send_all(pool.reconcile(source, message, now))
             case SlotWithdraw():
@@ -270,8 +275,10 @@
             self._scope.retry_budget(service.name),
             self._scope.rate_share(),
             self._suspects,
+            self._scope.cold_share,
         )
         pool.close_zones(self._node.configuration.state.evacuations.zones, now)
+        pool.set_cold_rate(service.cold_rate, now)
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
         self._apply_move(service, pool)
@@ -375,4 +382,6 @@
         backend.is_ejected(now),
         round(backend.speed.prefill_rate, 1),
         round(backend.speed.decode_rate, 2),
+        backend.slot_limit,
+        int(backend.cold_seconds(now) * 1000),
     )
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -11,6 +11,7 @@
 from sassafraspin.daemon.replies import PendingReplies
 from sassafraspin.dispatch import (
     ActiveGrant,
+    FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
     RefusalReason,
@@ -144,6 +145,10 @@
         """Report a rate limit that the dispatcher did not know, or that has ended."""
         self._notify_dispatchers(notice.service, notice)
 
+    def report_first_token(self, notice: FirstTokenNotice) -> None:
+        """Report the first token of a request whose dispatcher waits for it."""
+        self._notify_dispatchers(notice.service, notice)
+
     def allow_revocation(self, grant: SlotGrant, scope: trio.CancelScope) -> None:
         """Register ``scope``, to be cancelled if the dispatcher revokes the grant."""
         held = self._grants.get(grant.grant_id)
--- a/src/sassafraspin/daemon/status.py
+++ b/src/sassafraspin/daemon/status.py
@@ -29,7 +29,9 @@
     """State of a backend server as known to its dispatcher.
 
     ``leaving`` is true if the server announces that it accepts no new requests;
-    ``ejected`` if it gets none for a while because of recent failures.
+    ``ejected`` if it gets none for a while because of recent failures. ``pace`` is the
+    number of requests that it may have in flight, and ``cold_ms`` how much longer it is
+    slow after its start.
     """
 
     id: str
@@ -43,6 +45,8 @@
     ejected: bool
     prefill_tokens_per_second: float
     decode_tokens_per_second: float
+    pace: int = 0
+    cold_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -24,6 +24,7 @@
 """Number of pages; the digests of all of them fit into a datagram."""
 
 _PAGE_DIGEST_BITS = 32
+_MS_PER_SECOND = 1000
 
 _EXPIRY_SECONDS = 1.0
 """Shortest interval between two searches for servers that were not confirmed."""
@@ -41,6 +42,8 @@
     prefill_rate: float
     decode_rate: float
     rate_limit: float | None
+    pace: int
+    cold_ms: int
 
     @classmethod
     def announced(cls, announcement: Announcement) -> "ServerState":
@@ -51,6 +54,8 @@
             announcement.prefill_tokens_per_second,
             announcement.decode_tokens_per_second,
             announcement.rate_limit,
+            announcement.pace,
+            announcement.cold_ms,
         )
 
     def differs(self, known: Announcement) -> bool:
@@ -62,6 +67,7 @@
             or own.slots != known.slots
             or own.versions != known.versions
             or own.address != known.address
+            or self.pace != known.pace
             or _has_other_limit(self.rate_limit, known.rate_limit)
             or _has_changed(self.prefill_rate, known.prefill_tokens_per_second)
             or _has_changed(self.decode_rate, known.decode_tokens_per_second)
@@ -75,6 +81,8 @@
             decode_tokens_per_second=self.decode_rate,
             leaving=self.leaving,
             rate_limit=self.rate_limit,
+            pace=self.pace,
+            cold_ms=self.cold_ms,
         )
 
 
@@ -94,6 +102,7 @@
     at: float
     page: int
     fingerprint: int
+    cold_until: float
 
 
 class BackendDirectory:
@@ -176,6 +185,11 @@
         entry = self._entries.get(backend_id)
         return None if entry is None else entry.announcement
 
+    def cold_ms(self, backend_id: str, now: float) -> int:
+        """Return how much longer a server is cold, as published."""
+        entry = self._entries.get(backend_id)
+        return 0 if entry is None else _remaining_ms(entry, now)
+
     def incarnations(self) -> dict[str, int]:
         """Return the incarnation of each server that does not leave."""
         return {
@@ -223,17 +237,29 @@
             if announcement.service == service and not announcement.leaving:
                 yield announcement
 
+    def known_servers(self, service: str, now: float) -> Iterator[Announcement]:
+        """Yield the same with the time for which each server is still cold."""
+        for announcement in self.of_service(service):
+            cold_ms = self.cold_ms(announcement.id, now)
+            if cold_ms != announcement.cold_ms:
+                announcement = replace(announcement, cold_ms=cold_ms)
+            yield announcement
+
     def _store(self, announcement: Announcement, now: float) -> None:
         known = self._entries.get(announcement.id)
         if known is not None and known.announcement.order > announcement.order:
             return
         fingerprint = _fingerprint(announcement)
         page = _page_of(announcement.id) if known is None else known.page
-        self._entries[announcement.id] = _Entry(announcement, now, page, fingerprint)
+        cold_until = now + announcement.cold_ms / _MS_PER_SECOND
+        self._entries[announcement.id] = _Entry(
+            announcement, now, page, fingerprint, cold_until
+        )
         before = 0 if known is None else known.fingerprint
         self._change_page(page, before ^ fingerprint)
         state = ServerState.announced(announcement)
-        if known is None or state.differs(known.announcement):
+        turned_cold = known is not None and known.cold_until < now < cold_until
+        if known is None or turned_cold or state.differs(known.announcement):
             self._revision += 1
 
     def _remove(self, backend_id: str) -> None:
@@ -259,6 +285,10 @@
                 self._remove(backend_id)
 
 
+def _remaining_ms(entry: _Entry, now: float) -> int:
+    return max(0, int((entry.cold_until - now) * _MS_PER_SECOND))
+
+
 def _page_of(backend_id: str) -> int:
     return xxhash.xxh64_intdigest(backend_id.encode()) % _PAGES
 
--- a/src/sassafraspin/dispatch/directory_messages.py
+++ b/src/sassafraspin/dispatch/directory_messages.py
@@ -18,7 +18,10 @@
 
 
 class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
-    """What is sent of an announcement; ``speeds`` are those of prefill and decode."""
+    """What is sent of an announcement; ``speeds`` are those of prefill and decode.
+
+    ``cold_ms`` is how much longer the server is cold at the time of sending.
+    """
 
     id: str
     incarnation: int
@@ -35,6 +38,8 @@
     speeds: tuple[float, float]
     leaving: bool
     rate_limit: float | None = None
+    cold_ms: int = 0
+    pace: int = 0
 
     @classmethod
     def of(cls, announcement: Announcement) -> "ServerEntry":
@@ -58,6 +63,8 @@
             ),
             announcement.leaving,
             announcement.rate_limit,
+            announcement.cold_ms,
+            announcement.pace,
         )
 
     def to_announcement(self) -> Announcement:
@@ -79,6 +86,8 @@
             leaving=self.leaving,
             sequence=self.sequence,
             rate_limit=self.rate_limit,
+            cold_ms=self.cold_ms,
+            pace=self.pace,
         )
 
 
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -8,6 +8,12 @@
 
 __all__ = ["DirectoryPublisher"]
 
+_MS_PER_SECOND = 1000
+
+_COLD_TOLERANCE_MS = 500
+"""Difference between the actual and the published cold time above which it is published
+again: a server may turn cold, or stay so for longer, at any moment."""
+
 _REFRESH_SECONDS = 1.0
 """Interval at which a dispatcher confirms the servers in its own directory."""
 
@@ -35,8 +41,8 @@
         """Apply what has changed to the directory and return it for the others."""
         changed = [
             state.to_announcement()
-            for state in map(_state, backends)
-            if self._lacks(state)
+            for state in (_state(backend, now) for backend in backends)
+            if self._lacks(state, now)
         ]
         own = {
             backend.announcement.id: backend.announcement.incarnation
@@ -58,12 +64,16 @@
         """Forget this dispatcher's servers: another one publishes from now on."""
         self._own = {}
 
-    def _lacks(self, state: ServerState) -> bool:
+    def _lacks(self, state: ServerState, now: float) -> bool:
         """Return whether the directory does not have this or a later state."""
         known = self._directory.find(state.announcement.id)
         if known is None:
             return True
-        return known.order <= state.announcement.order and state.differs(known)
+        if known.order > state.announcement.order:
+            return False
+        cold_ms = self._directory.cold_ms(state.announcement.id, now)
+        is_cold_known = abs(state.cold_ms - cold_ms) <= _COLD_TOLERANCE_MS
+        return not is_cold_known or state.differs(known)
 
     def _gone(self, names: KeysView[str]) -> dict[str, int]:
         """Return the servers to remove, with their incarnations.
@@ -74,8 +84,8 @@
         return {name: known[name] for name in known.keys() - names}
 
 
-def _state(backend: Backend) -> ServerState:
-    """Return the announcement with the measured speed and the withdrawal applied."""
+def _state(backend: Backend, now: float) -> ServerState:
+    """Return the announcement with what the dispatcher knows of the server."""
     announcement, speed = backend.announcement, backend.speed
     leaving = announcement.leaving or backend.is_withdrawn
     return ServerState(
@@ -84,4 +94,6 @@
         speed.prefill_rate,
         speed.decode_rate,
         backend.named_rate_limit,
+        0 if backend.pace.is_full else backend.pace.limit,
+        int(backend.cold_seconds(now) * _MS_PER_SECOND),
     )
--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -39,6 +39,8 @@
     limits_counted : int
         Number of slow limits for which the request was counted, while running, in the
         comparison of a new version with the old one.
+    has_paced : bool
+        Whether the pace of the server has taken the first token into account.
     """
 
     entry: str
@@ -51,6 +53,7 @@
     expected_first_token: float = 0.0
     prefill_rate: float = 1.0
     limits_counted: int = 0
+    has_paced: bool = False
 
     @property
     def revoked(self) -> bool:
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -10,6 +10,7 @@
     "ActiveGrant",
     "AnnounceBackend",
     "DispatchMessage",
+    "FirstTokenNotice",
     "HeldGrants",
     "LOWEST_TIER",
     "RateLimitNotice",
@@ -129,6 +130,7 @@
     arrives; ``None`` if the request did not say when it was sent. ``incarnation`` is
     that of the backend server, 0 from older builds. ``rate_limit`` is the limit of the
     server that the dispatcher knows, in requests a second, ``None`` if it knows none.
+    ``reports_first_token`` asks for a ``FirstTokenNotice``.
     """
 
     request_id: str
@@ -143,6 +145,7 @@
     use_until: float | None = None
     incarnation: int = 0
     rate_limit: float | None = None
+    reports_first_token: bool = False
 
 
 class SlotWaiting(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -217,6 +220,18 @@
     rate_limit: float | None
 
 
+class FirstTokenNotice(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Reports the first token of a request before its answer is complete.
+
+    Dispatchers ask for it while they find out how many requests a server bears, which
+    the end of a long answer would tell too late.
+    """
+
+    service: str
+    grant_id: str
+    first_token_ms: int
+
+
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Lists all slots in use by an entry instance, to detect lost releases."""
 
@@ -257,6 +272,7 @@
     | ActiveGrant
     | SlotRelease
     | RateLimitNotice
+    | FirstTokenNotice
     | HeldGrants
     | SlotWithdraw
     | SlotRevoke
--- /dev/null
+++ b/src/sassafraspin/dispatch/pacing.py
@@ -0,0 +1,113 @@
+"""Pace of the servers of one service: when it starts anew, and what changes it."""
+
+import math
+
+from sassafraspin.backends import Announcement, Backend, PaceChange
+from sassafraspin.dispatch.grants import Grant
+from sassafraspin.telemetry.events import ServerPaced, log_event
+
+__all__ = ["ServerPacing"]
+
+_FIRST_REGISTRATIONS_SECONDS = 5.0
+"""Time after the start of a deployment in which all servers register for the first
+time. Requests are spread over all of them then, so that none of them is flooded."""
+
+_LATE_RATIO = 2.0
+"""Ratio between the measured and the estimated time to first token from which on a
+server that made its caller wait beyond the objective is overloaded. Below it, the
+request was late when it was sent, or the server is slow but steady."""
+
+_MS_PER_SECOND = 1000
+
+
+class ServerPacing:
+    """Lets a server that may not bear its full load yet have few requests in flight.
+
+    That is a server that has just started, is back after a silence or an ejection, has
+    turned cold, or whose zone was evacuated.
+
+    Parameters
+    ----------
+    is_enabled : bool
+        Whether servers are paced.
+    starts_at : float
+        Monotonic time from which on a server that is new counts as just started.
+    """
+
+    def __init__(self, is_enabled: bool, starts_at: float) -> None:
+        self._is_enabled = is_enabled
+        self._starts_at = starts_at
+
+    @classmethod
+    def of_dispatcher(
+        cls, is_enabled: bool, has_known_servers: bool, now: float
+    ) -> "ServerPacing":
+        """Return the pacing of a dispatcher that starts now.
+
+        If it knows servers, the deployment has started before.
+        """
+        delay = 0.0 if has_known_servers else _FIRST_REGISTRATIONS_SECONDS
+        return cls(is_enabled, now + delay)
+
+    def on_new_server(self, backend: Backend, now: float) -> None:
+        """Pace a server that has registered for the first time."""
+        if now >= self._starts_at or backend.is_cold(now):
+            self.restart(backend, now)
+
+    def on_announcement(
+        self,
+        backend: Backend,
+        before: Announcement,
+        was_expired: bool,
+        was_cold: bool,
+        now: float,
+    ) -> None:
+        """Pace a known server that has started again, or is back or cold."""
+        has_restarted = backend.announcement.incarnation > before.incarnation
+        turned_cold = backend.is_cold(now) and not was_cold
+        if has_restarted or was_expired or turned_cold:
+            self.restart(backend, now)
+
+    def restart(self, backend: Backend, now: float) -> None:
+        """Pace a server from the start."""
+        if self._is_enabled:
+            self._log(backend, backend.restart_pace(now))
+
+    def record_first_token(
+        self, backend: Backend, grant: Grant, seconds: float, now: float
+    ) -> None:
+        """Adapt the pace to the time to first token of a request, once a request."""
+        if grant.has_paced:
+            return
+        grant.has_paced = True
+        is_late = _is_late(grant, seconds)
+        self._log(backend, backend.pace.record_answer(is_late, grant.granted_at, now))
+
+    def record_failure(self, backend: Backend, grant: Grant, now: float) -> None:
+        """Adapt the pace to a failure or a refusal."""
+        self._log(backend, backend.pace.record_failure(grant.granted_at, now))
+
+    def _log(self, backend: Backend, change: PaceChange | None) -> None:
+        if change is None:
+            return
+        announcement = backend.announcement
+        log_event(
+            ServerPaced(
+                announcement.id,
+                announcement.incarnation,
+                change.limit,
+                change.slots,
+                change.reason.value,
+            )
+        )
+
+
+def _is_late(grant: Grant, seconds: float) -> bool:
+    """Return whether the caller waited too long, as the server bears too little.
+
+    Services without a first token are judged by failures alone: nobody estimates the
+    time that one of their requests takes.
+    """
+    objective = grant.request.first_token_within_ms / _MS_PER_SECOND
+    limit = max(objective, _LATE_RATIO * grant.expected_first_token)
+    return seconds > (limit if objective else math.inf)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -5,18 +5,20 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
-from sassafraspin.backends import Announcement, Backend, Reservation
+from sassafraspin.backends import STRICT_SHARE, Announcement, Backend, Reservation
 from sassafraspin.dispatch.admission import Admission
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.messages import (
     ActiveGrant,
     DispatchMessage,
+    FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
     RefusalReason,
@@ -29,6 +31,7 @@
     UnknownGrants,
 )
 from sassafraspin.dispatch.overload import OverloadControl
+from sassafraspin.dispatch.pacing import ServerPacing
 from sassafraspin.dispatch.rate_limits import replaces_limit
 from sassafraspin.dispatch.servers import ServerTable
 from sassafraspin.dispatch.trials import Trials
@@ -105,6 +108,9 @@
         Part of the servers' rate limits that the pool may use.
     suspects : Suspects or None
         Knows which requests may have crashed servers, ``None`` if nobody does.
+    cold_share : callable
+        Returns the part of the rate of a cold server that the pool may use, given its
+        name and the rate.
     """
 
     def __init__(
@@ -120,6 +126,7 @@
         budget: RetryBudget | None = None,
         rate_share: float = 1.0,
         suspects: Suspects | None = None,
+        cold_share: Callable[[str, float], float] = lambda name, rate: STRICT_SHARE,
     ) -> None:
         self._service = service
         self._settings = settings
@@ -127,7 +134,12 @@
         self._budget = budget or RetryBudget(settings)
         self._gate = gate
         self._grant_id_prefix = grant_id_prefix
-        self._servers = ServerTable(generator, rate_share, settings.zone_regions)
+        self._pacing = ServerPacing.of_dispatcher(
+            settings.paces_servers, bool(known), now
+        )
+        self._servers = ServerTable(
+            generator, rate_share, settings.zone_regions, self._pacing, cold_share
+        )
         self._queue = WaitingQueue()
         self._grants = GrantTable()
         self._trials = Trials(suspects or NoSuspects(), self._grants, now)
@@ -289,6 +301,26 @@
         self._servers.limit_rate(backend, notice.rate_limit, now)
         return self._grant_free_slots(now)
 
+    def record_first_token(
+        self, notice: FirstTokenNotice, now: float
+    ) -> list[SendToEntry]:
+        """Adapt the pace of a server to the first token of a request that runs on."""
+        grant = self._grants.get(notice.grant_id)
+        if grant is None:
+            return []
+        self._adapt_pace(grant, notice.first_token_ms / _MS_PER_SECOND, now)
+        return self._grant_free_slots(now)
+
+    def _adapt_pace(self, grant: Grant, first_token: float, now: float) -> None:
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is not None:
+            self._pacing.record_first_token(backend, grant, first_token, now)
+            self._servers.update_free(backend, now)
+
+    def set_cold_rate(self, rate: float, now: float) -> None:
+        """Set the requests a second that a cold server takes, 0 for no limit."""
+        self._servers.set_cold_rate(rate, now)
+
     def reconcile(self, entry: str, held: HeldGrants, now: float) -> list[SendToEntry]:
         """End the grants whose release was lost; request those that are unknown."""
         known = frozenset(held.grant_ids)
@@ -447,7 +479,6 @@
         request = waiting.request
         self._grant_counter += 1
         announcement = choice.backend.announcement
-        rate_limit = choice.backend.rate_limit
         first_token = expected_first_token(choice.backend, request, now)
         message = SlotGrant(
             request.request_id,
@@ -462,6 +493,7 @@
             self._use_until(request, waiting.queued_at, now),
             announcement.incarnation,
             choice.backend.named_rate_limit,
+            not choice.backend.pace.is_full,
         )
         grant = Grant(
             waiting.entry,
@@ -481,8 +513,7 @@
             self._budget.record_first_attempt(now)
         self._grants.add(grant)
         self._trials.record_start(grant, now)
-        if rate_limit is not None:
-            rate_limit.count_request(now)
+        choice.backend.count_request(now)
         self._reserve(choice.backend, grant, now)
         self._servers.record_prefixes(choice.backend, request)
         self._gate.record_start(version)
@@ -537,6 +568,7 @@
                     (release.total_ms - release.first_token_ms) / 1000,
                 )
             case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
+                self._pacing.record_failure(backend, grant, now)
                 self._servers.record_failure(backend, now)
             case ReleaseResult.CANCELLED:
                 pass
@@ -550,6 +582,7 @@
         if backend is None:
             return
         seconds = release.first_token_ms / _MS_PER_SECOND
+        self._adapt_pace(grant, seconds, now)
         backend.backlog.finish(grant.grant_id, min(now, grant.granted_at + seconds))
         backend.speed.observe_first_token(
             grant.request.prompt_tokens,
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -2,11 +2,19 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Mapping
-
-from sassafraspin.backends import Announcement, Backend, RateLimit, Reservation
+from collections.abc import Callable, Mapping
+
+from sassafraspin.backends import (
+    STRICT_SHARE,
+    Announcement,
+    Backend,
+    RateLimit,
+    Reservation,
+)
 from sassafraspin.dispatch.messages import SlotRequest
+from sassafraspin.dispatch.pacing import ServerPacing
 from sassafraspin.settings import Address
+from sassafraspin.telemetry.events import ServerCold, log_event
 
 __all__ = ["ServerTable"]
 
@@ -63,6 +71,12 @@
     zone_regions : mapping of str to str or None
         Region of each availability zone. Requests that are bound to some regions use
         no server in a zone that is not listed.
+    pacing : ServerPacing or None
+        Limits the requests in flight at servers that have just started; ``None`` if
+        another instance decides.
+    cold_share : callable
+        Returns the part of the rate of a cold server that this table may use, given its
+        name and the rate.
     """
 
     def __init__(
@@ -70,11 +84,16 @@
         generator: random.Random,
         rate_share: float = 1.0,
         zone_regions: Mapping[str, str] | None = None,
+        pacing: ServerPacing | None = None,
+        cold_share: Callable[[str, float], float] = lambda name, rate: STRICT_SHARE,
     ) -> None:
         self._generator = generator
         self._rate_share = rate_share
         self._zone_regions = zone_regions or {}
         self._evacuated_zones: frozenset[str] = frozenset()
+        self._pacing = pacing or ServerPacing(False, 0.0)
+        self._cold_share = cold_share
+        self._cold_rate = 0.0
         self._backends: dict[str, Backend] = {}
         self._by_address: dict[Address, str] = {}
         self._accepting: list[Backend] = []
@@ -118,9 +137,9 @@
         """
         if len(self._limited) < len(self._accepting):
             return 0.0
-        limits = [item.rate_limit for item in self._limited]
-        rate = sum(limit.rate for limit in limits)
-        missing = position + 1 - sum(limit.level(now) for limit in limits)
+        rate = sum(item.request_rate for item in self._limited)
+        level = sum(item.request_level(now) for item in self._limited)
+        missing = position + 1 - level
         return max(0.0, missing / rate) if rate else 0.0
 
     @property
@@ -178,16 +197,24 @@
             return False
         backend = self._backends.get(announcement.id)
         if backend is not None:
-            before = backend.announcement
-            backend.apply_announcement(announcement, now)
-            self._index_address(backend)
-            if not _has_same_capacity(before, announcement):
-                self.refresh(now)
+            self._update(backend, announcement, now)
             return False
         self._add(announcement, now)
+        self._pacing.on_new_server(self._backends[announcement.id], now)
         self.refresh(now)
         return True
 
+    def _update(self, backend: Backend, announcement: Announcement, now: float) -> None:
+        """Apply an announcement of a known server."""
+        before = backend.announcement
+        was_expired, was_cold = backend.is_expired(now), backend.is_cold(now)
+        backend.apply_announcement(announcement, now)
+        self._index_address(backend)
+        self._pacing.on_announcement(backend, before, was_expired, was_cold, now)
+        is_same = _has_same_capacity(before, announcement)
+        if not is_same or was_expired or was_cold != backend.is_cold(now):
+            self.refresh(now)
+
     def adopt(self, announcements: tuple[Announcement, ...], now: float) -> None:
         """Add all servers that the previous dispatcher knew.
 
@@ -210,7 +237,7 @@
             else:
                 backend.apply_announcement(announcement, now)
                 self._index_address(backend)
-                self._follow_limit(backend, announcement, now)
+                self._follow_limits(backend, announcement, now)
         self.refresh(now)
 
     def close_zones(self, zones: frozenset[str], now: float) -> None:
@@ -229,15 +256,16 @@
 
     def _add_published(self, announcement: Announcement, now: float) -> None:
         self._add(announcement, now)
-        self._follow_limit(self._backends[announcement.id], announcement, now)
+        self._follow_limits(self._backends[announcement.id], announcement, now)
 
-    def _follow_limit(
+    def _follow_limits(
         self, backend: Backend, announcement: Announcement, now: float
     ) -> None:
-        """Apply the rate limit that a dispatcher has published, if it is a new one.
+        """Apply the pace and the rate limit that a dispatcher has published.
 
-        Only an answer of the server ends a limit.
+        Only an answer of the server ends a rate limit.
         """
+        backend.pace.adopt(announcement.pace or announcement.slots)
         named = announcement.rate_limit
         if named is not None and named != backend.named_rate_limit:
             backend.limit_rate(RateLimit(named, self._rate_share, now))
@@ -273,19 +301,14 @@
             if backend.is_expired(now) and not backend.busy_slots:
                 self._remove(backend_id)
             else:
-                zone = backend.announcement.availability_zone
-                backend.set_evacuated(zone in self._evacuated_zones)
+                self._apply_conditions(backend, now)
         self._accepting = sorted(
             (item for item in self._backends.values() if item.accepts_work(now)),
             key=lambda item: item.announcement.id,
         )
-        self._limited = [
-            item for item in self._accepting if item.rate_limit is not None
-        ]
+        self._limited = [item for item in self._accepting if item.is_rate_limited]
         self._unlimited_slots = sum(
-            item.announcement.slots
-            for item in self._accepting
-            if item.rate_limit is None
+            item.slot_limit for item in self._accepting if not item.is_rate_limited
         )
         speeds = [item.speed for item in self._accepting]
         self._best_prefill_rate = max((s.prefill_rate for s in speeds), default=1.0)
@@ -295,6 +318,28 @@
             is_free = backend_id in accepting and _is_free(backend, now)
             self._free.set(backend_id, is_free)
 
+    def _apply_conditions(self, backend: Backend, now: float) -> None:
+        """Update whether a server's zone is evacuated, and its limit while cold."""
+        zone = backend.announcement.availability_zone
+        if backend.set_evacuated(zone in self._evacuated_zones):
+            self._pacing.restart(backend, now)
+        limit = backend.cold_limit
+        if not self._cold_rate or not backend.is_cold(now):
+            if limit is not None:
+                backend.limit_cold_rate(None)
+                _log_cold(backend, limit, now)
+        elif limit is None or limit.named != self._cold_rate:
+            share = self._cold_share(backend.announcement.id, self._cold_rate)
+            limit = RateLimit(self._cold_rate, share, now)
+            backend.limit_cold_rate(limit)
+            _log_cold(backend, limit, now)
+
+    def set_cold_rate(self, rate: float, now: float) -> None:
+        """Set the requests a second that a cold server takes, 0 for no limit."""
+        if rate != self._cold_rate:
+            self._cold_rate = rate
+            self.refresh(now)
+
     def limit_rate(self, backend: Backend, named: float | None, now: float) -> None:
         """Set the rate limit that a server has named, or end it."""
         limit = None if named is None else RateLimit(named, self._rate_share, now)
@@ -316,6 +361,11 @@
         if backend.accepts_work(now):
             self._free.set(backend_id, _is_free(backend, now))
 
+    def update_free(self, backend: Backend, now: float) -> None:
+        """Update whether a server has a free slot after its pace has changed."""
+        is_free = backend.accepts_work(now) and _is_free(backend, now)
+        self._free.set(backend.announcement.id, is_free)
+
     def withdraw(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a server; return whether it is known."""
         backend = self._backends.get(backend_id)
@@ -334,6 +384,7 @@
         ejected = sum(item.is_ejected(now) for item in self._backends.values())
         allowed = max(1, int(_MAX_EJECTED_SHARE * len(self._backends)))
         if backend.record_failure(now, may_eject=ejected < allowed):
+            self._pacing.restart(backend, now)
             self.refresh(now)
 
     def record_prefixes(self, backend: Backend, request: SlotRequest) -> None:
@@ -420,10 +471,23 @@
 
 def _is_free(backend: Backend, now: float) -> bool:
     """Return whether a server has a free slot that it allows to use now."""
-    has_slot = backend.busy_slots < backend.announcement.slots
+    has_slot = backend.busy_slots < backend.slot_limit
     return has_slot and backend.allows_request(now)
 
 
+def _log_cold(backend: Backend, limit: RateLimit, now: float) -> None:
+    announcement = backend.announcement
+    log_event(
+        ServerCold(
+            announcement.id,
+            announcement.incarnation,
+            int(backend.cold_seconds(now) * 1000),
+            limit.rate,
+            limit.counted,
+        )
+    )
+
+
 def _has_same_capacity(before: Announcement, after: Announcement) -> bool:
     """Return whether two announcements agree in all fields used by the indexes."""
     return (
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -58,6 +58,10 @@
 """Slot repeat and standby times are below the users' strictest objective, 100 ms."""
 
 
+_RECOVERING_SERVERS = "health"
+"""Contract of deployments whose runners fail and come back while they are in use."""
+
+
 class _Listen(msgspec.Struct):
     front: str
     readiness: str
@@ -97,6 +101,7 @@
     listen: _Listen
     data_dir: str = ""
     heartbeat_ms: int = 1_200
+    contracts: list[str] = []
     zones: dict[str, str] = {}
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -164,6 +169,7 @@
             retry_allowance=int(_RETRY_BUDGET_FRACTION * bounds.budget_slack),
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
             zone_regions=boot.zones,
+            paces_servers=_RECOVERING_SERVERS in boot.contracts,
         ),
         http=HttpLimits(connections=2_000),
         readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -1,5 +1,7 @@
 """Decoder for the platform's configuration document."""
 
+from typing import Annotated
+
 import msgspec
 
 from sassafraspin.errors import InvalidInput, Problem
@@ -66,8 +68,11 @@
 
 
 class _Service(msgspec.Struct):
+    """``cold_per_s`` is the rate that a runner takes while it is cold, 0 for any."""
+
     name: str
     max_connections: int = 100
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     engine: _Engine | None = None
 
 
@@ -173,9 +178,9 @@
 def _service(item: _Service) -> RoutedService:
     engine = item.engine
     if engine is None:
-        return RoutedService(item.name, item.max_connections, None)
+        return RoutedService(item.name, item.max_connections, None, item.cold_per_s)
     model = Engine(engine.kv_capacity_tokens, engine.stride)
-    return RoutedService(item.name, item.max_connections, model)
+    return RoutedService(item.name, item.max_connections, model, item.cold_per_s)
 
 
 def _account(item: _Tenant) -> RoutedAccount:
--- a/src/sassafraspin/platform/registration.py
+++ b/src/sassafraspin/platform/registration.py
@@ -1,6 +1,7 @@
 """Decoder for registrations of runners."""
 
 import ipaddress
+import math
 from typing import Annotated, Literal
 
 import msgspec
@@ -24,6 +25,8 @@
 _Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 """Bounds of what is passed on to other instances in small messages."""
 
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
 _MAX_PORT_DIGITS = 5
 
 
@@ -31,7 +34,8 @@
     """A registration message.
 
     ``born`` is the Unix time of the runner's start in ms, ``sequence`` counts its
-    messages since then, and ``version`` is its software version.
+    messages since then, ``version`` is its software version, and ``cold_remaining_ms``
+    is how much longer it is slow after its start.
     """
 
     service: _Name
@@ -42,6 +46,7 @@
     state: Literal["ready", "draining"]
     sequence: _Counter
     born: _Counter = 0
+    cold_remaining_ms: _Milliseconds = 0
 
 
 _DECODER = msgspec.json.Decoder(_Registration)
@@ -84,6 +89,7 @@
         decode_tokens_per_second=_INITIAL_DECODE_TOKENS_PER_SECOND,
         leaving=item.state == _DRAINING,
         sequence=item.sequence,
+        cold_ms=math.ceil(item.cold_remaining_ms),
     )
 
 
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -10,6 +10,7 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.slots import SlotClient
 from sassafraspin.dispatch import (
+    FirstTokenNotice,
     RateLimitNotice,
     RefusalReason,
     ReleaseResult,
@@ -331,7 +332,7 @@
             )
         headers = self._adapter.caller_headers(response.headers)
         if is_success and self._call.route.kind is RouteKind.STREAM:
-            return await self._relay_stream(response, headers, progress)
+            return await self._relay_stream(response, headers, grant, progress)
         body = await response.read()
         whole = Response(response.status, headers, body, response.is_framed)
         if not is_success:
@@ -352,18 +353,30 @@
         return metadata.request_id == self._call.metadata.request_id
 
     async def _relay_stream(
-        self, response: OpenResponse, headers: Headers, progress: AttemptProgress
+        self,
+        response: OpenResponse,
+        headers: Headers,
+        grant: SlotGrant,
+        progress: AttemptProgress,
     ) -> AttemptOutcome:
         is_resumed = self._resume_after is not None
         head = StreamHead(response.status, headers, response.is_framed, is_resumed)
         self._stream.start_attempt(head)
         async with aclosing(response.chunks()) as chunks:
             async for chunk in chunks:
+                is_first = progress.first_data_at is None
                 progress.record_data(self._node.now())
+                if is_first and grant.reports_first_token:
+                    self._report_first_token(grant, progress)
                 progress.events += await self._stream.forward(chunk)
         await self._stream.finish()
         return Delivered()
 
+    def _report_first_token(self, grant: SlotGrant, progress: AttemptProgress) -> None:
+        first_token_ms = _ms(progress.last_data_at - progress.sent_at)
+        notice = FirstTokenNotice(self._call.service, grant.grant_id, first_token_ms)
+        self._slots.report_first_token(notice)
+
     def _release(
         self, grant: SlotGrant, result: ReleaseResult, progress: AttemptProgress
     ) -> None:
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from sassafraspin.admission import Limits, UsageCaps, UsageLog, UsageReport
-from sassafraspin.backends import Announcement, Backend
+from sassafraspin.backends import STRICT_SHARE, Announcement, Backend
 from sassafraspin.daemon.control_service import ControlService
 from sassafraspin.daemon.node import Node
 from sassafraspin.dispatch.budget import (
@@ -137,6 +137,10 @@
         """Return the whole: only the leader dispatches."""
         return 1.0
 
+    def cold_share(self, backend_id: str, rate: float) -> float:
+        """Return the part that leaves room for bursts: only the leader dispatches."""
+        return STRICT_SHARE
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -156,7 +160,7 @@
         retirements = self._node.configuration.state.retirements
         return tuple(
             announcement
-            for announcement in self._directory.of_service(service)
+            for announcement in self._directory.known_servers(service, self._node.now())
             if not retirements.covers(announcement)
         )
 
@@ -181,4 +185,6 @@
 
 def _service_settings(service: RoutedService) -> ServiceSettings:
     kind = "plain" if service.engine is None else "model"
-    return ServiceSettings(service.name, kind, loads_versions=False)
+    return ServiceSettings(
+        service.name, kind, loads_versions=False, cold_rate=service.cold_rate
+    )
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -14,6 +14,7 @@
 from sassafraspin.dispatch import (
     ActiveGrant,
     AnnounceBackend,
+    FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
     SlotGrant,
@@ -280,7 +281,9 @@
                 self._dispatch.receive(source.name, message)
             case SlotRequest() | ActiveGrant() | SlotWithdraw():
                 self._dispatch.receive(source.name, message)
-            case HeldGrants() | AnnounceBackend() | RateLimitNotice():
+            case HeldGrants() | AnnounceBackend():
+                self._dispatch.receive(source.name, message)
+            case RateLimitNotice() | FirstTokenNotice():
                 self._dispatch.receive(source.name, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(source.name, message)
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -18,6 +18,8 @@
 
 __all__ = ["StandbyScope"]
 
+_STANDBY_COLD_SHARE = 0.5
+
 
 class StandbyScope:
     """Dispatch scope of the local fallback on an entry instance.
@@ -82,10 +84,13 @@
         return caps
 
     def settings(self) -> DispatchSettings:
-        """Return the settings with this instance's share of the retry allowance."""
+        """Return the settings with this instance's share of the retry allowance.
+
+        The pace of servers is that which the last dispatcher has published.
+        """
         settings = self._node.settings.dispatch
         allowance = settings.retry_allowance // self._instance_count
-        return replace(settings, retry_allowance=allowance)
+        return replace(settings, retry_allowance=allowance, paces_servers=False)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the budget of this instance's standby, kept while it is closed."""
@@ -97,6 +102,19 @@
         """Return an equal part: any instance may use any server."""
         return 1 / self._instance_count
 
+    def cold_share(self, backend_id: str, rate: float) -> float:
+        """Return the same part for a few instances, and 0 for the others.
+
+        Each instance may send one request at once, so that together they would exceed
+        the rate if there were more of them than requests a second. Half of the rate is
+        left for a dispatcher that takes over.
+        """
+        count = min(max(1, int(_STANDBY_COLD_SHARE * rate)), self._instance_count)
+        ranked = self._node.view.ranked(backend_id, count)
+        if not any(member.name == self._node.name for member in ranked):
+            return 0.0
+        return _STANDBY_COLD_SHARE / count
+
     def initial_version(
         self, service: ServiceSettings, backends: tuple[Backend, ...]
     ) -> str:
@@ -118,7 +136,7 @@
             local_slots[self._fallback_server(servers).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
         return tuple(
-            replace(server, slots=local_slots[server.id], ttl_ms=keep_ms)
+            replace(server, slots=local_slots[server.id], ttl_ms=keep_ms, pace=0)
             for server in servers
             if local_slots[server.id]
         )
@@ -144,16 +162,19 @@
         assigned = {}
         slots = {}
         for server in servers:
-            key = view_number, server.id, server.slots
-            slots[server.id] = known[key] if key in known else self._local_slots(server)
+            allowed = min(server.slots, server.pace or server.slots)
+            key = view_number, server.id, allowed
+            slots[server.id] = (
+                known[key] if key in known else self._local_slots(server.id, allowed)
+            )
             assigned[key] = slots[server.id]
         self._assigned_slots[service] = assigned
         return slots
 
-    def _local_slots(self, server: Announcement) -> int:
+    def _local_slots(self, backend_id: str, slots: int) -> int:
         """Return the number of a server's slots that are assigned to this instance."""
-        per_instance, rest = divmod(server.slots, self._instance_count)
-        ranked = self._node.view.ranked(server.id, rest)
+        per_instance, rest = divmod(slots, self._instance_count)
+        ranked = self._node.view.ranked(backend_id, rest)
         return per_instance + any(member.name == self._node.name for member in ranked)
 
     def _fallback_server(self, servers: tuple[Announcement, ...]) -> Announcement:
--- a/src/sassafraspin/routes/table.py
+++ b/src/sassafraspin/routes/table.py
@@ -125,11 +125,15 @@
         Connections that one backend server accepts, summed over all instances.
     engine : Engine or None
         Engine properties, ``None`` for a service without model engines.
+    cold_rate : float
+        Requests a second that a server takes from all instances together while it is
+        slow after its start; 0 for any number.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -164,6 +164,9 @@
     ``weight_load_interval_ms`` apart. If they do not check fencing tokens
     (``checks_fencing``), a new dispatcher instructs them only after the leases of
     earlier dispatchers have expired.
+
+    A server that says that it is slow after its start gets at most ``cold_rate``
+    requests a second from all instances together; 0 for no limit.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -175,6 +178,7 @@
     checks_fencing: bool = False
     weight_load_interval_ms: _Milliseconds = 500
     loads_versions: bool = True
+    cold_rate: Annotated[float, Field(ge=0, le=1e6)] = 0.0
 
 
 @dataclass(frozen=True)
@@ -233,6 +237,9 @@
     settings files of earlier builds. Usage caps apply to any period of
     ``cap_window_ms`` and may be exceeded by the share ``cap_overshoot``.
 
+    If ``paces_servers`` is set, a backend server that has just started or is back gets
+    few requests at first, and more as it answers in time.
+
     ``zone_regions`` maps availability zones to regions, for requests that may only be
     served in some regions.
     """
@@ -254,6 +261,7 @@
     retry_allowance: Annotated[int, Field(ge=0, le=1_000_000)] = 50
     retry_window_ms: _Milliseconds = 10_000
     zone_regions: dict[Name, Name] = field(default_factory=dict)
+    paces_servers: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -32,6 +32,8 @@
     "ResourceUsage",
     "ServerLeaving",
     "RateLimitChanged",
+    "ServerCold",
+    "ServerPaced",
     "ServerNoticed",
     "StreamFailed",
     "TableInForce",
@@ -317,6 +319,41 @@
     rate_limit: float | None
 
 
+@dataclass(frozen=True)
+class ServerPaced(Event):
+    """The dispatcher changed how many requests a server may have in flight.
+
+    A server that has just started, came back, turned cold or was ejected begins with a
+    small ``limit`` (``reason`` is ``started``); answers that are ``on-time`` raise it,
+    those that are ``late`` or ``failed`` halve it. At ``slots`` it has no effect.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "The pace of a backend server changed."
+    server: str
+    incarnation: int
+    limit: int
+    slots: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ServerCold(Event):
+    """A backend server is cold, or is no longer so: ``cold_ms`` is 0 then.
+
+    While it is, the dispatcher sends it no more than ``rate`` requests a second;
+    ``granted`` is the number that it was sent since it turned cold.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "A backend server turned cold or warm."
+    server: str
+    incarnation: int
+    cold_ms: int
+    rate: float
+    granted: int
+
+
 @dataclass(frozen=True)
 class PartIsolated(Event):
     """Requests with a prompt part are refused from now on, by all instances.
@@ -444,6 +481,8 @@
     StreamFailed,
     TryEnded,
     RateLimitChanged,
+    ServerPaced,
+    ServerCold,
     ServerNoticed,
     PartIsolated,
     RequestIsolated,
