Refuse late requests early while those of their tier time out

A request that became late while it waited was kept in any case, pauses ended after a second however long the overload lasted, and a refusal at the deadline arrived after it.

A stream is late when it can no longer have its first token within the objective.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -41,6 +41,9 @@
         arrives before the caller disconnects.
     first_token_seconds : float
         Expected time to first token on a backend server, in seconds.
+    refuse_by : float
+        Monotonic time by which a refusal has to be sent, so that it arrives before the
+        deadline.
     """
 
     entry: str
@@ -51,11 +54,13 @@
     queued_at: float = 0.0
     disconnects_at: float = math.inf
     first_token_seconds: float = 0.0
+    refuse_by: float = math.inf
 
     @property
     def latest_start(self) -> float:
         """Return the latest start to answer in time and before the disconnection."""
         return min(
+            self.refuse_by,
             self.deadline - self.expected_seconds,
             self.disconnects_at - self.first_token_seconds,
         )
@@ -136,12 +141,30 @@
         counts = self._counts[rank]
         counts[account] = counts.get(account, 0) + 1
 
-    def defer_late(self, now: float) -> None:
-        """Move the requests that have become late to the late rank of their tier."""
-        for request_id, waiting in list(self._waiting.items()):
-            if waiting.is_late(now) and not self._ranks[request_id] % 2:
-                self.remove(request_id)
-                self.add(waiting, late=True)
+    def is_queued_late(self, request_id: str) -> bool:
+        """Return whether a request is in the late rank of its tier."""
+        return bool(self._ranks[request_id] % 2)
+
+    def newly_late(self, now: float) -> list[WaitingRequest]:
+        """Return the requests that have become late since they were queued."""
+        return [
+            waiting
+            for request_id, waiting in self._waiting.items()
+            if waiting.is_late(now) and not self.is_queued_late(request_id)
+        ]
+
+    def queued_late(self, tier: int) -> list[WaitingRequest]:
+        """Return the requests in the late ranks of a tier and of lower ones."""
+        return [
+            waiting
+            for request_id, waiting in self._waiting.items()
+            if waiting.request.tier >= tier and self.is_queued_late(request_id)
+        ]
+
+    def defer(self, waiting: WaitingRequest) -> None:
+        """Move a request to the late rank of its tier."""
+        self.remove(waiting.request.request_id)
+        self.add(waiting, late=True)
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Remove a request from any position; return it if it was queued."""
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -36,6 +36,9 @@
 decides (the minimum interval of its scan for late requests), and the rest for
 transmission across two zones with one retransmission."""
 
+_MAX_REFUSAL_SHARE = 0.2
+"""Largest share of a short deadline that is reserved for a refusal."""
+
 _LATE_WAIT_FACTOR = 2.0
 """Factor applied to the estimated wait of a late request, because on-time requests
 that arrive later are served before it."""
@@ -146,10 +149,11 @@
         """
         start_by = disconnects_at = math.inf
         if request.start_within_ms and not self._overload.is_discovering(now):
-            start_by = now + request.start_within_ms / _MS_PER_SECOND
+            start_by = now + self._start_within(request)
         if request.leaves_within_ms:
             leaves_ms = request.leaves_within_ms - _REFUSAL_DELIVERY_MS
             disconnects_at = now + max(0, leaves_ms) / _MS_PER_SECOND
+        refusal_ms = min(_REFUSAL_DELIVERY_MS, _MAX_REFUSAL_SHARE * request.deadline_ms)
         return WaitingRequest(
             entry,
             request,
@@ -159,8 +163,21 @@
             now,
             disconnects_at,
             self._servers.fastest_first_token(request),
+            now + max(request.deadline_ms - refusal_ms, 0) / _MS_PER_SECOND,
         )
 
+    def _start_within(self, request: SlotRequest) -> float:
+        """Return the time within which a request has to start, in seconds.
+
+        It is on time then. A request that is too large to be on time even if it starts
+        at once keeps the time that its entry instance has set, so that size alone does
+        not make it late.
+        """
+        start_within = request.start_within_ms / _MS_PER_SECOND
+        objective = request.first_token_within_ms / _MS_PER_SECOND
+        room = objective - self._servers.typical_first_token(request)
+        return min(start_within, room) if room > 0 else start_within
+
     def _is_on_time(self, waiting: WaitingRequest, now: float) -> bool:
         """Return whether the request is expected to start in time.
 
--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -6,8 +6,8 @@
 
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.dispatch.grants import Grant, GrantTable
+from sassafraspin.dispatch.late_requests import LateRequests
 from sassafraspin.dispatch.messages import (
-    LOWEST_TIER,
     DispatchMessage,
     RefusalReason,
     SlotRefusal,
@@ -24,11 +24,6 @@
 _LATE_SCAN_SECONDS = 0.05
 _PREEMPTION_SCAN_REQUESTS = 64
 
-_LATE_BLOCKED_SECONDS = 1.0
-"""Time after a request timed out in the queue during which no request of the same or
-a lower tier is queued as late. Under sustained overload, late requests are thus queued
-only about once per second, which shows whether the overload has ended."""
-
 
 class OverloadControl:
     """Refuses, sheds and preempts requests so that higher tiers are served first.
@@ -75,7 +70,7 @@
             -math.inf if discovery_ends_at is None else discovery_ends_at
         )
         self._next_late_scan = 0.0
-        self._late_blocked_until = [-math.inf] * (LOWEST_TIER + 1)
+        self._late_requests = LateRequests()
 
     def is_service_available(self, now: float) -> bool:
         """Return whether a server accepts work or discovery is still running."""
@@ -91,7 +86,11 @@
 
     def is_late_blocked(self, tier: int, now: float) -> bool:
         """Return whether a request of this tier or a higher one timed out recently."""
-        return any(now < until for until in self._late_blocked_until[: tier + 1])
+        return self._late_requests.is_paused(tier, now)
+
+    def record_late_start(self, tier: int) -> None:
+        """Record that a late request got a slot."""
+        self._late_requests.record_start(tier)
 
     def expected_wait(
         self, request: SlotRequest, now: float, late: bool = False
@@ -139,8 +138,9 @@
     def expire_late(self, now: float) -> None:
         """Refuse requests that missed their latest start; defer those that are late.
 
-        If no backend server is available, all requests are refused. Nothing is done
-        until a minimum interval since the last scan has passed.
+        Late ones are refused too while those of their tier time out. If no backend
+        server is available, all requests are refused. Nothing is done until a minimum
+        interval since the last scan has passed.
         """
         if now < self._next_late_scan:
             return
@@ -149,15 +149,34 @@
         for waiting in self._queue:
             if not is_service_available:
                 self.shed(waiting, RefusalReason.NO_BACKEND, now)
-            elif now > waiting.latest_start:
+            elif now > waiting.latest_start and self._waits(waiting):
+                self.time_out(waiting, now)
+        for waiting in self._queue.newly_late(now):
+            if self.is_late_blocked(waiting.request.tier, now):
                 self.shed(waiting, RefusalReason.TOO_LATE, now)
-        self._queue.defer_late(now)
+            else:
+                self._queue.defer(waiting)
+
+    def _waits(self, waiting: WaitingRequest) -> bool:
+        """Return whether a request was not refused since the scan began."""
+        return waiting.request.request_id in self._queue
+
+    def time_out(self, waiting: WaitingRequest, now: float) -> None:
+        """Refuse a request that missed its latest start.
+
+        If it was queued as late, those behind it would time out too.
+        """
+        tier = waiting.request.tier
+        was_late = self._queue.is_queued_late(waiting.request.request_id)
+        self._late_requests.record_timeout(tier, now)
+        self.shed(waiting, RefusalReason.TOO_LATE, now)
+        if was_late:
+            for other in self._queue.queued_late(tier):
+                self.shed(other, RefusalReason.TOO_LATE, now)
 
     def shed(self, waiting: WaitingRequest, reason: RefusalReason, now: float) -> None:
         """Remove a request from the queue and refuse it."""
         request = waiting.request
-        if reason is RefusalReason.TOO_LATE:
-            self._late_blocked_until[request.tier] = now + _LATE_BLOCKED_SECONDS
         self._queue.remove(request.request_id)
         self._limits.withdraw(request)
         wait = self.expected_wait(request, now, late=True)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -21,7 +21,6 @@
     FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
-    RefusalReason,
     ReleaseResult,
     SlotGrant,
     SlotRelease,
@@ -404,8 +403,9 @@
             granted = False
             for waiting in self._queue.in_order(_GRANT_SCAN_REQUESTS):
                 if now > waiting.latest_start:
-                    self._overload.shed(waiting, RefusalReason.TOO_LATE, now)
+                    self._overload.time_out(waiting, now)
                     granted = True
+                    break
                 elif self._try_grant(waiting, now):
                     granted = True
                     break
@@ -452,6 +452,8 @@
             choice = self._choose(waiting, version, now)
         if choice is None:
             return False
+        if self._queue.is_queued_late(request.request_id):
+            self._overload.record_late_start(request.tier)
         self._queue.serve(request.request_id)
         self._grant(waiting, choice, version, now)
         return True
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -3,6 +3,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
+from statistics import median
 
 from sassafraspin.backends import (
     STRICT_SHARE,
@@ -101,6 +102,7 @@
         self._unlimited_slots = 0
         self._limited: list[Backend] = []
         self._best_prefill_rate = 1.0
+        self._typical_prefill_rate = 1.0
         self._best_decode_rate = 1.0
         self._prefix_holders: OrderedDict[int, str] = OrderedDict()
 
@@ -187,6 +189,10 @@
         """Return the time to first token at the best prefill rate of all servers."""
         return request.prompt_tokens / self._best_prefill_rate
 
+    def typical_first_token(self, request: SlotRequest) -> float:
+        """Return the time to first token at the median prefill rate of all servers."""
+        return request.prompt_tokens / self._typical_prefill_rate
+
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement; return whether the server is a new one.
 
@@ -312,6 +318,8 @@
         )
         speeds = [item.speed for item in self._accepting]
         self._best_prefill_rate = max((s.prefill_rate for s in speeds), default=1.0)
+        rates = [s.prefill_rate for s in speeds]
+        self._typical_prefill_rate = median(rates) if rates else 1.0
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
