Acknowledge an evacuation again after the servers of its zone have expired

Cause: only the zones table and the servers of the leader's pools made a zone known. An accepted order that was sent again after its servers had expired was answered 404, and so was any order at an instance that knows no leader, as it has no servers. Change: an evacuated zone is known; without the lead, a zone that is in neither store is answered 503. Measured: the two new tests of tests.test_evacuation failed with 404 and pass now.

--- a/src/sassafraspin/routed/operations.py
+++ b/src/sassafraspin/routed/operations.py
@@ -267,8 +267,22 @@
                 return RolloutState.RUNNING, move.spec.to_version
 
     def knows_zone(self, zone: str) -> bool:
-        """Return whether a zone is one of the deployment or of a backend server."""
-        return zone in self._node.settings.dispatch.zone_regions or any(
+        """Return whether a zone is one of the deployment or of a backend server.
+
+        An evacuated zone is known even if all its servers have expired, so that an
+        order that is sent again is acknowledged.
+
+        Raises
+        ------
+        NotCurrent
+            If only the leader can tell, as it alone knows all servers.
+        """
+        evacuated = self._node.configuration.state.evacuations.zones
+        if zone in evacuated or zone in self._node.settings.dispatch.zone_regions:
+            return True
+        if not self.is_leader:
+            raise NotCurrent("this instance does not lead")
+        return any(
             backend.announcement.availability_zone == zone
             for backend in self._dispatch.backends()
         )
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -185,6 +185,30 @@
 
         self.run_scenario(scenario)
 
+    def test_order_is_acknowledged_again_after_its_servers_are_gone(self):
+        """An accepted order must not be refused when it is sent again."""
+
+        async def scenario(model):
+            self.assertEqual(await self.order(model, "POST", "a"), 200)
+            model.stop_server("i1")
+            model.stop_server("i2")
+            await trio.sleep(10.0)
+            self.assertEqual(await self.order(model, "POST", "a"), 200)
+
+        self.run_scenario(scenario)
+
+    def test_instance_without_a_leader_does_not_call_a_zone_unknown(self):
+        """It has no servers of its own, so that it cannot tell."""
+
+        async def scenario(model):
+            await model.wait_for_leader()
+            model.cut(("e0",), CONTROL)
+            await trio.sleep(EVACUATE_SECONDS)
+            response = await model.control("e0", "POST", "evacuations/a")
+            self.assertEqual(response.status, 503)
+
+        self.run_scenario(scenario)
+
     def test_new_leader_and_standby_obey_the_order(self):
         """A dispatcher that takes over must know the order before it grants a slot."""
 
