Send cold and paced servers to instances that missed an update

Cause: the digest of the directory did not cover whether a server is cold or paced. An instance that missed the update never asked for it, and its standby used all slots that are assigned to it. The answer to such a question had the cold time as first published, also after that time had elapsed. Change: the digest covers both for servers that have either; answers have the time that remains; the end of the cold time is published once, so that digests become equal.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -133,8 +133,8 @@
     def digest(self) -> int:
         """Return the digest of the servers that do not leave; never 0.
 
-        It covers what identifies a server, its offer and its rate limit, not its
-        measured speed.
+        It covers what identifies a server, its offer, its rate limit, and whether it is
+        paced or cold, not its measured speed.
         """
         if self._digest is None:
             pages = msgspec.msgpack.encode(self._pages)
@@ -208,13 +208,23 @@
         )
 
     def page_contents(
-        self, pages: Collection[int]
+        self, pages: Collection[int], now: float
     ) -> dict[int, tuple[Announcement, ...]]:
-        """Return the announcements by page, those of servers that leave included."""
+        """Return the announcements by page, those of servers that leave included.
+
+        A cold server is sent with the time for which it is still cold. At least 1 ms is
+        sent until its dispatcher publishes the end: the digest covers whether a server
+        is cold.
+        """
         contents: dict[int, list[Announcement]] = {page: [] for page in pages}
         for entry in self._entries.values():
-            if entry.page in contents:
-                contents[entry.page].append(entry.announcement)
+            if entry.page not in contents:
+                continue
+            announcement = entry.announcement
+            if announcement.cold_ms:
+                cold_ms = max(1, _remaining_ms(entry, now))
+                announcement = replace(announcement, cold_ms=cold_ms)
+            contents[entry.page].append(announcement)
         return {page: tuple(content) for page, content in contents.items()}
 
     def apply_listing(self, listing: DirectoryListing) -> None:
@@ -310,5 +320,9 @@
     # Instances of older builds know no limits.
     if announcement.rate_limit is not None:
         fields += (announcement.rate_limit,)
+    # A standby that missed an update must not send a cold server all it takes warm. The
+    # numbers change too often to be compared.
+    if announcement.pace or announcement.cold_ms:
+        fields += (announcement.pace > 0, announcement.cold_ms > 0)
     identity = msgspec.msgpack.encode(fields)
     return xxhash.xxh64_intdigest(identity) >> (64 - _PAGE_DIGEST_BITS)
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -73,7 +73,8 @@
             return False
         cold_ms = self._directory.cold_ms(state.announcement.id, now)
         is_cold_known = abs(state.cold_ms - cold_ms) <= _COLD_TOLERANCE_MS
-        return not is_cold_known or state.differs(known)
+        is_end_known = bool(state.cold_ms) == bool(known.cold_ms)
+        return not (is_cold_known and is_end_known) or state.differs(known)
 
     def _gone(self, names: KeysView[str]) -> dict[str, int]:
         """Return the servers to remove, with their incarnations.
--- a/src/sassafraspin/routed/directory_exchange.py
+++ b/src/sassafraspin/routed/directory_exchange.py
@@ -141,20 +141,22 @@
         """
         if query.digest != self._directory.digest:
             return
-        for message in self._differences(query):
+        for message in self._differences(query, now):
             size = len(msgspec.msgpack.encode(message))
             if not self._page_budget.try_spend(size, now):
                 return
             self._node.send(source, message)
 
     def _differences(
-        self, query: DirectoryQuery
+        self, query: DirectoryQuery, now: float
     ) -> Iterator[DirectoryUpdate | DirectoryListing]:
         """Yield updates, each followed by the listing of its pages."""
         pages: list[int] = []
         content: list[Announcement] = []
         differing = self._directory.differing_pages(query)
-        for page, announcements in self._directory.page_contents(differing).items():
+        for page, announcements in self._directory.page_contents(
+            differing, now
+        ).items():
             pages.append(page)
             content += announcements
             if len(content) >= _NAMES_PER_LISTING:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -54,6 +54,17 @@
             self.directory.apply(update, now)
         return sum(len(update.entries) for update in updates)
 
+    def test_end_of_the_cold_time_is_published_once(self):
+        """Directories that differ in what is cold would be asked for forever."""
+        servers = (Backend(announcement(1, cold_ms=3_000), 0.0),)
+        self.assertEqual(self.send_updates(servers, 0.0), 1)
+        self.assertEqual(self.send_updates(servers, 2.0), 0)
+        self.assertEqual(self.send_updates(servers, 3.1), 1)
+        self.assertEqual(self.send_updates(servers, 3.2), 0)
+        warm = BackendDirectory(RETENTION_SECONDS)
+        warm.apply(DirectoryUpdate.of(announcement(1)), 3.2)
+        self.assertEqual(self.directory.digest, warm.digest)
+
     def test_changes_are_published_at_once_and_nothing_else(self):
         servers = backends(7)
         self.assertEqual(self.send_updates(servers, 0.0), 7)
@@ -139,6 +150,8 @@
             replace(server, leaving=True, sequence=1),
             replace(server, incarnation=server.incarnation + 1),
             replace(server, slots=server.slots + 1, sequence=1),
+            replace(server, cold_ms=3_000, sequence=1),
+            replace(server, pace=1, sequence=1),
             announcement(99),
         ):
             directory = BackendDirectory(RETENTION_SECONDS)
@@ -156,6 +169,18 @@
         self.second.apply(DirectoryUpdate(()), 130.0)
         self.assertEqual(known(self.second), [])
 
+    def test_member_that_asks_learns_how_long_a_server_is_still_cold(self):
+        """With the time as first published, it would be cold anew for each reader."""
+        cold = replace(self.servers[3], cold_ms=3_000, sequence=1)
+        self.first.apply(DirectoryUpdate.of(cold), 1.0)
+        query = DirectoryQuery(self.first.digest, self.second.page_digests)
+        pages = self.first.differing_pages(query)
+        contents = self.first.page_contents(pages, 3.0)
+        sent = [item for page in contents.values() for item in page]
+        self.second.apply(DirectoryUpdate.of(*sent), 3.0)
+        self.assertEqual(self.second.cold_ms(cold.id, 3.0), 1_000)
+        self.assertEqual(self.first.digest, self.second.digest)
+
     def test_listing_removes_what_it_does_not_name(self):
         query = DirectoryQuery(self.first.digest, (0,) * 64)
         pages = self.first.differing_pages(query)
