Tell the standby that a server stays cold for longer

Cause: a longer cold time of a server that was cold already did not change the revision of the directory, which the standby follows; its limit ended with the first time. Change: a cold time that ends later is a change. Measured: the new test of tests.test_directory failed and passes now.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -268,8 +268,8 @@
         before = 0 if known is None else known.fingerprint
         self._change_page(page, before ^ fingerprint)
         state = ServerState.announced(announcement)
-        turned_cold = known is not None and known.cold_until < now < cold_until
-        if known is None or turned_cold or state.differs(known.announcement):
+        is_cold_longer = known is not None and cold_until > max(now, known.cold_until)
+        if known is None or is_cold_longer or state.differs(known.announcement):
             self._revision += 1
 
     def _remove(self, backend_id: str) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -181,6 +181,15 @@
         self.assertEqual(self.second.cold_ms(cold.id, 3.0), 1_000)
         self.assertEqual(self.first.digest, self.second.digest)
 
+    def test_longer_cold_time_is_a_change(self):
+        """Otherwise a standby would end the limit when the first time has elapsed."""
+        cold = replace(self.servers[3], cold_ms=3_000, sequence=1)
+        self.first.apply(DirectoryUpdate.of(cold), 1.0)
+        before = self.first.revision
+        longer = replace(cold, cold_ms=6_000, sequence=2)
+        self.first.apply(DirectoryUpdate.of(longer), 2.0)
+        self.assertGreater(self.first.revision, before)
+
     def test_listing_removes_what_it_does_not_name(self):
         query = DirectoryQuery(self.first.digest, (0,) * 64)
         pages = self.first.differing_pages(query)
