Count free slots instead of deriving them from all requests in flight

Cause: free slots were the slots of servers that accept work minus all grants. Requests that run in an evacuated zone, or beyond the pace of a server, hid the free slots of other servers: a request that could start at once was refused as too late. Change: the server table keeps the number of free slots of servers that accept work.

--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -102,14 +102,13 @@
         """
         if self.is_discovering(now):
             return 0.0
-        slots = self._servers.open_slots(now)
-        free = slots - len(self._grants)
+        free = self._servers.free_slots(now)
         if free > len(self._queue):
             return 0.0
         account = request.client_account
         ahead = self._queue.count_ahead(request.tier, account, late)
-        position = max(0, ahead - max(free, 0))
-        slot_wait = self._slot_wait(position, slots, now)
+        position = max(0, ahead - free)
+        slot_wait = self._slot_wait(position, self._servers.open_slots(now), now)
         return max(slot_wait, self._servers.rate_wait(position, now))
 
     def _slot_wait(self, position: int, slots: int, now: float) -> float:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -99,6 +99,8 @@
         self._accepting: list[Backend] = []
         self._free = _RandomSet()
         self._unlimited_slots = 0
+        self._unlimited_free: dict[str, int] = {}
+        self._unlimited_free_slots = 0
         self._limited: list[Backend] = []
         self._best_prefill_rate = 1.0
         self._best_decode_rate = 1.0
@@ -123,6 +125,18 @@
         limited = sum(backend.usable_slots(now) for backend in self._limited)
         return self._unlimited_slots + limited
 
+    def free_slots(self, now: float) -> int:
+        """Return the number of free slots of servers that accept work.
+
+        This is not the difference between slots and requests in flight: requests also
+        run on servers that accept no more, or beyond the pace of a server.
+        """
+        limited = sum(
+            max(0, backend.usable_slots(now) - backend.busy_slots)
+            for backend in self._limited
+        )
+        return self._unlimited_free_slots + limited
+
     def rate_wait(self, position: int, now: float) -> float:
         """Return the time until the rate limits allow a request, in seconds.
 
@@ -273,6 +287,8 @@
     def _remove(self, backend_id: str) -> None:
         backend = self._backends.pop(backend_id)
         self._free.set(backend_id, False)
+        self._set_unlimited_free(backend_id, 0)
+        self._unlimited_free.pop(backend_id, None)
         if self._by_address.get(backend.announcement.address) == backend_id:
             del self._by_address[backend.announcement.address]
 
@@ -315,8 +331,7 @@
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
-            is_free = backend_id in accepting and _is_free(backend, now)
-            self._free.set(backend_id, is_free)
+            self._index_free(backend_id, backend, backend_id in accepting, now)
 
     def _apply_conditions(self, backend: Backend, now: float) -> None:
         """Update whether a server's zone is evacuated, and its limit while cold."""
@@ -349,8 +364,7 @@
     def reserve(self, backend: Backend, reservation: Reservation, now: float) -> None:
         """Reserve capacity on a server."""
         backend.reserve(reservation)
-        if not _is_free(backend, now):
-            self._free.set(backend.announcement.id, False)
+        self.update_free(backend, now)
 
     def release(self, backend_id: str, grant_id: str, now: float) -> None:
         """Release the capacity reserved for a grant."""
@@ -358,13 +372,27 @@
         if backend is None:
             return
         backend.release(grant_id)
-        if backend.accepts_work(now):
-            self._free.set(backend_id, _is_free(backend, now))
+        self.update_free(backend, now)
 
     def update_free(self, backend: Backend, now: float) -> None:
-        """Update whether a server has a free slot after its pace has changed."""
-        is_free = backend.accepts_work(now) and _is_free(backend, now)
-        self._free.set(backend.announcement.id, is_free)
+        """Update the indexes after a change of a server's free slots or of its pace."""
+        self._index_free(
+            backend.announcement.id, backend, backend.accepts_work(now), now
+        )
+
+    def _index_free(
+        self, backend_id: str, backend: Backend, accepts_work: bool, now: float
+    ) -> None:
+        free = backend.slot_limit - backend.busy_slots if accepts_work else 0
+        self._free.set(backend_id, free > 0 and backend.allows_request(now))
+        is_counted = free > 0 and not backend.is_rate_limited
+        self._set_unlimited_free(backend_id, free if is_counted else 0)
+
+    def _set_unlimited_free(self, backend_id: str, free: int) -> None:
+        before = self._unlimited_free.get(backend_id, 0)
+        if free != before:
+            self._unlimited_free[backend_id] = free
+            self._unlimited_free_slots += free - before
 
     def withdraw(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a server; return whether it is known."""
@@ -469,12 +497,6 @@
     return version in backend.announcement.versions
 
 
-def _is_free(backend: Backend, now: float) -> bool:
-    """Return whether a server has a free slot that it allows to use now."""
-    has_slot = backend.busy_slots < backend.slot_limit
-    return has_slot and backend.allows_request(now)
-
-
 def _log_cold(backend: Backend, limit: RateLimit, now: float) -> None:
     announcement = backend.announcement
     log_event(
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import msgspec
 import trio
 
 from sassafraspin.admission import AccountLimits
@@ -90,16 +91,18 @@
             ),
         )
 
-    def ask(self, name: str, now: float) -> list[object]:
+    def ask(self, name: str, now: float, **fields) -> list[object]:
         """Request a slot; return the messages to its entry instance."""
         request = SlotRequest(
             f"{SERVICE}:{name}", SERVICE, "a", "p", "/r", 0, 10, 10, 60_000, False
         )
+        request = msgspec.structs.replace(request, **fields)
         return [effect.message for effect in self.pool.request("e1", request, now)]
 
-    def granted(self, name: str, now: float) -> SlotGrant:
+    def granted(self, name: str, now: float, **fields) -> SlotGrant:
         """Request a slot that is granted at once."""
-        return next(item for item in self.ask(name, now) if isinstance(item, SlotGrant))
+        messages = self.ask(name, now, **fields)
+        return next(item for item in messages if isinstance(item, SlotGrant))
 
     def test_requests_use_the_remaining_zone(self):
         self.pool.close_zones(frozenset({"z1"}), 0.0)
@@ -137,6 +140,19 @@
         granted = [item.message.backend_id for item in effects]
         self.assertEqual(granted, ["runner-1"])
 
+    def test_requests_that_run_in_the_zone_use_no_slot_elsewhere(self):
+        """They must not make the remaining zone look full while it has a free slot."""
+        for number in (1, 2):
+            item = announcement(
+                number, availability_zone=f"z{number}", slots=4, sequence=1
+            )
+            self.pool.announce(item, 0.0)
+        for number in range(6):
+            self.granted(f"running-{number}", 0.0, answer_tokens=500)
+        self.pool.close_zones(frozenset({"z1"}), 0.1)
+        grant = self.granted("a", 0.2, start_within_ms=400, deadline_ms=1_000)
+        self.assertEqual(grant.backend_id, "runner-2")
+
     def test_evacuation_of_all_zones_is_a_refusal_before_the_request_has_run(self):
         self.pool.close_zones(frozenset({"z1", "z2"}), 0.0)
         (refusal,) = self.ask("a", 0.1)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -109,13 +109,13 @@
             if isinstance(effect.message, SlotGrant):
                 self.grants.append(effect.message)
 
-    def fill(self, now: float) -> int:
+    def fill(self, now: float, answer_tokens: int = 10) -> int:
         """Ask for more slots than there are; return the number of busy ones."""
         for _ in range(SLOTS + 1):
             self.count += 1
             request = SlotRequest(
-                f"{SERVICE}:{self.count}", SERVICE, "a", "p", "/r", 0, 500, 10, 60_000,
-                False, first_token_within_ms=500,
+                f"{SERVICE}:{self.count}", SERVICE, "a", "p", "/r", 0, 500,
+                answer_tokens, 60_000, False, first_token_within_ms=500,
             )  # fmt: skip
             self.record(self.pool.request("e1", request, now))
         return self.busy
@@ -202,6 +202,23 @@
         self.assertEqual(self.fill(STARTED), SLOTS)
 
 
+class TestExpectedWait(PacedPool):
+    """Estimates while a server has more requests in flight than its pace allows."""
+
+    def test_excess_of_one_server_does_not_hide_free_slots_of_another(self):
+        """A request that could start at once would be refused as too late."""
+        self.fill(3.0, answer_tokens=500)
+        self.pool.announce(announcement(2, slots=4, ttl_ms=4_000), 3.0)
+        self.pool.announce(self.server(sequence=1, cold_ms=3_000), 3.1)
+        request = SlotRequest(
+            f"{SERVICE}:late", SERVICE, "a", "p", "/r", 0, 10, 10, 1_000, False,
+            start_within_ms=400,
+        )  # fmt: skip
+        (effect,) = self.pool.request("e1", request, 3.2)
+        self.assertIsInstance(effect.message, SlotGrant)
+        self.assertEqual(effect.message.backend_id, "runner-2")
+
+
 class TestRamp(PacedPool):
     """A server that was started again under load."""
 
