Estimate the wait for cold servers whose rate is left to others

Cause: with a rate of 0, as most instances have in standby, the estimated wait was 0. Requests were queued and refused at the end of their time. With a low rate the estimate disregarded that the cold time ends, and requests were refused that could be served. Change: the wait is that for the rate, or until the first server is warm if that is earlier; without any rate, until the servers are warm. Measured: two new tests of tests.test_cold_servers failed and pass now.

--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -140,7 +140,8 @@
     def rate_wait(self, position: int, now: float) -> float:
         """Return the time until the rate limits allow a request, in seconds.
 
-        It is 0 if a server that accepts work has no limit.
+        It is 0 if a server that accepts work has no limit, and no longer than until one
+        that is limited only while it is cold is warm.
 
         Parameters
         ----------
@@ -154,7 +155,17 @@
         rate = sum(item.request_rate for item in self._limited)
         level = sum(item.request_level(now) for item in self._limited)
         missing = position + 1 - level
-        return max(0.0, missing / rate) if rate else 0.0
+        if missing <= 0 or not self._limited:
+            return 0.0
+        if rate:
+            wait = missing / rate
+        else:
+            # The rates of these cold servers are left to other instances.
+            wait = max(item.cold_seconds(now) for item in self._limited)
+        ends = (
+            item.cold_seconds(now) for item in self._limited if item.rate_limit is None
+        )
+        return min([wait, *ends])
 
     @property
     def accepts_work(self) -> bool:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -19,8 +19,10 @@
 from sassafraspin.dispatch import (
     ReleaseResult,
     SlotGrant,
+    SlotRefusal,
     SlotRelease,
     SlotRequest,
+    SlotWaiting,
 )
 from sassafraspin.dispatch.directory import BackendDirectory
 from sassafraspin.dispatch.directory_publisher import DirectoryPublisher
@@ -266,6 +268,31 @@
         self.assertLessEqual(most_in_a_second(sent), RATE)
 
 
+class TestExpectedWait(unittest.TestCase):
+    """Wait estimates of a pool whose only server is cold."""
+
+    def first_answer(self, share: float, cold_ms: int, deadline_ms: int) -> object:
+        """Ask for a slot that an objective of 400 ms needs; return the answer."""
+        known = (announcement(1, slots=6, cold_ms=cold_ms),)
+        pool = Dispatcher(known, 0.0, lambda name, rate: share).pool
+        request = SlotRequest(
+            f"{SERVICE}:1", SERVICE, "a", "p", "/r", 0, 1, 1, deadline_ms, False,
+            start_within_ms=400,
+        )  # fmt: skip
+        return pool.request("e", request, 0.0)[0].message
+
+    def test_request_that_no_rate_is_left_for_is_refused_at_once(self):
+        """In standby most instances may send a cold server nothing."""
+        refusal = self.first_answer(share=0.0, cold_ms=3_000, deadline_ms=1_000)
+        self.assertIsInstance(refusal, SlotRefusal)
+        self.assertGreater(refusal.wait_ms, 2_900)
+
+    def test_request_that_the_server_is_warm_for_in_time_waits(self):
+        """A rate that ends soon says nothing about the time after it."""
+        waiting = self.first_answer(share=0.01, cold_ms=300, deadline_ms=1_000)
+        self.assertIsInstance(waiting, SlotWaiting)
+
+
 class TestDeclaration(unittest.TestCase):
     """Fields of the platform's documents."""
 
