Pass over requests that wait for a region without a free slot

Cause: only the first 16 requests of the queue are tried. As many that wait for a full region kept the slots of all other regions idle. Change: requests whose regions have no free slot do not count among the 16. Measured: the new test of tests.test_home_regions failed and passes now; 58 further tests of the pool and the queue pass.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -7,7 +7,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from sassafraspin.dispatch.messages import LOWEST_TIER, SlotRequest
@@ -159,16 +159,24 @@
         self._virtual_time[rank] = max(self._virtual_time[rank], start)
         self.remove(request_id)
 
-    def in_order(self, limit: int) -> list[WaitingRequest]:
-        """Return the first ``limit`` requests in the order of service."""
+    def in_order(
+        self, limit: int, may_start: Callable[[SlotRequest], bool] | None = None
+    ) -> list[WaitingRequest]:
+        """Return the first ``limit`` requests in the order of service.
+
+        Requests for which ``may_start`` is false are left out and do not count.
+        """
         ordered: list[WaitingRequest] = []
         for rank, heap in enumerate(self._heaps):
             taken = []
             while heap and len(ordered) < limit:
                 item = heapq.heappop(heap)
-                if self._ranks.get(item[2]) == rank:
-                    taken.append(item)
-                    ordered.append(self._waiting[item[2]])
+                if self._ranks.get(item[2]) != rank:
+                    continue
+                taken.append(item)
+                waiting = self._waiting[item[2]]
+                if may_start is None or may_start(waiting.request):
+                    ordered.append(waiting)
             for item in taken:
                 heapq.heappush(heap, item)
             if not heap:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cache
 
 import msgspec
 
@@ -398,11 +399,16 @@
         """Grant free slots in queue order, then preempt lower tiers.
 
         A request that no free server can answer in time stays in the queue for a
-        faster server, and the requests behind it may take the slot.
+        faster server, and the requests behind it may take the slot. Requests that wait
+        for a region without a free slot are passed over: there may be more of them
+        than are tried.
         """
+        has_slot_in = cache(self._servers.has_free_slot_in)
         while len(self._queue) > 0 and self._servers.has_free_slot:
             granted = False
-            for waiting in self._queue.in_order(_GRANT_SCAN_REQUESTS):
+            for waiting in self._queue.in_order(
+                _GRANT_SCAN_REQUESTS, lambda request: has_slot_in(request.regions)
+            ):
                 if now > waiting.latest_start:
                     self._overload.shed(waiting, RefusalReason.TOO_LATE, now)
                     granted = True
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from sassafraspin.backends import (
     STRICT_SHARE,
@@ -35,6 +35,9 @@
     def __len__(self) -> int:
         return len(self._names)
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._names)
+
     def set(self, name: str, member: bool) -> None:
         """Add or remove a name."""
         if member == (name in self._positions):
@@ -178,22 +181,31 @@
             return False
         avoided = set(request.avoid)
         return bool(self._accepting) and all(
-            item.announcement.id in avoided or not self._is_in_regions(item, request)
+            item.announcement.id in avoided
+            or not self._is_in_regions(item, request.regions)
             for item in self._accepting
         )
 
-    def _is_in_regions(self, backend: Backend, request: SlotRequest) -> bool:
-        """Return whether a server is in a region that a request is bound to."""
-        if request.regions is None:
+    def _is_in_regions(self, backend: Backend, regions: tuple[str, ...] | None) -> bool:
+        """Return whether a server is in one of some regions, ``None`` for all."""
+        if regions is None:
             return True
         zone = backend.announcement.availability_zone
-        return self._zone_regions.get(zone) in request.regions
+        return self._zone_regions.get(zone) in regions
 
     @property
     def has_free_slot(self) -> bool:
         """Return whether a server that accepts work has a free slot."""
         return len(self._free) > 0
 
+    def has_free_slot_in(self, regions: tuple[str, ...] | None) -> bool:
+        """Return the same for some regions, ``None`` for all of them."""
+        if regions is None:
+            return self.has_free_slot
+        return any(
+            self._is_in_regions(self._backends[name], regions) for name in self._free
+        )
+
     def get(self, backend_id: str) -> Backend | None:
         """Return a backend server by name."""
         return self._backends.get(backend_id)
@@ -479,7 +491,8 @@
         return [
             item
             for item in servers
-            if _fits(item, request, version, now) and self._is_in_regions(item, request)
+            if _fits(item, request, version, now)
+            and self._is_in_regions(item, request.regions)
         ]
 
     def _sample_servers(self, request: SlotRequest) -> list[Backend]:
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -89,6 +89,13 @@
         granted = [item.backend_id for item in used if isinstance(item, SlotGrant)]
         self.assertEqual(granted, ["runner-1", "runner-1"])
 
+    def test_calls_that_wait_for_a_region_do_not_hold_up_the_others(self):
+        """Only the first 16 waiting requests are tried for a free slot."""
+        for number in range(40):
+            self.ask(number, ("north",))
+        grant = self.ask(40, None)
+        self.assertIsInstance(grant, SlotGrant)
+
     def test_among_many_servers_the_region_binds_too(self):
         """Beyond 16 servers only a sample of them is compared."""
         self.open_pool(60)
