Refuse waiting requests when their regions have no server left

Cause: a request that waited for a region was refused at the end of its time when all servers of that region had been evacuated or lost, as servers of other regions were left. Change: the scan of the queue refuses it as it does all requests when no server is left. Measured: the new test of tests.test_home_regions failed and passes now.

--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from functools import cache
 
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.dispatch.grants import Grant, GrantTable
@@ -138,15 +139,17 @@
     def expire_late(self, now: float) -> None:
         """Refuse requests that missed their latest start; defer those that are late.
 
-        If no backend server is available, all requests are refused. Nothing is done
-        until a minimum interval since the last scan has passed.
+        If no backend server is available, all requests are refused; if none is in some
+        regions, those that are bound to these. Nothing is done until a minimum interval
+        since the last scan has passed.
         """
         if now < self._next_late_scan:
             return
         self._next_late_scan = now + _LATE_SCAN_SECONDS
-        is_service_available = self.is_service_available(now)
+        is_discovering = self.is_discovering(now)
+        accepts_work_in = cache(self._servers.accepts_work_in)
         for waiting in self._queue:
-            if not is_service_available:
+            if not is_discovering and not accepts_work_in(waiting.request.regions):
                 self.shed(waiting, RefusalReason.NO_BACKEND, now)
             elif now > waiting.latest_start:
                 self.shed(waiting, RefusalReason.TOO_LATE, now)
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -175,6 +175,10 @@
         """Return whether any server accepts work."""
         return bool(self._accepting)
 
+    def accepts_work_in(self, regions: tuple[str, ...] | None) -> bool:
+        """Return whether a server in some regions accepts work, ``None`` for all."""
+        return any(self._is_in_regions(item, regions) for item in self._accepting)
+
     def avoids_all(self, request: SlotRequest) -> bool:
         """Return whether a request may use none of the servers that accept work."""
         if request.regions is None and len(request.avoid) < len(self._accepting):
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -96,6 +96,18 @@
         grant = self.ask(40, None)
         self.assertIsInstance(grant, SlotGrant)
 
+    def test_call_waits_no_longer_than_servers_of_its_region_accept_work(self):
+        """Its caller would hear at the end of its time what is known at once."""
+        for number in range(3):
+            self.ask(number, ("north",))
+        self.pool.close_zones(frozenset({"z1"}), 3.0)
+        refused = [
+            effect.message.reason
+            for effect in self.pool.tick(3.1)
+            if isinstance(effect.message, SlotRefusal)
+        ]
+        self.assertEqual(refused, [RefusalReason.NO_BACKEND])
+
     def test_among_many_servers_the_region_binds_too(self):
         """Beyond 16 servers only a sample of them is compared."""
         self.open_pool(60)
