Raise the pace only by answers to requests sent since it was restarted

Cause: a server that turned cold, or whose zone was reopened, while requests ran there got all its slots as soon as these requests were answered. Change: answers to requests that were sent before the restart do not raise the pace, as they do not reduce it. Measured: the new test of tests.test_pace failed (limit 8 instead of 2) and passes now.

--- a/src/sassafraspin/backends/pace.py
+++ b/src/sassafraspin/backends/pace.py
@@ -35,6 +35,7 @@
     It starts small, grows by one with each answer that is on time, which doubles it
     with each round of answers, and is halved by an answer that is late or a failure.
     Answers to requests that were sent before the last halving do not halve it again.
+    Those to requests that were sent before it was restarted do not raise it either.
     Once it has reached the slots it has no effect, until it is restarted.
 
     Parameters
@@ -46,6 +47,7 @@
     def __init__(self, slots: int) -> None:
         self._slots = slots
         self._limit = slots
+        self._started_at = -math.inf
         self._reduced_at = -math.inf
 
     @property
@@ -70,7 +72,7 @@
 
     def restart(self, now: float) -> PaceChange:
         """Start small again: nobody knows what the server bears."""
-        self._reduced_at = now
+        self._started_at = self._reduced_at = now
         return self._set(int(_START_SHARE * self._slots), PaceReason.STARTED)
 
     def record_answer(
@@ -81,6 +83,8 @@
             return None
         if is_late:
             return self._reduce(sent_at, now, PaceReason.LATE)
+        if sent_at < self._started_at:
+            return None
         return self._set(self._limit + 1, PaceReason.ON_TIME)
 
     def record_failure(self, sent_at: float, now: float) -> PaceChange | None:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -59,6 +59,13 @@
         self.assertIsNone(self.pace.record_failure(2.5, 3.2))
         self.assertEqual(self.pace.limit, 3)
 
+    def test_answers_to_requests_from_before_the_restart_do_not_raise_it(self):
+        """They were sent to a server that was warm, and say nothing about it now."""
+        self.pace.restart(5.0)
+        for _ in range(SLOTS):
+            self.pace.record_answer(False, 4.0, 5.5)
+        self.assertEqual(self.pace.limit, 2)
+
     def test_one_request_is_always_allowed(self):
         self.pace = Pace(1)
         self.pace.restart(0.0)
