--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import msgspec
+
 from sassafraspin.backends import Backend
 from sassafraspin.daemon.messages import PeerMessage
 from sassafraspin.dispatch.directory import (
@@ -249,6 +251,13 @@
         server = announcement(3, leaving=True)
         self.assertEqual(ServerEntry.of(server).to_announcement(), server)
 
+    def test_entry_of_an_older_build_is_neither_cold_nor_paced(self):
+        """Instances of two builds run side by side during an update."""
+        entry = ServerEntry.of(announcement(1, cold_ms=3_000, pace=1))
+        older = msgspec.msgpack.decode(msgspec.msgpack.encode(entry))[:-2]
+        read = msgspec.convert(older, ServerEntry)
+        self.assertEqual(read.to_announcement(), announcement(1))
+
 
 class TestExchange(unittest.TestCase):
     """Members reach the leader's directory although messages are lost."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -73,6 +73,14 @@
         restored = ControlState.from_bytes(self.state.index, self.state.to_bytes())
         self.assertEqual(restored.evacuations.zones, {"z1", "z3"})
 
+    def test_snapshot_of_an_older_build_is_loaded(self):
+        """It has no evacuations; an instance that refuses it would lose its state."""
+        self.apply(EvacuateZone("c1", "operator", 5, "z1"))
+        fields = msgspec.msgpack.decode(self.state.to_bytes())
+        del fields["evacuations"]
+        restored = ControlState.from_bytes(1, msgspec.msgpack.encode(fields))
+        self.assertEqual(restored.evacuations.zones, set())
+
 
 class TestPoolOfEvacuatedZone(unittest.TestCase):
     """A pool with a server of one slot in each of two zones."""
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -57,6 +57,13 @@
         self.assertEqual(call_regions(["north", "south"], ["south"]), ("south",))
         self.assertEqual(call_regions(["north"], ["south"]), ())
 
+    def test_request_of_an_older_build_may_be_served_anywhere(self):
+        """It has no field for regions, which must not make it unreadable."""
+        request = SlotRequest("s:1", "s", "a", "p", "/r", 0, 1, 1, 1_000, False)
+        tag, *fields, _ = msgspec.msgpack.decode(msgspec.msgpack.encode(request))
+        older = msgspec.msgpack.encode([tag, *fields])
+        self.assertEqual(msgspec.msgpack.decode(older, type=SlotRequest), request)
+
 
 class TestPlacementInRegions(unittest.TestCase):
     """A pool with one server in the north and two in the south."""
