Give each standby a slot outside of the evacuated zones

Cause: an instance whose assigned slots are all in an evacuated zone refused all its callers in standby, although other zones had servers. Change: slots in evacuated zones do not count when a standby without slots takes one; the servers are assigned anew when the set of evacuated zones changes. Measured: the new test of tests.test_standby failed (with two servers of five slots for ten instances) and passes now.

--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -129,11 +129,17 @@
         """Return the backend servers with only the slots assigned to this instance.
 
         An instance without any assigned slot uses one, so that its callers are served.
+        Slots in evacuated zones do not count, unless all zones are evacuated.
         """
         servers = self._leader_scope.known_backends(service)
         local_slots = self._assign_slots(service, servers)
-        if servers and not any(local_slots.values()):
-            local_slots[self._fallback_server(servers).id] = 1
+        evacuated = self._node.configuration.state.evacuations.zones
+        usable = (
+            tuple(item for item in servers if item.availability_zone not in evacuated)
+            or servers
+        )
+        if usable and not any(local_slots[server.id] for server in usable):
+            local_slots[self._fallback_server(usable).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
         return tuple(
             replace(server, slots=local_slots[server.id], ttl_ms=keep_ms, pace=0)
@@ -147,6 +153,7 @@
         return (
             self._directory.revision,
             state.retirements.last_index,
+            state.evacuations.zones,
             state.view.number,
         )
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -6,7 +6,12 @@
 from types import SimpleNamespace
 
 from sassafraspin.admission import WithinLimits
-from sassafraspin.backends import Backend
+from sassafraspin.backends import (
+    Backend,
+    Evacuation,
+    EvacuationStore,
+    RetirementStore,
+)
 from sassafraspin.daemon.dispatcher_health import DispatcherHealth
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.directory import (
@@ -52,8 +57,11 @@
         )
         members = tuple(Member(f"m{n}", 1, "r", "z", "::1", 1) for n in range(10))
         capped = account(rate_per_second=100.0, burst=500.0)
+        self.evacuations = EvacuationStore()
         state = SimpleNamespace(
             view=View(1, 1, members),
+            evacuations=self.evacuations,
+            retirements=RetirementStore(),
             routing=DeclaredTable(table(accounts=(capped,)), b""),
         )
         leader_scope = SimpleNamespace(
@@ -106,6 +114,22 @@
         ]
         self.assertEqual(used, [1] * 10)
 
+    def test_each_instance_has_a_slot_outside_of_evacuated_zones(self):
+        """Otherwise all callers of some instances are refused for an evacuation."""
+        DirectoryPublisher(self.directory).updates(
+            tuple(
+                Backend(announcement(n, slots=5, availability_zone=f"z{n}"), 0.0)
+                for n in range(2)
+            ),
+            0.0,
+        )
+        before = self.scope.backends_revision()
+        self.evacuations.begin(Evacuation("z0", 1))
+        self.assertNotEqual(self.scope.backends_revision(), before)
+        for scope in self.scopes:
+            zones = {s.availability_zone for s in scope.known_backends(SERVICE)}
+            self.assertIn("z1", zones)
+
     def test_refusal_by_a_part_of_a_cap_holds_for_a_short_time(self):
         """A dispatcher that knows the whole usage is there again within a second."""
         caps = self.scope.limits()
