--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from functools import cache
 
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.dispatch.grants import Grant, GrantTable
@@ -107,14 +108,13 @@
         """
         if self.is_discovering(now):
             return 0.0
-        slots = self._servers.open_slots(now)
-        free = slots - len(self._grants)
+        free = self._servers.free_slots(now)
         if free > len(self._queue):
             return 0.0
         account = request.client_account
         ahead = self._queue.count_ahead(request.tier, account, late)
-        position = max(0, ahead - max(free, 0))
-        slot_wait = self._slot_wait(position, slots, now)
+        position = max(0, ahead - free)
+        slot_wait = self._slot_wait(position, self._servers.open_slots(now), now)
         return max(slot_wait, self._servers.rate_wait(position, now))
 
     def _slot_wait(self, position: int, slots: int, now: float) -> float:
@@ -135,7 +135,7 @@
         ):
             last = self._queue.last_of_lowest_tier()
             assert last is not None
-            candidate = self._grants.preemption_candidate(last.request.tier)
+            candidate = self.preemption_candidate(last.request)
             if candidate is None:
                 self.shed(last, RefusalReason.OVERLOADED, now)
             else:
@@ -144,16 +144,18 @@
     def expire_late(self, now: float) -> None:
         """Refuse requests that missed their latest start; defer those that are late.
 
-        Late ones are refused too while those of their tier time out. If no backend
-        server is available, all requests are refused. Nothing is done until a minimum
-        interval since the last scan has passed.
+        Late ones are refused too while those of their tier are overtaken. If no backend
+        server is available, all requests are refused; if none is in some regions, those
+        that are bound to these. Nothing is done until a minimum interval since the last
+        scan has passed.
         """
         if now < self._next_late_scan:
             return
         self._next_late_scan = now + _LATE_SCAN_SECONDS
-        is_service_available = self.is_service_available(now)
+        is_discovering = self.is_discovering(now)
+        accepts_work_in = cache(self._servers.accepts_work_in)
         for waiting in self._queue:
-            if not is_service_available:
+            if not is_discovering and not accepts_work_in(waiting.request.regions):
                 self.shed(waiting, RefusalReason.NO_BACKEND, now)
             elif now > waiting.latest_start:
                 self.time_out(waiting, now)
@@ -227,14 +229,34 @@
         if not self._grants.has_cancellable or len(self._queue) == 0:
             return
         free_at = deque(self._grants.slot_times(now))
+        # Tiers from which on a search for the regions has found no grant to revoke.
+        without_candidate: dict[tuple[str, ...] | None, int] = {}
         for item in self._queue.in_order(_PREEMPTION_SCAN_REQUESTS):
             if free_at and free_at[0] <= item.latest_start:
                 free_at.popleft()
                 continue
-            candidate = self._grants.preemption_candidate(item.request.tier)
-            if candidate is not None:
+            request = item.request
+            if request.tier >= without_candidate.get(request.regions, LOWEST_TIER):
+                continue
+            candidate = self.preemption_candidate(request)
+            if candidate is None:
+                without_candidate[request.regions] = request.tier
+            else:
                 self._revoke(candidate, now)
 
+    def preemption_candidate(self, request: SlotRequest) -> Grant | None:
+        """Return the grant to revoke so that a request gets a slot, if there is one.
+
+        Requests that run in an evacuated zone or in other regions are left alone: the
+        request could not use their slots.
+        """
+
+        def frees_slot(grant: Grant) -> bool:
+            backend_id = grant.message.backend_id
+            return not self._servers.is_out_of_bounds(backend_id, request.regions)
+
+        return self._grants.preemption_candidate(request.tier, frees_slot)
+
     def _revoke(self, grant: Grant, now: float) -> None:
         self._grants.revoke(grant, now)
         message = SlotRevoke(grant.request.request_id, grant.grant_id)
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from statistics import median
 
 from sassafraspin.backends import (
@@ -36,6 +36,9 @@
     def __len__(self) -> int:
         return len(self._names)
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._names)
+
     def set(self, name: str, member: bool) -> None:
         """Add or remove a name."""
         if member == (name in self._positions):
@@ -100,6 +103,8 @@
         self._accepting: list[Backend] = []
         self._free = _RandomSet()
         self._unlimited_slots = 0
+        self._unlimited_free: dict[str, int] = {}
+        self._unlimited_free_slots = 0
         self._limited: list[Backend] = []
         self._best_prefill_rate = 1.0
         self._typical_prefill_rate = 1.0
@@ -125,10 +130,23 @@
         limited = sum(backend.usable_slots(now) for backend in self._limited)
         return self._unlimited_slots + limited
 
+    def free_slots(self, now: float) -> int:
+        """Return the number of free slots of servers that accept work.
+
+        This is not the difference between slots and requests in flight: requests also
+        run on servers that accept no more, or beyond the pace of a server.
+        """
+        limited = sum(
+            max(0, backend.usable_slots(now) - backend.busy_slots)
+            for backend in self._limited
+        )
+        return self._unlimited_free_slots + limited
+
     def rate_wait(self, position: int, now: float) -> float:
         """Return the time until the rate limits allow a request, in seconds.
 
-        It is 0 if a server that accepts work has no limit.
+        It is 0 if a server that accepts work has no limit, and no longer than until one
+        that is limited only while it is cold is warm.
 
         Parameters
         ----------
@@ -142,35 +160,67 @@
         rate = sum(item.request_rate for item in self._limited)
         level = sum(item.request_level(now) for item in self._limited)
         missing = position + 1 - level
-        return max(0.0, missing / rate) if rate else 0.0
+        if missing <= 0 or not self._limited:
+            return 0.0
+        if rate:
+            wait = missing / rate
+        else:
+            # The rates of these cold servers are left to other instances.
+            wait = max(item.cold_seconds(now) for item in self._limited)
+        ends = (
+            item.cold_seconds(now) for item in self._limited if item.rate_limit is None
+        )
+        return min([wait, *ends])
 
     @property
     def accepts_work(self) -> bool:
         """Return whether any server accepts work."""
         return bool(self._accepting)
 
+    def accepts_work_in(self, regions: tuple[str, ...] | None) -> bool:
+        """Return whether a server in some regions accepts work, ``None`` for all."""
+        return any(self._is_in_regions(item, regions) for item in self._accepting)
+
+    def is_out_of_bounds(
+        self, backend_id: str, regions: tuple[str, ...] | None
+    ) -> bool:
+        """Return whether a server's zone is evacuated or not in some regions."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return False
+        return backend.is_evacuated or not self._is_in_regions(backend, regions)
+
     def avoids_all(self, request: SlotRequest) -> bool:
         """Return whether a request may use none of the servers that accept work."""
         if request.regions is None and len(request.avoid) < len(self._accepting):
             return False
         avoided = set(request.avoid)
         return bool(self._accepting) and all(
-            item.announcement.id in avoided or not self._is_in_regions(item, request)
+            item.announcement.id in avoided
+            or not self._is_in_regions(item, request.regions)
             for item in self._accepting
         )
 
-    def _is_in_regions(self, backend: Backend, request: SlotRequest) -> bool:
-        """Return whether a server is in a region that a request is bound to."""
-        if request.regions is None:
+    def _is_in_regions(self, backend: Backend, regions: tuple[str, ...] | None) -> bool:
+        """Return whether a server is in one of some regions, ``None`` for all."""
+        if regions is None:
             return True
         zone = backend.announcement.availability_zone
-        return self._zone_regions.get(zone) in request.regions
+        return self._zone_regions.get(zone) in regions
 
     @property
     def has_free_slot(self) -> bool:
         """Return whether a server that accepts work has a free slot."""
         return len(self._free) > 0
 
+    def has_free_slot_in(self, regions: tuple[str, ...] | None) -> bool:
+        """Return the same for some regions, ``None`` for all of them."""
+        if regions is None:
+            return self.has_free_slot
+        return any(
+            self._is_in_regions(self._backends[name], regions) for name in self._free
+        )
+
     def get(self, backend_id: str) -> Backend | None:
         """Return a backend server by name."""
         return self._backends.get(backend_id)
@@ -279,6 +329,8 @@
     def _remove(self, backend_id: str) -> None:
         backend = self._backends.pop(backend_id)
         self._free.set(backend_id, False)
+        self._set_unlimited_free(backend_id, 0)
+        self._unlimited_free.pop(backend_id, None)
         if self._by_address.get(backend.announcement.address) == backend_id:
             del self._by_address[backend.announcement.address]
 
@@ -323,8 +375,7 @@
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
-            is_free = backend_id in accepting and _is_free(backend, now)
-            self._free.set(backend_id, is_free)
+            self._index_free(backend_id, backend, backend_id in accepting, now)
 
     def _apply_conditions(self, backend: Backend, now: float) -> None:
         """Update whether a server's zone is evacuated, and its limit while cold."""
@@ -357,8 +408,7 @@
     def reserve(self, backend: Backend, reservation: Reservation, now: float) -> None:
         """Reserve capacity on a server."""
         backend.reserve(reservation)
-        if not _is_free(backend, now):
-            self._free.set(backend.announcement.id, False)
+        self.update_free(backend, now)
 
     def release(self, backend_id: str, grant_id: str, now: float) -> None:
         """Release the capacity reserved for a grant."""
@@ -366,13 +416,27 @@
         if backend is None:
             return
         backend.release(grant_id)
-        if backend.accepts_work(now):
-            self._free.set(backend_id, _is_free(backend, now))
+        self.update_free(backend, now)
 
     def update_free(self, backend: Backend, now: float) -> None:
-        """Update whether a server has a free slot after its pace has changed."""
-        is_free = backend.accepts_work(now) and _is_free(backend, now)
-        self._free.set(backend.announcement.id, is_free)
+        """Update the indexes after a change of a server's free slots or of its pace."""
+        self._index_free(
+            backend.announcement.id, backend, backend.accepts_work(now), now
+        )
+
+    def _index_free(
+        self, backend_id: str, backend: Backend, accepts_work: bool, now: float
+    ) -> None:
+        free = backend.slot_limit - backend.busy_slots if accepts_work else 0
+        self._free.set(backend_id, free > 0 and backend.allows_request(now))
+        is_counted = free > 0 and not backend.is_rate_limited
+        self._set_unlimited_free(backend_id, free if is_counted else 0)
+
+    def _set_unlimited_free(self, backend_id: str, free: int) -> None:
+        before = self._unlimited_free.get(backend_id, 0)
+        if free != before:
+            self._unlimited_free[backend_id] = free
+            self._unlimited_free_slots += free - before
 
     def withdraw(self, backend_id: str, now: float) -> bool:
         """Stop sending requests to a server; return whether it is known."""
@@ -448,7 +512,8 @@
         return [
             item
             for item in servers
-            if _fits(item, request, version, now) and self._is_in_regions(item, request)
+            if _fits(item, request, version, now)
+            and self._is_in_regions(item, request.regions)
         ]
 
     def _sample_servers(self, request: SlotRequest) -> list[Backend]:
@@ -477,12 +542,6 @@
     return version in backend.announcement.versions
 
 
-def _is_free(backend: Backend, now: float) -> bool:
-    """Return whether a server has a free slot that it allows to use now."""
-    has_slot = backend.busy_slots < backend.slot_limit
-    return has_slot and backend.allows_request(now)
-
-
 def _log_cold(backend: Backend, limit: RateLimit, now: float) -> None:
     announcement = backend.announcement
     log_event(
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import msgspec
 import trio
 
 from sassafraspin.admission import AccountLimits
@@ -22,6 +23,7 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
+    SlotRevoke,
 )
 from sassafraspin.dispatch.pool import Pool
 from sassafraspin.dispatch.versions import VersionGate
@@ -71,6 +73,14 @@
         restored = ControlState.from_bytes(self.state.index, self.state.to_bytes())
         self.assertEqual(restored.evacuations.zones, {"z1", "z3"})
 
+    def test_snapshot_of_an_older_build_is_loaded(self):
+        """It has no evacuations; an instance that refuses it would lose its state."""
+        self.apply(EvacuateZone("c1", "operator", 5, "z1"))
+        fields = msgspec.msgpack.decode(self.state.to_bytes())
+        del fields["evacuations"]
+        restored = ControlState.from_bytes(1, msgspec.msgpack.encode(fields))
+        self.assertEqual(restored.evacuations.zones, set())
+
 
 class TestPoolOfEvacuatedZone(unittest.TestCase):
     """A pool with a server of one slot in each of two zones."""
@@ -90,16 +100,18 @@
             ),
         )
 
-    def ask(self, name: str, now: float) -> list[object]:
+    def ask(self, name: str, now: float, **fields) -> list[object]:
         """Request a slot; return the messages to its entry instance."""
         request = SlotRequest(
             f"{SERVICE}:{name}", SERVICE, "a", "p", "/r", 0, 10, 10, 60_000, False
         )
+        request = msgspec.structs.replace(request, **fields)
         return [effect.message for effect in self.pool.request("e1", request, now)]
 
-    def granted(self, name: str, now: float) -> SlotGrant:
+    def granted(self, name: str, now: float, **fields) -> SlotGrant:
         """Request a slot that is granted at once."""
-        return next(item for item in self.ask(name, now) if isinstance(item, SlotGrant))
+        messages = self.ask(name, now, **fields)
+        return next(item for item in messages if isinstance(item, SlotGrant))
 
     def test_requests_use_the_remaining_zone(self):
         self.pool.close_zones(frozenset({"z1"}), 0.0)
@@ -137,6 +149,38 @@
         granted = [item.message.backend_id for item in effects]
         self.assertEqual(granted, ["runner-1"])
 
+    def test_requests_that_run_in_the_zone_use_no_slot_elsewhere(self):
+        """They must not make the remaining zone look full while it has a free slot."""
+        for number in (1, 2):
+            item = announcement(
+                number, availability_zone=f"z{number}", slots=4, sequence=1
+            )
+            self.pool.announce(item, 0.0)
+        for number in range(6):
+            self.granted(f"running-{number}", 0.0, answer_tokens=500)
+        self.pool.close_zones(frozenset({"z1"}), 0.1)
+        grant = self.granted("a", 0.2, start_within_ms=400, deadline_ms=1_000)
+        self.assertEqual(grant.backend_id, "runner-2")
+
+    def test_request_that_runs_in_the_zone_is_not_preempted(self):
+        """Its slot would be free, but nobody may use it."""
+        low = {"answer_tokens": 5_000, "tier": 2, "cancellable": True}
+        running = {
+            item.backend_id: item
+            for item in (
+                self.granted("low-1", 0.0, **low),
+                self.granted("low-2", 0.0, **low),
+            )
+        }
+        self.pool.close_zones(frozenset({"z1"}), 0.1)
+        revoked = [
+            message.grant_id
+            for number in range(2)
+            for message in self.ask(f"high-{number}", 0.2, deadline_ms=2_000)
+            if isinstance(message, SlotRevoke)
+        ]
+        self.assertEqual(revoked, [running["runner-2"].grant_id])
+
     def test_evacuation_of_all_zones_is_a_refusal_before_the_request_has_run(self):
         self.pool.close_zones(frozenset({"z1", "z2"}), 0.0)
         (refusal,) = self.ask("a", 0.1)
@@ -185,6 +229,30 @@
 
         self.run_scenario(scenario)
 
+    def test_order_is_acknowledged_again_after_its_servers_are_gone(self):
+        """An accepted order must not be refused when it is sent again."""
+
+        async def scenario(model):
+            self.assertEqual(await self.order(model, "POST", "a"), 200)
+            model.stop_server("i1")
+            model.stop_server("i2")
+            await trio.sleep(10.0)
+            self.assertEqual(await self.order(model, "POST", "a"), 200)
+
+        self.run_scenario(scenario)
+
+    def test_instance_without_a_leader_does_not_call_a_zone_unknown(self):
+        """It has no servers of its own, so that it cannot tell."""
+
+        async def scenario(model):
+            await model.wait_for_leader()
+            model.cut(("e0",), CONTROL)
+            await trio.sleep(EVACUATE_SECONDS)
+            response = await model.control("e0", "POST", "evacuations/a")
+            self.assertEqual(response.status, 503)
+
+        self.run_scenario(scenario)
+
     def test_new_leader_and_standby_obey_the_order(self):
         """A dispatcher that takes over must know the order before it grants a slot."""
 
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -4,8 +4,16 @@
 import random
 import unittest
 
+import msgspec
+
 from sassafraspin.admission import AccountLimits
-from sassafraspin.dispatch import RefusalReason, SlotGrant, SlotRefusal, SlotRequest
+from sassafraspin.dispatch import (
+    RefusalReason,
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+    SlotRevoke,
+)
 from sassafraspin.dispatch.pool import Pool
 from sassafraspin.dispatch.versions import VersionGate
 from sassafraspin.http import Headers, Request
@@ -49,6 +57,13 @@
         self.assertEqual(call_regions(["north", "south"], ["south"]), ("south",))
         self.assertEqual(call_regions(["north"], ["south"]), ())
 
+    def test_request_of_an_older_build_may_be_served_anywhere(self):
+        """It has no field for regions, which must not make it unreadable."""
+        request = SlotRequest("s:1", "s", "a", "p", "/r", 0, 1, 1, 1_000, False)
+        tag, *fields, _ = msgspec.msgpack.decode(msgspec.msgpack.encode(request))
+        older = msgspec.msgpack.encode([tag, *fields])
+        self.assertEqual(msgspec.msgpack.decode(older, type=SlotRequest), request)
+
 
 class TestPlacementInRegions(unittest.TestCase):
     """A pool with one server in the north and two in the south."""
@@ -71,17 +86,29 @@
             item = announcement(number, availability_zone=f"z{min(number, 3)}")
             self.pool.announce(item, 0.0)
 
-    def ask(
+    def request(
         self,
         number: int,
         regions: tuple[str, ...] | None,
         avoid: tuple[str, ...] = (),
-    ) -> object:
-        """Request a slot; return the first answer."""
+        **fields,
+    ) -> SlotRequest:
+        """Return a request for a slot."""
         request = SlotRequest(
             f"{SERVICE}:{number}", SERVICE, "a", "p", "/r", 0, 10, 10, 60_000, False,
             avoid=avoid, tries=len(avoid), regions=regions,
         )  # fmt: skip
+        return msgspec.structs.replace(request, **fields)
+
+    def ask(
+        self,
+        number: int,
+        regions: tuple[str, ...] | None,
+        avoid: tuple[str, ...] = (),
+        **fields,
+    ) -> object:
+        """Request a slot; return the first answer."""
+        request = self.request(number, regions, avoid, **fields)
         return self.pool.request("e1", request, 0.1)[0].message
 
     def test_call_waits_for_its_region_instead_of_leaving_it(self):
@@ -89,6 +116,35 @@
         granted = [item.backend_id for item in used if isinstance(item, SlotGrant)]
         self.assertEqual(granted, ["runner-1", "runner-1"])
 
+    def test_calls_that_wait_for_a_region_do_not_hold_up_the_others(self):
+        """Only the first 16 waiting requests are tried for a free slot."""
+        for number in range(40):
+            self.ask(number, ("north",))
+        grant = self.ask(40, None)
+        self.assertIsInstance(grant, SlotGrant)
+
+    def test_call_waits_no_longer_than_servers_of_its_region_accept_work(self):
+        """Its caller would hear at the end of its time what is known at once."""
+        for number in range(3):
+            self.ask(number, ("north",))
+        self.pool.close_zones(frozenset({"z1"}), 3.0)
+        refused = [
+            effect.message.reason
+            for effect in self.pool.tick(3.1)
+            if isinstance(effect.message, SlotRefusal)
+        ]
+        self.assertEqual(refused, [RefusalReason.NO_BACKEND])
+
+    def test_requests_in_other_regions_are_not_preempted_for_a_call(self):
+        """It could not use their slots."""
+        for number in range(4):
+            self.ask(number, ("south",), tier=2, cancellable=True, answer_tokens=1_000)
+        for number in range(4, 6):
+            self.ask(number, ("north",), answer_tokens=1_000)
+        request = self.request(6, ("north",), deadline_ms=2_000)
+        messages = [item.message for item in self.pool.request("e1", request, 3.0)]
+        self.assertFalse([item for item in messages if isinstance(item, SlotRevoke)])
+
     def test_among_many_servers_the_region_binds_too(self):
         """Beyond 16 servers only a sample of them is compared."""
         self.open_pool(60)
