Place requests by the parts of their prompts that servers hold

Cause: the routed daemon sent no prefixes, so that every server looked alike, and shared parts of prompts were prefilled again on one server after the other. A constant part of the time to first token was not estimated, so that short prompts took several times the estimate.

Change: slot requests name the parts of their prompts where the route has session_affinity, and the pause objective of streams. The dispatcher estimates which parts each server holds, bounded by its KV capacity, and counts only the others for prefill, backlog, interference and speed. An index finds holders among more than 16 servers. A long prompt avoids streams that its chunks would delay beyond their objective. The overhead of a first token is learned per server. KV capacity comes from the service of the routing table (ServiceSettings.cache_tokens).

--- a/src/sassafraspin/backends/__init__.py
+++ b/src/sassafraspin/backends/__init__.py
@@ -10,12 +10,13 @@
     ServerRun,
 )
 from sassafraspin.backends.pace import Pace, PaceChange, PaceReason
+from sassafraspin.backends.parts import HeldParts
 from sassafraspin.backends.prefixes import (
     PREFIX_BLOCK_BYTES,
     PrefixCacheView,
     prefix_hashes,
 )
-from sassafraspin.backends.prompts import PromptPart, shared_parts
+from sassafraspin.backends.prompts import PromptPart, cacheable_parts, shared_parts
 from sassafraspin.backends.rate_limit import STRICT_SHARE, RateLimit
 from sassafraspin.backends.retirement import Retirement, RetirementStore
 from sassafraspin.backends.speed import SpeedEstimate
@@ -31,6 +32,7 @@
     "CacheReport",
     "Evacuation",
     "EvacuationStore",
+    "HeldParts",
     "LoadReport",
     "PrefixCacheView",
     "PrefillBacklog",
@@ -43,6 +45,7 @@
     "ServerNotices",
     "ServerRun",
     "SpeedEstimate",
+    "cacheable_parts",
     "prefix_hashes",
     "shared_parts",
 ]
--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -6,6 +6,7 @@
 from sassafraspin.backends.announcement import Announcement
 from sassafraspin.backends.backlog import PrefillBacklog
 from sassafraspin.backends.pace import Pace, PaceChange
+from sassafraspin.backends.parts import HeldParts
 from sassafraspin.backends.prefixes import PrefixCacheView
 from sassafraspin.backends.rate_limit import RateLimit
 from sassafraspin.backends.speed import SpeedEstimate
@@ -28,10 +29,13 @@
         Identifier of the grant.
     tokens : int
         KV memory reserved, in tokens.
+    gap : float
+        Longest pause between events that the request allows, in seconds; 0 for any.
     """
 
     grant_id: str
     tokens: int
+    gap: float = 0.0
 
 
 class Backend:
@@ -52,6 +56,7 @@
         self._reserved_tokens = 0
         self._cache = PrefixCacheView()
         self._cache.apply_report(announcement.cache)
+        self._parts = HeldParts()
         self._speed = SpeedEstimate(
             announcement.prefill_tokens_per_second,
             announcement.decode_tokens_per_second,
@@ -77,6 +82,11 @@
         """Return the estimated content of the prefix cache."""
         return self._cache
 
+    @property
+    def parts(self) -> HeldParts:
+        """Return the estimated parts of prompts in the prefix cache."""
+        return self._parts
+
     @property
     def speed(self) -> SpeedEstimate:
         """Return the estimated speed."""
@@ -137,6 +147,12 @@
         """Return the number of granted requests."""
         return len(self._reservations)
 
+    @property
+    def shortest_gap(self) -> float:
+        """Return the shortest pause that a granted request allows, 0 for any."""
+        gaps = (item.gap for item in self._reservations.values() if item.gap)
+        return min(gaps, default=0.0)
+
     @property
     def reserved_tokens(self) -> int:
         """Return the KV memory reserved for granted requests, in tokens."""
@@ -155,6 +171,7 @@
         self._pace.set_slots(announcement.slots)
         if announcement.incarnation > self._announcement.incarnation:
             self._cache = PrefixCacheView()
+            self._parts = HeldParts()
             self._backlog = PrefillBacklog()
             self._failures = 0
             self._ejected_until = float("-inf")
--- a/src/sassafraspin/backends/prompts.py
+++ b/src/sassafraspin/backends/prompts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["PromptPart", "shared_parts"]
+__all__ = ["PromptPart", "cacheable_parts", "shared_parts"]
 
 _MAX_SHARED_PARTS = 32
 """Largest number of parts of one prompt that messages and logs carry."""
@@ -30,3 +30,11 @@
     The last part belongs to the request itself or to its session.
     """
     return tuple(part.id for part in prompt[:-1][:_MAX_SHARED_PARTS])
+
+
+def cacheable_parts(prompt: tuple[PromptPart, ...]) -> tuple[tuple[str, int], ...]:
+    """Return identifier and size of the parts that a prefix cache may hold.
+
+    The last part is included: it may be that of a session with further requests.
+    """
+    return tuple((part.id, part.tokens) for part in prompt[: _MAX_SHARED_PARTS + 1])
--- a/src/sassafraspin/backends/speed.py
+++ b/src/sassafraspin/backends/speed.py
@@ -11,6 +11,15 @@
 """Largest ratio between a sample of the prefill rate and the estimate that counts."""
 
 _MIN_PREFILL_TOKENS = 256
+
+_OVERHEAD_SCALE_SECONDS = 0.03
+"""Prefill time from which on a measurement says more about the rate than about the
+overhead, while the overhead is not known to be longer."""
+
+_MAX_OVERHEAD_STEP_SECONDS = 0.05
+"""Largest deviation of a measurement that counts for the overhead: a prompt that was
+not found in the cache, or waited for an unknown one, takes longer by much more."""
+
 _MIN_DECODE_TOKENS = 4
 
 _LONG_PROMPT_TOKENS = 48_000.0
@@ -21,15 +30,24 @@
 class SpeedEstimate:
     """Smoothed prefill and decode rates of one request, in tokens per second.
 
+    The overhead is the part of the time to first token that does not depend on the
+    prompt, in seconds: transfer, the decode steps that a prompt waits for, and those of
+    the first event.
+
     Parameters
     ----------
     prefill_rate, decode_rate : float
         Initial estimates.
+    overhead : float
+        Initial estimate.
     """
 
-    def __init__(self, prefill_rate: float, decode_rate: float) -> None:
+    def __init__(
+        self, prefill_rate: float, decode_rate: float, overhead: float = 0.0
+    ) -> None:
         self._prefill_rate = prefill_rate
         self._decode_rate = decode_rate
+        self._overhead = overhead
         self._samples = 0
 
     @property
@@ -42,42 +60,74 @@
         """Return the decode rate, in tokens per second."""
         return self._decode_rate
 
+    @property
+    def overhead(self) -> float:
+        """Return the time to first token without the prefill, in seconds."""
+        return self._overhead
+
     def prefill_seconds(self, tokens: int) -> float:
         """Return the expected prefill time of a prompt, in seconds."""
         return _prefill_cost(tokens) / self._prefill_rate
 
     def seconds(self, prefill_tokens: int, answer_tokens: int) -> float:
         """Return the expected time of a request on an idle server, in seconds."""
-        return self.prefill_seconds(prefill_tokens) + answer_tokens / self._decode_rate
+        decode = answer_tokens / self._decode_rate
+        return self._overhead + self.prefill_seconds(prefill_tokens) + decode
+
+    def first_token_seconds(self, prefill_tokens: int) -> float:
+        """Return the expected time to first token on an idle server, in seconds."""
+        prefill = self.prefill_seconds(prefill_tokens)
+        return self._overhead + prefill + 1 / self._decode_rate
 
     def observe_first_token(
-        self, tokens: int, expected: float, measured: float, rate: float
+        self,
+        tokens: int,
+        expected: float,
+        measured: float,
+        rate: float,
+        overhead: float = 0.0,
     ) -> None:
-        """Update the prefill rate with the time to first token of a request.
+        """Update the prefill rate and the overhead with a time to first token.
 
-        The estimate scales with the rate, the prompts before it included, so that the
-        ratio of the two times corrects the rate whether or not the prompt had to wait.
+        The estimate without the overhead scales with the rate, the prompts before it
+        included, so that the ratio of the two times corrects the rate whether or not
+        the prompt had to wait. The longer the prefill, the more the deviation is
+        attributed to the rate instead of the overhead.
 
         Parameters
         ----------
         tokens : int
-            Length of the prompt; short ones say little about the rate.
+            Tokens of the prompt that were expected to be prefilled; few of them say
+            little about the rate.
         expected, measured : float
             Estimated and measured time to first token, in seconds.
-        rate : float
-            Prefill rate that the estimate was made with.
+        rate, overhead : float
+            Prefill rate and overhead that the estimate was made with.
         """
         step = 1 / self._decode_rate
-        if tokens < _MIN_PREFILL_TOKENS or expected <= step:
+        prefill = expected - step - overhead
+        if prefill <= 0:
             return
-        # A prompt that was found in the cache takes little more than a decode step.
-        ratio = (expected - step) / max(measured - step, 0.1 * measured, 1e-6)
-        sample = rate * min(max(ratio, 1 / _MAX_STEP_RATIO), _MAX_STEP_RATIO)
+        share = prefill / (prefill + max(overhead, _OVERHEAD_SCALE_SECONDS))
         is_first = self._samples < _FIRST_SAMPLES
         weight = _FIRST_SMOOTHING if is_first else _SMOOTHING
         self._samples += 1
+        self._observe_overhead(
+            (1 - share) * weight, measured - step - prefill - overhead
+        )
+        if tokens < _MIN_PREFILL_TOKENS:
+            return
+        # A prompt that was found in the cache takes little more than a decode step.
+        ratio = prefill / max(measured - step - overhead, 0.1 * measured, 1e-6)
+        sample = rate * min(max(ratio, 1 / _MAX_STEP_RATIO), _MAX_STEP_RATIO)
         # The geometric mean: rates that are too high and too low weigh the same.
-        self._prefill_rate *= math.exp(weight * math.log(sample / self._prefill_rate))
+        change = math.log(sample / self._prefill_rate)
+        self._prefill_rate *= math.exp(share * weight * change)
+
+    def _observe_overhead(self, weight: float, deviation: float) -> None:
+        limit = _MAX_OVERHEAD_STEP_SECONDS
+        step = weight * min(max(deviation, -limit), limit)
+        self._overhead = max(0.0, self._overhead + step)
 
     def observe_decode(self, tokens: int, seconds: float) -> None:
         """Update the decode rate with an answer."""
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -129,6 +129,7 @@
         for name, pool in self._pools.items():
             self._apply_move(services[name], pool)
             pool.set_cold_rate(services[name].cold_rate, now)
+            pool.set_cache_tokens(services[name].cache_tokens)
             self._send_all(pool.tick(now))
             if services[name].loads_versions:
                 self._send_load_order(name, pool, now)
@@ -279,6 +280,7 @@
         )
         pool.close_zones(self._node.configuration.state.evacuations.zones, now)
         pool.set_cold_rate(service.cold_rate, now)
+        pool.set_cache_tokens(service.cache_tokens)
         self._pools[service.name] = pool
         self._planners[service.name] = self._make_planner(service)
         self._apply_move(service, pool)
--- a/src/sassafraspin/dispatch/grants.py
+++ b/src/sassafraspin/dispatch/grants.py
@@ -36,6 +36,10 @@
         Time to first token that was expected at the time of the grant, in seconds.
     prefill_rate : float
         Prefill rate of the server that this estimate was made with.
+    overhead : float
+        Overhead of the server that this estimate was made with, in seconds.
+    uncached_tokens : int
+        Tokens of the prompt that the server was expected to prefill.
     limits_counted : int
         Number of slow limits for which the request was counted, while running, in the
         comparison of a new version with the old one.
@@ -52,6 +56,8 @@
     revoked_at: float | None = None
     expected_first_token: float = 0.0
     prefill_rate: float = 1.0
+    overhead: float = 0.0
+    uncached_tokens: int = 0
     limits_counted: int = 0
     has_paced: bool = False
 
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -92,6 +92,11 @@
         Signature that equal requests share, empty if it is not known.
     regions : tuple of str or None
         Regions whose servers may be used; ``None`` for all of them.
+    parts : tuple of (str, int)
+        Identifiers and sizes in tokens of the prompt's parts, in order; empty if
+        placement does not depend on them.
+    gap_ms : int
+        Objective for the longest pause between events of the answer; 0 for none.
     """
 
     request_id: str
@@ -114,6 +119,8 @@
     asked_at: float | None = None
     signature: str = ""
     regions: tuple[str, ...] | None = None
+    parts: tuple[tuple[str, int], ...] = ()
+    gap_ms: int = 0
 
     @property
     def tokens(self) -> int:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -138,7 +138,12 @@
             settings.paces_servers, bool(known), now
         )
         self._servers = ServerTable(
-            generator, rate_share, settings.zone_regions, self._pacing, cold_share
+            generator,
+            rate_share,
+            settings.zone_regions,
+            self._pacing,
+            cold_share,
+            settings.reuse_window_ms / _MS_PER_SECOND,
         )
         self._queue = WaitingQueue()
         self._grants = GrantTable()
@@ -274,6 +279,7 @@
         grant = self._grants.of_request(message.request_id)
         if grant is not None:
             self._end_grant(grant.grant_id, now)
+            self._forget_parts(grant)
         return self._grant_free_slots(now)
 
     def release(self, release: SlotRelease, now: float) -> list[SendToEntry]:
@@ -282,6 +288,8 @@
         grant = self._end_grant(release.grant_id, now)
         if grant is None:
             return []
+        if not _was_prefilled(release):
+            self._forget_parts(grant)
         self._record_outcome(grant, release, now)
         return self._grant_free_slots(now)
 
@@ -321,6 +329,10 @@
         """Set the requests a second that a cold server takes, 0 for no limit."""
         self._servers.set_cold_rate(rate, now)
 
+    def set_cache_tokens(self, tokens: int) -> None:
+        """Set the size of each server's prefix cache in tokens, 0 if not known."""
+        self._servers.set_cache_tokens(tokens)
+
     def reconcile(self, entry: str, held: HeldGrants, now: float) -> list[SendToEntry]:
         """End the grants whose release was lost; request those that are unknown."""
         known = frozenset(held.grant_ids)
@@ -470,7 +482,11 @@
             <= waiting.disconnects_at
         ]
         return choose_backend(
-            self._trials.choose(candidates, request, now), request, now
+            self._trials.choose(candidates, request, now),
+            request,
+            now,
+            now - waiting.queued_at,
+            self._servers.reused_tokens(request, now),
         )
 
     def _grant(
@@ -504,10 +520,10 @@
             now + choice.expected_seconds,
             expected_first_token=first_token,
             prefill_rate=choice.backend.speed.prefill_rate,
+            overhead=choice.backend.speed.overhead,
+            uncached_tokens=uncached_tokens(choice.backend, request),
         )
-        prefill = choice.backend.speed.prefill_seconds(
-            uncached_tokens(choice.backend, request)
-        )
+        prefill = choice.backend.speed.prefill_seconds(grant.uncached_tokens)
         choice.backend.backlog.add(grant.grant_id, prefill, now)
         if not request.tries:
             self._budget.record_first_attempt(now)
@@ -515,7 +531,7 @@
         self._trials.record_start(grant, now)
         choice.backend.count_request(now)
         self._reserve(choice.backend, grant, now)
-        self._servers.record_prefixes(choice.backend, request)
+        self._servers.record_prompt(choice.backend, request, grant.grant_id, now)
         self._gate.record_start(version)
         self._send(waiting.entry, message)
 
@@ -529,9 +545,15 @@
             is_here = grant.message.backend_id == backend_id
             if is_here and grant.grant_id not in reserved:
                 self._reserve(backend, grant, now)
+                if grant.message.incarnation == backend.announcement.incarnation:
+                    self._servers.record_prompt(
+                        backend, grant.request, grant.grant_id, now
+                    )
 
     def _reserve(self, backend: Backend, grant: Grant, now: float) -> None:
-        reservation = Reservation(grant.grant_id, grant.request.tokens)
+        request = grant.request
+        gap = request.gap_ms / _MS_PER_SECOND
+        reservation = Reservation(grant.grant_id, request.tokens, gap)
         self._servers.reserve(backend, reservation, now)
 
     def _end_grant(self, grant_id: str, now: float) -> Grant | None:
@@ -546,6 +568,12 @@
         self._servers.release(grant.message.backend_id, grant_id, now)
         return grant
 
+    def _forget_parts(self, grant: Grant) -> None:
+        """Forget the parts that a server holds only if it has run the request."""
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is not None:
+            backend.parts.forget_grant(grant.grant_id, grant.request.parts)
+
     def _record_outcome(self, grant: Grant, release: SlotRelease, now: float) -> None:
         backend = self._servers.get(grant.message.backend_id)
         server = None
@@ -585,10 +613,11 @@
         self._adapt_pace(grant, seconds, now)
         backend.backlog.finish(grant.grant_id, min(now, grant.granted_at + seconds))
         backend.speed.observe_first_token(
-            grant.request.prompt_tokens,
+            grant.uncached_tokens,
             grant.expected_first_token,
             seconds,
             grant.prefill_rate,
+            grant.overhead,
         )
 
     def _send(self, entry: str, message: DispatchMessage) -> None:
@@ -599,6 +628,17 @@
         return effects
 
 
+def _was_prefilled(release: SlotRelease) -> bool:
+    """Return whether the server has read the whole prompt, as its answer has begun."""
+    match release.result:
+        case ReleaseResult.ANSWERED:
+            return True
+        case ReleaseResult.CANCELLED:
+            return release.answer_tokens > 0
+        case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
+            return False
+
+
 def _server_time(
     backend: Backend, request: SlotRequest, answer_tokens: int
 ) -> ServerTime:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -13,6 +13,7 @@
 )
 from sassafraspin.dispatch.messages import SlotRequest
 from sassafraspin.dispatch.pacing import ServerPacing
+from sassafraspin.dispatch.part_index import PartIndex
 from sassafraspin.settings import Address
 from sassafraspin.telemetry.events import ServerCold, log_event
 
@@ -21,6 +22,9 @@
 _FULL_SCAN_MAX_SERVERS = 16
 _SAMPLE_SERVERS = 10
 _MAX_PREFIX_HOLDERS = 2
+_MAX_PART_HOLDERS = 6
+"""Holders of parts that are compared besides the sample."""
+
 _MAX_TRACKED_PREFIXES = 100_000
 _MAX_EJECTED_SHARE = 0.34
 
@@ -35,6 +39,9 @@
     def __len__(self) -> int:
         return len(self._names)
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._positions
+
     def set(self, name: str, member: bool) -> None:
         """Add or remove a name."""
         if member == (name in self._positions):
@@ -77,6 +84,8 @@
     cold_share : callable
         Returns the part of the rate of a cold server that this table may use, given its
         name and the rate.
+    reuse_seconds : float
+        Time within which parts of prompts are expected to be used again.
     """
 
     def __init__(
@@ -86,6 +95,7 @@
         zone_regions: Mapping[str, str] | None = None,
         pacing: ServerPacing | None = None,
         cold_share: Callable[[str, float], float] = lambda name, rate: STRICT_SHARE,
+        reuse_seconds: float = 10.0,
     ) -> None:
         self._generator = generator
         self._rate_share = rate_share
@@ -103,6 +113,9 @@
         self._best_prefill_rate = 1.0
         self._best_decode_rate = 1.0
         self._prefix_holders: OrderedDict[int, str] = OrderedDict()
+        self._part_index = PartIndex(reuse_seconds)
+        self._reuse_seconds = reuse_seconds
+        self._cache_tokens = 0
 
     @property
     def all(self) -> tuple[Backend, ...]:
@@ -184,8 +197,12 @@
         return self.fastest_first_token(request) + decode
 
     def fastest_first_token(self, request: SlotRequest) -> float:
-        """Return the time to first token at the best prefill rate of all servers."""
-        return request.prompt_tokens / self._best_prefill_rate
+        """Return the time to first token at the best prefill rate of all servers.
+
+        Parts of the prompt that any server may hold need no time.
+        """
+        cached = self._part_index.indexed_tokens(request.parts)
+        return max(1, request.prompt_tokens - cached) / self._best_prefill_rate
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement; return whether the server is a new one.
@@ -387,8 +404,27 @@
             self._pacing.restart(backend, now)
             self.refresh(now)
 
-    def record_prefixes(self, backend: Backend, request: SlotRequest) -> None:
-        """Record that a prompt's prefixes were sent to a server."""
+    def set_cache_tokens(self, tokens: int) -> None:
+        """Set the size of each server's prefix cache in tokens, 0 if not known."""
+        self._cache_tokens = tokens
+
+    def reused_tokens(self, request: SlotRequest, now: float) -> int:
+        """Return the size of a prompt's leading parts that some server got lately."""
+        return self._part_index.reused_tokens(request.parts, now)
+
+    def record_prompt(
+        self, backend: Backend, request: SlotRequest, grant_id: str, now: float
+    ) -> None:
+        """Record that a prompt was sent to a server."""
+        if request.parts:
+            capacity = 0
+            if self._cache_tokens:
+                # The cache gives way to the requests that run.
+                capacity = max(1, self._cache_tokens - backend.reserved_tokens)
+            backend.parts.record_sent(
+                request.parts, grant_id, now, capacity, self._reuse_seconds
+            )
+            self._part_index.record_sent(request.parts, backend.announcement.id, now)
         backend.cache.record_sent(request.prefixes)
         for value in request.prefixes:
             self._prefix_holders[value] = backend.announcement.id
@@ -418,7 +454,7 @@
         list of Backend
             All that qualify if there is a limit or there are few servers. Otherwise,
             those that qualify among a random sample and the servers that were last
-            sent the same prefixes; if none of these does, all that qualify.
+            sent the same prefixes or parts; if none of these does, all that qualify.
         """
         if limit is not None:
             with_version = [
@@ -452,8 +488,21 @@
             names.append(holder)
             if len(names) >= _SAMPLE_SERVERS + _MAX_PREFIX_HOLDERS:
                 break
+        names += self._free_part_holders(request, names)
         return [self._backends[name] for name in names if name in self._backends]
 
+    def _free_part_holders(
+        self, request: SlotRequest, excluded: list[str]
+    ) -> list[str]:
+        """Return servers with a free slot that hold parts, the longest run first."""
+        names: list[str] = []
+        for name in self._part_index.holders(request.parts):
+            if name in self._free and name not in excluded and name not in names:
+                names.append(name)
+                if len(names) >= _MAX_PART_HOLDERS:
+                    break
+        return names
+
 
 def _fits(backend: Backend, request: SlotRequest, version: str, now: float) -> bool:
     return (
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -80,6 +80,7 @@
     budget_window_s: float = 10.0
     quota_overshoot: float = 0.0
     quota_window_s: float = 8.0
+    reuse_window_s: float = 10.0
 
 
 class _BootSettings(msgspec.Struct):
@@ -169,6 +170,7 @@
             retry_allowance=int(_RETRY_BUDGET_FRACTION * bounds.budget_slack),
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
             zone_regions=boot.zones,
+            reuse_window_ms=int(bounds.reuse_window_s * _MS_PER_SECOND),
             paces_servers=_RECOVERING_SERVERS in boot.contracts,
         ),
         http=HttpLimits(connections=2_000),
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -41,7 +41,8 @@
 
     ``target_latency_ms`` is the latency objective, ``target_gap_ms`` the longest gap
     between events, and ``priority`` 0 is the highest. Without ``allowed_regions``,
-    calls may be served in all regions.
+    calls may be served in all regions. With ``session_affinity``, calls go to servers
+    that keep parts of their prompts.
     """
 
     name: str
@@ -58,6 +59,7 @@
     public: bool = False
     stream_resume: bool = False
     allowed_regions: list[str] = []
+    session_affinity: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -149,6 +151,7 @@
         public=item.public,
         resumable=item.stream_resume,
         regions=tuple(item.allowed_regions),
+        session_affinity=item.session_affinity,
     )
 
 
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -4,7 +4,7 @@
 import uuid
 from dataclasses import dataclass
 
-from sassafraspin.backends import shared_parts
+from sassafraspin.backends import cacheable_parts, shared_parts
 from sassafraspin.dispatch import LOWEST_TIER, SlotRequest
 from sassafraspin.http import Request
 from sassafraspin.isolation import request_signature
@@ -89,6 +89,13 @@
         """Return the identifiers of the prompt parts shared with other requests."""
         return shared_parts(self.metadata.prompt)
 
+    @property
+    def placement_parts(self) -> tuple[tuple[str, int], ...]:
+        """Return the prompt parts by which the call is placed, empty if it is not."""
+        if not self.route.session_affinity:
+            return ()
+        return cacheable_parts(self.metadata.prompt)
+
     @property
     def signatures(self) -> tuple[str, ...]:
         """Return all signatures that other requests may share."""
@@ -169,6 +176,10 @@
             tries=tries,
             signature=self.signature,
             regions=self.regions,
+            parts=self.placement_parts,
+            gap_ms=(
+                self.route.event_gap_ms if self.route.kind is RouteKind.STREAM else 0
+            ),
         )
 
 
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -186,5 +186,9 @@
 def _service_settings(service: RoutedService) -> ServiceSettings:
     kind = "plain" if service.engine is None else "model"
     return ServiceSettings(
-        service.name, kind, loads_versions=False, cold_rate=service.cold_rate
+        service.name,
+        kind,
+        loads_versions=False,
+        cold_rate=service.cold_rate,
+        cache_tokens=0 if service.engine is None else service.engine.kv_tokens,
     )
--- a/src/sassafraspin/routes/table.py
+++ b/src/sassafraspin/routes/table.py
@@ -72,6 +72,9 @@
         Whether another backend server may continue an interrupted stream.
     regions : tuple of str
         Regions in which calls may be served, empty for all.
+    session_affinity : bool
+        Whether calls are placed by the parts of their prompts, which servers keep in
+        their prefix caches.
     """
 
     name: str
@@ -88,6 +91,7 @@
     public: bool
     resumable: bool
     regions: tuple[str, ...] = ()
+    session_affinity: bool = False
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -25,6 +25,19 @@
 """Fraction of a prompt's prefill time by which each concurrent request is delayed:
 engines prefill in chunks, between the decode steps of other requests."""
 
+_REUSE_WEIGHT = 1.0
+"""Weight of the time in which a server prefills parts that another one holds: it is
+taken from the capacity for other requests."""
+
+_ANSWER_WEIGHT = 0.1
+"""Weight of the time from the first token to the end of an answer, for requests that
+are placed by their parts: callers' objectives are for the first token and for pauses.
+With the whole time, fast servers are preferred to those that hold the parts."""
+
+_LONG_PREFILL_SHARE = 0.2
+"""Share of the pause objective from which on a prompt counts as long. Shorter ones
+change little, wherever they are placed."""
+
 
 @dataclass(frozen=True)
 class BackendChoice:
@@ -37,6 +50,7 @@
 def uncached_tokens(backend: Backend, request: SlotRequest) -> int:
     """Return the number of prompt tokens that are not in the server's prefix cache."""
     cached = backend.cache.matching_blocks(request.prefixes) * _TOKENS_PER_BLOCK
+    cached += backend.parts.leading_tokens(request.parts)
     return max(request.prompt_tokens - cached, 1)
 
 
@@ -52,8 +66,8 @@
 
 def expected_first_token(backend: Backend, request: SlotRequest, now: float) -> float:
     """Return the expected time to first token of a request sent now, in seconds."""
-    prefill = backend.speed.prefill_seconds(uncached_tokens(backend, request))
-    return backend.backlog.wait(now) + prefill + 1 / backend.speed.decode_rate
+    uncached = uncached_tokens(backend, request)
+    return backend.backlog.wait(now) + backend.speed.first_token_seconds(uncached)
 
 
 def expected_seconds(backend: Backend, request: SlotRequest) -> float:
@@ -68,8 +82,8 @@
 
 
 def _sort_key(
-    backend: Backend, request: SlotRequest, now: float
-) -> tuple[bool, float, float]:
+    backend: Backend, request: SlotRequest, now: float, waited: float, reused: int
+) -> tuple[bool, bool, float, float]:
     """Return the sort key of a server; the lowest is preferred.
 
     Without an objective for the first token, the server with the fewest uncached prompt
@@ -77,34 +91,57 @@
     expected time decides.
     """
     if request.first_token_within_ms:
-        return _stream_sort_key(backend, request, now)
+        return _stream_sort_key(backend, request, now, waited, reused)
     seconds = expected_seconds(backend, request)
     if seconds > _AMPLE_TIME_SHARE * request.deadline_ms / 1000:
-        return False, request.prompt_tokens, seconds
-    return False, uncached_tokens(backend, request), seconds
+        return False, False, request.prompt_tokens, seconds
+    return False, False, uncached_tokens(backend, request), seconds
 
 
 def _stream_sort_key(
-    backend: Backend, request: SlotRequest, now: float
-) -> tuple[bool, float, float]:
+    backend: Backend, request: SlotRequest, now: float, waited: float, reused: int
+) -> tuple[bool, bool, float, float]:
     """Return the sort key of a server if the first token has an objective.
 
-    Servers that meet the objective are preferred, ordered by the expected time plus
-    the delay that the prefill causes to concurrent requests. The others are ordered by
-    the time to first token.
+    Servers that meet the objective are preferred, then those whose streams keep theirs.
+    They are ordered by the expected time plus the delay that the prefill causes to
+    concurrent requests, and that of prefilling again what others have prefilled.
+    Servers that do not meet the objective are ordered by the time to first token.
     """
-    first_token = expected_first_token(backend, request, now)
-    is_late = first_token > request.first_token_within_ms / _MS_PER_SECOND
-    prefill = backend.speed.prefill_seconds(uncached_tokens(backend, request))
+    uncached = uncached_tokens(backend, request)
+    wait = backend.backlog.wait(now)
+    first_token = wait + backend.speed.first_token_seconds(uncached)
+    objective = request.first_token_within_ms / _MS_PER_SECOND
+    is_late = waited + first_token > objective
+    prefill = backend.speed.prefill_seconds(uncached)
     interference = _INTERFERENCE_WEIGHT * prefill * backend.busy_slots
-    seconds = (
-        backend.backlog.wait(now) + expected_seconds(backend, request) + interference
-    )
-    return is_late, first_token if is_late else seconds, first_token
+    delay = first_token + interference
+    if request.parts:
+        again = max(0, uncached - (request.prompt_tokens - reused)) if reused else 0
+        delay += _REUSE_WEIGHT * backend.speed.prefill_seconds(again)
+    answer = wait + expected_seconds(backend, request) - first_token
+    seconds = delay + (_ANSWER_WEIGHT if request.parts else 1.0) * answer
+    breaks_pauses = _breaks_pauses(backend, wait, prefill)
+    return is_late, breaks_pauses, first_token if is_late else seconds, first_token
+
+
+def _breaks_pauses(backend: Backend, wait: float, prefill: float) -> bool:
+    """Return whether a long prompt delays a running stream beyond its objective.
+
+    The chunks of the prompt and of those before it lie between the events.
+    """
+    gap = backend.shortest_gap
+    if not gap or prefill < _LONG_PREFILL_SHARE * gap:
+        return False
+    return wait + prefill > gap
 
 
 def choose_backend(
-    candidates: Sequence[Backend], request: SlotRequest, now: float
+    candidates: Sequence[Backend],
+    request: SlotRequest,
+    now: float,
+    waited: float = 0.0,
+    reused_tokens: int = 0,
 ) -> BackendChoice | None:
     """Return the best server for a request according to its sort key.
 
@@ -116,6 +153,10 @@
         The request.
     now : float
         Monotonic time in seconds.
+    waited : float
+        Time for which the request has waited, in seconds.
+    reused_tokens : int
+        Size of the leading parts of its prompt that some server was sent lately.
 
     Returns
     -------
@@ -124,5 +165,8 @@
     """
     if not candidates:
         return None
-    best = min(candidates, key=lambda backend: _sort_key(backend, request, now))
+    best = min(
+        candidates,
+        key=lambda item: _sort_key(item, request, now, waited, reused_tokens),
+    )
     return BackendChoice(best, expected_seconds(best, request))
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -166,7 +166,8 @@
     earlier dispatchers have expired.
 
     A server that says that it is slow after its start gets at most ``cold_rate``
-    requests a second from all instances together; 0 for no limit.
+    requests a second from all instances together; 0 for no limit. ``cache_tokens`` is
+    the size of the prefix cache of one server, 0 if it is not known.
     """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
@@ -179,6 +180,7 @@
     weight_load_interval_ms: _Milliseconds = 500
     loads_versions: bool = True
     cold_rate: Annotated[float, Field(ge=0, le=1e6)] = 0.0
+    cache_tokens: Annotated[int, Field(ge=0, le=1_000_000_000)] = 0
 
 
 @dataclass(frozen=True)
@@ -240,6 +242,9 @@
     If ``paces_servers`` is set, a backend server that has just started or is back gets
     few requests at first, and more as it answers in time.
 
+    A part of a prompt is expected to be used again within ``reuse_window_ms``. Servers
+    that hold it are preferred for that time.
+
     ``zone_regions`` maps availability zones to regions, for requests that may only be
     served in some regions.
     """
@@ -262,6 +267,7 @@
     retry_window_ms: _Milliseconds = 10_000
     zone_regions: dict[Name, Name] = field(default_factory=dict)
     paces_servers: bool = False
+    reuse_window_ms: _Milliseconds = 10_000
 
 
 @dataclass(frozen=True)
