--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -10,6 +10,7 @@
 from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.late_requests import LateRequests
 from sassafraspin.dispatch.messages import (
+    LOWEST_TIER,
     DispatchMessage,
     RefusalReason,
     SlotRefusal,
