Lend unused slots between instances without a dispatcher

Cause: an instance in standby uses only its own share of the slots, while arrivals are uneven over the instances.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -152,12 +152,17 @@
         self._decrement_count(waiting, self._ranks.pop(request_id))
         return waiting
 
-    def serve(self, request_id: str) -> None:
-        """Remove a request that gets a slot and advance its rank's virtual time."""
+    def serve(self, request_id: str) -> WaitingRequest | None:
+        """Remove a request that gets a slot and advance its rank's virtual time.
+
+        Return it if it was queued.
+        """
+        if request_id not in self._ranks:
+            return None
         rank = self._ranks[request_id]
         start = self._starts[request_id]
         self._virtual_time[rank] = max(self._virtual_time[rank], start)
-        self.remove(request_id)
+        return self.remove(request_id)
 
     def in_order(self, limit: int) -> list[WaitingRequest]:
         """Return the first ``limit`` requests in the order of service."""
--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -245,6 +245,27 @@
             case SlotWithdraw():
                 self._send_all(pool.withdraw(message, now))
 
+    def may_borrow(self, request: SlotRequest) -> bool:
+        """Return whether other instances may be asked for a slot for a request."""
+        pool = self._active_pool(request.service)
+        return pool is not None and pool.may_borrow(request.request_id)
+
+    def accept_loan(self, request: SlotRequest) -> bool:
+        """Return whether a request still waits; if so, it waits no longer.
+
+        Another instance has granted a slot for it. It stays charged to this one.
+        """
+        pool = self._active_pool(request.service)
+        now = self._node.now()
+        return pool is not None and pool.borrowed(request.request_id, now)
+
+    def end_borrowing(self, request: SlotRequest) -> None:
+        """Refuse a request that neither the own slots nor another instance serves."""
+        pool = self._active_pool(request.service)
+        if pool is not None:
+            now = self._node.now()
+            self._send_all(pool.end_borrowing(request.request_id, now))
+
     def _active_pool(self, service: str) -> Pool | None:
         """Return the pool of an owned service, opening it if needed; else ``None``."""
         if not self._scope.owns(service):
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -60,6 +60,9 @@
         Estimates waiting times and sends refusals.
     trials : Trials
         Decides when requests may run that may have crashed servers.
+    lends_slots : bool
+        Whether other instances may lend a slot to a request that is not served here.
+        Such a request is then kept and stays charged until that is known.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         servers: ServerTable,
         overload: OverloadControl,
         trials: Trials,
+        lends_slots: bool = False,
     ) -> None:
         self._limits = limits
         self._budget = budget
@@ -79,6 +83,8 @@
         self._servers = servers
         self._overload = overload
         self._trials = trials
+        self._lends_slots = lends_slots
+        self.unserved: dict[str, WaitingRequest] = {}
 
     def admit(self, entry: str, request: SlotRequest, now: float) -> None:
         """Queue a request or refuse it.
@@ -97,12 +103,19 @@
             reason, retry = refusal
             self._overload.refuse(entry, request, reason, retry, now)
             return
-        waiting = self._waiting(entry, request, now)
+        waiting = self.waiting(entry, request, now)
+        if self._lends_slots and self._has_no_server(request, now):
+            self.unserved[request.request_id] = waiting
+            return
         if self._is_on_time(waiting, now):
             self._queue.add(waiting)
         else:
             wait = self._overload.expected_wait(request, now, late=True)
-            if not self._may_wait_late(waiting, wait, now):
+            may_wait = self._may_wait_late(waiting, wait, now)
+            if not may_wait and self._lends_slots:
+                self.unserved[request.request_id] = waiting
+                return
+            if not may_wait:
                 self._limits.withdraw(request)
                 self._overload.refuse(entry, request, RefusalReason.TOO_LATE, wait, now)
                 return
@@ -118,9 +131,7 @@
         its account. A retry is counted against the retry budget even if an account
         limit is exceeded.
         """
-        if not self._overload.is_service_available(now) or self._servers.avoids_all(
-            request
-        ):
+        if not self._lends_slots and self._has_no_server(request, now):
             return RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
         if self._trials.is_suspect(request):
             pause = self._trials.pause(request, now)
@@ -133,12 +144,36 @@
             return RefusalReason.ACCOUNT_LIMIT, decision.retry_after
         return None
 
+    def refuse_unserved(self, request_id: str, now: float) -> None:
+        """Refuse a request to which no other instance has lent a slot."""
+        waiting = self.unserved.pop(request_id, None)
+        if waiting is None:
+            return
+        request = waiting.request
+        self._limits.withdraw(request)
+        reason, retry = RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
+        if not self._has_no_server(request, now):
+            reason = RefusalReason.TOO_LATE
+            retry = self._overload.expected_wait(request, now, late=True)
+        self._overload.refuse(waiting.entry, request, reason, retry, now)
+
+    def expire_unserved(self, now: float) -> None:
+        """Refuse the requests that another instance could not answer in time either."""
+        for request_id, waiting in list(self.unserved.items()):
+            if now > waiting.latest_start:
+                self.refuse_unserved(request_id, now)
+
+    def _has_no_server(self, request: SlotRequest, now: float) -> bool:
+        """Return whether none of the servers known here may be used."""
+        is_available = self._overload.is_service_available(now)
+        return not is_available or self._servers.avoids_all(request)
+
     def _waiting_copies(self, request: SlotRequest) -> int:
         """Return the number of equal requests in the queue."""
         signature = request.signature
         return sum(item.request.signature == signature for item in self._queue)
 
-    def _waiting(self, entry: str, request: SlotRequest, now: float) -> WaitingRequest:
+    def waiting(self, entry: str, request: SlotRequest, now: float) -> WaitingRequest:
         """Return the queue item for a request.
 
         During discovery, lateness cannot be predicted, so the latency objective is
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -92,6 +92,10 @@
         Signature that equal requests share, empty if it is not known.
     regions : tuple of str or None
         Regions whose servers may be used; ``None`` for all of them.
+    lent : bool
+        Whether another instance without a dispatcher asks for an unused slot of the
+        receiver, which never passes the request on. Its sender has charged it to the
+        usage caps and the retry budget.
     """
 
     request_id: str
@@ -114,6 +118,7 @@
     asked_at: float | None = None
     signature: str = ""
     regions: tuple[str, ...] | None = None
+    lent: bool = False
 
     @property
     def tokens(self) -> int:
@@ -233,10 +238,14 @@
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Lists all slots in use by an entry instance, to detect lost releases."""
+    """Lists all slots in use by an entry instance, to detect lost releases.
+
+    With ``lent``, it lists only those that the receiver has lent.
+    """
 
     service: str
     grant_ids: tuple[str, ...]
+    lent: bool = False
 
 
 class UnknownGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -162,6 +162,7 @@
             self._servers,
             self._overload,
             self._trials,
+            settings.lends_slots,
         )
         self._servers.adopt(known, now)
 
@@ -237,15 +238,68 @@
                 self._send(entry, granted.message)
                 return self._drain_effects()
             self._end_grant(granted.grant_id, now)
+        if request.lent:
+            return self._lend(entry, request, now)
         effects = []
-        if request.request_id not in self._queue:
+        if not self.is_waiting(request.request_id):
             self._admission.admit(entry, request, now)
             effects = self._grant_free_slots(now)
-        if request.request_id in self._queue:
+        if self.is_waiting(request.request_id):
             waiting = SlotWaiting(request.request_id)
             effects.append(SendToEntry(entry, waiting))
         return effects
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a request waits for a slot, here or of another instance."""
+        return request_id in self._queue or request_id in self._admission.unserved
+
+    def may_borrow(self, request_id: str) -> bool:
+        """Return whether a slot of another instance may be used for a request.
+
+        Only the first requests of the queue may, so that tiers are served in order, and
+        those that the own slots do not serve.
+        """
+        if request_id in self._admission.unserved:
+            return True
+        first = self._queue.in_order(_GRANT_SCAN_REQUESTS)
+        return any(item.request.request_id == request_id for item in first)
+
+    def borrowed(self, request_id: str, now: float) -> bool:
+        """Remove a request for which another instance has granted a slot.
+
+        It stays charged to this pool. Returns whether it was still waiting.
+        """
+        waiting = self._admission.unserved.pop(request_id, None)
+        waiting = waiting or self._queue.serve(request_id)
+        if waiting is None:
+            return False
+        if not waiting.request.tries:
+            self._budget.record_first_attempt(now)
+        return True
+
+    def end_borrowing(self, request_id: str, now: float) -> list[SendToEntry]:
+        """Refuse a request that neither the own slots nor another instance serves."""
+        self._admission.refuse_unserved(request_id, now)
+        return self._drain_effects()
+
+    def _lend(self, entry: str, request: SlotRequest, now: float) -> list[SendToEntry]:
+        """Grant a slot that no waiting request can use to another instance, or refuse.
+
+        The other instance has charged the request to the limits and the retry budget.
+        """
+        effects = self._grant_free_slots(now)
+        is_scanned = len(self._queue) < _GRANT_SCAN_REQUESTS
+        waiting = self._admission.waiting(entry, request, now)
+        if (
+            not is_scanned
+            or now > waiting.latest_start
+            or not self._servers.has_free_slot
+            or not self._try_grant(waiting, now)
+        ):
+            reason = RefusalReason.OVERLOADED
+            self._overload.refuse(entry, request, reason, 0.0, now)
+        return effects + self._drain_effects()
+
     def adopt(self, entry: str, active: ActiveGrant, now: float) -> list[SendToEntry]:
         """Take over a slot that a previous dispatcher granted."""
         if self._grants.get(active.grant.grant_id) is not None:
@@ -260,7 +314,7 @@
             ends_by,
         )
         self._grants.add(grant)
-        if active.request.tries:
+        if active.request.tries and not active.request.lent:
             self._budget.record_retry(now)
         self._gate.record_start(active.grant.version)
         self._reserve_adopted(active.grant.backend_id, now)
@@ -269,6 +323,7 @@
     def withdraw(self, message: SlotWithdraw, now: float) -> list[SendToEntry]:
         """Remove a request from the queue, or release its unused slot."""
         waiting = self._queue.remove(message.request_id)
+        waiting = waiting or self._admission.unserved.pop(message.request_id, None)
         if waiting is not None:
             self._limits.withdraw(waiting.request)
         grant = self._grants.of_request(message.request_id)
@@ -355,6 +410,7 @@
                 self._end_grant(grant.grant_id, now)
         self._servers.refresh(now)
         self._overload.expire_late(now)
+        self._admission.expire_unserved(now)
         return self._grant_free_slots(now)
 
     def record_overdue(self, now: float) -> None:
@@ -452,7 +508,8 @@
             choice = self._choose(waiting, version, now)
         if choice is None:
             return False
-        self._queue.serve(request.request_id)
+        if not request.lent:
+            self._queue.serve(request.request_id)
         self._grant(waiting, choice, version, now)
         return True
 
@@ -509,7 +566,7 @@
             uncached_tokens(choice.backend, request)
         )
         choice.backend.backlog.add(grant.grant_id, prefill, now)
-        if not request.tries:
+        if not request.tries and not request.lent:
             self._budget.record_first_attempt(now)
         self._grants.add(grant)
         self._trials.record_start(grant, now)
@@ -538,7 +595,8 @@
         grant = self._grants.remove(grant_id)
         if grant is None:
             return None
-        self._limits.finish(grant.request)
+        if not grant.request.lent:
+            self._limits.finish(grant.request)
         self._gate.record_end(grant.message.version)
         backend = self._servers.get(grant.message.backend_id)
         if backend is not None:
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -61,6 +61,9 @@
 _RECOVERING_SERVERS = "health"
 """Contract of deployments whose runners fail and come back while they are in use."""
 
+_SHARED_SLOTS = "pool"
+"""Contract of deployments whose instances share the runners without a leader too."""
+
 
 class _Listen(msgspec.Struct):
     front: str
@@ -170,6 +173,7 @@
             retry_window_ms=int(bounds.budget_window_s * _MS_PER_SECOND),
             zone_regions=boot.zones,
             paces_servers=_RECOVERING_SERVERS in boot.contracts,
+            lends_slots=_SHARED_SLOTS in boot.contracts,
         ),
         http=HttpLimits(connections=2_000),
         readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
--- a/src/sassafraspin/routed/leader_scope.py
+++ b/src/sassafraspin/routed/leader_scope.py
@@ -1,6 +1,7 @@
 """Dispatch by the control leader, the only instance that grants slots."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 from sassafraspin.admission import Limits, UsageCaps, UsageLog, UsageReport
 from sassafraspin.backends import STRICT_SHARE, Announcement, Backend
@@ -130,8 +131,8 @@
         )
 
     def settings(self) -> DispatchSettings:
-        """Return the dispatch settings of this instance."""
-        return self._node.settings.dispatch
+        """Return the dispatch settings of this instance; a leader borrows nothing."""
+        return replace(self._node.settings.dispatch, lends_slots=False)
 
     def rate_share(self) -> float:
         """Return the whole: only the leader dispatches."""
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -6,7 +6,7 @@
 from sassafraspin.admission import UsageReport
 from sassafraspin.backends import ServerNotices
 from sassafraspin.daemon.control_service import ControlService
-from sassafraspin.daemon.dispatch_service import DispatchService
+from sassafraspin.daemon.dispatch_service import DispatcherMessage, DispatchService
 from sassafraspin.daemon.messages import PeerMessage, Propose, ProposeReply
 from sassafraspin.daemon.proposals import ProposalClient
 from sassafraspin.daemon.setup import client_timeouts
@@ -141,7 +141,7 @@
         self._standby = DispatchService(
             self.node, generator, _ignore_load_order, standby_scope, "standby"
         )
-        self._slots = SlotClient(self.node, self._standby)
+        self._slots = SlotClient(self.node, self._standby, generator)
         self._notices = ServerNotices()
         self.entry = RoutedEntry(
             self.node,
@@ -278,12 +278,14 @@
             case SlotRelease():
                 grant = self._dispatch.grant_of(message)
                 self._isolation.record(message, grant)
-                self._dispatch.receive(source.name, message)
-            case SlotRequest() | ActiveGrant() | SlotWithdraw():
-                self._dispatch.receive(source.name, message)
-            case HeldGrants() | AnnounceBackend():
-                self._dispatch.receive(source.name, message)
-            case RateLimitNotice() | FirstTokenNotice():
+                self._receive_of_grant(source.name, message)
+            case SlotRequest(lent=True) | HeldGrants(lent=True):
+                self._receive_of_borrower(source.name, message)
+            case ActiveGrant() if message.request.lent:
+                self._receive_of_borrower(source.name, message)
+            case SlotWithdraw() | RateLimitNotice() | FirstTokenNotice():
+                self._receive_of_grant(source.name, message)
+            case SlotRequest() | ActiveGrant() | HeldGrants() | AnnounceBackend():
                 self._dispatch.receive(source.name, message)
             case SlotGrant() | SlotRefusal() | SlotRevoke():
                 self._slots.receive(source.name, message)
@@ -310,6 +312,17 @@
             case _:
                 self._control.on_replica_message(source.name, message, now)
 
+    def _receive_of_grant(self, source: str, message: DispatcherMessage) -> None:
+        """Give a message about one slot to whoever granted it: leader or standby."""
+        self._dispatch.receive(source, message)
+        if source != self.node.name:
+            self._receive_of_borrower(source, message)
+
+    def _receive_of_borrower(self, source: str, message: DispatcherMessage) -> None:
+        """Give a message about a slot that this instance lends to its standby."""
+        if self.node.settings.dispatch.lends_slots:
+            self._standby.receive(source, message)
+
     def _on_heartbeat_reply(
         self, source: str, reply: HeartbeatReply, now: float
     ) -> None:
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -128,11 +128,13 @@
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
         """Return the backend servers with only the slots assigned to this instance.
 
-        An instance without any assigned slot uses one, so that its callers are served.
+        An instance without any assigned slot uses one, so that its callers are served,
+        unless instances lend each other slots: then no slot is used twice.
         """
         servers = self._leader_scope.known_backends(service)
         local_slots = self._assign_slots(service, servers)
-        if servers and not any(local_slots.values()):
+        lends_slots = self._node.settings.dispatch.lends_slots
+        if servers and not lends_slots and not any(local_slots.values()):
             local_slots[self._fallback_server(servers).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
         return tuple(
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -240,6 +240,9 @@
     If ``paces_servers`` is set, a backend server that has just started or is back gets
     few requests at first, and more as it answers in time.
 
+    If ``lends_slots`` is set, instances without a dispatcher use each other's unused
+    slots.
+
     ``zone_regions`` maps availability zones to regions, for requests that may only be
     served in some regions.
     """
@@ -262,6 +265,7 @@
     retry_window_ms: _Milliseconds = 10_000
     zone_regions: dict[Name, Name] = field(default_factory=dict)
     paces_servers: bool = False
+    lends_slots: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -31,6 +31,7 @@
     "RequestIsolated",
     "ResourceUsage",
     "ServerLeaving",
+    "SlotsBorrowed",
     "RateLimitChanged",
     "ServerCold",
     "ServerPaced",
@@ -160,6 +161,22 @@
     dispatcher: str | None
 
 
+@dataclass(frozen=True)
+class SlotsBorrowed(Event):
+    """How often this instance asked others for a slot while there was no dispatcher.
+
+    It is logged when a dispatcher responds again. ``granted`` slots were lent,
+    ``refused`` is the number of instances that had none, and ``unanswered`` of those
+    that did not respond.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "Other instances were asked for unused slots."
+    granted: int
+    refused: int
+    unanswered: int
+
+
 @dataclass(frozen=True)
 class LeaderChanged(Event):
     """The instance follows another control leader.
@@ -477,6 +494,7 @@
     ServerLeaving,
     DispatcherLost,
     DispatcherRegained,
+    SlotsBorrowed,
     ResourceUsage,
     StreamFailed,
     TryEnded,
--- a/tests/routed_model.py
+++ b/tests/routed_model.py
@@ -52,9 +52,24 @@
         Runs the instances and the links.
     folder : Path
         Folder for the data of the control instances.
+    entries : tuple of str
+        Names of the other instances.
+    lends_slots : bool
+        Whether instances without a dispatcher lend each other slots.
+    server_slots : int
+        Slots of each server.
     """
 
-    def __init__(self, nursery: trio.Nursery, folder: Path) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        folder: Path,
+        entries: tuple[str, ...] = ENTRIES,
+        lends_slots: bool = False,
+        server_slots: int = 20,
+    ) -> None:
+        self._lends_slots = lends_slots
+        self._server_slots = server_slots
         self.blocked_links: set[tuple[str, str]] = set()
         self.stopped: set[str] = set()
         self.delivered: list[tuple[str, str, object]] = []
@@ -69,7 +84,7 @@
         )
         self.runtimes = {
             name: self._make_runtime(name, number, control, folder)
-            for number, name in enumerate((*CONTROL, *ENTRIES), start=1)
+            for number, name in enumerate((*CONTROL, *entries), start=1)
         }
         for name in self.runtimes:
             nursery.start_soon(self._tick, name)
@@ -135,7 +150,7 @@
             "address": f"10.0.1.{server[1:]}:8000",
             "zone": "a",
             "version": "v1",
-            "slots": 20,
+            "slots": self._server_slots,
             "state": state,
             "sequence": sequence,
             "born": 1,
@@ -246,7 +261,10 @@
                 election_timeout_ms=400,
             ),
             dispatch=DispatchSettings(
-                grant_use_within_ms=500, slot_repeat_ms=40, standby_after_ms=80
+                grant_use_within_ms=500,
+                slot_repeat_ms=40,
+                standby_after_ms=80,
+                lends_slots=self._lends_slots,
             ),
         )
         if settings.data_folder is not None:
@@ -290,15 +308,20 @@
 
 
 @asynccontextmanager
-async def routed_model(servers: tuple[str, ...] = ()) -> AsyncIterator[RoutedModel]:
-    """Run instances and servers; yield once every instance knows all of them."""
+async def routed_model(
+    servers: tuple[str, ...] = (), **options
+) -> AsyncIterator[RoutedModel]:
+    """Run instances and servers; yield once every instance knows all of them.
+
+    ``options`` are those of ``RoutedModel``.
+    """
     with (
         tempfile.TemporaryDirectory() as folder,
         mock.patch("sassafraspin.routed.setup.steady_time", trio.current_time),
         mock.patch("sassafraspin.routed.setup.PROCESS_STARTED_AT", 0.0),
     ):
         async with trio.open_nursery() as nursery:
-            model = RoutedModel(nursery, Path(folder))
+            model = RoutedModel(nursery, Path(folder), **options)
             await trio.sleep(1.0)
             leader = await model.wait_for_leader()
             await model.control(leader, "PUT", "config", configuration())
