--- a/tests/routed_model.py
+++ b/tests/routed_model.py
@@ -58,6 +58,8 @@
         Whether instances without a dispatcher lend each other slots.
     server_slots : int
         Slots of each server.
+    lease_seconds : float
+        Lease of members, for which they may act alone.
     """
 
     def __init__(
@@ -67,7 +69,9 @@
         entries: tuple[str, ...] = ENTRIES,
         lends_slots: bool = False,
         server_slots: int = 20,
+        lease_seconds: float = LEASE_SECONDS,
     ) -> None:
+        self._lease_seconds = lease_seconds
         self._lends_slots = lends_slots
         self._server_slots = server_slots
         self.blocked_links: set[tuple[str, str]] = set()
@@ -257,7 +261,7 @@
             data_folder=folder / name / "data" if name in CONTROL else None,
             control=ControlSettings(
                 (),
-                member_lease_ms=int(LEASE_SECONDS * 1000),
+                member_lease_ms=int(self._lease_seconds * 1000),
                 election_timeout_ms=400,
             ),
             dispatch=DispatchSettings(
