--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -664,8 +664,8 @@
             known = scope.known_backends(POOL_SERVICE)
             self.pools.append(make_pool(member.name, known, self.now))
 
-    def run(self, borrower: int, lender: int, effects: list, lasts: float) -> None:
-        """Use the slots that are granted, unless the message is lost."""
+    def run(self, lender: int, effects: list, lasts: float) -> None:
+        """Use the slots that are granted."""
         for effect in effects:
             if not isinstance(effect.message, SlotGrant):
                 continue
@@ -676,17 +676,19 @@
 
     @rule(
         borrower=st.integers(0, 5),
-        lender=st.integers(0, 5),
+        count=st.integers(1, 12),
         lasts=st.floats(0.05, 4.0),
         is_lost=st.booleans(),
     )
-    def ask(self, borrower, lender, lasts, is_lost):
-        """Ask an instance for a slot, or the own pool."""
-        self.count += 1
-        request = pool_request(self.count, lent=borrower != lender)
-        effects = self.pools[lender].request(f"m{borrower}", request, self.now)
-        if not is_lost:
-            self.run(borrower, lender, effects, lasts)
+    def ask(self, borrower, count, lasts, is_lost):
+        """Ask for slots, of which the last grant may be lost."""
+        for number in range(count):
+            lender = self.random.randrange(self.instances)
+            self.count += 1
+            request = pool_request(self.count, lent=borrower != lender)
+            effects = self.pools[lender].request(f"m{borrower}", request, self.now)
+            if not is_lost or number < count - 1:
+                self.run(lender, effects, lasts)
 
     @rule(is_lost=st.booleans())
     def end_one(self, is_lost):
@@ -706,7 +708,7 @@
             ReleaseResult.ANSWERED,
         )
         effects = self.pools[use.lender].release(message, self.now)
-        self.run(use.lender, use.lender, effects, 1.0)
+        self.run(use.lender, effects, 1.0)
 
     @rule(borrower=st.integers(0, 5), lender=st.integers(0, 5))
     def report(self, borrower, lender):
@@ -718,7 +720,7 @@
         )
         held = HeldGrants(POOL_SERVICE, grant_ids, lent=borrower != lender)
         effects = self.pools[lender].reconcile(f"m{borrower}", held, self.now)
-        self.run(lender, lender, effects, 1.0)
+        self.run(lender, effects, 1.0)
 
     @rule(seconds=st.floats(0.05, 3.0))
     def let_time_pass(self, seconds):
@@ -728,7 +730,7 @@
             self.uses.remove(use)
             self.release(use)
         for number, pool in enumerate(self.pools):
-            self.run(number, number, pool.tick(self.now), 1.0)
+            self.run(number, pool.tick(self.now), 1.0)
 
     @invariant()
     def no_slot_is_used_twice(self):
