--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -259,13 +259,6 @@
         now = self._node.now()
         return pool is not None and pool.borrowed(request.request_id, now)
 
-    def end_borrowing(self, request: SlotRequest) -> None:
-        """Refuse a request that neither the own slots nor another instance serves."""
-        pool = self._active_pool(request.service)
-        if pool is not None:
-            now = self._node.now()
-            self._send_all(pool.end_borrowing(request.request_id, now))
-
     def _active_pool(self, service: str) -> Pool | None:
         """Return the pool of an owned service, opening it if needed; else ``None``."""
         if not self._scope.owns(service):
--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -50,14 +50,6 @@
 """Time for which a request waits for an instance that may lend a slot: that after which
 a dispatcher counts as silent."""
 
-_MIN_BORROWING_SECONDS = _MAX_LOAN_ATTEMPTS * _LOAN_ANSWER_SECONDS
-_MAX_BORROWING_SECONDS = 0.8
-_BORROWING_SHARE = 2 / 3
-"""A request that only another instance can serve is refused after two thirds of the
-time in which it has to be sent, which is half of its latency objective, so that its
-caller can be served elsewhere. Three silent instances fit in the shortest time. The
-longest is twice the election timeout, in which a lost leader is replaced."""
-
 _LOAN_REPORTS = 4
 """Reports to an instance after the last loan. A lender ends grants that are not
 reported once they are 2 s old, so the last report finds one whose release was lost."""
@@ -506,8 +498,6 @@
             answer = await self._answer_of_lender(lender, request, receive)
             if answer is not None:
                 return answer
-        if self._node.now() - requested_at >= _borrowing_seconds(request):
-            self._standby.end_borrowing(request)
         return None
 
     async def _answer_of_lender(
@@ -649,9 +639,3 @@
 def _remaining(limit_ms: int, waited_ms: int) -> int:
     """Return what is left of a time limit, 0 if there is none."""
     return max(1, limit_ms - waited_ms) if limit_ms else 0
-
-
-def _borrowing_seconds(request: SlotRequest) -> float:
-    """Return how long other instances are asked before the request is refused."""
-    share = _BORROWING_SHARE * request.start_within_ms / _MS_PER_SECOND
-    return min(max(share, _MIN_BORROWING_SECONDS), _MAX_BORROWING_SECONDS)
--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -6,6 +6,7 @@
 to be abandoned by its caller, is refused at once with a retry delay.
 """
 
+import heapq
 import math
 
 from sassafraspin.admission import (
@@ -40,6 +41,15 @@
 """Factor applied to the estimated wait of a late request, because on-time requests
 that arrive later are served before it."""
 
+_MIN_BORROWING_SECONDS = 0.24
+_MAX_BORROWING_SECONDS = 0.8
+_BORROWING_SHARE = 2 / 3
+"""A request that only another instance can serve is refused after two thirds of the
+time in which it has to be sent, which is half of its latency objective, so that its
+caller can be served elsewhere. Three instances that do not answer within 80 ms fit in
+the shortest time. The longest is twice the election timeout, in which a lost leader is
+replaced."""
+
 
 class Admission:
     """Admits requests to the queue of a service.
@@ -144,12 +154,24 @@
             return RefusalReason.ACCOUNT_LIMIT, decision.retry_after
         return None
 
-    def refuse_unserved(self, request_id: str, now: float) -> None:
-        """Refuse a request to which no other instance has lent a slot."""
-        waiting = self.unserved.pop(request_id, None)
-        if waiting is None:
-            return
+    def first_unserved(self, limit: int) -> list[WaitingRequest]:
+        """Return the first requests that only another instance can serve, by tier."""
+        return heapq.nsmallest(
+            limit,
+            self.unserved.values(),
+            key=lambda item: (item.request.tier, item.queued_at),
+        )
+
+    def expire_unserved(self, now: float) -> None:
+        """Refuse the requests to which no other instance has lent a slot in time."""
+        for waiting in list(self.unserved.values()):
+            ends_at = waiting.queued_at + _borrowing_seconds(waiting.request)
+            if now >= min(ends_at, waiting.latest_start):
+                self._refuse_unserved(waiting, now)
+
+    def _refuse_unserved(self, waiting: WaitingRequest, now: float) -> None:
         request = waiting.request
+        del self.unserved[request.request_id]
         self._limits.withdraw(request)
         reason, retry = RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
         if not self._has_no_server(request, now):
@@ -157,12 +179,6 @@
             retry = self._overload.expected_wait(request, now, late=True)
         self._overload.refuse(waiting.entry, request, reason, retry, now)
 
-    def expire_unserved(self, now: float) -> None:
-        """Refuse the requests that another instance could not answer in time either."""
-        for request_id, waiting in list(self.unserved.items()):
-            if now > waiting.latest_start:
-                self.refuse_unserved(request_id, now)
-
     def _has_no_server(self, request: SlotRequest, now: float) -> bool:
         """Return whether none of the servers known here may be used."""
         is_available = self._overload.is_service_available(now)
@@ -225,3 +241,9 @@
         if self._overload.is_late_blocked(waiting.request.tier, now):
             return False
         return now + _LATE_WAIT_FACTOR * wait <= waiting.latest_start
+
+
+def _borrowing_seconds(request: SlotRequest) -> float:
+    """Return how long other instances are asked before the request is refused."""
+    share = _BORROWING_SHARE * request.start_within_ms / _MS_PER_SECOND
+    return min(max(share, _MIN_BORROWING_SECONDS), _MAX_BORROWING_SECONDS)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -256,12 +256,11 @@
     def may_borrow(self, request_id: str) -> bool:
         """Return whether a slot of another instance may be used for a request.
 
-        Only the first requests of the queue may, so that tiers are served in order, and
-        those that the own slots do not serve.
+        Only the first requests that wait may, so that tiers are served in order and few
+        messages are sent.
         """
-        if request_id in self._admission.unserved:
-            return True
         first = self._queue.in_order(_GRANT_SCAN_REQUESTS)
+        first += self._admission.first_unserved(_GRANT_SCAN_REQUESTS)
         return any(item.request.request_id == request_id for item in first)
 
     def borrowed(self, request_id: str, now: float) -> bool:
@@ -277,11 +276,6 @@
             self._budget.record_first_attempt(now)
         return True
 
-    def end_borrowing(self, request_id: str, now: float) -> list[SendToEntry]:
-        """Refuse a request that neither the own slots nor another instance serves."""
-        self._admission.refuse_unserved(request_id, now)
-        return self._drain_effects()
-
     def _lend(self, entry: str, request: SlotRequest, now: float) -> list[SendToEntry]:
         """Grant a slot that no waiting request can use to another instance, or refuse.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -160,6 +160,14 @@
         self.assertEqual(settings.dispatch.retry_share, 0.4)
         self.assertEqual(settings.dispatch.retry_allowance, 48)
 
+    def test_instances_lend_slots_where_a_contract_says_so(self):
+        """Deployments that do not ask for it are served as before."""
+        settings = decode_boot_settings(BOOT.encode(), "boot.toml")
+        self.assertFalse(settings.dispatch.lends_slots)
+        text = 'contracts = ["health", "pool"]\n' + BOOT
+        settings = decode_boot_settings(text.encode(), "boot.toml")
+        self.assertTrue(settings.dispatch.lends_slots)
+
     def test_tolerated_losses_set_the_number_of_voters(self):
         settings = decode_boot_settings(BOOT.encode(), "boot.toml")
         self.assertEqual(daemon_settings(settings, ()).control.voters, 5)
--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -397,9 +397,6 @@
     def may_borrow(self, request: SlotRequest) -> bool:
         return True
 
-    def end_borrowing(self, request: SlotRequest) -> None:
-        pass
-
 
 class TestEveryRequestIsDecided(unittest.TestCase):
     """A request about which nobody decides is refused before its caller gives up."""
@@ -604,7 +601,8 @@
         request = pool_request(1, avoid=("runner-1",))
         (waiting,) = answers(pool.request("b", request, 0.0))
         self.assertIsInstance(waiting, SlotWaiting)
-        (refusal,) = answers(pool.end_borrowing(request.request_id, 0.1))
+        self.assertEqual(pool.tick(0.2), [])
+        (refusal,) = answers(pool.tick(0.3))
         self.assertEqual(refusal.reason, RefusalReason.NO_BACKEND)
         self.assertEqual(self.limits.charged, 0)
 
@@ -625,6 +623,15 @@
         self.assertTrue(pool.may_borrow(f"{POOL_SERVICE}:high"))
         self.assertFalse(pool.may_borrow(f"{POOL_SERVICE}:19"))
 
+    def test_higher_tiers_that_the_own_slots_do_not_serve_borrow_first(self):
+        pool = make_pool("b", [announcement(1, slots=1)])
+        avoid = ("runner-1",)
+        for number in range(20):
+            pool.request("b", pool_request(number, tier=3, avoid=avoid), 0.0)
+        pool.request("b", pool_request("high", tier=0, avoid=avoid), 0.1)
+        self.assertTrue(pool.may_borrow(f"{POOL_SERVICE}:high"))
+        self.assertFalse(pool.may_borrow(f"{POOL_SERVICE}:19"))
+
 
 @dataclass
 class Use:
