--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -6,6 +6,7 @@
 to be abandoned by its caller, is refused at once with a retry delay.
 """
 
+import heapq
 import math
 
 from sassafraspin.admission import (
@@ -42,6 +43,15 @@
 """Factor applied to the estimated wait of a late request, because on-time requests
 that arrive later are served before it."""
 
+_MIN_BORROWING_SECONDS = 0.24
+_MAX_BORROWING_SECONDS = 0.8
+_BORROWING_SHARE = 2 / 3
+"""A request that only another instance can serve is refused after two thirds of the
+time in which it has to be sent, which is half of its latency objective, so that its
+caller can be served elsewhere. Three instances that do not answer within 80 ms fit in
+the shortest time. The longest is twice the election timeout, in which a lost leader is
+replaced."""
+
 
 class Admission:
     """Admits requests to the queue of a service.
@@ -60,6 +70,9 @@
         Estimates waiting times and sends refusals.
     trials : Trials
         Decides when requests may run that may have crashed servers.
+    lends_slots : bool
+        Whether other instances may lend a slot to a request that is not served here.
+        Such a request is then kept and stays charged until that is known.
     """
 
     def __init__(
@@ -70,6 +83,7 @@
         servers: ServerTable,
         overload: OverloadControl,
         trials: Trials,
+        lends_slots: bool = False,
     ) -> None:
         self._limits = limits
         self._budget = budget
@@ -77,6 +91,8 @@
         self._servers = servers
         self._overload = overload
         self._trials = trials
+        self._lends_slots = lends_slots
+        self.unserved: dict[str, WaitingRequest] = {}
 
     def admit(self, entry: str, request: SlotRequest, now: float) -> None:
         """Queue a request or refuse it.
@@ -95,12 +111,19 @@
             reason, retry = refusal
             self._overload.refuse(entry, request, reason, retry, now)
             return
-        waiting = self._waiting(entry, request, now)
+        waiting = self.waiting(entry, request, now)
+        if self._lends_slots and self._has_no_server(request, now):
+            self.unserved[request.request_id] = waiting
+            return
         if self._is_on_time(waiting, now):
             self._queue.add(waiting)
         else:
             wait = self._overload.expected_wait(request, now, late=True)
-            if not self._may_wait_late(waiting, wait, now):
+            may_wait = self._may_wait_late(waiting, wait, now)
+            if not may_wait and self._lends_slots:
+                self.unserved[request.request_id] = waiting
+                return
+            if not may_wait:
                 self._limits.withdraw(request)
                 self._overload.refuse(entry, request, RefusalReason.TOO_LATE, wait, now)
                 return
@@ -116,9 +139,7 @@
         its account. A retry is counted against the retry budget even if an account
         limit is exceeded.
         """
-        if not self._overload.is_service_available(now) or self._servers.avoids_all(
-            request
-        ):
+        if not self._lends_slots and self._has_no_server(request, now):
             return RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
         if self._trials.is_suspect(request):
             pause = self._trials.pause(request, now)
@@ -131,12 +152,42 @@
             return RefusalReason.ACCOUNT_LIMIT, decision.retry_after
         return None
 
+    def first_unserved(self, limit: int) -> list[WaitingRequest]:
+        """Return the first requests that only another instance can serve, by tier."""
+        return heapq.nsmallest(
+            limit,
+            self.unserved.values(),
+            key=lambda item: (item.request.tier, item.queued_at),
+        )
+
+    def expire_unserved(self, now: float) -> None:
+        """Refuse the requests to which no other instance has lent a slot in time."""
+        for waiting in list(self.unserved.values()):
+            ends_at = waiting.queued_at + _borrowing_seconds(waiting.request)
+            if now >= min(ends_at, waiting.latest_start):
+                self._refuse_unserved(waiting, now)
+
+    def _refuse_unserved(self, waiting: WaitingRequest, now: float) -> None:
+        request = waiting.request
+        del self.unserved[request.request_id]
+        self._limits.withdraw(request)
+        reason, retry = RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
+        if not self._has_no_server(request, now):
+            reason = RefusalReason.TOO_LATE
+            retry = self._overload.expected_wait(request, now, late=True)
+        self._overload.refuse(waiting.entry, request, reason, retry, now)
+
+    def _has_no_server(self, request: SlotRequest, now: float) -> bool:
+        """Return whether none of the servers known here may be used."""
+        is_available = self._overload.is_service_available(now)
+        return not is_available or self._servers.avoids_all(request)
+
     def _waiting_copies(self, request: SlotRequest) -> int:
         """Return the number of equal requests in the queue."""
         signature = request.signature
         return sum(item.request.signature == signature for item in self._queue)
 
-    def _waiting(self, entry: str, request: SlotRequest, now: float) -> WaitingRequest:
+    def waiting(self, entry: str, request: SlotRequest, now: float) -> WaitingRequest:
         """Return the queue item for a request.
 
         During discovery, lateness cannot be predicted, so the latency objective is
@@ -200,3 +251,9 @@
         if self._overload.is_late_blocked(waiting.request.tier, now):
             return False
         return now + _LATE_WAIT_FACTOR * wait <= waiting.latest_start
+
+
+def _borrowing_seconds(request: SlotRequest) -> float:
+    """Return how long other instances are asked before the request is refused."""
+    share = _BORROWING_SHARE * request.start_within_ms / _MS_PER_SECOND
+    return min(max(share, _MIN_BORROWING_SECONDS), _MAX_BORROWING_SECONDS)
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -97,6 +97,10 @@
         placement does not depend on them.
     gap_ms : int
         Objective for the longest pause between events of the answer; 0 for none.
+    lent : bool
+        Whether another instance without a dispatcher asks for an unused slot of the
+        receiver, which never passes the request on. Its sender has charged it to the
+        usage caps and the retry budget.
     """
 
     request_id: str
@@ -121,6 +125,7 @@
     regions: tuple[str, ...] | None = None
     parts: tuple[tuple[str, int], ...] = ()
     gap_ms: int = 0
+    lent: bool = False
 
     @property
     def tokens(self) -> int:
@@ -240,10 +245,14 @@
 
 
 class HeldGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Lists all slots in use by an entry instance, to detect lost releases."""
+    """Lists all slots in use by an entry instance, to detect lost releases.
+
+    With ``lent``, it lists only those that the receiver has lent.
+    """
 
     service: str
     grant_ids: tuple[str, ...]
+    lent: bool = False
 
 
 class UnknownGrants(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/routed/standby_scope.py
+++ b/src/sassafraspin/routed/standby_scope.py
@@ -128,8 +128,9 @@
     def known_backends(self, service: str) -> tuple[Announcement, ...]:
         """Return the backend servers with only the slots assigned to this instance.
 
-        An instance without any assigned slot uses one, so that its callers are served.
-        Slots in evacuated zones do not count, unless all zones are evacuated.
+        An instance without any assigned slot uses one, so that its callers are served,
+        unless instances lend each other slots: then no slot is used twice. Slots in
+        evacuated zones do not count, unless all zones are evacuated.
         """
         servers = self._leader_scope.known_backends(service)
         local_slots = self._assign_slots(service, servers)
@@ -138,7 +139,9 @@
             tuple(item for item in servers if item.availability_zone not in evacuated)
             or servers
         )
-        if usable and not any(local_slots[server.id] for server in usable):
+        lends_slots = self._node.settings.dispatch.lends_slots
+        has_slot = any(local_slots[server.id] for server in usable)
+        if usable and not lends_slots and not has_slot:
             local_slots[self._fallback_server(usable).id] = 1
         keep_ms = self._node.settings.dispatch.directory_keep_ms
         return tuple(
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -245,6 +245,9 @@
     A part of a prompt is expected to be used again within ``reuse_window_ms``. Servers
     that hold it are preferred for that time.
 
+    If ``lends_slots`` is set, instances without a dispatcher use each other's unused
+    slots.
+
     ``zone_regions`` maps availability zones to regions, for requests that may only be
     served in some regions.
     """
@@ -268,6 +271,7 @@
     zone_regions: dict[Name, Name] = field(default_factory=dict)
     paces_servers: bool = False
     reuse_window_ms: _Milliseconds = 10_000
+    lends_slots: bool = False
 
 
 @dataclass(frozen=True)
