Import pydantic only where a document is checked

Cause: pydantic was imported by every instance for the constraints in type annotations, although a routed instance checks no such documents. Change: Constraint and Checked stand for Field and AfterValidator in annotations. The JSON schemas of the settings, announcements, moves and profiles are identical, the core schemas differ by empty metadata only.

--- a/src/sassafraspin/backends/announcement.py
+++ b/src/sassafraspin/backends/announcement.py
@@ -3,15 +3,11 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
-
-from sassafraspin.settings import Address, Name
+from sassafraspin.settings import FORBID_UNKNOWN_FIELDS, Address, Constraint, Name
 
 __all__ = ["Announcement", "CacheReport", "LoadReport"]
 
-_STRICT = ConfigDict(extra="forbid")
-
-_Count = Annotated[int, Field(ge=0, le=1_000_000_000)]
+_Count = Annotated[int, Constraint(ge=0, le=1_000_000_000)]
 
 
 @dataclass(frozen=True)
@@ -28,7 +24,7 @@
         Number of tokens in KV memory.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     age_ms: _Count = 0
     running: _Count = 0
@@ -48,7 +44,7 @@
         Hashes of prompt prefixes, one for each complete block.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     sequence: _Count = 0
     added: tuple[int, ...] = ()
@@ -103,25 +99,25 @@
         if it allows all slots.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     id: Name
-    incarnation: Annotated[int, Field(ge=0, lt=2**63)]
+    incarnation: Annotated[int, Constraint(ge=0, lt=2**63)]
     service: Name
     address: Address
     availability_zone: Name
     hardware: Name
-    versions: Annotated[tuple[Name, ...], Field(min_length=1, max_length=16)]
-    ttl_ms: Annotated[int, Field(ge=100, le=60_000)]
-    slots: Annotated[int, Field(ge=1, le=10_000)]
+    versions: Annotated[tuple[Name, ...], Constraint(min_length=1, max_length=16)]
+    ttl_ms: Annotated[int, Constraint(ge=100, le=60_000)]
+    slots: Annotated[int, Constraint(ge=1, le=10_000)]
     kv_tokens: _Count = 0
-    prefill_tokens_per_second: Annotated[float, Field(gt=0, le=1e9)] = 10_000.0
-    decode_tokens_per_second: Annotated[float, Field(gt=0, le=1e6)] = 40.0
+    prefill_tokens_per_second: Annotated[float, Constraint(gt=0, le=1e9)] = 10_000.0
+    decode_tokens_per_second: Annotated[float, Constraint(gt=0, le=1e6)] = 40.0
     leaving: bool = False
     load: LoadReport = field(default_factory=LoadReport)
     cache: CacheReport = field(default_factory=CacheReport)
     sequence: _Count = 0
-    rate_limit: Annotated[float, Field(gt=0)] | None = None
+    rate_limit: Annotated[float, Constraint(gt=0)] | None = None
     cold_ms: _Count = 0
     pace: _Count = 0
 
--- a/src/sassafraspin/moves/move.py
+++ b/src/sassafraspin/moves/move.py
@@ -4,9 +4,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
-
-from sassafraspin.settings import Name
+from sassafraspin.settings import FORBID_UNKNOWN_FIELDS, Constraint, Name
 
 __all__ = ["Move", "MovePhase", "MoveSpec", "RollbackReason"]
 
@@ -82,17 +80,17 @@
         Minimum number of backend servers (runners) that have to load the new version.
     """
 
-    __pydantic_config__ = ConfigDict(extra="forbid")
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     service: Name
     from_version: Name
     to_version: Name
-    finish_within_ms: Annotated[int, Field(ge=1_000, le=604_800_000)]
-    exposed_requests: Annotated[int, Field(ge=1, le=100_000)] = 20
-    exposed_share: Annotated[float, Field(gt=0, le=0.5)] = 0.05
-    soak_ms: Annotated[int, Field(ge=0, le=86_400_000)] = 60_000
-    runners: Annotated[int, Field(ge=1, le=1_000)] = 1
+    finish_within_ms: Annotated[int, Constraint(ge=1_000, le=604_800_000)]
+    exposed_requests: Annotated[int, Constraint(ge=1, le=100_000)] = 20
+    exposed_share: Annotated[float, Constraint(gt=0, le=0.5)] = 0.05
+    soak_ms: Annotated[int, Constraint(ge=0, le=86_400_000)] = 60_000
+    runners: Annotated[int, Constraint(ge=1, le=1_000)] = 1
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/profiles/profile.py
+++ b/src/sassafraspin/profiles/profile.py
@@ -3,9 +3,7 @@
 from dataclasses import dataclass
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
-
-from sassafraspin.settings import Name
+from sassafraspin.settings import FORBID_UNKNOWN_FIELDS, Constraint, Name
 
 __all__ = ["LOWEST_TIER", "Profile"]
 
@@ -38,13 +36,13 @@
         Whether a running request may be cancelled to make room for a higher tier.
     """
 
-    __pydantic_config__ = ConfigDict(extra="forbid")
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
-    version: Annotated[int, Field(ge=1, le=1_000_000_000)]
+    version: Annotated[int, Constraint(ge=1, le=1_000_000_000)]
     service: Name
-    tier: Annotated[int, Field(ge=0, le=LOWEST_TIER)]
-    deadline_ms: Annotated[int, Field(ge=1, le=3_600_000)]
-    answer_tokens: Annotated[int, Field(ge=1, le=1_000_000)] = 256
+    tier: Annotated[int, Constraint(ge=0, le=LOWEST_TIER)]
+    deadline_ms: Annotated[int, Constraint(ge=1, le=3_600_000)]
+    answer_tokens: Annotated[int, Constraint(ge=1, le=1_000_000)] = 256
     idempotent: bool = False
     cancellable: bool = False
--- a/src/sassafraspin/settings/__init__.py
+++ b/src/sassafraspin/settings/__init__.py
@@ -1,6 +1,11 @@
 """Daemon settings, fully validated before the daemon starts."""
 
 from sassafraspin.settings.check import load_settings
+from sassafraspin.settings.constraints import (
+    FORBID_UNKNOWN_FIELDS,
+    Checked,
+    Constraint,
+)
 from sassafraspin.settings.document import (
     check_document,
     load_document,
@@ -26,9 +31,12 @@
 )
 
 __all__ = [
+    "FORBID_UNKNOWN_FIELDS",
     "AccessSettings",
     "Address",
+    "Checked",
     "ClientAccountSettings",
+    "Constraint",
     "ControlSettings",
     "DaemonSettings",
     "DispatchSettings",
--- a/src/sassafraspin/settings/document.py
+++ b/src/sassafraspin/settings/document.py
@@ -1,11 +1,13 @@
-"""Parsing and validation of JSON documents written by operators."""
+"""Parsing and validation of JSON documents written by operators.
+
+pydantic is imported only where a document is checked, see ``Constraint``.
+"""
 
 import json
 from pathlib import Path
 from typing import Any, TypeVar, get_type_hints
 
 from expression import Error, Ok, Result
-from pydantic import TypeAdapter, ValidationError
 
 from sassafraspin.errors import InvalidInput, Problem
 
@@ -76,6 +78,8 @@
     Result
         Instance of ``schema``, or an error with all problems and their JSON paths.
     """
+    from pydantic import TypeAdapter, ValidationError
+
     try:
         return Ok(TypeAdapter(schema).validate_json(json.dumps(value), strict=True))
     except ValidationError as error:
@@ -97,6 +101,8 @@
 
     This allows checks across sections to run even if another section is invalid.
     """
+    from pydantic import TypeAdapter, ValidationError
+
     if not isinstance(value, dict):
         return {}
     sections = {}
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, ConfigDict, Field
+from sassafraspin.settings.constraints import (
+    FORBID_UNKNOWN_FIELDS,
+    Checked,
+    Constraint,
+)
 
 __all__ = [
     "AccessSettings",
@@ -24,8 +28,6 @@
     "TelemetrySettings",
 ]
 
-_FORBID_UNKNOWN_FIELDS = ConfigDict(extra="forbid")
-
 
 def _check_ip_address(value: str) -> str:
     ipaddress.ip_address(value)
@@ -33,20 +35,20 @@
 
 
 Name = Annotated[
-    str, Field(min_length=1, max_length=63, pattern=r"^[a-z0-9][a-z0-9._-]*$")
+    str, Constraint(min_length=1, max_length=63, pattern=r"^[a-z0-9][a-z0-9._-]*$")
 ]
-_IpAddress = Annotated[str, AfterValidator(_check_ip_address)]
-_Port = Annotated[int, Field(ge=1, le=65535)]
-_Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-_Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
-_Count = Annotated[int, Field(ge=1, le=1_000_000_000)]
+_IpAddress = Annotated[str, Checked(_check_ip_address)]
+_Port = Annotated[int, Constraint(ge=1, le=65535)]
+_Sha256 = Annotated[str, Constraint(pattern=r"^[0-9a-f]{64}$")]
+_Milliseconds = Annotated[int, Constraint(ge=1, le=3_600_000)]
+_Count = Annotated[int, Constraint(ge=1, le=1_000_000_000)]
 
 
 @dataclass(frozen=True)
 class Address:
     """An IP address and a TCP port."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     host: _IpAddress
     port: _Port
@@ -56,7 +58,7 @@
 class NamedAddress:
     """The peer address of a named instance."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     host: _IpAddress
@@ -67,7 +69,7 @@
 class InstanceSettings:
     """Name and location of one instance."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     region: Name
@@ -78,7 +80,7 @@
 class ListenSettings:
     """Addresses on which a daemon listens."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     callers: Address
     operators: Address
@@ -100,9 +102,11 @@
     others have damaged logs; if it is not set, they wait for it.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
-    instances: Annotated[tuple[NamedAddress, ...], Field(min_length=1, max_length=7)]
+    instances: Annotated[
+        tuple[NamedAddress, ...], Constraint(min_length=1, max_length=7)
+    ]
     data_folder: str | None = None
     heartbeat_interval_ms: _Milliseconds = 500
     member_lease_ms: _Milliseconds = 3000
@@ -112,7 +116,7 @@
     spare: bool = False
     replace_after_ms: _Milliseconds | None = None
     lost_after_ms: _Milliseconds | None = None
-    voters: Annotated[int, Field(ge=1, le=7)] | None = None
+    voters: Annotated[int, Constraint(ge=1, le=7)] | None = None
 
 
 @dataclass(frozen=True)
@@ -122,12 +126,12 @@
     A request that is the only one in flight may exceed ``tokens_in_flight``.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     token_sha256: _Sha256
     default_profile: Name
-    requests_per_second: Annotated[float, Field(gt=0, le=1e6)] = 1000.0
+    requests_per_second: Annotated[float, Constraint(gt=0, le=1e6)] = 1000.0
     tokens_in_flight: _Count = 10_000_000
 
 
@@ -135,7 +139,7 @@
 class OperatorSettings:
     """An operator and the hash of their token."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     token_sha256: _Sha256
@@ -145,7 +149,7 @@
 class AccessSettings:
     """Credentials of client accounts, operators and backend servers."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     client_accounts: tuple[ClientAccountSettings, ...]
     operators: tuple[OperatorSettings, ...]
@@ -169,26 +173,28 @@
     requests a second from all instances together; 0 for no limit.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     name: Name
     kind: Literal["model", "plain"]
-    path_prefix: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._/-]*$")] | None = None
+    path_prefix: Annotated[str, Constraint(pattern=r"^/[A-Za-z0-9._/-]*$")] | None = (
+        None
+    )
     initial_version: Name = "v1"
     checks_fencing: bool = False
     weight_load_interval_ms: _Milliseconds = 500
     loads_versions: bool = True
-    cold_rate: Annotated[float, Field(ge=0, le=1e6)] = 0.0
+    cold_rate: Annotated[float, Constraint(ge=0, le=1e6)] = 0.0
 
 
 @dataclass(frozen=True)
 class HttpLimits:
     """Size limits, connection limits and timeouts of an HTTP server."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
-    header_bytes: Annotated[int, Field(ge=1024, le=1_048_576)] = 16_384
-    body_bytes: Annotated[int, Field(ge=1024, le=268_435_456)] = 8_388_608
+    header_bytes: Annotated[int, Constraint(ge=1024, le=1_048_576)] = 16_384
+    body_bytes: Annotated[int, Constraint(ge=1024, le=268_435_456)] = 8_388_608
     connections: _Count = 1024
     header_timeout_ms: _Milliseconds = 5_000
     body_timeout_ms: _Milliseconds = 30_000
@@ -206,9 +212,9 @@
     ``records`` records.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
-    backup_copies: Annotated[int, Field(ge=0, le=3)] = 2
+    backup_copies: Annotated[int, Constraint(ge=0, le=3)] = 2
     record_window_ms: _Milliseconds = 600_000
     claim_timeout_ms: _Milliseconds = 1_500
     records: _Count = 200_000
@@ -244,7 +250,7 @@
     served in some regions.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     slot_timeout_ms: _Milliseconds = 2_000
     grant_use_within_ms: _Milliseconds = 1_000
@@ -256,9 +262,9 @@
     directory_interval_ms: _Milliseconds = 5_000
     directory_keep_ms: _Milliseconds = 30_000
     cap_window_ms: _Milliseconds = 8_000
-    cap_overshoot: Annotated[float, Field(ge=0, le=1)] = 0.0
-    retry_share: Annotated[float, Field(ge=0, le=1)] = 0.2
-    retry_allowance: Annotated[int, Field(ge=0, le=1_000_000)] = 50
+    cap_overshoot: Annotated[float, Constraint(ge=0, le=1)] = 0.0
+    retry_share: Annotated[float, Constraint(ge=0, le=1)] = 0.2
+    retry_allowance: Annotated[int, Constraint(ge=0, le=1_000_000)] = 50
     retry_window_ms: _Milliseconds = 10_000
     zone_regions: dict[Name, Name] = field(default_factory=dict)
     paces_servers: bool = False
@@ -268,7 +274,7 @@
 class TelemetrySettings:
     """Log level, log format and the address of the statsd server."""
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     log_format: Literal["text", "json"] = "text"
@@ -283,19 +289,19 @@
     drained; calls still in flight after ``drain_timeout_ms`` are aborted.
     """
 
-    __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
 
     instance: InstanceSettings
     listen: ListenSettings
     control: ControlSettings
     access: AccessSettings
-    services: Annotated[tuple[ServiceSettings, ...], Field(min_length=1)]
+    services: Annotated[tuple[ServiceSettings, ...], Constraint(min_length=1)]
     http: HttpLimits = field(default_factory=HttpLimits)
     ledger: LedgerSettings = field(default_factory=LedgerSettings)
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
     drain_timeout_ms: _Milliseconds = 30_000
-    readiness_grace_ms: Annotated[int, Field(ge=0, le=600_000)] = 2_000
+    readiness_grace_ms: Annotated[int, Constraint(ge=0, le=600_000)] = 2_000
 
     @property
     def has_control_role(self) -> bool:
