Import the daemon for profiles and its settings checks on first use

Cause: package initializers imported modules that a routed instance never runs: the daemon for profiles, its operators' API, and the checks of its settings with their library. Change: these attributes of the packages are imported on first use.

--- a/src/sassafraspin/__init__.py
+++ b/src/sassafraspin/__init__.py
@@ -1,6 +1,7 @@
 """Request scheduler for heterogeneous model engines shared by several teams."""
 
 from sassafraspin.clock import PROCESS_STARTED_AT, steady_time
+from sassafraspin.deferred import deferred_attributes
 from sassafraspin.errors import (
     CommandError,
     ExitCode,
@@ -8,9 +9,6 @@
     Problem,
     SassafraspinError,
 )
-from sassafraspin.moves import MoveSpec
-from sassafraspin.profiles import Profile
-from sassafraspin.settings import DaemonSettings, load_settings
 
 __all__ = [
     "CommandError",
@@ -25,3 +23,13 @@
     "load_settings",
     "steady_time",
 ]
+
+__getattr__ = deferred_attributes(
+    __name__,
+    {
+        "DaemonSettings": "sassafraspin.settings",
+        "MoveSpec": "sassafraspin.moves",
+        "Profile": "sassafraspin.profiles",
+        "load_settings": "sassafraspin.settings",
+    },
+)
--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server and client, server-sent events and problem documents."""
 
-from sassafraspin.http.bodies import read_body
+from sassafraspin.deferred import deferred_attributes
 from sassafraspin.http.client import HttpClient, OpenResponse
 from sassafraspin.http.client_connection import (
     AnswerTooLarge,
@@ -60,3 +60,5 @@
     "problem_response",
     "read_body",
 ]
+
+__getattr__ = deferred_attributes(__name__, {"read_body": "sassafraspin.http.bodies"})
--- a/src/sassafraspin/settings/__init__.py
+++ b/src/sassafraspin/settings/__init__.py
@@ -1,17 +1,11 @@
 """Daemon settings, fully validated before the daemon starts."""
 
-from sassafraspin.settings.check import load_settings
+from sassafraspin.deferred import deferred_attributes
 from sassafraspin.settings.constraints import (
     FORBID_UNKNOWN_FIELDS,
     Checked,
     Constraint,
 )
-from sassafraspin.settings.document import (
-    check_document,
-    load_document,
-    parse_document,
-    read_document,
-)
 from sassafraspin.settings.model import (
     AccessSettings,
     Address,
@@ -55,3 +49,14 @@
     "parse_document",
     "read_document",
 ]
+
+__getattr__ = deferred_attributes(
+    __name__,
+    {
+        "check_document": "sassafraspin.settings.document",
+        "load_document": "sassafraspin.settings.document",
+        "load_settings": "sassafraspin.settings.check",
+        "parse_document": "sassafraspin.settings.document",
+        "read_document": "sassafraspin.settings.document",
+    },
+)
