Keep the garbage collector from searching what the imports created

Cause: a full collection searches all 50,000 objects of the imports. Change: gc.freeze before the daemon starts.

--- a/src/sassafraspin/platform/main.py
+++ b/src/sassafraspin/platform/main.py
@@ -1,5 +1,6 @@
 """Entry point of a daemon on the platform."""
 
+import gc
 import os
 import sys
 from pathlib import Path
@@ -29,4 +30,7 @@
         print(error, file=sys.stderr)
         sys.exit(error.exit_code)
     adapter = PlatformAdapter(settings.announcement_ttl_ms)
+    # What the imports created lives as long as the process. A full collection that
+    # searches it takes 12 to 23 ms, which is 0.1 to 0.2 s with 0.12 of a core.
+    gc.freeze()
     trio.run(RoutedDaemon(settings, adapter).run_until_signal)
