--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -22,6 +22,7 @@
     FirstTokenNotice,
     HeldGrants,
     RateLimitNotice,
+    RefusalReason,
     ReleaseResult,
     SlotGrant,
     SlotRelease,
