Count no free slots of other regions in the expected wait

Cause: a call whose region was full was expected to start at once while other regions had free slots. It was queued and refused at the end of its time. Change: without a free slot in its regions a call waits for the requests before it. Measured: the new test of tests.test_home_regions failed and passes now; 118 tests of the pool pass.

--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -104,6 +104,9 @@
         if self.is_discovering(now):
             return 0.0
         free = self._servers.free_slots(now)
+        is_bound = request.regions is not None
+        if is_bound and not self._servers.has_free_slot_in(request.regions):
+            free = 0
         if free > len(self._queue):
             return 0.0
         account = request.client_account
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -135,6 +135,16 @@
         ]
         self.assertEqual(refused, [RefusalReason.NO_BACKEND])
 
+    def test_free_slots_of_other_regions_do_not_shorten_the_expected_wait(self):
+        """The call would wait in vain until the end of its time."""
+        for number in range(2):
+            self.ask(number, ("north",), answer_tokens=1_000)
+        fields = {"deadline_ms": 2_000, "start_within_ms": 200}
+        request = self.request(2, ("north",), **fields)
+        (effect,) = self.pool.request("e1", request, 3.0)
+        self.assertIs(effect.message.reason, RefusalReason.TOO_LATE)
+        self.assertGreater(effect.message.wait_ms, 2_000)
+
     def test_requests_in_other_regions_are_not_preempted_for_a_call(self):
         """It could not use their slots."""
         for number in range(4):
