Serve a request from an own slot that becomes free early, though others are asked

Cause: a request that the own slots were not expected to serve in time was left out when one of them became free earlier.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -472,9 +472,18 @@
                     break
             if not granted:
                 break
+        self._grant_to_unserved(now)
         self._overload.preempt_lower_tiers(now)
         return self._drain_effects()
 
+    def _grant_to_unserved(self, now: float) -> None:
+        """Grant slots that became free earlier than expected, and nobody waits for."""
+        if not self._admission.unserved or not self._servers.has_free_slot:
+            return
+        for waiting in self._admission.first_unserved(_GRANT_SCAN_REQUESTS):
+            if now <= waiting.latest_start and self._try_grant(waiting, now):
+                del self._admission.unserved[waiting.request.request_id]
+
     def _renew(self, grant: Grant, request: SlotRequest, now: float) -> bool:
         """Return whether a grant that is asked for again may still be used.
 
--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -501,7 +501,7 @@
 
 def pool_request(number: object, **fields) -> SlotRequest:
     """Return a request to the service of the pools."""
-    values = {"tier": 0, "deadline_ms": 4_000, "tries": 0, "lent": False, **fields}
+    values = {"tier": 0, "deadline_ms": 4_000, "answer_tokens": 10, **fields}
     return SlotRequest(
         request_id=f"{POOL_SERVICE}:{number}",
         service=POOL_SERVICE,
@@ -509,7 +509,6 @@
         profile="p",
         route="/r",
         prompt_tokens=10,
-        answer_tokens=10,
         cancellable=False,
         **values,
     )
@@ -606,6 +605,26 @@
         self.assertEqual(refusal.reason, RefusalReason.NO_BACKEND)
         self.assertEqual(self.limits.charged, 0)
 
+    def test_slot_that_becomes_free_early_serves_the_own_request(self):
+        """It would stay unused while the request asks other instances."""
+        pool = make_pool("b", [announcement(1, slots=1)])
+        long = pool_request(1, answer_tokens=1_000, deadline_ms=60_000)
+        (first,) = answers(pool.request("b", long, 0.0))
+        late = pool_request(2, start_within_ms=700)
+        (waiting,) = answers(pool.request("b", late, 0.0))
+        self.assertIsInstance(waiting, SlotWaiting)
+        self.assertIn(late.request_id, pool._admission.unserved)
+        release = SlotRelease(
+            POOL_SERVICE,
+            first.request_id,
+            first.grant_id,
+            first.backend_id,
+            ReleaseResult.ANSWERED,
+        )
+        (grant,) = answers(pool.release(release, 0.1))
+        self.assertEqual(grant.request_id, late.request_id)
+        self.assertFalse(pool.is_waiting(late.request_id))
+
     def test_withdrawn_request_is_refunded(self):
         pool = make_pool("b", [announcement(1, slots=1)], limits=self.limits)
         request = pool_request(1, avoid=("runner-1",))
