Let instances without requests of their own find out that the dispatcher is silent

Cause: an instance notices that only by its own requests, and lends nothing before.

Change: a request for a loan makes it send a heartbeat; without an answer within 0.2 s it uses its standby.

--- a/src/sassafraspin/daemon/slots.py
+++ b/src/sassafraspin/daemon/slots.py
@@ -54,6 +54,10 @@
 """Reports to an instance after the last loan. A lender ends grants that are not
 reported once they are 2 s old, so the last report finds one whose release was lost."""
 
+_CHECK_SECONDS = 0.2
+"""Time for which a dispatcher may leave a heartbeat unanswered that asks whether it is
+there. Answers wait up to 128 ms behind the directory at 390 instances."""
+
 _REFUSAL_DELIVERY_MS = 120
 """Time before its end at which a request that nobody has decided about is refused, so
 that the refusal reaches its caller: as dispatchers reserve it (``Admission``)."""
@@ -133,6 +137,7 @@
         self._services_to_report: set[str] = set()
         self._lenders_to_report: dict[tuple[str, str], int] = {}
         self._borrowing: dict[str, SlotRequest] = {}
+        self._checked_since: float | None = None
         self._next_report_at = 0.0
         self._known_epoch = self._dispatcher_epoch
 
@@ -148,6 +153,7 @@
 
     def on_dispatcher_active(self) -> None:
         """Stop using the standby, if it is in use: the dispatcher answers again."""
+        self._checked_since = None
         if not self.uses_standby:
             return
         log_event(DispatcherRegained(self._node.lease.leader))
@@ -155,6 +161,25 @@
         self._health.record_answer()
         self._replies.deliver_all(_DispatcherChanged())
 
+    def check_dispatcher(self) -> None:
+        """Find out whether the dispatcher responds, which another instance doubts.
+
+        An instance without requests of its own would not notice, and lend nothing.
+        """
+        is_following = self._lends_slots and not self.uses_standby
+        if is_following and self._checked_since is None:
+            self._checked_since = self._node.now()
+            self._node.lease.report_soon()
+
+    def _end_check(self, now: float) -> None:
+        """Use the standby if the dispatcher has not answered a check."""
+        if self._checked_since is None or now < self._checked_since + _CHECK_SECONDS:
+            return
+        seconds = now - self._checked_since
+        self._checked_since = None
+        if not self.uses_standby:
+            self._record_silence(seconds)
+
     def _log_loans(self) -> None:
         counts = self._lenders.take_counts()
         if counts.granted or counts.refused or counts.unanswered:
@@ -264,6 +289,7 @@
             self._replies.deliver_all(_DispatcherChanged())
         self._report_to_new_dispatcher()
         now = self._node.now()
+        self._end_check(now)
         if now < self._next_report_at:
             return
         self._next_report_at = now + _REPORT_INTERVAL_SECONDS
@@ -410,7 +436,7 @@
             else:
                 repeat_seconds = self._repeat_seconds
                 if not self.uses_standby:
-                    self._record_silence(request.service, now - unanswered_since)
+                    self._record_silence(now - unanswered_since)
             if self._lacks_dispatcher(request, (now - requested_at) * _MS_PER_SECOND):
                 self.withdraw(request)
                 return SlotRefusal(
@@ -533,11 +559,11 @@
             return self._has_ended(answer)
         return _is_wrong_dispatcher(answer)
 
-    def _record_silence(self, service: str, seconds: float) -> None:
+    def _record_silence(self, seconds: float) -> None:
         self._health.record_silence(seconds)
         if self.uses_standby:
-            dispatcher = self._node.dispatcher_of(service)
-            log_event(DispatcherLost(dispatcher, int(seconds * _MS_PER_SECOND)))
+            leader = self._node.lease.leader
+            log_event(DispatcherLost(leader, int(seconds * _MS_PER_SECOND)))
             self._node.lease.search_leader()
             self._adopt_grants()
             self._replies.deliver_all(_DispatcherChanged())
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -279,7 +279,10 @@
                 grant = self._dispatch.grant_of(message)
                 self._isolation.record(message, grant)
                 self._receive_of_grant(source.name, message)
-            case SlotRequest(lent=True) | HeldGrants(lent=True):
+            case SlotRequest(lent=True):
+                self._slots.check_dispatcher()
+                self._receive_of_borrower(source.name, message)
+            case HeldGrants(lent=True):
                 self._receive_of_borrower(source.name, message)
             case ActiveGrant() if message.request.lent:
                 self._receive_of_borrower(source.name, message)
--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -280,6 +280,38 @@
 
         self.run_scenario(scenario)
 
+    def test_instance_without_requests_lends_its_slots(self):
+        """It does not notice by itself that the dispatcher does not respond."""
+
+        async def scenario(model):
+            model.cut(self.entries, CONTROL)
+            grants = await self.acquire(model, "e0", 1, deadline_ms=20_000)
+            own = self.assigned_slots(model, "e0")
+            started_at = trio.current_time()
+            while len(grants) <= own and trio.current_time() < started_at + 1:
+                number = trio.current_time()
+                request = slot_request(f"more-{number}", deadline_ms=20_000)
+                grant = await model.runtimes["e0"]._slots.acquire(request)
+                if isinstance(grant, SlotGrant):
+                    grants.append(grant)
+            self.assertGreater(len(grants), own)
+
+        self.run_scenario(scenario)
+
+    def test_instance_in_contact_with_its_leader_lends_nothing(self):
+        """Its leader grants those slots, and it must not take the leader for lost."""
+
+        async def scenario(model):
+            await self.lose_leader(model, ("e0",))
+            own = self.assigned_slots(model, "e0")
+            grants = await self.acquire(model, "e0", 2 * own, deadline_ms=2_000)
+            self.assertLessEqual(len(grants), 2 * own)
+            for name in ("e1", "e2"):
+                self.assertFalse(model.uses_standby(name))
+                self.assertEqual(self.standby_slots(model, name), 0)
+
+        self.run_scenario(scenario)
+
     def test_slot_whose_release_was_lost_is_used_again(self):
         async def scenario(model):
             await self.lose_leader(model, self.entries)
