Log events without deep copies, and seek no quorum for replies to heartbeats

Cause: log_event copied each event with dataclasses.asdict, which walks all values. The leader sorted the voters' logs for each reply, also when every entry was committed. Change: the fields are read as they are; the lines are the same. The commit index is computed only while an entry is not committed. Measured: an event 26 to 41 us before, 13 to 14 us after (in turn, same process setup); in a profile of a leader at rest 585 of 712 evaluations of a quorum in 12 s, 4% of its time, were for such replies.

--- a/src/sassafraspin/control/replica.py
+++ b/src/sassafraspin/control/replica.py
@@ -637,6 +637,9 @@
             self._send_entries(peer, now)
 
     def _advance_commit(self) -> None:
+        # No quorum is sought for the replies to heartbeats.
+        if self._commit_index >= self._log.last_index:
+            return
         leadership = self._leadership
         assert leadership is not None
         index = leadership.majority_match(self._log.voters, self._log.last_index)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -5,7 +5,7 @@
 class. The class docstrings appear in the output of ``sassafraspin events``.
 """
 
-from dataclasses import asdict, dataclass, fields
+from dataclasses import dataclass, fields
 from typing import ClassVar
 
 from loguru import logger
@@ -495,8 +495,11 @@
 
 
 def log_event(event: Event) -> None:
-    """Log an event at INFO level."""
-    logger.bind(part=event.part, event=type(event).__name__, **asdict(event)).info(
+    """Log an event at INFO level.
+
+    Field values are not copied: they do not change after the call.
+    """
+    logger.bind(part=event.part, event=type(event).__name__, **vars(event)).info(
         event.text
     )
 
