Compare servers with the directory only when they or it have changed

Cause: at each tick the leader compared nine fields of each server with the directory, and asked both absent rate limits of each server for leave. Change: the publisher keeps what it compared last; a server without limits allows a request at once.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -221,7 +221,9 @@
 
     def allows_request(self, now: float) -> bool:
         """Return whether the rate limits allow another request now."""
-        return all(limit.allows_request(now) for limit in self._limits)
+        return not self.is_rate_limited or all(
+            limit.allows_request(now) for limit in self._limits
+        )
 
     def count_request(self, now: float) -> None:
         """Count a request that is sent now against the rate limits."""
--- a/src/sassafraspin/dispatch/directory_publisher.py
+++ b/src/sassafraspin/dispatch/directory_publisher.py
@@ -2,7 +2,7 @@
 
 from collections.abc import KeysView
 
-from sassafraspin.backends import Backend
+from sassafraspin.backends import Announcement, Backend
 from sassafraspin.dispatch.directory import BackendDirectory, ServerState
 from sassafraspin.dispatch.directory_messages import DirectoryUpdate, split_updates
 
@@ -33,6 +33,9 @@
     def __init__(self, directory: BackendDirectory) -> None:
         self._directory = directory
         self._own: dict[str, int] = {}
+        # What was compared last, and found not to differ. Most servers do not change
+        # from one tick to the next.
+        self._compared: dict[str, tuple[ServerState, Announcement]] = {}
         self._next_refresh_at = float("-inf")
 
     def updates(
@@ -52,6 +55,8 @@
         gone = self._gone(own.keys())
         if gone:
             updates.append(DirectoryUpdate((), gone))
+            for backend_id in gone:
+                self._compared.pop(backend_id, None)
         self._own = own
         for update in updates:
             self._directory.apply(update, now)
@@ -63,17 +68,25 @@
     def stop(self) -> None:
         """Forget this dispatcher's servers: another one publishes from now on."""
         self._own = {}
+        self._compared = {}
 
     def _lacks(self, state: ServerState, now: float) -> bool:
         """Return whether the directory does not have this or a later state."""
-        known = self._directory.find(state.announcement.id)
+        backend_id = state.announcement.id
+        known = self._directory.find(backend_id)
         if known is None:
             return True
         if known.order > state.announcement.order:
             return False
-        cold_ms = self._directory.cold_ms(state.announcement.id, now)
-        is_cold_known = abs(state.cold_ms - cold_ms) <= _COLD_TOLERANCE_MS
-        return not is_cold_known or state.differs(known)
+        cold_ms = self._directory.cold_ms(backend_id, now)
+        if abs(state.cold_ms - cold_ms) > _COLD_TOLERANCE_MS:
+            return True
+        if self._compared.get(backend_id) == (state, known):
+            return False
+        if state.differs(known):
+            return True
+        self._compared[backend_id] = state, known
+        return False
 
     def _gone(self, names: KeysView[str]) -> dict[str, int]:
         """Return the servers to remove, with their incarnations.
