Pace no server for being unknown to a dispatcher that has just started

Cause: a dispatcher that knew one server from its predecessor paced every other one that registered in its first seconds, also while a deployment started. A registration that arrived when a cold time had just ended and named its last milliseconds paced the server again.

Change: servers that register in the first 5 s of a dispatcher are not new; cold times below 0.5 s do not restart the pace. Standbys that may send a cold server nothing do not log it.

Result: two new tests, which fail before; 121 tests of the parts concerned pass.

--- a/src/sassafraspin/dispatch/pacing.py
+++ b/src/sassafraspin/dispatch/pacing.py
@@ -9,8 +9,12 @@
 __all__ = ["ServerPacing"]
 
 _FIRST_REGISTRATIONS_SECONDS = 5.0
-"""Time after the start of a deployment in which all servers register for the first
-time. Requests are spread over all of them then, so that none of them is flooded."""
+"""Time after the start of a dispatcher in which all servers register with it. Those
+that it does not know from its predecessor have not started just now."""
+
+_MIN_COLD_SECONDS = 0.5
+"""A shorter cold time is the rest of one that has ended here already, as registrations
+take time to arrive."""
 
 _LATE_RATIO = 2.0
 """Ratio between the measured and the estimated time to first token from which on a
@@ -30,24 +34,13 @@
     ----------
     is_enabled : bool
         Whether servers are paced.
-    starts_at : float
-        Monotonic time from which on a server that is new counts as just started.
+    now : float
+        Monotonic time at which the dispatcher starts, in seconds.
     """
 
-    def __init__(self, is_enabled: bool, starts_at: float) -> None:
+    def __init__(self, is_enabled: bool, now: float) -> None:
         self._is_enabled = is_enabled
-        self._starts_at = starts_at
-
-    @classmethod
-    def of_dispatcher(
-        cls, is_enabled: bool, has_known_servers: bool, now: float
-    ) -> "ServerPacing":
-        """Return the pacing of a dispatcher that starts now.
-
-        If it knows servers, the deployment has started before.
-        """
-        delay = 0.0 if has_known_servers else _FIRST_REGISTRATIONS_SECONDS
-        return cls(is_enabled, now + delay)
+        self._starts_at = now + _FIRST_REGISTRATIONS_SECONDS
 
     def on_new_server(self, backend: Backend, now: float) -> None:
         """Pace a server that has registered for the first time."""
@@ -64,7 +57,7 @@
     ) -> None:
         """Pace a known server that has started again, or is back or cold."""
         has_restarted = backend.announcement.incarnation > before.incarnation
-        turned_cold = backend.is_cold(now) and not was_cold
+        turned_cold = not was_cold and backend.cold_seconds(now) >= _MIN_COLD_SECONDS
         if has_restarted or was_expired or turned_cold:
             self.restart(backend, now)
 
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -135,9 +135,7 @@
         self._budget = budget or RetryBudget(settings)
         self._gate = gate
         self._grant_id_prefix = grant_id_prefix
-        self._pacing = ServerPacing.of_dispatcher(
-            settings.paces_servers, bool(known), now
-        )
+        self._pacing = ServerPacing(settings.paces_servers, now)
         self._servers = ServerTable(
             generator,
             rate_share,
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -596,6 +596,9 @@
 
 
 def _log_cold(backend: Backend, limit: RateLimit, now: float) -> None:
+    if not limit.rate:
+        # This instance sends the server nothing; others log what they grant.
+        return
     announcement = backend.announcement
     log_event(
         ServerCold(
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -158,6 +158,18 @@
     def test_servers_of_a_deployment_that_starts_do_not(self):
         self.assertEqual(self.fill(1.0), SLOTS)
 
+    def test_servers_that_a_new_dispatcher_does_not_know_yet(self):
+        """Its predecessor may have known few of them when a deployment starts."""
+        self.open_pool((announcement(2, slots=1),), 1.0)
+        self.pool.announce(self.server(), 2.0)
+        self.fill(2.0)
+        self.assertEqual(self.busy, SLOTS)
+
+    def test_server_whose_last_cold_moments_are_reported_late(self):
+        self.pool.announce(self.server(sequence=1), 1.0)
+        self.pool.announce(self.server(sequence=2, cold_ms=2), 2.0)
+        self.assertEqual(self.fill(2.1), SLOTS)
+
     def test_server_that_is_added_later(self):
         self.open_pool((announcement(2, slots=1),))
         self.pool.announce(self.server(), STARTED)
