Try the waiting request first whose prompt a free server holds

Cause: under load one slot is free at a time, so that requests could not choose the server that holds the parts of their prompts, and shared parts were prefilled again elsewhere.

Change: of the first 16 waiting requests, one with a held prompt overtakes others of its rank, as long as the first has waited for less than half of its time.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -144,6 +144,11 @@
         counts = self._counts[rank]
         counts[account] = counts.get(account, 0) + 1
 
+    def is_same_rank(self, one: WaitingRequest, other: WaitingRequest) -> bool:
+        """Return whether two requests have the same tier and lateness in the queue."""
+        ranks = self._ranks
+        return ranks[one.request.request_id] == ranks[other.request.request_id]
+
     def is_queued_late(self, request_id: str) -> bool:
         """Return whether a request is in the late rank of its tier."""
         return bool(self._ranks[request_id] % 2)
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -35,6 +35,7 @@
 from sassafraspin.dispatch.pacing import ServerPacing
 from sassafraspin.dispatch.rate_limits import replaces_limit
 from sassafraspin.dispatch.servers import ServerTable
+from sassafraspin.dispatch.slot_order import order_for_slots
 from sassafraspin.dispatch.trials import Trials
 from sassafraspin.dispatch.versions import ServerCounts, ServerTime, VersionGate
 from sassafraspin.isolation import NoSuspects, Suspects
@@ -476,8 +477,11 @@
         has_slot_in = cache(self._servers.has_free_slot_in)
         while len(self._queue) > 0 and self._servers.has_free_slot:
             granted = False
-            for waiting in self._queue.in_order(
+            batch = self._queue.in_order(
                 _GRANT_SCAN_REQUESTS, lambda request: has_slot_in(request.regions)
+            )
+            for waiting in order_for_slots(
+                batch, self._queue.is_same_rank, self._servers.free_held_tokens, now
             ):
                 if now > waiting.latest_start:
                     self._overload.time_out(waiting, now)
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -568,6 +568,16 @@
         names += self._free_part_holders(request, names)
         return [self._backends[name] for name in names if name in self._backends]
 
+    def free_held_tokens(self, request: SlotRequest) -> int:
+        """Return the size of the leading parts that a server with a free slot holds."""
+        return max(
+            (
+                self._backends[name].parts.leading_tokens(request.parts)
+                for name in self._free_part_holders(request, [])
+            ),
+            default=0,
+        )
+
     def _free_part_holders(
         self, request: SlotRequest, excluded: list[str]
     ) -> list[str]:
