Bound the memory that requests and responses hold by a budget

Cause: only 2,000 connections bounded what an instance read; each body was held twice, and the memory of the machine was not read from the settings.

Change: http/memory.py, one budget from limits.memory_mb with parts for small requests, large bodies and responses. Bodies are read once their bytes are free, into a memory map of their own, and are sent without a copy. While others wait, transfers slower than half the rate that their time allows are ended. Connections follow limits.max_fds and the memory; idle ones are closed for new ones. Bytes of a later request stay in the socket.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -11,6 +11,13 @@
     ConnectionLost,
 )
 from sassafraspin.http.events import EventParser, ServerSentEvent, format_event
+from sassafraspin.http.memory import (
+    Claim,
+    MemoryBudget,
+    MemoryHold,
+    MemoryKind,
+    MemoryUsage,
+)
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.http.problems import (
     BadRequest,
@@ -33,6 +40,7 @@
     "BadRequest",
     "BodyFraming",
     "BodyTooLarge",
+    "Claim",
     "ClientLimits",
     "ClientTimeouts",
     "ConnectFailed",
@@ -44,6 +52,10 @@
     "HttpClient",
     "HttpServer",
     "InvalidField",
+    "MemoryBudget",
+    "MemoryHold",
+    "MemoryKind",
+    "MemoryUsage",
     "NotFound",
     "OpenResponse",
     "ProblemDocument",
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -18,6 +18,13 @@
     ConnectFailed,
     ConnectionLost,
 )
+from sassafraspin.http.memory import (
+    BodyBuffer,
+    Claim,
+    MemoryBudget,
+    MemoryHold,
+    MemoryKind,
+)
 from sassafraspin.http.messages import Headers, Request, Response
 from sassafraspin.settings import Address
 from sassafraspin.telemetry import part_logger
@@ -28,6 +35,8 @@
 """Largest part of a streamed chunk that is handed over before other tasks get a turn;
 it may hold two thousand empty events."""
 
+_UNLIMITED_BYTES = 1 << 40
+
 _IDENTITY = "identity"
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
@@ -53,6 +62,8 @@
         Size limits of the body.
     budget : BodyBudget
         Memory that it shares with other bodies.
+    hold : MemoryHold or None
+        Memory that the body holds, also after it was read; none for no limit.
     """
 
     def __init__(
@@ -63,11 +74,14 @@
         timeouts: ClientTimeouts,
         limits: ClientLimits,
         budget: BodyBudget,
+        hold: MemoryHold | None = None,
     ) -> None:
         self._connection = connection
         self._timeouts = timeouts
         self._limits = limits
         self._budget = budget
+        self._hold = hold or MemoryHold(MemoryBudget(_UNLIMITED_BYTES))
+        self._is_hold_taken = False
         self.status = status
         self.headers = headers
 
@@ -91,6 +105,16 @@
         """Return whether the body has a content encoding other than ``identity``."""
         return (self.headers.get("content-encoding") or _IDENTITY) != _IDENTITY
 
+    def take_hold(self) -> MemoryHold:
+        """Return the memory that the body holds, which the caller must release."""
+        self._is_hold_taken = True
+        return self._hold
+
+    def release(self) -> None:
+        """Return the memory that the body holds, unless it was taken over."""
+        if not self._is_hold_taken:
+            self._hold.release()
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks until its end, in parts if they are large.
 
@@ -110,8 +134,8 @@
         finally:
             self._connection.close_unless_complete()
 
-    async def read(self) -> bytes:
-        """Read the rest of the body.
+    async def read(self) -> bytes | memoryview:
+        """Read the rest of the body; a large one is paused until its memory is free.
 
         Raises
         ------
@@ -124,16 +148,26 @@
         limit_bytes = self._limits.body_bytes
         if self._connection.declared_body_bytes > limit_bytes:
             raise AnswerTooLarge(limit_bytes)
-        body = bytearray()
+        body = BodyBuffer()
+        if self._connection.declared_body_bytes > body.capacity:
+            await self._make_room(body, self._connection.declared_body_bytes)
         with self._budget.share() as share, share.scope:
             while (chunk := await self._connection.read_chunk()) is not None:
-                body += chunk
-                if len(body) > limit_bytes:
+                size = len(body) + len(chunk)
+                if size > limit_bytes:
                     raise AnswerTooLarge(limit_bytes)
+                if size > body.capacity:
+                    await self._make_room(body, limit_bytes)
+                body.append(chunk)
                 share.grow(len(chunk))
         if share.is_evicted:
             raise AnswerTooLarge(self._budget.limit_bytes)
-        return bytes(body)
+        self._hold.shrink(len(body))
+        return body.content()
+
+    async def _make_room(self, body: BodyBuffer, capacity: int) -> None:
+        await self._hold.take(MemoryKind.RESPONSE, capacity, Claim())
+        body.expand(capacity)
 
     async def discard(self) -> None:
         """Read the rest of a body that is not needed, so that the connection is kept.
@@ -167,12 +201,18 @@
         Time limits of requests and of pooled connections.
     limits : ClientLimits
         Size limits of responses.
+    memory : MemoryBudget or None
+        Memory for the bodies of responses; none for no limit.
     """
 
     def __init__(
-        self, timeouts: ClientTimeouts, limits: ClientLimits | None = None
+        self,
+        timeouts: ClientTimeouts,
+        limits: ClientLimits | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._timeouts = timeouts
+        self._memory = memory or MemoryBudget(_UNLIMITED_BYTES)
         self._limits = limits or ClientLimits()
         self._budget = BodyBudget(self._limits.all_bodies_bytes)
         self._idle: dict[Address, list[ClientConnection]] = {}
@@ -194,14 +234,19 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             status, headers = await connection.send_and_read_head(request)
-            yield OpenResponse(
+            response = OpenResponse(
                 status,
                 headers,
                 connection,
                 self._timeouts,
                 self._limits,
                 self._budget,
+                MemoryHold(self._memory),
             )
+            try:
+                yield response
+            finally:
+                response.release()
         finally:
             self._release(address, connection)
 
@@ -217,7 +262,7 @@
         """
         with trio.move_on_after(self._timeouts.exchange):
             async with self.open(address, request) as response:
-                body = await response.read()
+                body = bytes(await response.read())
                 return Response(
                     response.status, response.headers, body, response.is_framed
                 )
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -189,16 +189,7 @@
     async def send_and_read_head(self, request: Request) -> tuple[int, Headers]:
         """Send the request and return the status and headers of the response."""
         self._requests += 1
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=_headers_with_length(request),
-        )
-        data = self._protocol.send(head)
-        if request.body:
-            data += self._protocol.send(h11.Data(data=request.body))
-        data += self._protocol.send(h11.EndOfMessage())
-        await self._write(data)
+        await self._send(request)
         event = await self._next_event()
         informational_responses = 0
         while isinstance(event, h11.InformationalResponse):
@@ -219,6 +210,23 @@
             self._declared_body_bytes = int(headers.get("content-length") or 0)
         return event.status_code, headers
 
+    async def _send(self, request: Request) -> None:
+        """Send the request; a large body is not copied."""
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=_headers_with_length(request),
+        )
+        data = self._protocol.send(head)
+        if len(request.body) <= _READ_CHUNK_BYTES:
+            if request.body:
+                data += self._protocol.send(h11.Data(data=request.body))
+            await self._write(data + self._protocol.send(h11.EndOfMessage()))
+            return
+        self._protocol.send_with_data_passthrough(h11.Data(data=request.body))
+        self._protocol.send(h11.EndOfMessage())
+        await self._write(data, request.body)
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end."""
         event = await self._next_event()
@@ -232,10 +240,11 @@
                     "the server closed inside its answer", is_closed=True
                 )
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, *parts: bytes | memoryview) -> None:
         with trio.move_on_after(self._timeouts.progress):
             try:
-                await self._stream.send_all(data)
+                for data in parts:
+                    await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionLost(
                     "the server closed the connection", is_closed=True
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -8,6 +8,16 @@
 import trio
 
 from sassafraspin.http.checkpoints import CheckpointCounter
+from sassafraspin.http.memory import (
+    SMALL_BYTES,
+    BodyBuffer,
+    Claim,
+    Classify,
+    MemoryBudget,
+    MemoryHold,
+    MemoryKind,
+    least_rate,
+)
 from sassafraspin.http.messages import (
     Headers,
     Request,
@@ -17,6 +27,8 @@
 from sassafraspin.http.problems import (
     BadRequest,
     BodyTooLarge,
+    BodyTooSlow,
+    OutOfMemory,
     RequestProblem,
     RequestTimeout,
     problem_response,
@@ -27,6 +39,18 @@
 __all__ = ["ServerConnection"]
 
 _READ_CHUNK_BYTES = 65_536
+_FIRST_READ_BYTES = 16_384
+"""Largest read where the rest may belong to a later request, which is kept."""
+
+_REQUEST_BYTES = 16_384
+"""Memory of the tasks and objects that serve a request."""
+
+_FIELD_BYTES = 200
+"""Memory of a decoded header field beside its text."""
+
+_IDLE_SECONDS = 1.0
+"""A connection that has sent nothing for so long may be closed for a new one."""
+
 _MS_PER_SECOND = 1000
 
 _FIRST_REQUEST_SECONDS = 0.25
@@ -42,16 +66,25 @@
     """Server side of one HTTP/1.1 connection."""
 
     def __init__(
-        self, stream: trio.SocketStream, limits: HttpLimits, handler: Handler
+        self,
+        stream: trio.SocketStream,
+        limits: HttpLimits,
+        handler: Handler,
+        memory: MemoryBudget,
+        classify: Classify | None = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
         self._handler = handler
+        self._memory = memory
+        self._classify = classify
+        self._idle_since: float | None = None
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._closing = False
         self._has_served = False
+        self._peer = _peer_host(stream)
         self._idle_scope: trio.CancelScope | None = None
         self._checkpoints = CheckpointCounter()
 
@@ -64,6 +97,22 @@
         if self._idle_scope is not None:
             self._idle_scope.deadline = trio.current_time() + self._idle_seconds
 
+    @property
+    def idle_since(self) -> float | None:
+        """Return since when the connection may be closed, ``None`` if it is in use."""
+        if self._idle_since is None:
+            return None
+        is_idle = trio.current_time() - self._idle_since >= _IDLE_SECONDS
+        return self._idle_since if self._has_served or is_idle else None
+
+    def try_close_idle(self) -> bool:
+        """Close the connection if it still waits for a request; return whether so."""
+        if self._idle_scope is None or self._has_unread_bytes:
+            return False
+        self._idle_since = None
+        self._idle_scope.cancel()
+        return True
+
     @property
     def _idle_seconds(self) -> float:
         """Return how long the connection may wait for the next request."""
@@ -86,21 +135,32 @@
     async def run(self) -> None:
         """Serve requests until the peer or the server closes the connection."""
         while self._may_serve_next:
+            hold = MemoryHold(self._memory)
             try:
-                request = await self._read_request()
-            except RequestProblem as problem:
-                await self.refuse(problem)
-                return
-            if isinstance(request, _Closed):
-                return
-            self._has_served = True
-            await self._answer(request)
-            if self._protocol.our_state is not h11.DONE:
-                return
-            if self._protocol.their_state is not h11.DONE:
-                return
+                if not await self._serve_next(hold):
+                    return
+            finally:
+                hold.release()
             self._protocol.start_next_cycle()
 
+    async def _serve_next(self, hold: MemoryHold) -> bool:
+        """Serve one request; return whether the connection may serve another one."""
+        try:
+            request = await self._read_request(hold)
+        except RequestProblem as problem:
+            if isinstance(problem, OutOfMemory):
+                self._memory.count_refused()
+            await self.refuse(problem)
+            return False
+        if isinstance(request, _Closed):
+            return False
+        self._has_served = True
+        await self._answer(request)
+        return (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+
     async def _answer(self, request: Request) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
@@ -127,10 +187,31 @@
             return
         length = ("content-length", str(len(response.body)))
         data = self._head(response.status, response.headers.adding(*length))
+        if len(response.body) > _READ_CHUNK_BYTES:
+            await self._send_large(data, response)
+            return
         if response.body:
             data += self._protocol.send(h11.Data(data=response.body))
         await self._write(data + self._protocol.send(h11.EndOfMessage()))
 
+    async def _send_large(self, head: bytes, response: Response) -> None:
+        """Send a response without a copy of its body."""
+        hold = response.hold or MemoryHold(self._memory)
+        limit_ms = self._limits.write_timeout_ms
+        body = memoryview(response.body)
+        with trio.move_on_after(limit_ms / _MS_PER_SECOND) as scope:
+            rate = least_rate(len(body), limit_ms, None)
+            with hold.transfer(scope, rate):
+                await self._stream.send_all(head)
+                self._protocol.send_with_data_passthrough(h11.Data(data=body))
+                for start in range(0, len(body), _READ_CHUNK_BYTES):
+                    part = body[start : start + _READ_CHUNK_BYTES]
+                    await self._stream.send_all(part)
+                    hold.record(len(part))
+                await self._stream.send_all(self._protocol.send(h11.EndOfMessage()))
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("write timed out: the peer is not reading")
+
     async def start(
         self, status: int, headers: Headers, *, is_framed: bool = True
     ) -> None:
@@ -178,22 +259,29 @@
             fields.append(("connection", "close"))
         return self._protocol.send(h11.Response(status_code=status, headers=fields))
 
-    async def _read_request(self) -> Request | _Closed:
+    async def _read_request(self, hold: MemoryHold) -> Request | _Closed:
         head = await self._read_head()
         if isinstance(head, _Closed):
             return head
         headers = Headers.from_wire(head.headers)
         if has_two_framings(headers):
             raise BadRequest("the request declares both a length and chunks")
-        with trio.move_on_after(self._limits.body_timeout_ms / _MS_PER_SECOND):
-            body = await self._read_body(head)
-            return Request(
-                head.method.decode("ascii"),
-                head.target.decode("ascii", "replace"),
-                headers,
-                body,
-            )
-        raise RequestTimeout("body")
+        method = head.method.decode("ascii")
+        target = head.target.decode("ascii", "replace")
+        self._check_declared_length(head)
+        request = Request(method, target, headers)
+        del head
+        size = _head_bytes(request)
+        claim = Claim(self._peer)
+        if size > SMALL_BYTES:
+            # Its fields are held already, so that it cannot wait.
+            claim = self._claim(request)
+            declared = _declared_length(request)
+            whole = size + (self._limits.body_bytes if declared is None else declared)
+            if not hold.try_take(MemoryKind.BODY, whole, claim):
+                raise OutOfMemory
+        body = await self._read_body(request, size, hold, claim)
+        return Request(method, target, headers, body)
 
     async def _read_head(self) -> h11.Request | _Closed:
         if not self._protocol.trailing_data[0]:
@@ -211,31 +299,94 @@
     async def _wait_for_data(self) -> bytes:
         """Return the first bytes of a request, none if the connection is to end."""
         data = b""
+        self._idle_since = trio.current_time()
         with trio.move_on_after(self._idle_seconds) as self._idle_scope:
-            data = await self._stream.receive_some(_READ_CHUNK_BYTES)
+            data = await self._stream.receive_some(_FIRST_READ_BYTES)
         was_cut_short = self._idle_scope.cancelled_caught and self._closing
         self._idle_scope = None
+        self._idle_since = None
         if was_cut_short and self._has_unread_bytes:
-            data = bytes(await self._stream.receive_some(_READ_CHUNK_BYTES))
+            data = bytes(await self._stream.receive_some(_FIRST_READ_BYTES))
         return data
 
-    async def _read_body(self, head: h11.Request) -> bytes:
-        self._check_declared_length(head)
-        if self._protocol.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await self._stream.send_all(self._protocol.send(continue_response))
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            match event:
-                case h11.Data():
-                    body += event.data
-                    if len(body) > self._limits.body_bytes:
-                        raise BodyTooLarge(self._limits.body_bytes)
-                case h11.EndOfMessage():
-                    return bytes(body)
-                case _:
-                    raise BadRequest("the connection closed inside the body")
+    async def _read_body(
+        self, request: Request, head_bytes: int, hold: MemoryHold, claim: Claim
+    ) -> bytes | memoryview:
+        """Read the body into memory that was taken before.
+
+        A body without a declared length takes that of the largest one as soon as it
+        is no longer small: with less it might have to wait while it holds memory.
+        """
+        declared = _declared_length(request)
+        size = head_bytes + (declared or 0)
+        kind = MemoryKind.SMALL if size <= SMALL_BYTES else MemoryKind.BODY
+        if kind is MemoryKind.BODY:
+            claim = self._claim(request)
+        is_waiting = True
+        limit_ms = _time_limit_ms(self._limits, claim)
+        scope = trio.CancelScope()
+        scope.deadline = trio.current_time() + limit_ms / _MS_PER_SECOND
+        with scope:
+            if not hold.bytes:
+                await hold.take(kind, size, claim)
+            is_waiting = False
+            if self._protocol.they_are_waiting_for_100_continue:
+                response = h11.InformationalResponse(status_code=100, headers=[])
+                await self._stream.send_all(self._protocol.send(response))
+            buffer = BodyBuffer()
+            if declared is not None and declared > buffer.capacity:
+                buffer.expand(declared)
+            event = await self._next_body_event(declared, hold, scope, claim)
+            while isinstance(event, h11.Data):
+                length = len(buffer) + len(event.data)
+                if length > self._limits.body_bytes:
+                    raise BodyTooLarge(self._limits.body_bytes)
+                if length > buffer.capacity:
+                    claim = self._claim(request)
+                    is_waiting = True
+                    whole = head_bytes + self._limits.body_bytes
+                    if hold.bytes < whole:
+                        await hold.take(MemoryKind.BODY, whole, claim)
+                    is_waiting = False
+                    buffer.expand(self._limits.body_bytes)
+                buffer.append(event.data)
+                left = None if declared is None else declared - len(buffer)
+                event = await self._next_body_event(left, hold, scope, claim)
+            if not isinstance(event, h11.EndOfMessage):
+                raise BadRequest("the connection closed inside the body")
+            hold.shrink(head_bytes + len(buffer))
+            return buffer.content()
+        if hold.is_too_slow:
+            raise BodyTooSlow
+        if is_waiting:
+            raise OutOfMemory
+        raise RequestTimeout("body")
+
+    async def _next_body_event(
+        self, left: int | None, hold: MemoryHold, scope: trio.CancelScope, claim: Claim
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event; the memory is returned if nothing arrives in time."""
+        await self._checkpoints.count_event()
+        event = self._parse_event()
+        if event is not h11.NEED_DATA:
+            return event
+        rate = least_rate(hold.bytes, self._limits.body_timeout_ms, claim.timeout_ms)
+        with hold.transfer(scope, rate):
+            while event is h11.NEED_DATA:
+                # Bytes of a later request stay in the socket where the length is known.
+                size = _FIRST_READ_BYTES if left is None else left
+                data = await self._stream.receive_some(
+                    max(1, min(size, _READ_CHUNK_BYTES))
+                )
+                hold.record(len(data))
+                self._protocol.receive_data(data)
+                event = self._parse_event()
+        return event
+
+    def _claim(self, request: Request) -> Claim:
+        if self._classify is None:
+            return Claim(self._peer)
+        return self._classify(request, self._peer)
 
     def _check_declared_length(self, head: h11.Request) -> None:
         for name, value in head.headers:
@@ -244,32 +395,31 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         await self._checkpoints.count_event()
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BadRequest(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
+        while (event := self._parse_event()) is h11.NEED_DATA:
             self._protocol.receive_data(
-                await self._stream.receive_some(_READ_CHUNK_BYTES)
+                await self._stream.receive_some(_FIRST_READ_BYTES)
             )
+        return event
+
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadRequest(str(error)) from error
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the request when the peer closes the connection.
 
-        If the peer sends data first, it is kept for the next request, and a later
-        close is no longer noticed here.
+        If the peer sends data first, it stays in the socket, and a later close is no
+        longer noticed here.
         """
         try:
-            data = await self._stream.receive_some(_READ_CHUNK_BYTES)
-        except trio.BrokenResourceError:
+            data = await self._stream.socket.recv(1, socket.MSG_PEEK)
+        except OSError:
             data = b""
-        if data:
-            self._protocol.receive_data(data)
-            return
-        self._closing = True
-        scope.cancel()
+        if not data:
+            self._closing = True
+            scope.cancel()
 
     async def _write(self, data: bytes) -> None:
         with trio.move_on_after(self._limits.write_timeout_ms / _MS_PER_SECOND):
@@ -288,3 +438,32 @@
     while not isinstance(protocol.next_event(), h11.EndOfMessage):
         pass
     return protocol
+
+
+def _peer_host(stream: trio.SocketStream) -> str:
+    """Return the address of the peer, empty if it has left already."""
+    try:
+        return stream.socket.getpeername()[0]
+    except OSError:
+        return ""
+
+
+def _head_bytes(request: Request) -> int:
+    """Return the memory that a request takes without its body."""
+    items = request.headers.items
+    text = sum(len(name) + len(value) for name, value in items)
+    return _REQUEST_BYTES + len(request.target) + text + _FIELD_BYTES * len(items)
+
+
+def _declared_length(request: Request) -> int | None:
+    """Return the length of the body, ``None`` if it arrives in chunks."""
+    if request.headers.get("transfer-encoding") is not None:
+        return None
+    return int(request.headers.get("content-length") or 0)
+
+
+def _time_limit_ms(limits: HttpLimits, claim: Claim) -> int:
+    """Return the time for the body: what the caller has left, or the limit."""
+    if claim.timeout_ms is None:
+        return limits.body_timeout_ms
+    return min(limits.body_timeout_ms, claim.timeout_ms)
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sassafraspin.http.memory import MemoryHold
 
 __all__ = ["Headers", "Request", "Response", "has_two_framings"]
 
@@ -46,12 +50,15 @@
 
 @dataclass(frozen=True)
 class Request:
-    """An HTTP request with its complete body."""
+    """An HTTP request with its complete body.
+
+    A large body that was received is a view of the memory into which it was read.
+    """
 
     method: str
     target: str
     headers: Headers = field(default_factory=Headers)
-    body: bytes = b""
+    body: bytes | memoryview = b""
 
     @property
     def path(self) -> str:
@@ -79,12 +86,15 @@
     is_framed : bool
         Whether the sender declared the end of the body. A body whose end is not
         declared ends with its connection and may be incomplete.
+    hold : MemoryHold or None
+        Memory that a large body holds while it is sent.
     """
 
     status: int
     headers: Headers = field(default_factory=Headers)
-    body: bytes = b""
+    body: bytes | memoryview = b""
     is_framed: bool = True
+    hold: "MemoryHold | None" = field(default=None, compare=False, repr=False)
 
 
 def has_two_framings(headers: Headers) -> bool:
--- a/src/sassafraspin/http/problems.py
+++ b/src/sassafraspin/http/problems.py
@@ -12,9 +12,11 @@
 __all__ = [
     "BadRequest",
     "BodyTooLarge",
+    "BodyTooSlow",
     "Execution",
     "InvalidField",
     "NotFound",
+    "OutOfMemory",
     "ProblemDocument",
     "RequestProblem",
     "RequestTimeout",
@@ -149,6 +151,30 @@
         super().__init__(f"the {part} of the request did not arrive in time")
 
 
+class OutOfMemory(RequestProblem):
+    """The request does not fit into the memory that the process may use."""
+
+    status = 503
+    reason = "out-of-memory"
+    title = "Not run"
+    retry_after_ms = 1000
+
+    def __init__(self) -> None:
+        super().__init__("the memory for requests is in use; come back later")
+
+
+class BodyTooSlow(RequestProblem):
+    """The body arrived too slowly while others waited for its memory."""
+
+    status = 408
+    reason = "body-too-slow"
+    title = "Request timeout"
+    retry_after_ms = 1000
+
+    def __init__(self) -> None:
+        super().__init__("the body arrived too slowly while other requests waited")
+
+
 class TooManyConnections(RequestProblem):
     """The server has reached the connection limit in its settings."""
 
--- a/src/sassafraspin/http/responder.py
+++ b/src/sassafraspin/http/responder.py
@@ -1,6 +1,7 @@
 """Interface between the HTTP server and request handlers."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Protocol
 
 from sassafraspin.http.messages import Headers, Request, Response
@@ -81,6 +82,8 @@
     """
 
     async def handle(request: Request, responder: Responder) -> None:
+        if not isinstance(request.body, bytes):
+            request = replace(request, body=bytes(request.body))
         try:
             response = await function(request)
         except RequestProblem as problem:
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -4,6 +4,7 @@
 import trio
 
 from sassafraspin.http.connection import ServerConnection
+from sassafraspin.http.memory import Classify, MemoryBudget
 from sassafraspin.http.problems import TooManyConnections
 from sassafraspin.http.responder import Handler
 from sassafraspin.settings import Address, HttpLimits
@@ -19,6 +20,11 @@
 
 _MAX_PENDING_CONNECTIONS = 1_000
 
+_MAX_REFUSALS = 16
+"""Connections beyond the limit that are refused at the same time; others wait."""
+
+_REFUSAL_SECONDS = 0.01
+
 _log = part_logger("http")
 
 
@@ -34,12 +40,25 @@
     handler : Handler
         Called for each request. If it returns before the response is complete, the
         server closes the connection, so that the peer detects the truncation.
+    memory : MemoryBudget or None
+        Memory for requests; by default one of its own, of the size in the limits.
+    classify : callable or None
+        Returns the claim of a large request to memory; by default all are alike.
     """
 
-    def __init__(self, address: Address, limits: HttpLimits, handler: Handler) -> None:
+    def __init__(
+        self,
+        address: Address,
+        limits: HttpLimits,
+        handler: Handler,
+        memory: MemoryBudget | None = None,
+        classify: Classify | None = None,
+    ) -> None:
         self._address = address
         self._limits = limits
         self._handler = handler
+        self._memory = memory or MemoryBudget(limits.memory_bytes)
+        self._classify = classify
         self._listeners: list[trio.SocketListener] = []
         self._connections: set[ServerConnection] = set()
         self._draining = False
@@ -115,18 +134,39 @@
                 return
             except OSError as error:
                 _log.warning("Cannot accept a connection: {}.", error.strerror)
+                self._close_longest_idle()
                 await trio.sleep(0.1)
                 continue
-            connection = ServerConnection(stream, self._limits, self._handler)
+            connection = ServerConnection(
+                stream, self._limits, self._handler, self._memory, self._classify
+            )
+            is_full = len(self._connections) >= self._limits.connections
+            is_refused = is_full and not self._close_longest_idle()
             # Registered before its task starts, so that ``drain`` waits for it.
             self._connections.add(connection)
-            nursery.start_soon(self._serve_connection, stream, connection)
+            nursery.start_soon(self._serve_connection, stream, connection, is_refused)
+            # Each refusal needs a descriptor until it is sent.
+            while len(self._connections) > self._limits.connections + _MAX_REFUSALS:
+                await trio.sleep(_REFUSAL_SECONDS)
+
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that waited longest for a request, if any may be."""
+        idle = [item for item in self._connections if item.idle_since is not None]
+        if not idle:
+            return False
+        is_closed = min(idle, key=lambda item: item.idle_since).try_close_idle()
+        if is_closed:
+            self._memory.count_closed()
+        return is_closed
 
     async def _serve_connection(
-        self, stream: trio.SocketStream, connection: ServerConnection
+        self,
+        stream: trio.SocketStream,
+        connection: ServerConnection,
+        is_refused: bool,
     ) -> None:
         try:
-            if len(self._connections) > self._limits.connections:
+            if is_refused:
                 await connection.refuse(TooManyConnections())
             else:
                 await connection.run()
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -62,12 +62,41 @@
 """Contract of deployments whose runners fail and come back while they are in use."""
 
 
+_MB = 1_000_000
+_PROCESS_MB = 64
+"""Memory of a process beside requests and responses: 50 MB at rest, and the state at
+the size that docs/CAPACITY.md names."""
+
+_CONNECTIONS_FRACTION = 0.25
+"""Fraction of the remaining memory for connections that wait or send a header section;
+the rest is the budget for requests and responses."""
+
+_CONNECTION_BYTES = 36_864
+"""Memory of a connection: 20 kB of objects, and a header section of the usual limit."""
+
+_RESERVED_DESCRIPTORS = 200
+"""Descriptors of files."""
+
+_CALLER_FRACTION = 0.375
+_CONTROL_FRACTION = 0.25
+"""Fractions of the descriptors for connections of callers, and of operators and backend
+servers. Each caller may need another one to a backend server."""
+
+_MAX_CONNECTIONS = 2_000
+_LEAST_CONNECTIONS = 64
+
+
 class _Listen(msgspec.Struct):
     front: str
     readiness: str
     control: str
 
 
+class _MachineLimits(msgspec.Struct):
+    memory_mb: int = 300
+    max_fds: int = 4_100
+
+
 class _Tolerance(msgspec.Struct):
     machines: int = 1
 
@@ -103,6 +132,7 @@
     heartbeat_ms: int = 1_200
     contracts: list[str] = []
     zones: dict[str, str] = {}
+    limits: _MachineLimits = msgspec.field(default_factory=_MachineLimits)
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -171,13 +201,30 @@
             zone_regions=boot.zones,
             paces_servers=_RECOVERING_SERVERS in boot.contracts,
         ),
-        http=HttpLimits(connections=2_000),
+        http=_http_limits(boot.limits),
         readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
         drain_timeout_ms=int(drain_s * _MS_PER_SECOND),
         announcement_ttl_ms=int(_EXPIRY_HEARTBEATS * boot.heartbeat_ms),
     )
 
 
+def _http_limits(machine: _MachineLimits) -> HttpLimits:
+    """Return the limits that keep a process within the memory of its machine."""
+    left = max(0, machine.memory_mb - _PROCESS_MB) * _MB
+    left = max(left, _LEAST_CONNECTIONS * _CONNECTION_BYTES * 4)
+    sockets = max(0, machine.max_fds - _RESERVED_DESCRIPTORS)
+    connections = min(
+        _MAX_CONNECTIONS,
+        int(sockets * _CALLER_FRACTION),
+        int(left * _CONNECTIONS_FRACTION) // _CONNECTION_BYTES,
+    )
+    return HttpLimits(
+        connections=max(_LEAST_CONNECTIONS, connections),
+        control_connections=max(_LEAST_CONNECTIONS, int(sockets * _CONTROL_FRACTION)),
+        memory_bytes=int(left * (1 - _CONNECTIONS_FRACTION)),
+    )
+
+
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/src/sassafraspin/routed/call.py
+++ b/src/sassafraspin/routed/call.py
@@ -18,7 +18,7 @@
     choose_service,
 )
 
-__all__ = ["RoutedCall", "match_call"]
+__all__ = ["RoutedCall", "call_tier", "match_call"]
 
 _ROUTE_TIERS_PER_ACCOUNT_TIER = 4
 """Route tiers within each account tier; lower route priorities share the last one."""
@@ -72,12 +72,7 @@
     @property
     def tier(self) -> int:
         """Return the tier; the account's tier outranks the route's."""
-        account = self.account
-        account_tier = 0 if account is None or account.tier is None else account.tier
-        route_tier = min(self.route.tier, _ROUTE_TIERS_PER_ACCOUNT_TIER - 1)
-        return min(
-            account_tier * _ROUTE_TIERS_PER_ACCOUNT_TIER + route_tier, LOWEST_TIER
-        )
+        return call_tier(self.route, self.account)
 
     @property
     def account_name(self) -> str | None:
@@ -172,6 +167,13 @@
         )
 
 
+def call_tier(route: Route, account: RoutedAccount | None) -> int:
+    """Return the tier of a call; the account's tier outranks the route's."""
+    account_tier = 0 if account is None or account.tier is None else account.tier
+    route_tier = min(route.tier, _ROUTE_TIERS_PER_ACCOUNT_TIER - 1)
+    return min(account_tier * _ROUTE_TIERS_PER_ACCOUNT_TIER + route_tier, LOWEST_TIER)
+
+
 def match_call(
     request: Request,
     metadata: CallMetadata,
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -17,7 +17,9 @@
     Seek,
 )
 from sassafraspin.http import (
+    Claim,
     HttpServer,
+    MemoryBudget,
     Request,
     Response,
     as_handler,
@@ -57,6 +59,9 @@
 _INTRODUCTION_SECONDS = 0.5
 _MS_PER_SECOND = 1000
 
+_READINESS_CONNECTIONS = 64
+"""Load balancers probe once a second, each on one connection."""
+
 _CONTROL_WAIT_SECONDS = 0.3
 """Longest wait of a call for the discovery of the control instances. They answer within
 two round trips, and half of the callers' shortest time limit remains after the wait."""
@@ -110,14 +115,24 @@
         self._control_known = trio.Event()
         self._limits: CallerLimits | None = None
         limits = settings.http
+        self._memory = MemoryBudget(limits.memory_bytes)
         self._caller_server = HttpServer(
-            settings.listen.callers, limits, self._handle_call
+            settings.listen.callers,
+            limits,
+            self._handle_call,
+            self._memory,
+            self._classify,
         )
+        # Control and readiness have memory and connections that callers cannot take.
         self._readiness_server = HttpServer(
-            settings.listen.readiness, limits, as_handler(self._answer_readiness)
+            settings.listen.readiness,
+            replace(limits, connections=_READINESS_CONNECTIONS),
+            as_handler(self._answer_readiness),
         )
         self._control_server = HttpServer(
-            settings.listen.control, limits, as_handler(self._answer_control)
+            settings.listen.control,
+            replace(limits, connections=limits.control_connections),
+            as_handler(self._answer_control),
         )
 
     @property
@@ -225,6 +240,11 @@
             return
         await self._runtime.entry.handle(request, responder)
 
+    def _classify(self, request: Request, peer: str) -> Claim:
+        if self._runtime is None:
+            return Claim(peer)
+        return self._runtime.entry.claim(request, peer)
+
     async def _answer_readiness(self, request: Request) -> Response:
         return Response(200 if self.is_ready else 503)
 
@@ -244,6 +264,7 @@
             self._network,
             self._adapter,
             self._generator,
+            self._memory,
         )
         self._control_known.set()
         while True:
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -10,9 +10,9 @@
 from sassafraspin.daemon.node import Node
 from sassafraspin.daemon.problems import InternalFailure
 from sassafraspin.daemon.slots import SlotClient
-from sassafraspin.http import HttpClient, Request, RequestProblem, Responder
+from sassafraspin.http import Claim, HttpClient, Request, RequestProblem, Responder
 from sassafraspin.routed.adapter import CallMetadata, ProtocolAdapter
-from sassafraspin.routed.call import RoutedCall, match_call
+from sassafraspin.routed.call import RoutedCall, call_tier, match_call
 from sassafraspin.routed.exchange import RoutedExchange
 from sassafraspin.routed.problems import (
     InstanceStops,
@@ -103,6 +103,32 @@
         for exchange in self._exchanges:
             exchange.stop()
 
+    def claim(self, request: Request, peer: str) -> Claim:
+        """Return who sends a request and how urgent it is, from its head.
+
+        Requests that are refused once they are complete come last.
+        """
+        unknown = Claim(peer)
+        if not self._routing_view.is_available:
+            return unknown
+        try:
+            metadata = self._adapter.read_call(request)
+            index = self._routing_view.index()
+        except RequestProblem:
+            return unknown
+        route = index.find_route(metadata.host, request.path)
+        if route is None:
+            return unknown
+        timeout_ms = route.timeout_ms
+        if metadata.timeout_ms is not None:
+            timeout_ms = min(timeout_ms, metadata.timeout_ms)
+        if route.public or not index.needs_keys:
+            return Claim(peer, call_tier(route, None), timeout_ms)
+        account = None if metadata.key is None else index.find_account(metadata.key)
+        if account is None:
+            return unknown
+        return Claim(account.name, call_tier(route, account), timeout_ms)
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Handle one HTTP request from a caller."""
         context = _CallContext(request, responder, self._node.now())
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -23,6 +23,7 @@
     ConnectionLost,
     Headers,
     HttpClient,
+    MemoryHold,
     OpenResponse,
     Responder,
     Response,
@@ -114,6 +115,7 @@
         self._stream = StreamRelay(call.route.resumable, responder)
         self._started_at = started_at
         self._last_failure: Failed | Lost | None = None
+        self._hold: MemoryHold | None = None
         self._may_have_run = False
         self._avoid: tuple[str, ...] = ()
         self._unused_grants = 0
@@ -140,9 +142,12 @@
         remaining_ms = self._call.deadline_ms - self._elapsed_ms()
         remaining = max(0.0, remaining_ms / _MS_PER_SECOND)
         self._time_limit.deadline = trio.current_time() + remaining
-        with self._time_limit:
-            await self._run_attempts()
-            return
+        try:
+            with self._time_limit:
+                await self._run_attempts()
+                return
+        finally:
+            self._keep_memory(None)
         has_run = self._may_have_run or self._last_failure is not None
         if self._is_stopped:
             self._raise_stopped(has_run)
@@ -152,6 +157,12 @@
             SlotRefusal(self._call.call_id, RefusalReason.TOO_LATE, _RETRY_AFTER_MS)
         )
 
+    def _keep_memory(self, hold: MemoryHold | None) -> None:
+        """Keep the memory of the last complete response, until the call has ended."""
+        if self._hold is not None:
+            self._hold.release()
+        self._hold = hold
+
     def stop(self) -> None:
         """End the call now with a final answer, as the instance stops."""
         self._is_stopped = True
@@ -334,7 +345,9 @@
         if is_success and self._call.route.kind is RouteKind.STREAM:
             return await self._relay_stream(response, headers, grant, progress)
         body = await response.read()
-        whole = Response(response.status, headers, body, response.is_framed)
+        hold = response.take_hold()
+        self._keep_memory(hold)
+        whole = Response(response.status, headers, body, response.is_framed, hold)
         if not is_success:
             progress.server_failed_it = True
             return Failed(whole)
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 from sassafraspin.admission import UsageReport
 from sassafraspin.backends import ServerNotices
@@ -33,7 +34,7 @@
     DirectoryQuery,
     DirectoryUpdate,
 )
-from sassafraspin.http import HttpClient
+from sassafraspin.http import ClientLimits, HttpClient, MemoryBudget, MemoryKind
 from sassafraspin.isolation import CrashReport
 from sassafraspin.membership import (
     HeartbeatReply,
@@ -91,6 +92,8 @@
         Translates between HTTP messages and the daemon's own types.
     generator : random.Random
         Source of random choices.
+    memory : MemoryBudget or None
+        Memory for requests and responses; by default one of its own.
     """
 
     def __init__(
@@ -101,13 +104,18 @@
         network: PeerNetwork,
         adapter: ProtocolAdapter,
         generator: random.Random,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        memory = memory or MemoryBudget(settings.http.memory_bytes)
+        self._memory = memory
         self._network = network
         self._applied_view = 0
         own_settings = daemon_settings(settings, control)
         self.node = make_node(own_settings, member, network)
         self.routing_view = RoutingView(self.node)
-        self._client = HttpClient(client_timeouts(own_settings.dispatch))
+        self._client = HttpClient(
+            client_timeouts(own_settings.dispatch), _client_limits(memory), memory
+        )
         self._proposals = ProposalClient(self.node)
         base_folder = settings.data_folder.parent if settings.data_folder else None
         self._control = ControlService(
@@ -248,6 +256,7 @@
         if not self._report_schedule.is_due(resident, now):
             return
         usage = self._network.usage()
+        memory = self._memory.usage
         log_event(
             ResourceUsage(
                 resident // _BYTES_PER_KB,
@@ -263,6 +272,9 @@
                 self._control.log_bytes,
                 self.entry.in_flight,
                 int(usage.callback_delay * _MS_PER_SECOND),
+                memory.held_bytes,
+                memory.refused_requests,
+                memory.closed_connections,
             )
         )
 
@@ -349,5 +361,12 @@
                 self._network.set_peer_address(member.address)
 
 
+def _client_limits(memory: MemoryBudget) -> ClientLimits:
+    """Return limits by which responses that fit the memory are not broken off."""
+    limits = ClientLimits()
+    room = memory.limit_bytes(MemoryKind.RESPONSE)
+    return replace(limits, all_bodies_bytes=max(limits.all_bodies_bytes, room))
+
+
 def _ignore_load_order(order, ended) -> None:
     """Ignore a command to load a version; backend servers load theirs themselves."""
--- a/src/sassafraspin/settings/model.py
+++ b/src/sassafraspin/settings/model.py
@@ -183,17 +183,25 @@
 
 @dataclass(frozen=True)
 class HttpLimits:
-    """Size limits, connection limits and timeouts of an HTTP server."""
+    """Size limits, connection limits and timeouts of an HTTP server.
+
+    ``memory_bytes`` limits what requests and responses hold together. Beyond it,
+    requests wait until their body fits or their time is over. ``control_connections``
+    limits the connections of operators and backend servers, and ``connections`` those
+    of callers.
+    """
 
     __pydantic_config__ = _FORBID_UNKNOWN_FIELDS
 
     header_bytes: Annotated[int, Field(ge=1024, le=1_048_576)] = 16_384
     body_bytes: Annotated[int, Field(ge=1024, le=268_435_456)] = 8_388_608
     connections: _Count = 1024
+    control_connections: _Count = 1024
     header_timeout_ms: _Milliseconds = 5_000
     body_timeout_ms: _Milliseconds = 30_000
     idle_timeout_ms: _Milliseconds = 60_000
     write_timeout_ms: _Milliseconds = 20_000
+    memory_bytes: _Count = 268_435_456
 
 
 @dataclass(frozen=True)
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -207,7 +207,9 @@
     the start by type of message, ``retained_bytes`` the commands kept for updates,
     ``log_bytes`` the control log and ``in_flight`` the calls in progress.
     ``callback_delay_ms`` is how long a callback last waited in the event loop of the
-    streams.
+    streams. ``held_bytes`` is what the memory budget of requests and responses holds by
+    kind, ``refused_for_memory`` the requests that it refused since the start, and
+    ``closed_for_memory`` the transfers and idle connections that were ended for others.
     """
 
     text: ClassVar[str] = "Memory and bytes by owner."
@@ -221,6 +223,9 @@
     log_bytes: int
     in_flight: int
     callback_delay_ms: int
+    held_bytes: dict[str, int]
+    refused_for_memory: int
+    closed_for_memory: int
 
 
 @dataclass(frozen=True)
