Drop what was read before a refusal is sent

The traceback of a refusal kept header sections while its response was sent, of all requests that arrived in one turn of the event loop.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -147,7 +147,13 @@
         """Serve one request; return whether the connection may serve another one."""
         try:
             request = await self._read_request(hold)
-        except RequestProblem as problem:
+        except RequestProblem as error:
+            # Its traceback would keep what was read until the refusal is sent.
+            problem = error.with_traceback(None)
+            problem.__cause__ = problem.__context__ = None
+            request = None
+        if request is None:
+            hold.release()
             if isinstance(problem, OutOfMemory):
                 self._memory.count_refused()
             await self.refuse(problem)
