Leave a share of each part of the memory budget to other owners

One client could fill the part for large bodies, so that others waited for its requests to end. An owner now holds at most three quarters of a part while it has more than one request there. Control requests and probes get an eighth of the budget, which callers cannot take.

--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -20,7 +20,11 @@
     "ConnectionLost",
 ]
 
-_READ_CHUNK_BYTES = 65_536
+_READ_CHUNK_BYTES = 16_384
+"""Largest read. A stream whose caller does not read holds up to three times as much."""
+
+_LARGE_BODY_BYTES = 65_536
+"""Largest body that is copied to be sent together with its head."""
 
 _FIRST_FINAL_STATUS = 200
 _NO_CONTENT = 204
@@ -218,7 +222,7 @@
             headers=_headers_with_length(request),
         )
         data = self._protocol.send(head)
-        if len(request.body) <= _READ_CHUNK_BYTES:
+        if len(request.body) <= _LARGE_BODY_BYTES:
             if request.body:
                 data += self._protocol.send(h11.Data(data=request.body))
             await self._write(data + self._protocol.send(h11.EndOfMessage()))
--- a/src/sassafraspin/http/memory.py
+++ b/src/sassafraspin/http/memory.py
@@ -46,7 +46,10 @@
     RESPONSE = "response"
 
 
-_SHARES = {MemoryKind.SMALL: 0.25, MemoryKind.BODY: 0.5, MemoryKind.RESPONSE: 0.25}
+_SHARES = {MemoryKind.SMALL: 0.15, MemoryKind.BODY: 0.6, MemoryKind.RESPONSE: 0.25}
+
+_OWNER_FRACTION = 0.75
+"""Fraction of a part that one owner may hold, so that others need not wait for it."""
 
 
 @dataclass(frozen=True)
@@ -105,6 +108,16 @@
         others = self.held_bytes - hold.bytes_of(self)
         return others + size <= self.limit_bytes or not others
 
+    def is_over_share(self, size: int, hold: "MemoryHold", owner: str) -> bool:
+        """Return whether an owner would leave too little to others.
+
+        The only hold of an owner never does; nor do holds without an owner.
+        """
+        held = self._held_by_owner.get(owner, 0) - hold.bytes_of(self)
+        return bool(owner and held) and (
+            held + size > _OWNER_FRACTION * self.limit_bytes
+        )
+
     def add(self, owner: str, size: int) -> None:
         """Change the bytes that an owner holds."""
         self.held_bytes += size
@@ -162,6 +175,8 @@
         part = self._budget.part(kind)
         if part.waiting or not part.fits(size, self):
             return False
+        if part.is_over_share(size, self, claim.owner):
+            return False
         self.assign(part, size, claim)
         return True
 
@@ -296,6 +311,7 @@
         waiter = _Waiter(hold, size, claim, self._waiters)
         part.waiting.append(waiter)
         try:
+            self.serve_waiting(part)
             if len(part.waiting) > _MAX_WAITING:
                 last = max(part.waiting, key=part.rank)
                 part.waiting.remove(last)
@@ -313,14 +329,25 @@
 
     def serve_waiting(self, part: _Part) -> None:
         """Assign what fits to those that wait, in their order."""
-        while part.waiting:
-            first = min(part.waiting, key=part.rank)
-            if not part.fits(first.size, first.hold):
-                return
-            part.waiting.remove(first)
-            first.is_granted = True
-            first.hold.assign(part, first.size, first.claim)
-            first.woken.set()
+        while waiter := self._next_waiter(part):
+            part.waiting.remove(waiter)
+            waiter.is_granted = True
+            waiter.woken.set()
+            waiter.hold.assign(part, waiter.size, waiter.claim)
+
+    @staticmethod
+    def _next_waiter(part: _Part) -> _Waiter | None:
+        """Return the first waiter that may have its bytes now.
+
+        Others pass one whose owner has its share, but not one that needs more room.
+        """
+        for waiter in sorted(part.waiting, key=part.rank):
+            if not part.fits(waiter.size, waiter.hold):
+                return None
+            owner = waiter.claim.owner
+            if not part.is_over_share(waiter.size, waiter.hold, owner):
+                return waiter
+        return None
 
     def _end_slow_transfers(self) -> None:
         now = trio.current_time()
--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -68,8 +68,8 @@
 the size that docs/CAPACITY.md names."""
 
 _CONNECTIONS_FRACTION = 0.25
-"""Fraction of the remaining memory for connections that wait or send a header section;
-the rest is the budget for requests and responses."""
+"""Largest fraction of the remaining memory for connections that wait or send a header
+section; the rest is the budget for requests and responses."""
 
 _CONNECTION_BYTES = 36_864
 """Memory of a connection: 20 kB of objects, and a header section of the usual limit."""
@@ -77,8 +77,8 @@
 _RESERVED_DESCRIPTORS = 200
 """Descriptors of files."""
 
-_CALLER_FRACTION = 0.375
-_CONTROL_FRACTION = 0.25
+_CALLER_FRACTION = 0.33
+_CONTROL_FRACTION = 0.33
 """Fractions of the descriptors for connections of callers, and of operators and backend
 servers. Each caller may need another one to a backend server."""
 
@@ -218,10 +218,11 @@
         int(sockets * _CALLER_FRACTION),
         int(left * _CONNECTIONS_FRACTION) // _CONNECTION_BYTES,
     )
+    connections = max(_LEAST_CONNECTIONS, connections)
     return HttpLimits(
-        connections=max(_LEAST_CONNECTIONS, connections),
+        connections=connections,
         control_connections=max(_LEAST_CONNECTIONS, int(sockets * _CONTROL_FRACTION)),
-        memory_bytes=int(left * (1 - _CONNECTIONS_FRACTION)),
+        memory_bytes=left - connections * _CONNECTION_BYTES,
     )
 
 
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -59,6 +59,11 @@
 _INTRODUCTION_SECONDS = 0.5
 _MS_PER_SECOND = 1000
 
+_CONTROL_MEMORY_FRACTION = 0.125
+_MAX_CONTROL_BYTES = 8_000_000
+"""Part of the memory for requests of operators and backend servers and for probes. The
+largest configurations have some 100 kB."""
+
 _READINESS_CONNECTIONS = 64
 """Load balancers probe once a second, each on one connection."""
 
@@ -115,7 +120,11 @@
         self._control_known = trio.Event()
         self._limits: CallerLimits | None = None
         limits = settings.http
-        self._memory = MemoryBudget(limits.memory_bytes)
+        control_bytes = min(
+            int(_CONTROL_MEMORY_FRACTION * limits.memory_bytes), _MAX_CONTROL_BYTES
+        )
+        control_memory = MemoryBudget(control_bytes)
+        self._memory = MemoryBudget(limits.memory_bytes - control_bytes)
         self._caller_server = HttpServer(
             settings.listen.callers,
             limits,
@@ -128,11 +137,13 @@
             settings.listen.readiness,
             replace(limits, connections=_READINESS_CONNECTIONS),
             as_handler(self._answer_readiness),
+            control_memory,
         )
         self._control_server = HttpServer(
             settings.listen.control,
             replace(limits, connections=limits.control_connections),
             as_handler(self._answer_control),
+            control_memory,
         )
 
     @property
