--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -64,6 +64,18 @@
         self.assertLess(peak, MEMORY_MB * 1_000_000)
         self.assertLess(descriptors, min(clients * 3 + _OWN_DESCRIPTORS, max_fds))
 
+    def test_largest_body_in_calm(self):
+        # Guards against a budget that a small machine refuses legal requests for.
+        async def run() -> int:
+            with tempfile.TemporaryDirectory() as folder:
+                async with memory_deployment(Path(folder), MEMORY_MB) as deployment:
+                    with trio.fail_after(LIMIT_SECONDS):
+                        for _ in range(3):
+                            await deployment.call(bytes(MAX_BODY_BYTES))
+                    return deployment.peak_bytes
+
+        self.assertLess(trio.run(run), MEMORY_MB * 1_000_000)
+
     def test_whole_bodies(self):
         async def send(stream: trio.SocketStream) -> None:
             while True:
