--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from types import SimpleNamespace
 
 import trio
@@ -46,122 +46,7 @@
     routed_model,
     run_in_virtual_time,
 )
-
-ENTRIES = tuple(f"e{number}" for number in range(8))
-SERVERS = tuple(f"i{number}" for number in range(1, 9))
-SERVER_SLOTS = 5
-
-SECONDS = 2.4
-"""Time that is compared: instances dispatch alone until their lease ends."""
-
-WORK_SECONDS = 0.3
-REQUESTS_PER_SECOND = 80
-"""A leader has 40 slots for them, of which 24 are in use on average. Without the three
-control instances, 29 slots are assigned to instances that respond."""
-
-WEIGHTS = (0.40, 0.20, 0.10, 0.10, 0.08, 0.06, 0.04, 0.02)
-"""Part of the requests that arrives at each instance."""
-
-
-def slot_request(number: object, **fields) -> SlotRequest:
-    """Return a request with an objective of 1 s and a deadline after 3 s."""
-    values = {
-        "deadline_ms": 3_000,
-        "start_within_ms": 750,
-        "tier": 0,
-        **fields,
-    }
-    return SlotRequest(
-        request_id=f"{SERVICE}:{number}",
-        service=SERVICE,
-        client_account="mill",
-        profile="p",
-        route="/r",
-        prompt_tokens=10,
-        answer_tokens=10,
-        cancellable=False,
-        **values,
-    )
-
-
-@dataclass
-class Load:
-    """Requests at the instances of a model, and what became of them."""
-
-    model: RoutedModel
-    served: int = 0
-    refusals: list[SlotRefusal] = field(default_factory=list)
-    waits: list[float] = field(default_factory=list)
-    in_use: Counter = field(default_factory=Counter)
-    most_in_use: int = 0
-    over_used: int = 0
-
-    async def serve(self, instance: str, request: SlotRequest) -> SlotGrant | None:
-        """Request a slot, use it for ``WORK_SECONDS``, and release it."""
-        slots = self.model.runtimes[instance]._slots
-        asked_at = trio.current_time()
-        grant = await slots.acquire(request)
-        self.waits.append(trio.current_time() - asked_at)
-        if not isinstance(grant, SlotGrant):
-            self.refusals.append(grant)
-            return None
-        if not slots.is_usable(grant):
-            return None
-        server = grant.backend_id
-        self.in_use[server] += 1
-        self.over_used += self.in_use[server] > SERVER_SLOTS
-        self.most_in_use = max(self.most_in_use, self.in_use[server])
-        await trio.sleep(WORK_SECONDS)
-        self.in_use[server] -= 1
-        self.served += 1
-        slots.release(
-            SlotRelease(
-                SERVICE,
-                request.request_id,
-                grant.grant_id,
-                server,
-                ReleaseResult.ANSWERED,
-            )
-        )
-        return grant
-
-    async def play(self, seed: int, seconds: float = SECONDS) -> None:
-        """Play uneven arrivals, and wait until all of them have ended."""
-        generator = random.Random(seed)
-        ends_at = trio.current_time() + seconds
-        number = 0
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < ends_at:
-                await trio.sleep(generator.expovariate(REQUESTS_PER_SECOND))
-                (instance,) = generator.choices(ENTRIES, WEIGHTS)
-                number += 1
-                nursery.start_soon(
-                    self.serve, instance, slot_request(f"{seed}-{number}")
-                )
-
-
-def run_load(seed: int, *, lends_slots: bool, loses_core: bool, **options) -> Load:
-    """Return a load that was played with a leader, or without the control instances."""
-    loads: list[Load] = []
-    seconds = options.pop("seconds", SECONDS)
-
-    async def scenario() -> None:
-        async with routed_model(
-            SERVERS,
-            entries=ENTRIES,
-            lends_slots=lends_slots,
-            server_slots=SERVER_SLOTS,
-            **options,
-        ) as model:
-            load = Load(model)
-            loads.append(load)
-            if loses_core:
-                for name in CONTROL:
-                    model.stop(name)
-            await load.play(seed, seconds)
-
-    run_in_virtual_time(scenario)
-    return loads[0]
+from tests.standby_load import SERVER_SLOTS, run_load, slot_request
 
 
 class TestShareOfWork(unittest.TestCase):
