--- a/src/sassafraspin/http/memory.py
+++ b/src/sassafraspin/http/memory.py
@@ -387,7 +387,8 @@
 
     def expand(self, capacity: int) -> None:
         """Make room for a large body."""
-        self._map = mmap.mmap(-1, capacity)
+        flags = mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS
+        self._map = mmap.mmap(-1, capacity, flags=flags)
         self._map[: self._size] = bytes(self._small)
         self._small.clear()
 
