Read whether a request is queued late only where it is queued

Result: tests.test_standby_loans.TestLending.test_slot_that_becomes_free_early_serves_the_own_request failed before and passes.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -150,8 +150,8 @@
         return ranks[one.request.request_id] == ranks[other.request.request_id]
 
     def is_queued_late(self, request_id: str) -> bool:
-        """Return whether a request is in the late rank of its tier."""
-        return bool(self._ranks[request_id] % 2)
+        """Return whether a request is queued in the late rank of its tier."""
+        return bool(self._ranks.get(request_id, 0) % 2)
 
     def newly_late(self, now: float) -> list[WaitingRequest]:
         """Return the requests that have become late since they were queued."""
