--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -6,6 +6,7 @@
 import tracemalloc
 import unittest
 from collections.abc import Callable, Iterable
+from contextlib import aclosing
 from unittest import mock
 
 import trio
@@ -200,3 +201,72 @@
                 client.get("/v1/status", dict)
             server.join()
         self.assertTrue(closed.is_set(), "the client waited for the end")
+
+
+class TestJoinedChunks(unittest.TestCase):
+    """Chunks that arrive together are handed over as one part, and nothing is lost."""
+
+    CHUNKS = b"3\r\nabc\r\n" + b"3\r\ndef\r\n"
+
+    def read_parts(
+        self, answers: list[bytes], most_parts: int = 100
+    ) -> tuple[list[list[bytes]], list[str], int]:
+        """Return the parts and the errors of the answers, and the connections used.
+
+        ``most_parts`` parts of each answer are read, then no more.
+        """
+        connections = []
+        parts: list[list[bytes]] = []
+        errors = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            connections.append(stream)
+            while len(parts) < len(answers) and await stream.receive_some(65_536):
+                await stream.send_all(answers[len(parts)])
+
+        async def read(client: HttpClient, address: Address) -> None:
+            read_now = []
+            try:
+                async with (
+                    client.open(address, REQUEST) as answer,
+                    aclosing(answer.chunks()) as chunks,
+                ):
+                    async for part in chunks:
+                        read_now.append(part)
+                        if len(read_now) == most_parts:
+                            break
+            except ConnectionLost as error:
+                errors.append(str(error))
+            parts.append(read_now)
+
+        async def run() -> None:
+            client = HttpClient(TIMEOUTS)
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                port = listeners[0].socket.getsockname()[1]
+                with trio.fail_after(GUARD_SECONDS):
+                    for _ in answers:
+                        await read(client, Address("127.0.0.1", port))
+                client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return parts, errors, len(connections)
+
+    def test_chunks_of_one_segment_are_one_part(self):
+        answer = CHUNKED_HEAD + self.CHUNKS + CHUNKED_END
+        self.assertEqual(self.read_parts([answer]), ([[b"abcdef"]], [], 1))
+
+    def test_an_error_after_chunks_does_not_lose_them(self):
+        parts, errors, _ = self.read_parts([CHUNKED_HEAD + self.CHUNKS + b"zz\r\n"])
+        self.assertEqual(parts, [[b"abcdef"]])
+        self.assertEqual(len(errors), 1)
+        self.assertIn("broken answer: illegal chunk header", errors[0])
+
+    def test_the_end_of_an_answer_is_not_taken_for_that_of_the_next(self):
+        # The first reader stops after the last part, before it is told of the end.
+        answer = CHUNKED_HEAD + self.CHUNKS + CHUNKED_END
+        parts, errors, connections = self.read_parts([answer, answer], most_parts=1)
+        self.assertEqual(parts, [[b"abcdef"], [b"abcdef"]])
+        self.assertEqual((errors, connections), ([], 1))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,8 @@
 
 import json
 import re
+import subprocess
+import sys
 import unittest
 from pathlib import Path
 
@@ -145,6 +147,30 @@
         self.assertEqual(found, [])
 
 
+class TestImports(unittest.TestCase):
+    """An instance imports no part that it never runs: each costs memory and a start."""
+
+    UNUSED = (
+        "expression",
+        "hypothesis",
+        "openai",
+        "pydantic",
+        "sassafraspin.cli",
+        "sassafraspin.daemon.daemon",
+        "sassafraspin.settings.check",
+    )
+
+    def test_unused_modules_are_not_imported(self):
+        code = (
+            "import sys, sassafraspin.platform.main;"
+            f"print([name for name in {self.UNUSED!r} if name in sys.modules])"
+        )
+        result = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(result.stdout.strip(), "[]")
+
+
 class TestBootSettings(unittest.TestCase):
     """Decoding of the settings file."""
 
