Count the overhead of a first token in the latest start of a request

Cause: the latest start of a waiting request was derived from the prefill alone, so that a request was kept although its first token could no longer arrive before its caller disconnects.

Change: the least overhead of all servers is added to the fastest time to first token.

--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -113,6 +113,7 @@
         self._limited: list[Backend] = []
         self._best_prefill_rate = 1.0
         self._best_decode_rate = 1.0
+        self._least_overhead = 0.0
         self._prefix_holders: OrderedDict[int, str] = OrderedDict()
         self._overhead = TypicalOverhead()
         self._part_index = PartIndex(reuse_seconds)
@@ -204,7 +205,8 @@
         Parts of the prompt that any server may hold need no time.
         """
         cached = self._part_index.indexed_tokens(request.parts)
-        return max(1, request.prompt_tokens - cached) / self._best_prefill_rate
+        uncached = max(1, request.prompt_tokens - cached)
+        return self._least_overhead + uncached / self._best_prefill_rate
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement; return whether the server is a new one.
@@ -332,6 +334,7 @@
         speeds = [item.speed for item in self._accepting]
         self._best_prefill_rate = max((s.prefill_rate for s in speeds), default=1.0)
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
+        self._least_overhead = min((s.overhead for s in speeds), default=0.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
             is_free = backend_id in accepting and _is_free(backend, now)
