--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -120,6 +120,7 @@
         self._best_prefill_rate = 1.0
         self._typical_prefill_rate = 1.0
         self._best_decode_rate = 1.0
+        self._least_overhead = 0.0
         self._prefix_holders: OrderedDict[int, str] = OrderedDict()
         self._overhead = TypicalOverhead()
         self._part_index = PartIndex(reuse_seconds)
@@ -256,7 +257,8 @@
         Parts of the prompt that any server may hold need no time.
         """
         cached = self._part_index.indexed_tokens(request.parts)
-        return max(1, request.prompt_tokens - cached) / self._best_prefill_rate
+        uncached = max(1, request.prompt_tokens - cached)
+        return self._least_overhead + uncached / self._best_prefill_rate
 
     def typical_first_token(self, request: SlotRequest) -> float:
         """Return the time to first token at the median prefill rate of all servers.
@@ -396,6 +398,7 @@
         rates = [s.prefill_rate for s in speeds]
         self._typical_prefill_rate = median(rates) if rates else 1.0
         self._best_decode_rate = max((s.decode_rate for s in speeds), default=1.0)
+        self._least_overhead = min((s.overhead for s in speeds), default=0.0)
         accepting = {item.announcement.id for item in self._accepting}
         for backend_id, backend in self._backends.items():
             self._index_free(backend_id, backend, backend_id in accepting, now)
