Count a prefill as long from 0.3 of the pause objective on

Result: tests.test_prefix_placement.TestSharedPartsUnderLoad passes with 0.2, 0.3 and 0.4 and fails with 0.5.

--- a/src/sassafraspin/routing/choice.py
+++ b/src/sassafraspin/routing/choice.py
@@ -43,7 +43,7 @@
 are placed by their parts: callers' objectives are for the first token and for pauses.
 With the whole time, fast servers are preferred to those that hold the parts."""
 
-_LONG_PREFILL_SHARE = 0.5
+_LONG_PREFILL_SHARE = 0.3
 """Share of the pause objective from which on a prefill counts as long. Shorter ones are
 not moved: with shares of 0.05 and 0.2 they lose their held parts and cause more late
 pauses elsewhere (205 and 204 instead of 167 in ``tests/prefix_model.py``)."""
