Count the overhead of a first token in what makes a stream late

Cause: the time to first token at the median rate left out the overhead that placement has learned (70 to 80 ms), so that streams counted as on time which could no longer be.

--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -256,17 +256,16 @@
 
         Parts of the prompt that any server may hold need no time.
         """
-        cached = self._part_index.indexed_tokens(request.parts)
-        uncached = max(1, request.prompt_tokens - cached)
-        return self._least_overhead + uncached / self._best_prefill_rate
+        return self._first_token(request, self._best_prefill_rate)
 
     def typical_first_token(self, request: SlotRequest) -> float:
-        """Return the time to first token at the median prefill rate of all servers.
+        """Return the same at the median prefill rate of all servers."""
+        return self._first_token(request, self._typical_prefill_rate)
 
-        Parts of the prompt that any server may hold need no time.
-        """
+    def _first_token(self, request: SlotRequest, prefill_rate: float) -> float:
         cached = self._part_index.indexed_tokens(request.parts)
-        return max(1, request.prompt_tokens - cached) / self._typical_prefill_rate
+        uncached = max(1, request.prompt_tokens - cached)
+        return self._least_overhead + uncached / prefill_rate
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement; return whether the server is a new one.
