--- a/src/sassafraspin/dispatch/admission.py
+++ b/src/sassafraspin/dispatch/admission.py
@@ -92,7 +92,7 @@
         self._overload = overload
         self._trials = trials
         self._lends_slots = lends_slots
-        self.unserved: dict[str, WaitingRequest] = {}
+        self._unserved: dict[str, WaitingRequest] = {}
 
     def admit(self, entry: str, request: SlotRequest, now: float) -> None:
         """Queue a request or refuse it.
@@ -113,7 +113,7 @@
             return
         waiting = self.waiting(entry, request, now)
         if self._lends_slots and self._has_no_server(request, now):
-            self.unserved[request.request_id] = waiting
+            self._unserved[request.request_id] = waiting
             return
         if self._is_on_time(waiting, now):
             self._queue.add(waiting)
@@ -121,7 +121,7 @@
             wait = self._overload.expected_wait(request, now, late=True)
             may_wait = self._may_wait_late(waiting, wait, now)
             if not may_wait and self._lends_slots:
-                self.unserved[request.request_id] = waiting
+                self._unserved[request.request_id] = waiting
                 return
             if not may_wait:
                 self._limits.withdraw(request)
@@ -152,24 +152,32 @@
             return RefusalReason.ACCOUNT_LIMIT, decision.retry_after
         return None
 
+    def is_unserved(self, request_id: str) -> bool:
+        """Return whether only another instance can serve a request."""
+        return request_id in self._unserved
+
+    def take_unserved(self, request_id: str) -> WaitingRequest | None:
+        """Remove a request that only another instance can serve, and return it."""
+        return self._unserved.pop(request_id, None)
+
     def first_unserved(self, limit: int) -> list[WaitingRequest]:
         """Return the first requests that only another instance can serve, by tier."""
         return heapq.nsmallest(
             limit,
-            self.unserved.values(),
+            self._unserved.values(),
             key=lambda item: (item.request.tier, item.queued_at),
         )
 
     def expire_unserved(self, now: float) -> None:
         """Refuse the requests to which no other instance has lent a slot in time."""
-        for waiting in list(self.unserved.values()):
+        for waiting in list(self._unserved.values()):
             ends_at = waiting.queued_at + _borrowing_seconds(waiting.request)
             if now >= min(ends_at, waiting.latest_start):
                 self._refuse_unserved(waiting, now)
 
     def _refuse_unserved(self, waiting: WaitingRequest, now: float) -> None:
         request = waiting.request
-        del self.unserved[request.request_id]
+        del self._unserved[request.request_id]
         self._limits.withdraw(request)
         reason, retry = RefusalReason.NO_BACKEND, _DEFAULT_RETRY_SECONDS
         if not self._has_no_server(request, now):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -267,7 +267,7 @@
 
     def is_waiting(self, request_id: str) -> bool:
         """Return whether a request waits for a slot, here or of another instance."""
-        return request_id in self._queue or request_id in self._admission.unserved
+        return request_id in self._queue or self._admission.is_unserved(request_id)
 
     def may_borrow(self, request_id: str) -> bool:
         """Return whether a slot of another instance may be used for a request.
@@ -284,7 +284,7 @@
 
         It stays charged to this pool. Returns whether it was still waiting.
         """
-        waiting = self._admission.unserved.pop(request_id, None)
+        waiting = self._admission.take_unserved(request_id)
         waiting = waiting or self._queue.serve(request_id)
         if waiting is None:
             return False
@@ -344,7 +344,7 @@
     def withdraw(self, message: SlotWithdraw, now: float) -> list[SendToEntry]:
         """Remove a request from the queue, or release its unused slot."""
         waiting = self._queue.remove(message.request_id)
-        waiting = waiting or self._admission.unserved.pop(message.request_id, None)
+        waiting = waiting or self._admission.take_unserved(message.request_id)
         if waiting is not None:
             self._limits.withdraw(waiting.request)
         grant = self._grants.of_request(message.request_id)
@@ -510,11 +510,11 @@
 
     def _grant_to_unserved(self, now: float) -> None:
         """Grant slots that became free earlier than expected, and nobody waits for."""
-        if not self._admission.unserved or not self._servers.has_free_slot:
+        if not self._servers.has_free_slot:
             return
         for waiting in self._admission.first_unserved(_GRANT_SCAN_REQUESTS):
             if now <= waiting.latest_start and self._try_grant(waiting, now):
-                del self._admission.unserved[waiting.request.request_id]
+                self._admission.take_unserved(waiting.request.request_id)
 
     def _renew(self, grant: Grant, request: SlotRequest, now: float) -> bool:
         """Return whether a grant that is asked for again may still be used.
--- a/src/sassafraspin/http/memory.py
+++ b/src/sassafraspin/http/memory.py
@@ -236,11 +236,11 @@
         self._scope = scope
         self._least_rate = least_rate
         self._active_since = trio.current_time()
-        self._budget.transfers.add(self)
+        self._budget.start_transfer(self)
         try:
             yield
         finally:
-            self._budget.transfers.discard(self)
+            self._budget.end_transfer(self)
             self._active_seconds += trio.current_time() - self._active_since
             self._scope = None
 
@@ -280,7 +280,7 @@
             kind: _Part(kind, int(limit_bytes * share))
             for kind, share in _SHARES.items()
         }
-        self.transfers: set[MemoryHold] = set()
+        self._transfers: set[MemoryHold] = set()
         self._waiters = 0
         self._refused = 0
         self._closed = 0
@@ -307,6 +307,14 @@
         """Count a connection that was closed for lack of memory or descriptors."""
         self._closed += 1
 
+    def start_transfer(self, hold: MemoryHold) -> None:
+        """Watch the rate of a transfer while others wait."""
+        self._transfers.add(hold)
+
+    def end_transfer(self, hold: MemoryHold) -> None:
+        """Stop watching a transfer."""
+        self._transfers.discard(hold)
+
     async def wait_for(
         self, hold: MemoryHold, kind: MemoryKind, size: int, claim: Claim
     ) -> None:
@@ -360,7 +368,7 @@
         The end of a response makes room for all, since its request is held as long.
         """
         now = trio.current_time()
-        for hold in list(self.transfers):
+        for hold in list(self._transfers):
             if hold.kind in (kind, MemoryKind.RESPONSE) and hold.end_if_slow(now):
                 self._closed += 1
 
--- a/tests/test_standby_loans.py
+++ b/tests/test_standby_loans.py
@@ -531,7 +531,7 @@
         late = pool_request(2, start_within_ms=700)
         (waiting,) = answers(pool.request("b", late, 0.0))
         self.assertIsInstance(waiting, SlotWaiting)
-        self.assertIn(late.request_id, pool._admission.unserved)
+        self.assertTrue(pool._admission.is_unserved(late.request_id))
         release = SlotRelease(
             POOL_SERVICE,
             first.request_id,
