Show a bad version that takes all requests and whose roll-out is refused

A daemon without a disk is frozen for 3 s as the operator's order reaches it. The runners of v10 register before the order reaches the leader a second later. The version in force is the lowest name, compared as text, so v10 takes all requests at once, and the order is refused with 409 as the same version.

--- a/review/support2/case.py
+++ b/review/support2/case.py
@@ -30,6 +30,7 @@
         self.record = record
         self.deployment = Deployment(record, daemons)
         self.runners: list[Runner] = []
+        self.tasks: list[asyncio.Task] = []
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def start(self, configuration: dict, runners: list[Runner]) -> None:
@@ -88,5 +89,9 @@
 
 
 async def _run_in_time(scenario: Scenario, case: Case) -> bool:
-    async with asyncio.timeout(_TIME_LIMIT_SECONDS):
-        return await scenario(case)
+    try:
+        async with asyncio.timeout(_TIME_LIMIT_SECONDS):
+            return await scenario(case)
+    finally:
+        for task in case.tasks:
+            task.cancel()
--- a/review/support2/deployment.py
+++ b/review/support2/deployment.py
@@ -29,7 +29,7 @@
 internal_ports = [{peer},{peer_last}]
 seeds = [{seeds}]
 bootstrap = {bootstrap}
-fault_counted = true
+fault_counted = {counted}
 data_dir = "{data}"
 discovery = "registration"
 entry = "virtual_ip"
@@ -86,6 +86,7 @@
 """
 
 _STOP_SECONDS = 3.0
+_DISKS = 3
 
 
 class Record:
@@ -107,7 +108,7 @@
 
 
 class Deployment:
-    """Daemons with disks, started with the command of the deploy file.
+    """Daemons, started with the command of the deploy file; the first three have disks.
 
     Parameters
     ----------
@@ -210,12 +211,16 @@
         return who, answer
 
     async def order(
-        self, method: str, path: str, document: object, seconds: float = 20.0
+        self,
+        method: str,
+        path: str,
+        document: object,
+        number: int = 0,
+        seconds: float = 20.0,
     ) -> Answer:
-        """Send an order to one daemon after the other until it has a clear answer."""
+        """Send an order to ``number`` and the others until it has a clear answer."""
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
-        number = 0
         pause = 0.1
         while True:
             _, answer = await self.call(number, method, path, document)
@@ -252,8 +257,10 @@
 
     def _write_settings(self, number: int) -> Path:
         host = self._hosts[number]
+        has_disk = number < _DISKS
         data = self._folder / f"data-{number}"
-        data.mkdir(exist_ok=True)
+        if has_disk:
+            data.mkdir(exist_ok=True)
         seeds = ",".join(f'"{item}:{self._control}"' for item in self._hosts[:3])
         path = self._folder / f"daemon-{number}.toml"
         path.write_text(
@@ -265,7 +272,8 @@
                 peer_last=self._peer + 1,
                 seeds=seeds,
                 bootstrap="false" if number in self._has_started else "true",
-                data=data,
+                data=data if has_disk else "",
+                counted="true" if has_disk else "false",
                 front=self._front,
                 readiness=self._readiness,
                 control=self._control,
