--- a/review/support2/deployment.py
+++ b/review/support2/deployment.py
@@ -166,12 +166,15 @@
         self._has_started.add(number)
         self.record.write(f"daemon {number} starts")
 
-    def signal(self, number: int, signal_number: signal.Signals) -> None:
+    def signal(
+        self, number: int, signal_number: signal.Signals, is_recorded: bool = True
+    ) -> None:
         """Send a signal to a daemon that this deployment has started."""
         process = self._processes[number]
         if process.poll() is None:
             process.send_signal(signal_number)
-            self.record.write(f"daemon {number} gets {signal_number.name}")
+            if is_recorded:
+                self.record.write(f"daemon {number} gets {signal_number.name}")
 
     def exit_status(self, number: int) -> int | None:
         """Return the exit status of a daemon, ``None`` while it runs."""
