End the daemons of a case with its script, and report its own errors as not run

Case 9 got SIGTERM once: exit 2, no process left. Cases 6, 9 and 10 were run once more each with the disruption (exit 1), case 9 without it (exit 0).

--- a/review/support2/case.py
+++ b/review/support2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -72,6 +73,8 @@
 
 def run_case(folder: Path, scenario: Scenario, daemons: int = 3) -> None:
     """Run a scenario, which returns whether the rule was broken, and exit."""
+    # A script that is ended stops its daemons too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(_COULD_NOT_RUN))
     record = Record(folder / "record.txt")
     case = Case(record, daemons)
     record.write(f"disruption: {'on' if case.has_trouble else 'off'}")
@@ -79,7 +82,8 @@
     try:
         is_broken = asyncio.run(_run_in_time(scenario, case))
         status = _BROKEN if is_broken else _HELD
-    except (OSError, TimeoutError, KeyError) as error:
+    except Exception as error:  # noqa: BLE001
+        # Whatever went wrong in the script says nothing about the rule.
         record.write(f"could not run: {error!r}")
     finally:
         case.stop()
