End a connection whose answer was abandoned before it was written

Cause: h11 counts the bytes of an answer as sent when it returns them. If the time limit of the call cancels the write, the protocol is in the state of a complete answer, so the server waited for the next request on a connection whose client waits for the rest. Large answers and streams that are cut in the middle are not affected, as h11 has not seen their end.

Change: the connection keeps whether bytes that h11 returned were not written, and is closed then.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -84,6 +84,7 @@
         )
         self._closing = False
         self._has_served = False
+        self._has_unwritten_bytes = False
         self._peer = _peer_host(stream)
         self._idle_scope: trio.CancelScope | None = None
         self._checkpoints = CheckpointCounter()
@@ -162,8 +163,10 @@
             return False
         self._has_served = True
         await self._answer(request)
+        # h11 counts bytes as sent before they are written, also if that is cancelled.
         return (
-            self._protocol.our_state is h11.DONE
+            not self._has_unwritten_bytes
+            and self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
         )
 
@@ -429,8 +432,10 @@
             scope.cancel()
 
     async def _write(self, data: bytes) -> None:
+        self._has_unwritten_bytes = True
         with trio.move_on_after(self._limits.write_timeout_ms / _MS_PER_SECOND):
             await self._stream.send_all(data)
+            self._has_unwritten_bytes = False
             return
         raise trio.BrokenResourceError("write timed out: the peer is not reading")
 
