Count the time limit of a request from its first byte

Cause: the time limit began when the request was complete. Small requests, unlike large ones, did not look up the limit of their route before, so that only the general limit for bodies applied.

Change: a request says how long it took to arrive, and its calls begin that much earlier. A small request whose body has not arrived with its head, or that waits for memory, gets the limit and the place in the queue of its route and client account, as large ones do.

--- a/src/sassafraspin/daemon/entry.py
+++ b/src/sassafraspin/daemon/entry.py
@@ -162,7 +162,7 @@
         self._relay = relay
         self._call = call
         self._responder = responder
-        self._started_at = node.now()
+        self._started_at = node.now() - call.request.read_seconds
         self._record_state = RecordState.NOT_RUN
         self._tried_backends: tuple[str, ...] = ()
 
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -85,6 +85,7 @@
         self._closing = False
         self._has_served = False
         self._has_unwritten_bytes = False
+        self._received_at = 0.0
         self._peer = _peer_host(stream)
         self._idle_scope: trio.CancelScope | None = None
         self._checkpoints = CheckpointCounter()
@@ -290,7 +291,8 @@
             if not hold.try_take(MemoryKind.BODY, whole, claim):
                 raise OutOfMemory
         body = await self._read_body(request, size, hold, claim)
-        return Request(method, target, headers, body)
+        read_seconds = trio.current_time() - self._received_at
+        return Request(method, target, headers, body, read_seconds)
 
     async def _read_head(self) -> h11.Request | _Closed:
         if not self._protocol.trailing_data[0]:
@@ -298,6 +300,7 @@
             if not data:
                 return _Closed()
             self._protocol.receive_data(data)
+        self._received_at = trio.current_time()
         with trio.move_on_after(self._limits.header_timeout_ms / _MS_PER_SECOND):
             event = await self._next_event()
             if isinstance(event, h11.Request):
@@ -329,15 +332,19 @@
         declared = _declared_length(request)
         size = head_bytes + (declared or 0)
         kind = MemoryKind.SMALL if size <= SMALL_BYTES else MemoryKind.BODY
-        if kind is MemoryKind.BODY:
+        extra = SMALL_BYTES if declared is None else 0
+        is_held = bool(hold.bytes) or (
+            kind is MemoryKind.SMALL and hold.try_take(kind, size + extra, claim)
+        )
+        # Only a request that has to wait needs its claim, which takes time to find.
+        if not is_held or not self._has_received(declared):
             claim = self._claim(request)
         is_waiting = True
         limit_ms = _time_limit_ms(self._limits, claim)
         scope = trio.CancelScope()
-        scope.deadline = trio.current_time() + limit_ms / _MS_PER_SECOND
+        scope.deadline = self._received_at + limit_ms / _MS_PER_SECOND
         with scope:
-            if not hold.bytes:
-                extra = SMALL_BYTES if declared is None else 0
+            if not is_held:
                 await hold.take(kind, size + extra, claim)
             is_waiting = False
             if self._protocol.they_are_waiting_for_100_continue:
@@ -393,6 +400,12 @@
                 event = self._parse_event()
         return event
 
+    def _has_received(self, declared: int | None) -> bool:
+        """Return whether a body of a declared length has arrived completely."""
+        return declared is not None and (
+            len(self._protocol.trailing_data[0]) >= declared
+        )
+
     def _claim(self, request: Request) -> Claim:
         if self._classify is None:
             return Claim(self._peer)
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -53,12 +53,14 @@
     """An HTTP request with its complete body.
 
     A large body that was received is a view of the memory into which it was read.
+    ``read_seconds`` is the time from its first byte until it was complete.
     """
 
     method: str
     target: str
     headers: Headers = field(default_factory=Headers)
     body: bytes | memoryview = b""
+    read_seconds: float = 0.0
 
     @property
     def path(self) -> str:
--- a/src/sassafraspin/routed/entry.py
+++ b/src/sassafraspin/routed/entry.py
@@ -131,7 +131,8 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Handle one HTTP request from a caller."""
-        context = _CallContext(request, responder, self._node.now())
+        started_at = self._node.now() - request.read_seconds
+        context = _CallContext(request, responder, started_at)
         self._in_flight += 1
         try:
             await self._serve(context)
