--- a/tests/test_slow_bodies.py
+++ b/tests/test_slow_bodies.py
@@ -1,4 +1,4 @@
-"""Time limits of requests whose body arrives slowly or stops (CONFIG)."""
+"""Time limits of requests whose head or body arrives slowly or stops (CONFIG)."""
 
 import unittest
 
@@ -11,22 +11,24 @@
 
 ROUTE_TIMEOUT_MS = 400
 PAUSE_SECONDS = 0.3
-BODY = b"question"
+HEAD = (
+    b"POST /short/1 HTTP/1.1\r\nHost: mill.example\r\nX-Request-Id: id-1\r\n"
+    b"Authorization: Token key\r\n"
+)
+DECLARED = b"Content-Length: 8\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n8\r\n"
+HALF = b"half"
 
 
 async def _send_slowly(deployment: RoutedDeployment, *parts: bytes) -> bytes:
-    """Send a request to the route ``short``, its body in parts, with pauses between.
+    """Send a request in parts, with pauses between.
 
-    Returns what arrives until the connection ends or the whole body was answered.
+    Returns what arrives until the connection ends or a head was received.
     """
     address = deployment.listen.callers
     stream = await trio.open_tcp_stream(address.host, address.port)
-    head = (
-        f"POST /short/1 HTTP/1.1\r\nHost: mill.example\r\nX-Request-Id: id-1\r\n"
-        f"Authorization: Token key\r\nContent-Length: {len(BODY)}\r\n\r\n"
-    )
     async with stream:
-        await stream.send_all(head.encode() + parts[0])
+        await stream.send_all(parts[0])
         for part in parts[1:]:
             await trio.sleep(PAUSE_SECONDS)
             await stream.send_all(part)
@@ -41,21 +43,32 @@
 
 
 class TestSlowBodies(unittest.TestCase):
-    """The time limit of a route counts from the head of the request."""
+    """The time limit of a route counts from the first byte of the request."""
+
+    def check_stopped(self, *parts: bytes) -> None:
+        """Check that an incomplete request is refused and not sent to a server."""
 
-    def test_body_that_stops_is_answered_at_the_time_limit_of_its_route(self):
         async def run() -> bytes:
             async with routed_deployment(runners=1) as deployment:
-                answer = await _send_slowly(deployment, BODY[:3])
+                answer = await _send_slowly(deployment, *parts)
                 self.assertFalse(deployment.runners[0].requests)
                 return answer
 
         self.assertIn(b" 408 ", trio.run(run))
 
+    def test_body_that_stops_is_answered_at_the_time_limit_of_its_route(self):
+        self.check_stopped(HEAD + DECLARED + HALF)
+
+    def test_chunked_body_that_stops_is_answered_at_the_time_limit(self):
+        self.check_stopped(HEAD + CHUNKED + HALF)
+
+    def test_body_that_stops_after_a_slow_head_is_answered_at_the_time_limit(self):
+        self.check_stopped(HEAD, DECLARED + HALF)
+
     def test_time_limit_of_a_server_leaves_out_the_time_of_the_body(self):
         async def run() -> int:
             async with routed_deployment(runners=1) as deployment:
-                await _send_slowly(deployment, BODY[:3], BODY[3:])
+                await _send_slowly(deployment, HEAD + DECLARED + HALF, HALF)
                 [request] = deployment.runners[0].requests
                 return int(request.headers.get("x-deadline-ms"))
 
