--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -285,6 +285,19 @@
                 with self.assertRaises(InvalidInput):
                     decode_table(encoded(document))
 
+    def test_unknown_service_beside_a_split(self):
+        """An invalid configuration must not be acknowledged (CONFIG)."""
+        document = configuration()
+        document["routes"][0]["service"] = "x"
+        with self.assertRaises(InvalidInput):
+            decode_table(encoded(document))
+
+    def test_known_service_beside_a_split(self):
+        document = configuration()
+        document["routes"][0]["service"] = "desk"
+        table = decode_table(encoded(document))
+        self.assertEqual(len(table.routes[0].shares), 2)
+
     def test_truncated_document(self):
         body = encoded(configuration())
         for length in range(0, len(body) - 1, 37):
