Refuse a configuration whose route names an unknown service beside a split

What callers saw: an invalid configuration is acknowledged and comes into force (CONFIG).

Cause: a route that has a traffic split was decoded without its own service, so that nothing checked that name.

Change: the service of such a route is checked too; it still gets no requests.

--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -1,5 +1,6 @@
 """Decoder for the platform's configuration document."""
 
+from collections.abc import Iterator
 from typing import Annotated
 
 import msgspec
@@ -128,12 +129,22 @@
         tuple(map(_account, document.tenants)),
         _limits(document.limits),
     )
-    problems = validate_table(table)
+    problems = (*validate_table(table), *_unused_service_problems(document))
     if problems:
         raise InvalidInput(_SOURCE, problems)
     return table
 
 
+def _unused_service_problems(document: _Document) -> Iterator[Problem]:
+    """Yield the unknown services that routes name beside a traffic split."""
+    services = {service.name for service in document.services}
+    for position, route in enumerate(document.routes):
+        is_unused = bool(route.traffic_split) and route.service is not None
+        if is_unused and route.service not in services:
+            path = f"$.routes[{position}].service"
+            yield Problem(path, f"no service is named {route.service!r}")
+
+
 def _route(item: _Route) -> Route:
     kind = _kind(item.route_type)
     return Route(
