Show responses that wait for memory beside small ones, failing

An answer in chunks of 40 kB waits for 16 MiB as long as anything else is held for responses, also if its own request holds it for a failed attempt. Answers that are not read are not ended for others if they have at most 64 KiB or no declared end. If too many answers wait, a request that a server has answered is refused as not run.

--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -158,7 +158,9 @@
 
 @asynccontextmanager
 async def routed_deployment(
-    runners: int = 2, drain_timeout_ms: int = 5_000
+    runners: int = 2,
+    drain_timeout_ms: int = 5_000,
+    http: HttpLimits | None = None,
 ) -> AsyncIterator[RoutedDeployment]:
     """Run a daemon with registered runners; yield once it is ready."""
     ports = free_ports(4 + runners)
@@ -168,6 +170,7 @@
         settings = replace(
             routed_settings(listen, Path(folder) / "data"),
             drain_timeout_ms=drain_timeout_ms,
+            http=http or HttpLimits(),
         )
         daemon = RoutedDaemon(settings, PlatformAdapter(60_000), 1)
         deployment = RoutedDeployment(daemon, listen)
