Let the memory of a response grow with what it has

Cause: an answer in chunks took 16 MiB above 32 KiB, which a small machine grants only if nothing else is held for responses. A failed answer, kept for the case that no other server answers, held memory while the answer of its own retry waited for it, and all others waited behind it. A caller that did not read had the same effect for 20 s: answers of 32 to 64 KiB, and larger ones without a declared end, were sent without the check for slow transfers. If more than 256 answers waited, the last one was refused as not run although a server had run it.

Change: the hold of an answer without a declared length grows with its buffer, by 32 KiB or what was read. Growing holds together fill a quarter of the part, except for one of them, so that it can end and leave its place to the next. Holds that have begun come before new ones. If all bytes of a part belong to holds that wait to grow, the largest answer ends as too large. A failed answer is given up, oldest first, when another one would have to wait for its memory; then its caller gets 502 answer-lost if no other server answers. All answers above 32 KiB are sent as transfers that end for others if they are slow, in parts of 4 KiB to 64 KiB. An answer that gets no memory counts as lost, not as not run.

Existing tests of memory, HTTP, streams and the routed daemon pass.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -3,7 +3,7 @@
 Its errors distinguish requests that were never sent from those that may have been.
 """
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import trio
@@ -26,6 +26,7 @@
     MemoryKind,
 )
 from sassafraspin.http.messages import Headers, Request, Response
+from sassafraspin.http.problems import OutOfMemory
 from sassafraspin.settings import Address
 from sassafraspin.telemetry import part_logger
 
@@ -37,11 +38,16 @@
 
 _UNLIMITED_BYTES = 1 << 40
 
+_GROWTH_BYTES = 32_768
+"""By how much the room for a body of unknown length grows at least."""
+
 _IDENTITY = "identity"
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
 _PROBE_TIMEOUT_SECONDS = 0.1
 
+_TakeBytes = Callable[[MemoryKind, int, Claim], Awaitable[None]]
+
 _log = part_logger("http")
 
 
@@ -138,11 +144,15 @@
     async def read(self) -> bytes | memoryview:
         """Read the rest of the body; a large one is paused until its memory is free.
 
+        A declared length is taken before the first byte; without one, the memory grows
+        with the body.
+
         Raises
         ------
         AnswerTooLarge
             If the body, or its declared length, exceeds the limit, or if it is the
-            largest of those that exceed the limit of all bodies together.
+            largest of those that exceed the limit of all bodies together or that wait
+            for the memory of each other.
         ConnectionLost
             If the body is truncated or no byte arrives within the progress timeout.
         """
@@ -151,14 +161,19 @@
             raise AnswerTooLarge(limit_bytes)
         body = BodyBuffer()
         if self._connection.declared_body_bytes > body.capacity:
-            await self._make_room(body, self._connection.declared_body_bytes)
+            await self._make_room(
+                body, self._connection.declared_body_bytes, self._hold.take
+            )
         with self._budget.share() as share, share.scope:
             while (chunk := await self._connection.read_chunk()) is not None:
                 size = len(body) + len(chunk)
                 if size > limit_bytes:
                     raise AnswerTooLarge(limit_bytes)
                 if size > body.capacity:
-                    await self._make_room(body, limit_bytes)
+                    capacity = max(size, body.capacity + _GROWTH_BYTES)
+                    await self._make_room(
+                        body, min(capacity, limit_bytes), self._hold.grow
+                    )
                 body.append(chunk)
                 share.grow(len(chunk))
         if share.is_evicted:
@@ -166,8 +181,14 @@
         self._hold.shrink(len(body))
         return body.content()
 
-    async def _make_room(self, body: BodyBuffer, capacity: int) -> None:
-        await self._hold.take(MemoryKind.RESPONSE, capacity, Claim())
+    async def _make_room(
+        self, body: BodyBuffer, capacity: int, take: _TakeBytes
+    ) -> None:
+        try:
+            await take(MemoryKind.RESPONSE, capacity, Claim())
+        except OutOfMemory as error:
+            # To its caller the problem would say that the request was not run.
+            raise AnswerTooLarge(body.capacity) from error
         body.expand(capacity)
 
     async def discard(self) -> None:
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -42,6 +42,10 @@
 _FIRST_READ_BYTES = 16_384
 """Largest read where the rest may belong to a later request, which is kept."""
 
+_LEAST_PART_BYTES = 4_096
+_PARTS = 32
+"""Parts in which a large body is sent: its rate is measured by complete parts."""
+
 _REQUEST_BYTES = 16_384
 """Memory of the tasks and objects that serve a request."""
 
@@ -190,35 +194,39 @@
 
     async def send(self, response: Response) -> None:
         """Send a response; without a length if the end of its body is not declared."""
-        if not response.is_framed:
-            await self.start(response.status, response.headers, is_framed=False)
-            await self.write(response.body)
-            await self.finish()
-            return
-        length = ("content-length", str(len(response.body)))
-        data = self._head(response.status, response.headers.adding(*length))
-        if len(response.body) > _READ_CHUNK_BYTES:
+        if response.is_framed:
+            length = ("content-length", str(len(response.body)))
+            data = self._head(response.status, response.headers.adding(*length))
+        else:
+            data = self._open_head(response.status, response.headers, is_framed=False)
+        if len(response.body) > SMALL_BYTES:
             await self._send_large(data, response)
+            await self.finish()
             return
         if response.body:
             data += self._protocol.send(h11.Data(data=response.body))
-        await self._write(data + self._protocol.send(h11.EndOfMessage()))
+        if response.is_framed:
+            await self._write(data + self._protocol.send(h11.EndOfMessage()))
+            return
+        await self._write(data)
+        await self.finish()
 
     async def _send_large(self, head: bytes, response: Response) -> None:
-        """Send a response without a copy of its body."""
+        """Send a body without a copy of it, unless others wait for its memory."""
         hold = response.hold or MemoryHold(self._memory)
         limit_ms = self._limits.write_timeout_ms
         body = memoryview(response.body)
+        part_bytes = max(_LEAST_PART_BYTES, len(body) // _PARTS)
+        part_bytes = min(part_bytes, _READ_CHUNK_BYTES)
         with trio.move_on_after(limit_ms / _MS_PER_SECOND) as scope:
             rate = least_rate(len(body), limit_ms, None)
             with hold.transfer(scope, rate):
                 await self._stream.send_all(head)
                 self._protocol.send_with_data_passthrough(h11.Data(data=body))
-                for start in range(0, len(body), _READ_CHUNK_BYTES):
-                    part = body[start : start + _READ_CHUNK_BYTES]
+                for start in range(0, len(body), part_bytes):
+                    part = body[start : start + part_bytes]
                     await self._stream.send_all(part)
                     hold.record(len(part))
-                await self._stream.send_all(self._protocol.send(h11.EndOfMessage()))
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("write timed out: the peer is not reading")
 
@@ -231,12 +239,7 @@
         otherwise it ends with the connection. Until such a body is finished, every
         close of the connection is a reset, also that of a process that is killed.
         """
-        if not is_framed:
-            self._protocol = _unframed_protocol()
-        head = self._head(status, headers)
-        if self._ends_with_connection:
-            self._reset_on_close(True)
-        await self._write(head)
+        await self._write(self._open_head(status, headers, is_framed))
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the body."""
@@ -269,6 +272,15 @@
             fields.append(("connection", "close"))
         return self._protocol.send(h11.Response(status_code=status, headers=fields))
 
+    def _open_head(self, status: int, headers: Headers, is_framed: bool) -> bytes:
+        """Return the head of a response without a declared length."""
+        if not is_framed:
+            self._protocol = _unframed_protocol()
+        head = self._head(status, headers)
+        if self._ends_with_connection:
+            self._reset_on_close(True)
+        return head
+
     async def _read_request(self, hold: MemoryHold) -> Request | _Closed:
         head = await self._read_head()
         if isinstance(head, _Closed):
--- a/src/sassafraspin/http/memory.py
+++ b/src/sassafraspin/http/memory.py
@@ -51,6 +51,10 @@
 _OWNER_FRACTION = 0.75
 """Fraction of a part that one owner may hold, so that others need not wait for it."""
 
+_GROWING_FRACTION = 0.25
+"""Fraction of a part that growing holds may fill, except for one of them: it always
+gets the rest, so that they do not all wait for each other."""
+
 
 @dataclass(frozen=True)
 class Claim:
@@ -102,13 +106,35 @@
         self.held_bytes = 0
         self.waiting: list[_Waiter] = []
         self._held_by_owner: dict[str, int] = {}
+        self._growing_bytes = 0
+        self._unrestricted: MemoryHold | None = None
+        self._reclaimable: dict[MemoryHold, Callable[[], None]] = {}
 
     def fits(self, size: int, hold: "MemoryHold") -> bool:
         """Return whether a hold may have bytes; the only hold always may."""
         others = self.held_bytes - hold.bytes_of(self)
         return others + size <= self.limit_bytes or not others
 
-    def is_over_share(self, size: int, hold: "MemoryHold", owner: str) -> bool:
+    def allows(self, size: int, hold: "MemoryHold", owner: str) -> bool:
+        """Return whether a hold with these bytes leaves enough to others."""
+        if hold.is_growing and not self._may_grow(size, hold):
+            return False
+        return not self._is_over_share(size, hold, owner)
+
+    def _may_grow(self, size: int, hold: "MemoryHold") -> bool:
+        if self._unrestricted in (None, hold):
+            return True
+        others = self._restricted_bytes - hold.bytes_of(self)
+        return others + size <= _GROWING_FRACTION * self.limit_bytes
+
+    @property
+    def _restricted_bytes(self) -> int:
+        """Return the bytes of all growing holds except for the unrestricted one."""
+        if self._unrestricted is None:
+            return self._growing_bytes
+        return self._growing_bytes - self._unrestricted.bytes
+
+    def _is_over_share(self, size: int, hold: "MemoryHold", owner: str) -> bool:
         """Return whether an owner would leave too little to others.
 
         The only hold of an owner never does; nor do holds without an owner.
@@ -118,19 +144,59 @@
             held + size > _OWNER_FRACTION * self.limit_bytes
         )
 
-    def add(self, owner: str, size: int) -> None:
+    def add(self, owner: str, size: int, is_growing: bool) -> None:
         """Change the bytes that an owner holds."""
         self.held_bytes += size
+        if is_growing:
+            self._growing_bytes += size
         held = self._held_by_owner.get(owner, 0) + size
         if held:
             self._held_by_owner[owner] = held
         else:
             self._held_by_owner.pop(owner, None)
 
-    def rank(self, waiter: _Waiter) -> tuple[int, int, int]:
-        """Return the place of a waiter in the order in which they are served."""
+    def restrict_growth(self, hold: "MemoryHold") -> None:
+        """Restrict all growing holds but this one, if they fill their fraction."""
+        if self._restricted_bytes > _GROWING_FRACTION * self.limit_bytes:
+            self._unrestricted = hold
+
+    def end_growth(self, hold: "MemoryHold") -> None:
+        """Count a hold as one that does not grow any more."""
+        self._growing_bytes -= hold.bytes
+        if self._unrestricted is hold:
+            self._unrestricted = None
+
+    def add_reclaimable(
+        self, hold: "MemoryHold", on_reclaim: Callable[[], None]
+    ) -> None:
+        """Let a hold be taken back for others."""
+        self._reclaimable[hold] = on_reclaim
+
+    def remove_reclaimable(self, hold: "MemoryHold") -> None:
+        """Let a hold no longer be taken back; does nothing if it could not be."""
+        self._reclaimable.pop(hold, None)
+
+    def reclaim(self, size: int, hold: "MemoryHold") -> bool:
+        """Take back holds, oldest first, until bytes fit; return whether they do."""
+        while self._reclaimable and not self.fits(size, hold):
+            other, on_reclaim = next(iter(self._reclaimable.items()))
+            other.drop()
+            on_reclaim()
+        return self.fits(size, hold)
+
+    def is_deadlocked(self) -> bool:
+        """Return whether all that is held belongs to holds that wait to grow."""
+        waiting = sum(waiter.hold.bytes_of(self) for waiter in self.waiting)
+        return 0 < waiting == self.held_bytes
+
+    def rank(self, waiter: _Waiter) -> tuple[bool, int, int, int]:
+        """Return the place of a waiter in the order in which they are served.
+
+        Those that hold bytes already come first, as others wait for their end.
+        """
         claim = waiter.claim
-        return claim.tier, self._held_by_owner.get(claim.owner, 0), waiter.number
+        held = self._held_by_owner.get(claim.owner, 0)
+        return not waiter.hold.bytes_of(self), claim.tier, held, waiter.number
 
 
 class MemoryHold:
@@ -147,6 +213,7 @@
         self._part: _Part | None = None
         self._owner = ""
         self._bytes = 0
+        self._is_growing = False
         self._scope: trio.CancelScope | None = None
         self._least_rate = 0.0
         self._transferred = 0
@@ -166,6 +233,11 @@
         """Return what the bytes are held for, ``None`` if none are."""
         return None if self._part is None else self._part.kind
 
+    @property
+    def is_growing(self) -> bool:
+        """Return whether the hold may have to grow further."""
+        return self._is_growing
+
     def bytes_of(self, part: _Part) -> int:
         """Return the bytes that are held of a part."""
         return self._bytes if self._part is part else 0
@@ -180,7 +252,7 @@
         part = self._budget.part(kind)
         if part.waiting or not part.fits(size, self):
             return False
-        if part.is_over_share(size, self, claim.owner):
+        if not part.allows(size, self, claim.owner):
             return False
         self.assign(part, size, claim)
         return True
@@ -196,28 +268,82 @@
         if not self.try_take(kind, size, claim):
             await self._budget.wait_for(self, kind, size, claim)
 
+    async def grow(self, kind: MemoryKind, size: int, claim: Claim) -> None:
+        """Hold more bytes, for a body of unknown length; wait until they fit.
+
+        A hold that grows does so from its first byte on, until it is shrunk.
+
+        Raises
+        ------
+        OutOfMemory
+            If this is the largest of holds that wait for each other, or the last of
+            too many that wait.
+        """
+        self._is_growing = True
+        await self.take(kind, size, claim)
+
     def assign(self, part: _Part, size: int, claim: Claim) -> None:
         """Take bytes from a part and return those that were held before."""
-        part.add(claim.owner, size)
-        self.release()
+        is_growing = self._is_growing
+        if self._part is part and self._owner == claim.owner:
+            part.add(self._owner, size - self._bytes, is_growing)
+        else:
+            part.add(claim.owner, size, is_growing)
+            self.release()
         self._part, self._bytes, self._owner = part, size, claim.owner
+        self._is_growing = is_growing
+        if is_growing:
+            part.restrict_growth(self)
 
     def shrink(self, size: int) -> None:
-        """Return what exceeds a size."""
-        if self._part is not None and size < self._bytes:
-            self._part.add(self._owner, size - self._bytes)
+        """Return what exceeds a size; the hold does not grow any more."""
+        part = self._part
+        if part is None:
+            return
+        self._end_growth(part)
+        if size < self._bytes:
+            part.add(self._owner, size - self._bytes, is_growing=False)
             self._bytes = size
-            self._budget.serve_waiting(self._part)
+        self._budget.serve_waiting(part)
 
     def release(self) -> None:
         """Return all bytes."""
-        part, size = self._part, self._bytes
+        part = self._part
+        self.drop()
+        if part is not None:
+            self._budget.serve_waiting(part)
+
+    def drop(self) -> None:
+        """Return all bytes, but do not assign them to those that wait."""
+        part = self._part
         if part is None:
             return
+        self._end_growth(part)
+        part.remove_reclaimable(self)
+        part.add(self._owner, -self._bytes, is_growing=False)
         self._part, self._bytes = None, 0
-        part.add(self._owner, -size)
-        if part.waiting:
-            self._budget.serve_waiting(part)
+
+    def _end_growth(self, part: _Part) -> None:
+        if self._is_growing:
+            part.end_growth(self)
+            self._is_growing = False
+
+    def allow_reclaim(self, on_reclaim: Callable[[], None]) -> None:
+        """Let the bytes be taken back as soon as others would have to wait for them.
+
+        Parameters
+        ----------
+        on_reclaim : callable
+            Called when they were taken back; must drop what lies in them.
+        """
+        if self._part is not None:
+            self._part.add_reclaimable(self, on_reclaim)
+            self._budget.serve_waiting(self._part)
+
+    def forbid_reclaim(self) -> None:
+        """Keep the bytes from now on, unless they were taken back already."""
+        if self._part is not None:
+            self._part.remove_reclaimable(self)
 
     @contextmanager
     def transfer(self, scope: trio.CancelScope, least_rate: float) -> Iterator[None]:
@@ -341,25 +467,40 @@
             raise OutOfMemory
 
     def serve_waiting(self, part: _Part) -> None:
-        """Assign what fits to those that wait, in their order."""
+        """Assign what fits to those that wait, in their order.
+
+        If all bytes belong to holds that wait to grow, the largest of them is refused.
+        """
         while waiter := self._next_waiter(part):
             part.waiting.remove(waiter)
             waiter.is_granted = True
             waiter.woken.set()
             waiter.hold.assign(part, waiter.size, waiter.claim)
+        if part.is_deadlocked():
+            largest = max(part.waiting, key=lambda waiter: waiter.hold.bytes_of(part))
+            part.waiting.remove(largest)
+            largest.woken.set()
 
     @staticmethod
     def _next_waiter(part: _Part) -> _Waiter | None:
         """Return the first waiter that may have its bytes now.
 
-        Others pass one whose owner has its share, but not one that needs more room.
+        Others pass one that has its share, but not one that needs more room. Holds that
+        grow pass each other, as room for one of them may let it end.
         """
+        is_full = False
         for waiter in sorted(part.waiting, key=part.rank):
-            if not part.fits(waiter.size, waiter.hold):
+            size, hold = waiter.size, waiter.hold
+            has_begun = hold.bytes_of(part) > 0
+            if is_full and not has_begun:
                 return None
-            owner = waiter.claim.owner
-            if not part.is_over_share(waiter.size, waiter.hold, owner):
+            is_allowed = part.allows(size, hold, waiter.claim.owner)
+            fits = part.fits(size, hold) or (is_allowed and part.reclaim(size, hold))
+            if fits and is_allowed:
                 return waiter
+            if not fits and not has_begun:
+                return None
+            is_full = is_full or not fits
         return None
 
     def _end_slow_transfers(self, kind: MemoryKind) -> None:
@@ -394,7 +535,10 @@
         return SMALL_BYTES if self._map is None else len(self._map)
 
     def expand(self, capacity: int) -> None:
-        """Make room for a large body."""
+        """Make room for a large body; what it has is not copied again."""
+        if self._map is not None:
+            self._map.resize(capacity)
+            return
         flags = mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS
         self._map = mmap.mmap(-1, capacity, flags=flags)
         self._map[: self._size] = bytes(self._small)
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -158,11 +158,24 @@
         )
 
     def _keep_memory(self, hold: MemoryHold | None) -> None:
-        """Keep the memory of the last complete response, until the call has ended."""
+        """Keep the memory of the last complete response, until the call has ended.
+
+        It replaces that of a failed response, which is lost then.
+        """
         if self._hold is not None:
             self._hold.release()
+            self._forget_failed_response()
         self._hold = hold
 
+    def _allow_reclaim(self) -> None:
+        """Let others have the memory of a failed response while there is a retry."""
+        if self._hold is not None:
+            self._hold.allow_reclaim(self._forget_failed_response)
+
+    def _forget_failed_response(self) -> None:
+        if isinstance(self._last_failure, Failed):
+            self._last_failure = Lost("other responses needed the memory of the answer")
+
     def stop(self) -> None:
         """End the call now with a final answer, as the instance stops."""
         self._is_stopped = True
@@ -175,20 +188,34 @@
 
     async def _run_attempts(self) -> None:
         while self._may_try_again():
+            self._allow_reclaim()
             slot = await self._acquire_slot()
             if isinstance(slot, SlotRefusal):
                 await self._finish_without_success(slot)
                 return
-            outcome = await self._attempt(slot)
-            if isinstance(outcome, Delivered):
+            if await self._try_server(slot):
                 return
-            if isinstance(outcome, Unused):
+        await self._finish_without_success(None)
+
+    async def _try_server(self, slot: SlotGrant) -> bool:
+        """Make an attempt; return whether the caller has the answer.
+
+        Only ``_last_failure`` keeps a failed response, so that it can be given up.
+        """
+        outcome = await self._attempt(slot)
+        match outcome:
+            case Delivered():
+                return True
+            case Unused():
                 self._unused_grants += 1
-                continue
-            self._avoid = (*self._avoid, slot.backend_id)
-            if isinstance(outcome, Failed | Lost):
+                return False
+            case Lost():
+                self._keep_memory(None)
                 self._last_failure = outcome
-        await self._finish_without_success(None)
+            case Failed():
+                self._last_failure = outcome
+        self._avoid = (*self._avoid, slot.backend_id)
+        return False
 
     def _may_try_again(self) -> bool:
         if self._isolated is not None:
@@ -206,6 +233,8 @@
         The last failure decides, even if later attempts were not run. Without a
         failure, no backend server has run the request.
         """
+        if self._hold is not None:
+            self._hold.forbid_reclaim()
         match self._last_failure:
             case Failed(response) if not self._responder.has_started:
                 await self._responder.send(response)
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -28,6 +28,7 @@
     ConnectionLost,
 )
 from sassafraspin.http.connection import ServerConnection
+from sassafraspin.http.memory import BodyBuffer
 from sassafraspin.settings import HttpLimits
 from tests.routed_deployment import (
     RoutedDeployment,
@@ -185,6 +186,13 @@
         self.assertEqual(self.readers.outcomes, {1_000_000: 40})
         self.assertLessEqual(self.readers.largest_held_bytes, PART)
 
+    def test_answers_of_most_of_the_part_at_once_are_all_read(self):
+        sources = [Source(2_900_000) for _ in range(10)]
+        sources += [Source(REPORT_BYTES) for _ in range(40)]
+        _run(lambda: self.readers.read_all(sources, 0.1))
+        self.assertEqual(self.readers.outcomes, {2_900_000: 10, REPORT_BYTES: 40})
+        self.assertLessEqual(self.readers.largest_held_bytes, PART)
+
     def test_declared_answers_beside_growing_ones_are_all_read(self):
         sources = [Source(300_000, 300_000) for _ in range(20)]
         sources += [Source(700_000) for _ in range(20)]
@@ -244,6 +252,20 @@
         self.assertEqual(self.readers.outcomes, {AnswerTooLarge.__name__: 300 - 256})
 
 
+class TestBodyBuffer(unittest.TestCase):
+    """Bodies whose buffer grows more than once."""
+
+    def test_content(self):
+        buffer = BodyBuffer()
+        data = bytes(number % 251 for number in range(1_000_000))
+        for start in range(0, len(data), 10_000):
+            piece = data[start : start + 10_000]
+            if len(buffer) + len(piece) > buffer.capacity:
+                buffer.expand(buffer.capacity + 65_536)
+            buffer.append(piece)
+        self.assertEqual(bytes(buffer.content()), data)
+
+
 class UnreadStream:
     """A connection of a caller that sends a request and does not read."""
 
