Share turns in the queue between the routes of a client account

What callers saw: a route that was added is hardly served in a lasting overload, while another route of the same tier is (CONFIG).

Cause: requests on time go before late ones of their tier, and turns were shared between accounts only. The route with the longest objective keeps the queue at the wait that it can bear; each request of a route with a shorter one is late by then, is overtaken and refused.

Ruled out: the memory of answers (answers of any size), the table (each instance has the route), slots (all servers take both routes).

Change: fair queueing by account and route; an account shares its turns among its routes that wait.

Result: tests.test_route_shares passes (two of three tests failed before).

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -1,4 +1,4 @@
-"""Queue of requests waiting for a slot, by tier and fair between client accounts.
+"""Queue of requests waiting for a slot, by tier and fair between accounts and routes.
 
 Within a tier, requests that can still meet their latency objective are served before
 late ones. During a load peak of a few seconds, late requests are thus served after the
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from sassafraspin.dispatch.messages import LOWEST_TIER, SlotRequest
 
@@ -73,12 +74,20 @@
         return now > self.start_by
 
 
+class _Flow(NamedTuple):
+    """Requests of one client account on one route."""
+
+    account: str
+    route: str
+
+
 class WaitingQueue:
     """Orders requests by tier, by lateness, then by start-time fair queueing.
 
     A rank holds the on-time or the late requests of one tier. In each rank, every
-    client account has a virtual time that advances by the cost of its requests, so a
-    burst of one account delays its own requests and not those of other accounts.
+    route of a client account has a virtual time that advances by the cost of its
+    requests, so a burst on one route delays its own requests and not those of other
+    accounts or routes. An account shares its turns among its routes.
     """
 
     def __init__(self) -> None:
@@ -87,8 +96,9 @@
         self._starts: dict[str, float] = {}
         self._heaps: list[list[tuple[float, int, str]]] = [[] for _ in range(_RANKS)]
         self._virtual_time = [0.0] * _RANKS
-        self._account_time: list[dict[str, float]] = [{} for _ in range(_RANKS)]
-        self._counts: list[dict[str, int]] = [{} for _ in range(_RANKS)]
+        self._flow_time: list[dict[_Flow, float]] = [{} for _ in range(_RANKS)]
+        self._counts: list[dict[_Flow, int]] = [{} for _ in range(_RANKS)]
+        self._route_counts: list[dict[str, int]] = [{} for _ in range(_RANKS)]
         self._counter = 0
 
     def __len__(self) -> int:
@@ -100,49 +110,56 @@
     def __iter__(self) -> Iterator[WaitingRequest]:
         return iter(list(self._waiting.values()))
 
-    def count_ahead(self, tier: int, account: str, late: bool = False) -> int:
+    def count_ahead(self, request: SlotRequest, late: bool = False) -> int:
         """Return how many requests would be served before a new one.
 
         Parameters
         ----------
-        tier : int
-            Tier of the request.
-        account : str
-            Client account of the request.
+        request : SlotRequest
+            The new request.
         late : bool
-            Whether the request can no longer meet its latency objective.
+            Whether it can no longer meet its latency objective.
 
         Returns
         -------
         int
-            Number of requests in higher ranks, of the account itself in the rank, and
-            of the other accounts in the rank whose turn comes first.
+            Number of requests in higher ranks, of its account and route in the rank,
+            and of the others in the rank whose turn comes first.
         """
-        rank = _rank(tier, late)
+        rank = _rank(request.tier, late)
         higher = sum(sum(counts.values()) for counts in self._counts[:rank])
-        own = self._counts[rank].get(account, 0)
+        flow = _flow(request)
+        own = self._counts[rank].get(flow, 0)
+        turns = (own + 1) * self._routes_with(rank, flow)
         others = sum(
-            min(count, own + 1)
-            for name, count in self._counts[rank].items()
-            if name != account
+            min(count, math.ceil(turns / self._route_counts[rank][other.account]))
+            for other, count in self._counts[rank].items()
+            if other != flow
         )
         return higher + own + others
 
     def add(self, waiting: WaitingRequest, late: bool = False) -> None:
-        """Add a request at the end of its account's requests."""
+        """Add a request at the end of those of its account and route."""
         request = waiting.request
         rank = _rank(request.tier, late)
-        times = self._account_time[rank]
-        account = request.client_account
-        start = max(self._virtual_time[rank], times.get(account, 0.0))
-        times[account] = start + waiting.expected_seconds
+        times = self._flow_time[rank]
+        flow = _flow(request)
+        routes = self._routes_with(rank, flow)
+        start = max(self._virtual_time[rank], times.get(flow, 0.0))
+        times[flow] = start + routes * waiting.expected_seconds
         self._counter += 1
         heapq.heappush(self._heaps[rank], (start, self._counter, request.request_id))
         self._waiting[request.request_id] = waiting
         self._ranks[request.request_id] = rank
         self._starts[request.request_id] = start
         counts = self._counts[rank]
-        counts[account] = counts.get(account, 0) + 1
+        counts[flow] = counts.get(flow, 0) + 1
+        self._route_counts[rank][flow.account] = routes
+
+    def _routes_with(self, rank: int, flow: _Flow) -> int:
+        """Return the number of routes of an account that wait, one more included."""
+        routes = self._route_counts[rank].get(flow.account, 0)
+        return routes + (flow not in self._counts[rank])
 
     def is_same_rank(self, one: WaitingRequest, other: WaitingRequest) -> bool:
         """Return whether two requests have the same tier and lateness in the queue."""
@@ -216,7 +233,7 @@
             for item in taken:
                 heapq.heappush(heap, item)
             if not heap:
-                self._account_time[rank].clear()
+                self._flow_time[rank].clear()
         return ordered
 
     def last_of_lowest_tier(self) -> WaitingRequest | None:
@@ -230,10 +247,19 @@
 
     def _decrement_count(self, waiting: WaitingRequest, rank: int) -> None:
         counts = self._counts[rank]
-        account = waiting.request.client_account
-        counts[account] -= 1
-        if not counts[account]:
-            del counts[account]
+        flow = _flow(waiting.request)
+        counts[flow] -= 1
+        if counts[flow]:
+            return
+        del counts[flow]
+        routes = self._route_counts[rank]
+        routes[flow.account] -= 1
+        if not routes[flow.account]:
+            del routes[flow.account]
+
+
+def _flow(request: SlotRequest) -> _Flow:
+    return _Flow(request.client_account, request.route)
 
 
 def _rank(tier: int, late: bool) -> int:
--- a/src/sassafraspin/dispatch/overload.py
+++ b/src/sassafraspin/dispatch/overload.py
@@ -115,8 +115,7 @@
             free = 0
         if free > len(self._queue):
             return 0.0
-        account = request.client_account
-        ahead = self._queue.count_ahead(request.tier, account, late)
+        ahead = self._queue.count_ahead(request, late)
         position = max(0, ahead - free)
         slot_wait = self._slot_wait(position, self._servers.open_slots(now), now)
         return max(slot_wait, self._servers.rate_wait(position, now))
