Let the function that opens connections be given to a daemon

Tests need to cut one of several daemons in a process off from the backend servers. HttpClient opens connections through a connector now, a direct one by default.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -10,6 +10,13 @@
     ConnectFailed,
     ConnectionLost,
 )
+from sassafraspin.http.connector import (
+    Connector,
+    Dial,
+    DirectConnector,
+    ServerPath,
+    dial_tcp,
+)
 from sassafraspin.http.events import EventParser, ServerSentEvent, format_event
 from sassafraspin.http.memory import (
     Claim,
@@ -45,6 +52,9 @@
     "ClientTimeouts",
     "ConnectFailed",
     "ConnectionLost",
+    "Connector",
+    "Dial",
+    "DirectConnector",
     "EventParser",
     "Execution",
     "Handler",
@@ -64,10 +74,12 @@
     "RequestTimeout",
     "Responder",
     "Response",
+    "ServerPath",
     "ServerSentEvent",
     "TooManyConnections",
     "Unauthorized",
     "as_handler",
+    "dial_tcp",
     "format_event",
     "problem_response",
     "read_body",
--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -18,6 +18,7 @@
     ConnectFailed,
     ConnectionLost,
 )
+from sassafraspin.http.connector import Connector, DirectConnector
 from sassafraspin.http.memory import (
     BodyBuffer,
     Claim,
@@ -44,7 +45,6 @@
 _IDENTITY = "identity"
 _MAX_IDLE_PER_ADDRESS = 16
 _CHECK_INTERVAL_SECONDS = 1.0
-_PROBE_TIMEOUT_SECONDS = 0.1
 
 _TakeBytes = Callable[[MemoryKind, int, Claim], Awaitable[None]]
 
@@ -225,6 +225,8 @@
         Size limits of responses.
     memory : MemoryBudget or None
         Memory for the bodies of responses; none for no limit.
+    connector : Connector or None
+        Opens connections; by default direct ones.
     """
 
     def __init__(
@@ -232,7 +234,9 @@
         timeouts: ClientTimeouts,
         limits: ClientLimits | None = None,
         memory: MemoryBudget | None = None,
+        connector: Connector | None = None,
     ) -> None:
+        self._connector = connector or DirectConnector()
         self._timeouts = timeouts
         self._memory = memory or MemoryBudget(_UNLIMITED_BYTES)
         self._limits = limits or ClientLimits()
@@ -291,21 +295,8 @@
         raise ConnectionLost("the exchange took too long")
 
     async def refuses_connections(self, address: Address) -> bool:
-        """Return whether no process listens on an address, by trying to connect.
-
-        An address that does not respond in time counts as one that may listen.
-        """
-        with (
-            trio.move_on_after(_PROBE_TIMEOUT_SECONDS),
-            trio.socket.socket() as probe,
-        ):
-            try:
-                await probe.connect((address.host, address.port))
-            except ConnectionRefusedError:
-                return True
-            except OSError as error:
-                _log.debug("Cannot probe {}: {}.", address, error.strerror)
-        return False
+        """Return whether no process listens on an address, by trying to connect."""
+        return await self._connector.refuses_connections(address)
 
     def close_unusable(self) -> None:
         """Close the idle connections that are old, were closed or have surplus bytes.
@@ -339,10 +330,10 @@
     async def _connect(self, address: Address) -> ClientConnection:
         with trio.move_on_after(self._timeouts.connect):
             try:
-                stream = await trio.open_tcp_stream(address.host, address.port)
+                path = await self._connector.connect(address)
             except OSError as error:
                 raise ConnectFailed(f"cannot connect: {error}") from error
-            return ClientConnection(stream, self._timeouts, self._limits)
+            return ClientConnection(path.stream, self._timeouts, self._limits)
         raise ConnectFailed("connect timed out")
 
     def _take_idle(self, address: Address) -> ClientConnection | None:
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -18,11 +18,13 @@
 )
 from sassafraspin.http import (
     Claim,
+    Dial,
     HttpServer,
     MemoryBudget,
     Request,
     Response,
     as_handler,
+    dial_tcp,
 )
 from sassafraspin.membership import (
     MemberIdentity,
@@ -85,6 +87,8 @@
         Translates HTTP messages of callers, backend servers and operators.
     seed : int or None
         Seed of the random number generator.
+    dial : Dial
+        Opens TCP connections to backend servers and other instances.
     """
 
     def __init__(
@@ -92,8 +96,10 @@
         settings: RoutedSettings,
         adapter: ProtocolAdapter,
         seed: int | None = None,
+        dial: Dial = dial_tcp,
     ) -> None:
         self._settings = settings
+        self._dial = dial
         self._adapter = adapter
         self._generator = random.Random(seed)
         self._draining = False
@@ -276,6 +282,7 @@
             self._adapter,
             self._generator,
             self._memory,
+            self._dial,
         )
         self._control_known.set()
         while True:
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -34,7 +34,15 @@
     DirectoryQuery,
     DirectoryUpdate,
 )
-from sassafraspin.http import ClientLimits, HttpClient, MemoryBudget, MemoryKind
+from sassafraspin.http import (
+    ClientLimits,
+    Dial,
+    DirectConnector,
+    HttpClient,
+    MemoryBudget,
+    MemoryKind,
+    dial_tcp,
+)
 from sassafraspin.isolation import CrashReport
 from sassafraspin.membership import (
     HeartbeatReply,
@@ -94,6 +102,8 @@
         Source of random choices.
     memory : MemoryBudget or None
         Memory for requests and responses; by default one of its own.
+    dial : Dial
+        Opens TCP connections to backend servers and other instances.
     """
 
     def __init__(
@@ -105,6 +115,7 @@
         adapter: ProtocolAdapter,
         generator: random.Random,
         memory: MemoryBudget | None = None,
+        dial: Dial = dial_tcp,
     ) -> None:
         memory = memory or MemoryBudget(settings.http.memory_bytes)
         self._memory = memory
@@ -114,7 +125,10 @@
         self.node = make_node(own_settings, member, network)
         self.routing_view = RoutingView(self.node)
         self._client = HttpClient(
-            client_timeouts(own_settings.dispatch), _client_limits(memory), memory
+            client_timeouts(own_settings.dispatch),
+            _client_limits(memory),
+            memory,
+            DirectConnector(dial),
         )
         self._proposals = ProposalClient(self.node)
         base_folder = settings.data_folder.parent if settings.data_folder else None
--- a/src/sassafraspin/routed/settings.py
+++ b/src/sassafraspin/routed/settings.py
@@ -16,12 +16,17 @@
 
 @dataclass(frozen=True)
 class RoutedListen:
-    """Listening addresses of a daemon."""
+    """Listening addresses of a daemon.
+
+    ``tunnels`` accepts the tunnels of other instances to backend servers; its port is
+    the same on all instances. Without it there are no tunnels in either direction.
+    """
 
     callers: Address
     readiness: Address
     control: Address
     peers: Address
+    tunnels: Address | None = None
 
 
 @dataclass(frozen=True)
