Tell a lost path from a connection that the server broke

A connection over which the peer machine acknowledges nothing ended only at a time limit, and nothing said that the server had no part in it. ConnectionLost has is_path_lost for connections that the system ends with ETIMEDOUT or without a route, and for requests that are abandoned. TCP_USER_TIMEOUT also ends a connection whose peer reads nothing, so it is off while a large body is sent.

--- a/src/sassafraspin/http/client.py
+++ b/src/sassafraspin/http/client.py
@@ -3,7 +3,13 @@
 Its errors distinguish requests that were never sent from those that may have been.
 """
 
-from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Collection,
+)
 from contextlib import asynccontextmanager
 
 import trio
@@ -106,6 +112,11 @@
         """Return whether no other request was sent on its connection before."""
         return self._connection.is_first_request
 
+    @property
+    def relay(self) -> str | None:
+        """Return the instance through which the connection leads, if not direct."""
+        return self._connection.relay
+
     @property
     def is_encoded(self) -> bool:
         """Return whether the body has a content encoding other than ``identity``."""
@@ -242,14 +253,36 @@
         self._limits = limits or ClientLimits()
         self._budget = BodyBudget(self._limits.all_bodies_bytes)
         self._idle: dict[Address, list[ClientConnection]] = {}
+        self._active: set[ClientConnection] = set()
+        self._received_at = float("-inf")
         self._next_check_at = 0.0
 
+    @property
+    def active_connections(self) -> Collection[ClientConnection]:
+        """Return the connections with a request in flight."""
+        return self._active
+
+    @property
+    def received_at(self) -> float:
+        """Return when the last direct connection that is idle again brought bytes."""
+        return self._received_at
+
     @asynccontextmanager
     async def open(
-        self, address: Address, request: Request
+        self, address: Address, request: Request, may_abandon: bool = False
     ) -> AsyncIterator[OpenResponse]:
         """Send a request and yield its response once the head was received.
 
+        Parameters
+        ----------
+        address : Address
+            Address of the server.
+        request : Request
+            The request.
+        may_abandon : bool
+            Whether the request may be ended, and sent again, if the path to the server
+            is lost.
+
         Raises
         ------
         ConnectFailed
@@ -258,6 +291,8 @@
             If no valid response arrived although a connection was open.
         """
         connection = self._take_idle(address) or await self._connect(address)
+        connection.may_abandon = may_abandon
+        self._active.add(connection)
         try:
             status, headers = await connection.send_and_read_head(request)
             response = OpenResponse(
@@ -273,7 +308,11 @@
                 yield response
             finally:
                 response.release()
+        except ConnectionLost as error:
+            error.relay = connection.relay
+            raise
         finally:
+            self._active.discard(connection)
             self._release(address, connection)
 
     async def send(self, address: Address, request: Request) -> Response:
@@ -298,6 +337,10 @@
         """Return whether no process listens on an address, by trying to connect."""
         return await self._connector.refuses_connections(address)
 
+    def has_lost_path(self, address: Address) -> bool:
+        """Return whether this instance lost its own path to a server that is up."""
+        return self._connector.has_lost_path(address)
+
     def close_unusable(self) -> None:
         """Close the idle connections that are old, were closed or have surplus bytes.
 
@@ -311,7 +354,7 @@
         for address, connections in list(self._idle.items()):
             usable = []
             for connection in connections:
-                if connection.is_reusable():
+                if self._is_usable(connection):
                     usable.append(connection)
                 else:
                     connection.close()
@@ -333,19 +376,24 @@
                 path = await self._connector.connect(address)
             except OSError as error:
                 raise ConnectFailed(f"cannot connect: {error}") from error
-            return ClientConnection(path.stream, self._timeouts, self._limits)
+            return ClientConnection(address, path, self._timeouts, self._limits)
         raise ConnectFailed("connect timed out")
 
     def _take_idle(self, address: Address) -> ClientConnection | None:
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
-            if connection.is_reusable():
+            if self._is_usable(connection):
                 return connection
             connection.close()
         return None
 
+    def _is_usable(self, connection: ClientConnection) -> bool:
+        return connection.is_reusable() and self._connector.may_reuse(connection)
+
     def _release(self, address: Address, connection: ClientConnection) -> None:
+        if connection.relay is None:
+            self._received_at = max(self._received_at, connection.received_at)
         idle = self._idle.setdefault(address, [])
         if connection.try_reset() and len(idle) < _MAX_IDLE_PER_ADDRESS:
             idle.append(connection)
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -8,7 +8,10 @@
 
 from sassafraspin.errors import RemoteFailure
 from sassafraspin.http.checkpoints import CheckpointCounter
+from sassafraspin.http.connector import ServerPath
 from sassafraspin.http.messages import Headers, Request, has_two_framings
+from sassafraspin.http.sockets import is_path_error, limit_unread, reset
+from sassafraspin.settings import Address
 
 __all__ = [
     "AnswerTooLarge",
@@ -112,11 +115,22 @@
     is_closed : bool
         Whether the server closed or reset the connection before its response was
         complete.
+    is_path_lost : bool
+        Whether the path to the server was lost, which says nothing of the server.
+
+    Attributes
+    ----------
+    relay : str or None
+        Name of the instance through which the connection led, if it was not direct.
     """
 
-    def __init__(self, reason: str, is_closed: bool = False) -> None:
+    def __init__(
+        self, reason: str, is_closed: bool = False, is_path_lost: bool = False
+    ) -> None:
         super().__init__(reason)
         self.is_closed = is_closed
+        self.is_path_lost = is_path_lost
+        self.relay: str | None = None
 
 
 class AnswerTooLarge(ConnectionLost):
@@ -130,15 +144,40 @@
 
 
 class ClientConnection:
-    """One HTTP/1.1 connection to a server."""
+    """One HTTP/1.1 connection to a server.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the server.
+    path : ServerPath
+        The open connection.
+    timeouts : ClientTimeouts
+        Time limits.
+    limits : ClientLimits
+        Size limits of responses.
+
+    Attributes
+    ----------
+    sent_at, received_at : float
+        When the last request was sent and the last bytes arrived, in seconds.
+    may_abandon : bool
+        Whether the request in flight may be ended and sent again.
+    """
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        address: Address,
+        path: ServerPath,
         timeouts: ClientTimeouts,
         limits: ClientLimits,
     ) -> None:
-        self._stream = stream
+        self.address = address
+        self.relay = path.relay
+        self.may_abandon = False
+        self.sent_at = self.received_at = trio.current_time()
+        self._is_abandoned = False
+        self._stream = path.stream
         self._timeouts = timeouts
         self._limits = limits
         self._protocol = h11.Connection(h11.CLIENT)
@@ -196,12 +235,27 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection without waiting."""
+        """Close the connection without waiting.
+
+        A relay tells the server at once if it sees a reset; it cannot tell whether an
+        orderly end is more than the end of the requests.
+        """
+        if self.relay is not None and self._protocol.our_state is not h11.IDLE:
+            reset(self._stream)
         self._stream.socket.close()
 
+    def abandon(self) -> None:
+        """End the request in flight, as the path to the server was lost.
+
+        A reset discards what the system could not deliver yet.
+        """
+        self._is_abandoned = True
+        reset(self._stream)
+
     async def send_and_read_head(self, request: Request) -> tuple[int, Headers]:
         """Send the request and return the status and headers of the response."""
         self._requests += 1
+        self.sent_at = trio.current_time()
         self._read_bytes = _STREAM_READ_BYTES
         await self._send(request)
         event = await self._next_event()
@@ -240,6 +294,8 @@
             return
         self._protocol.send_with_data_passthrough(h11.Data(data=request.body))
         self._protocol.send(h11.EndOfMessage())
+        # A server may answer before it reads all of a large body.
+        limit_unread(self._stream, 0)
         await self._write(data, request.body)
 
     def read_as_stream(self) -> None:
@@ -289,9 +345,7 @@
                 for data in parts:
                     await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost(
-                    "the server closed the connection", is_closed=True
-                ) from error
+                raise self._lost("the server closed the connection", error) from error
             return
         raise ConnectionLost("the server does not read")
 
@@ -318,13 +372,19 @@
     async def _read(self) -> bytes:
         with trio.move_on_after(self._timeouts.progress):
             try:
-                return await self._stream.receive_some(self._read_bytes)
+                data = await self._stream.receive_some(self._read_bytes)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionLost(
-                    "the connection was reset", is_closed=True
-                ) from error
+                raise self._lost("the connection was reset", error) from error
+            self.received_at = trio.current_time()
+            return data
         raise ConnectionLost("the server made no progress")
 
+    def _lost(self, reason: str, error: Exception) -> ConnectionLost:
+        """Return the failure for a broken connection."""
+        if self._is_abandoned or is_path_error(error):
+            return ConnectionLost("the path to the server was lost", is_path_lost=True)
+        return ConnectionLost(reason, is_closed=True)
+
 
 def _is_readable(stream: trio.SocketStream) -> bool:
     """Return whether a close or unexpected bytes are pending on an idle connection."""
--- a/tests/drain_world.py
+++ b/tests/drain_world.py
@@ -303,6 +303,7 @@
     framing: BodyFraming = BodyFraming.LENGTH
     is_framed: bool = True
     is_encoded: bool = False
+    relay: str | None = None
 
     async def read(self) -> bytes:
         """Return the body."""
@@ -341,10 +342,16 @@
         self._refuses = refuses
 
     @asynccontextmanager
-    async def open(self, address: Address, request: Request) -> AsyncIterator[Answer]:
+    async def open(
+        self, address: Address, request: Request, may_abandon: bool = False
+    ) -> AsyncIterator[Answer]:
         """Send a request and yield its response."""
         yield await self._reach(self._instance, request)
 
+    def has_lost_path(self, address: Address) -> bool:
+        """Return False: instances are not partitioned from servers."""
+        return False
+
     async def refuses_connections(self, address: Address) -> bool:
         """Return whether no process listens on an address."""
         return self._refuses(address)
