Reach backend servers through other instances during a partition

Callers of an instance that was partitioned from all backend servers got 502, 503 or 504, whatever the server, as an instance opened connections only itself. It now opens a tunnel through another instance if a direct connection fails, or beside one that takes 120 ms (RFC 8305). Nothing has been sent then, so at most once holds as before; slot, retry budget, usage cap and time limit stay with the instance that accepted the call.

Once connections to two servers have failed that others reach, tunnels come first. Requests that wait on a path that hangs are ended if they may run again, and a probe each 0.3 s finds the end of the partition. Failures of the own path are told to the dispatcher and logged as such (path_failed, PathLost, PathRegained), and a refusal here alone is no crash of the server.

--- a/src/sassafraspin/dispatch/directory.py
+++ b/src/sassafraspin/dispatch/directory.py
@@ -17,6 +17,7 @@
     DirectoryQuery,
     DirectoryUpdate,
 )
+from sassafraspin.settings import Address
 
 __all__ = ["BackendDirectory", "ServerState"]
 
@@ -123,6 +124,18 @@
         self._confirmed_at = float("-inf")
         self._next_expiry_at = float("-inf")
         self._revision = 0
+        self._addresses: frozenset[Address] = frozenset()
+        self._addresses_revision = 0
+
+    @property
+    def addresses(self) -> frozenset[Address]:
+        """Return the addresses of all servers, those that leave included."""
+        if self._addresses_revision != self._revision:
+            self._addresses_revision = self._revision
+            self._addresses = frozenset(
+                entry.announcement.address for entry in self._entries.values()
+            )
+        return self._addresses
 
     @property
     def revision(self) -> int:
--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -201,7 +201,8 @@
     request, or soon after it had begun to; ``was_broken_off`` says that the server
     closed or reset the connection then. ``server_leaves`` says that the server
     reported in its answer that it leaves, and ``server_failed_it`` that the answer was
-    a complete one with an error status.
+    a complete one with an error status. ``path_failed`` says that the instance lost
+    its own path to the server, so that the failure is no evidence against the server.
     """
 
     service: str
@@ -217,6 +218,7 @@
     was_broken_off: bool = False
     server_leaves: bool = False
     server_failed_it: bool = False
+    path_failed: bool = False
 
 
 class RateLimitNotice(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/relay/__init__.py
+++ b/src/sassafraspin/relay/__init__.py
@@ -5,12 +5,14 @@
 the instance that accepted it (docs/design/relay.md).
 """
 
+from sassafraspin.relay.connector import RelayConnector
 from sassafraspin.relay.messages import TunnelReply, TunnelRequest
 from sassafraspin.relay.reachability import PathMonitor
 from sassafraspin.relay.tunnel_server import TUNNEL_BYTES, TunnelRefused, TunnelServer
 
 __all__ = [
     "PathMonitor",
+    "RelayConnector",
     "TUNNEL_BYTES",
     "TunnelRefused",
     "TunnelReply",
--- a/src/sassafraspin/relay/tunnel_server.py
+++ b/src/sassafraspin/relay/tunnel_server.py
@@ -31,6 +31,7 @@
 _CALLER_LOST_MS = 30_000
 """A caller's instance whose own caller reads slowly leaves its receive buffer full."""
 
+_POLL_SECONDS = 0.05
 _MS_PER_SECOND = 1000
 _LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
@@ -80,6 +81,11 @@
         """Deny new tunnels from now on; the open ones live on."""
         self._is_stopping = True
 
+    async def wait_unused(self) -> None:
+        """Wait until no tunnel is open."""
+        while self._connections:
+            await trio.sleep(_POLL_SECONDS)
+
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled, which resets the open tunnels."""
         listeners = await trio.open_tcp_listeners(
--- a/src/sassafraspin/routed/attempt.py
+++ b/src/sassafraspin/routed/attempt.py
@@ -69,6 +69,8 @@
     was_broken_off: bool = False
     server_crashed: bool = False
     server_failed_it: bool = False
+    relay: str | None = None
+    path_failed: bool = False
 
     def record_data(self, now: float) -> None:
         """Record that a complete answer or a chunk of a stream has arrived."""
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -26,9 +26,8 @@
     as_handler,
     dial_tcp,
 )
-from sassafraspin.membership import (
-    MemberIdentity,
-)
+from sassafraspin.membership import Member, MemberIdentity
+from sassafraspin.relay import TunnelRefused, TunnelReply, TunnelServer
 from sassafraspin.routed.adapter import ProtocolAdapter
 from sassafraspin.routed.problems import NotCurrent
 from sassafraspin.routed.runtime import RoutedRuntime
@@ -39,9 +38,7 @@
 )
 from sassafraspin.routes import CallerLimits
 from sassafraspin.rpc import PeerNetwork
-from sassafraspin.settings import (
-    NamedAddress,
-)
+from sassafraspin.settings import Address, NamedAddress
 from sassafraspin.storage import DataFolder, StorageError
 from sassafraspin.telemetry import part_logger
 from sassafraspin.telemetry.events import (
@@ -151,6 +148,11 @@
             as_handler(self._answer_control),
             control_memory,
         )
+        self._tunnel_server: TunnelServer | None = None
+        if listen.tunnels is not None:
+            self._tunnel_server = TunnelServer(
+                listen.tunnels, self._connect_for_other, settings.max_tunnels
+            )
 
     @property
     def is_ready(self) -> bool:
@@ -160,6 +162,16 @@
             return False
         return runtime.routing_view.is_confirmed and runtime.has_table
 
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return the instances that this one knows, itself included."""
+        return () if self._runtime is None else self._runtime.node.view.members
+
+    @property
+    def servers(self) -> frozenset[Address]:
+        """Return the addresses of the backend servers that this instance knows."""
+        return frozenset() if self._runtime is None else self._runtime.servers
+
     @property
     def _in_flight(self) -> int:
         return 0 if self._runtime is None else self._runtime.entry.in_flight
@@ -181,7 +193,9 @@
                 self._caller_server,
             ):
                 await nursery.start(server.serve)
-            nursery.start_soon(self._discover_control_then_tick)
+            if self._tunnel_server is not None:
+                await nursery.start(self._tunnel_server.serve)
+            nursery.start_soon(self._discover_control_then_tick, nursery)
             log_event(InstanceStarted(self._member.name, self._member.incarnation))
             task_status.started()
             await self._drained.wait()
@@ -207,6 +221,8 @@
         """
         self._draining = True
         log_event(InstanceStopping(self._member.name, self._in_flight))
+        if self._tunnel_server is not None:
+            self._tunnel_server.stop_accepting()
         if self._runtime is not None:
             self._runtime.start_leaving()
         await trio.sleep(self._settings.readiness_grace_ms / _MS_PER_SECOND)
@@ -216,6 +232,8 @@
             self._runtime.entry.stop_at(steady_time() + timeout)
         with trio.move_on_after(timeout) as scope:
             await self._caller_server.drain()
+            if self._tunnel_server is not None:
+                await self._tunnel_server.wait_unused()
         if scope.cancelled_caught:
             cut = self._in_flight
             await self._stop_calls()
@@ -270,9 +288,17 @@
             return Response(503)
         return await self._runtime.handle_control(request)
 
+    async def _connect_for_other(
+        self, address: Address, limit: float
+    ) -> trio.SocketStream:
+        """Connect to a backend server for another instance."""
+        if self._runtime is None or self._runtime.relay is None:
+            raise TunnelRefused(TunnelReply.DENIED)
+        return await self._runtime.relay.connect_for_other(address, limit)
+
     # Periodic work
 
-    async def _discover_control_then_tick(self) -> None:
+    async def _discover_control_then_tick(self, nursery: trio.Nursery) -> None:
         await self._discover_control()
         self._runtime = RoutedRuntime(
             self._settings,
@@ -285,6 +311,8 @@
             self._dial,
         )
         self._control_known.set()
+        if self._runtime.relay is not None:
+            nursery.start_soon(self._runtime.relay.serve)
         while True:
             self._runtime.tick()
             self._update_control(self._runtime.node)
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -304,21 +304,33 @@
         request = self._adapter.backend_request(self._call.request, target)
         address = Address(grant.host, grant.port)
         self._may_have_run = True
+        may_abandon = self._call.route.is_idempotent
         try:
-            async with self._client.open(address, request) as response:
+            async with self._client.open(address, request, may_abandon) as response:
                 outcome = await self._read_response(response, grant, progress)
         except ConnectFailed:
             outcome = NotRun()
+            progress.path_failed = self._client.has_lost_path(address)
         except ConnectionLost as error:
             outcome = Lost(str(error))
-            progress.was_broken_off = error.is_closed
-            if error.is_closed or self._call.shared_parts:
-                progress.server_crashed = await self._client.refuses_connections(
-                    address
-                )
+            await self._find_cause(error, address, progress)
         self._may_have_run = not isinstance(outcome, NotRun)
         return outcome
 
+    async def _find_cause(
+        self, error: ConnectionLost, address: Address, progress: AttemptProgress
+    ) -> None:
+        """Find out whether the server or the path to it broke a connection."""
+        progress.relay = error.relay
+        progress.was_broken_off = error.is_closed
+        if error.is_path_lost:
+            progress.path_failed = True
+            return
+        if error.is_closed or self._call.shared_parts:
+            progress.server_crashed = await self._client.refuses_connections(address)
+        if not progress.server_crashed:
+            progress.path_failed = self._client.has_lost_path(address)
+
     def _server_run(self, grant: SlotGrant) -> ServerRun:
         return ServerRun(self._call.service, grant.backend_id, grant.incarnation)
 
@@ -352,6 +364,7 @@
         self, response: OpenResponse, grant: SlotGrant, progress: AttemptProgress
     ) -> AttemptOutcome:
         progress.framing = response.framing
+        progress.relay = response.relay
         metadata = self._adapter.read_response(response.status, response.headers)
         if not self._is_own(response, metadata):
             raise ConnectionLost("the answer may belong to another request")
@@ -440,6 +453,7 @@
                 progress.was_broken_off and has_just_begun,
                 self._notices.leaves(self._server_run(grant)),
                 progress.server_failed_it,
+                progress.path_failed,
             )
         )
 
@@ -473,6 +487,8 @@
                 framing=None if progress.framing is None else progress.framing.value,
                 rate_limit=progress.rate_limit,
                 end=result.value,
+                relay=progress.relay,
+                path_failed=progress.path_failed,
             )
         )
 
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -51,6 +51,7 @@
     MemberIdentity,
 )
 from sassafraspin.moves import MoveEvidence
+from sassafraspin.relay import RelayConnector
 from sassafraspin.routed.adapter import ProtocolAdapter
 from sassafraspin.routed.directory_exchange import DirectoryExchange
 from sassafraspin.routed.entry import RoutedEntry
@@ -63,7 +64,7 @@
 from sassafraspin.routed.setup import daemon_settings, make_node
 from sassafraspin.routed.standby_scope import StandbyScope
 from sassafraspin.rpc import PeerNetwork
-from sassafraspin.settings import NamedAddress
+from sassafraspin.settings import Address, NamedAddress
 from sassafraspin.telemetry import part_logger
 from sassafraspin.telemetry.events import (
     EvacuationsInForce,
@@ -84,7 +85,8 @@
 class RoutedRuntime:
     """Control, dispatch, request entry and control requests of one daemon.
 
-    ``handle_control`` handles the HTTP requests of operators and backend servers.
+    ``handle_control`` handles the HTTP requests of operators and backend servers, and
+    ``relay`` opens connections through other instances, ``None`` without tunnels.
 
     Parameters
     ----------
@@ -118,17 +120,19 @@
         dial: Dial = dial_tcp,
     ) -> None:
         memory = memory or MemoryBudget(settings.http.memory_bytes)
+        self._settings = settings
         self._memory = memory
         self._network = network
         self._applied_view = 0
         own_settings = daemon_settings(settings, control)
         self.node = make_node(own_settings, member, network)
         self.routing_view = RoutingView(self.node)
+        self.relay = self._make_relay(dial, generator)
         self._client = HttpClient(
             client_timeouts(own_settings.dispatch),
             _client_limits(memory),
             memory,
-            DirectConnector(dial),
+            self.relay or DirectConnector(dial),
         )
         self._proposals = ProposalClient(self.node)
         base_folder = settings.data_folder.parent if settings.data_folder else None
@@ -187,6 +191,27 @@
         self._reported_retirement = 0
         self._logged_zones: frozenset[str] = frozenset()
 
+    def _make_relay(
+        self, dial: Dial, generator: random.Random
+    ) -> RelayConnector | None:
+        """Return the connector over other instances, ``None`` without a port for it."""
+        address = self._settings.listen.tunnels
+        if address is None:
+            return None
+        return RelayConnector(
+            dial, address.port, self._other_members, lambda: self.servers, generator
+        )
+
+    def _other_members(self) -> list[Member]:
+        own = self.node.name
+        return [member for member in self.node.view.members if member.name != own]
+
+    @property
+    def servers(self) -> frozenset[Address]:
+        """Return the addresses of the known backend servers."""
+        known = (item.announcement.address for item in self._dispatch.backends())
+        return self._directory.addresses.union(known)
+
     @property
     def has_table(self) -> bool:
         """Return whether this instance has a routing table."""
@@ -204,6 +229,8 @@
         self._send_heartbeat(now)
         self._isolation.tick()
         self._client.close_unusable()
+        if self.relay is not None:
+            self.relay.tick(self._client.active_connections, self._client.received_at)
         self._notices.forget_ended(now, self._directory.incarnation_of)
         # The lease may have ended since the pools were updated, which closes them.
         if self._control.leads(self.node.now()):
--- a/src/sassafraspin/routed/settings.py
+++ b/src/sassafraspin/routed/settings.py
@@ -63,6 +63,8 @@
         How long a stopping instance still accepts connections.
     drain_timeout_ms : int
         Time limit for requests in flight after the grace period.
+    max_tunnels : int
+        Largest number of tunnels of other instances at the same time.
     """
 
     instance: InstanceSettings
@@ -79,3 +81,4 @@
     announcement_ttl_ms: int = 4_000
     readiness_grace_ms: int = 2_500
     drain_timeout_ms: int = 5_000
+    max_tunnels: int = 128
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -28,6 +28,8 @@
     "LeaderChanged",
     "PartIsolated",
     "PartReadmitted",
+    "PathLost",
+    "PathRegained",
     "RequestIsolated",
     "ResourceUsage",
     "ServerLeaving",
@@ -280,7 +282,9 @@
     server refused connections after the answer was lost, and ``broken_off`` that it
     closed or reset the connection before its answer was complete. ``rate_limit`` is the
     limit that the server named in its answer, in requests a second, empty if it named
-    none.
+    none. ``relay`` is the instance through which the connection led, empty if it was
+    direct, and ``path_failed`` says that the attempt failed because this instance lost
+    its path to the server, which is no fault of the server.
     """
 
     part: ClassVar[str] = "entry"
@@ -309,6 +313,35 @@
     framing: str | None
     rate_limit: float | None
     end: str
+    relay: str | None = None
+    path_failed: bool = False
+
+
+@dataclass(frozen=True)
+class PathLost(Event):
+    """An instance is partitioned from the backend servers, which others reach.
+
+    New connections lead through other instances. ``server`` is the last one that was
+    not reached, and ``hangs`` says whether the connection hung instead of being
+    refused.
+    """
+
+    part: ClassVar[str] = "relay"
+    text: ClassVar[str] = "This instance lost its path to the backend servers."
+    server: str
+    hangs: bool
+
+
+@dataclass(frozen=True)
+class PathRegained(Event):
+    """An instance reaches backend servers again, ``lost_ms`` after it lost its path.
+
+    New connections are direct again.
+    """
+
+    part: ClassVar[str] = "relay"
+    text: ClassVar[str] = "This instance reaches the backend servers again."
+    lost_ms: int
 
 
 @dataclass(frozen=True)
@@ -503,6 +536,8 @@
     ResourceUsage,
     StreamFailed,
     TryEnded,
+    PathLost,
+    PathRegained,
     RateLimitChanged,
     ServerPaced,
     ServerCold,
--- a/tests/partitioned_deployment.py
+++ b/tests/partitioned_deployment.py
@@ -15,6 +15,7 @@
     HttpClient,
     HttpServer,
     Request,
+    Responder,
     Response,
     dial_tcp,
 )
@@ -28,13 +29,28 @@
     HOST,
     TIMEOUTS,
     FakeRunner,
+    answer,
     put_configuration,
     routed_settings,
+    runner_headers,
 )
 
+EVENTS = tuple(b"id: %d\ndata: %d\n\n" % (item, item) for item in range(1, 4))
+
 _LONGEST_CUT_SECONDS = 60.0
 
 
+async def answer_by_kind(request: Request, responder: Responder) -> None:
+    """Send a stream of events on the routes of streams, else a whole answer."""
+    if not request.path.startswith(("/stream/", "/resumed/")):
+        await answer(request, responder)
+        return
+    last = int(request.headers.get("last-event-id") or 0)
+    await responder.start(200, runner_headers(request))
+    await responder.write(b"".join(EVENTS[last:]))
+    await responder.finish()
+
+
 class Cut(enum.Enum):
     """How an instance is partitioned from the backend servers.
 
@@ -153,8 +169,12 @@
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             for number, listen in enumerate(listens, start=1):
+                settings = routed_settings(
+                    listen, Path(folder) / f"data-{number}", number
+                )
                 settings = replace(
-                    routed_settings(listen, Path(folder) / f"data-{number}", number),
+                    settings,
+                    control=replace(settings.control, member_lease_ms=1_000),
                     seeds=tuple(item.peers for item in listens),
                     founds=number == 1,
                     tolerated_losses=(count - 1) // 2,
@@ -169,13 +189,14 @@
                 deployment.instances.append(PartitionedInstance(daemon, listen, links))
             await put_configuration(listens)
             for number, address in enumerate(servers, start=1):
-                runner = FakeRunner(f"i-{number}", address)
+                runner = FakeRunner(f"i-{number}", address, behaviour=answer_by_kind)
                 server = HttpServer(address, HttpLimits(), runner.handle)
                 await nursery.start(server.serve)
                 deployment.runners.append(runner)
                 await _register(listens, runner)
             while not all(item.daemon.is_ready for item in deployment.instances):
                 await trio.sleep(0.05)
+            await _wait_for_view(deployment)
             await _wait_until_served(deployment)
             try:
                 yield deployment
@@ -214,6 +235,15 @@
         client.close()
 
 
+async def _wait_for_view(deployment: PartitionedDeployment) -> None:
+    """Wait until each instance knows all others and all servers."""
+    for instance in deployment.instances:
+        while len(instance.daemon.members) < len(deployment.instances):
+            await trio.sleep(0.05)
+        while len(instance.daemon.servers) < len(deployment.runners):
+            await trio.sleep(0.05)
+
+
 async def _wait_until_served(deployment: PartitionedDeployment) -> None:
     """Wait until each instance has answered a call."""
     for instance in deployment.instances:
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -7,12 +7,14 @@
 
 from sassafraspin.http import Request, Responder
 from tests.partitioned_deployment import (
+    EVENTS,
     Cut,
     PartitionedDeployment,
     PartitionedInstance,
+    answer_by_kind,
     partitioned_deployment,
 )
-from tests.routed_deployment import answer
+from tests.routed_deployment import runner_headers
 
 PATHS = ("/safe/1", "/unsafe/1", "/stream/1", "/resumed/1", "/public/1")
 GUARD_SECONDS = 60
@@ -82,15 +84,18 @@
 
             async def stream(request: Request, responder: Responder) -> None:
                 if not is_cut.is_set():
-                    cut.links.cut(Cut.SILENT)
                     is_cut.set()
+                    await responder.start(200, runner_headers(request))
+                    await responder.write(EVENTS[0])
+                    await trio.sleep(0.1)
+                    cut.links.cut(Cut.SILENT)
                     await trio.sleep_forever()
-                await answer(request, responder)
+                await answer_by_kind(request, responder)
 
             for runner in deployment.runners:
                 runner.behaviour = stream
             response = await cut.call("/resumed/1")
-            self.assertEqual(response.status, 200, response.body)
+            self.assertEqual(response.body, b"".join(EVENTS))
 
         self.play(scenario)
 
@@ -102,7 +107,8 @@
             await self.expect_served(cut)
             opened = cut.links.opened
             cut.links.heal()
-            while cut.links.opened < opened + 4:
+            # Two probes, and a connection for the calls.
+            while cut.links.opened < opened + 3:
                 response = await cut.call("/safe/1")
                 self.assertEqual(response.status, 200, response.body)
                 await trio.sleep(0.05)
@@ -153,7 +159,7 @@
 
             async def pause(request: Request, responder: Responder) -> None:
                 await trio.sleep(SILENCE_SECONDS)
-                await answer(request, responder)
+                await answer_by_kind(request, responder)
 
             for runner in deployment.runners:
                 runner.behaviour = pause
