Listen for tunnels on the platform where instances may be partitioned

The second port between instances takes them, if the deployment's contracts list recover; otherwise nothing changes. Their memory and descriptors are taken from the limits of the process, so that they fit the machine.

tests.test_platform passes.

--- a/src/sassafraspin/platform/boot.py
+++ b/src/sassafraspin/platform/boot.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sassafraspin.errors import InvalidInput, Problem
+from sassafraspin.relay import TUNNEL_BYTES
 from sassafraspin.routed import RoutedListen, RoutedSettings
 from sassafraspin.settings import (
     Address,
@@ -64,6 +65,9 @@
 _SHARED_SLOTS = "pool"
 """Contract of deployments whose instances share the runners without a leader too."""
 
+_PARTITIONED_INSTANCES = "recover"
+"""Contract of deployments whose instances may be partitioned from all runners."""
+
 
 _MB = 1_000_000
 _PROCESS_MB = 64
@@ -85,6 +89,12 @@
 """Fractions of the descriptors for connections of callers, and of operators and backend
 servers. Each caller may need another one to a backend server."""
 
+_TUNNELS_MEMORY_FRACTION = 0.08
+_TUNNELS_DESCRIPTOR_FRACTION = 0.1
+_TUNNEL_DESCRIPTORS = 2
+_MAX_TUNNELS = 256
+"""Largest number of tunnels for partitioned instances."""
+
 _MAX_CONNECTIONS = 2_000
 _LEAST_CONNECTIONS = 64
 
@@ -176,7 +186,9 @@
         _parse_address(boot.listen.readiness),
         _parse_address(boot.listen.control),
         own,
+        _tunnels(boot),
     )
+    max_tunnels = 0 if listen.tunnels is None else _max_tunnels(boot.limits)
     folder = Path(boot.data_dir) if boot.data_dir else None
     bounds = boot.bounds
     abort_after_s = _ABORT_FRACTION * bounds.grace_s + _ABORT_MARGIN_S
@@ -207,18 +219,45 @@
             paces_servers=_RECOVERING_SERVERS in boot.contracts,
             lends_slots=_SHARED_SLOTS in boot.contracts,
         ),
-        http=_http_limits(boot.limits),
+        http=_http_limits(boot.limits, max_tunnels),
         readiness_grace_ms=int(_READINESS_GRACE_S * _MS_PER_SECOND),
         drain_timeout_ms=int(drain_s * _MS_PER_SECOND),
         announcement_ttl_ms=int(_EXPIRY_HEARTBEATS * boot.heartbeat_ms),
+        max_tunnels=max_tunnels,
     )
 
 
-def _http_limits(machine: _MachineLimits) -> HttpLimits:
-    """Return the limits that keep a process within the memory of its machine."""
+def _tunnels(boot: _BootSettings) -> Address | None:
+    """Return the address for tunnels: the second port between instances, if any."""
+    port = boot.internal_ports[0] + 1
+    if _PARTITIONED_INSTANCES not in boot.contracts or port > boot.internal_ports[1]:
+        return None
+    return Address(boot.ip, port)
+
+
+def _max_tunnels(machine: _MachineLimits) -> int:
+    descriptors = int(_sockets(machine) * _TUNNELS_DESCRIPTOR_FRACTION)
+    return min(
+        _MAX_TUNNELS,
+        descriptors // _TUNNEL_DESCRIPTORS,
+        int(_memory_left(machine) * _TUNNELS_MEMORY_FRACTION) // TUNNEL_BYTES,
+    )
+
+
+def _sockets(machine: _MachineLimits) -> int:
+    return max(0, machine.max_fds - _RESERVED_DESCRIPTORS)
+
+
+def _memory_left(machine: _MachineLimits) -> int:
+    """Return the memory for connections, requests, responses and tunnels."""
     left = max(0, machine.memory_mb - _PROCESS_MB) * _MB
-    left = max(left, _LEAST_CONNECTIONS * _CONNECTION_BYTES * 4)
-    sockets = max(0, machine.max_fds - _RESERVED_DESCRIPTORS)
+    return max(left, _LEAST_CONNECTIONS * _CONNECTION_BYTES * 4)
+
+
+def _http_limits(machine: _MachineLimits, max_tunnels: int) -> HttpLimits:
+    """Return the limits that keep a process within the memory of its machine."""
+    left = _memory_left(machine) - max_tunnels * TUNNEL_BYTES
+    sockets = _sockets(machine) - max_tunnels * _TUNNEL_DESCRIPTORS
     connections = min(
         _MAX_CONNECTIONS,
         int(sockets * _CALLER_FRACTION),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -194,6 +194,40 @@
         settings = decode_boot_settings(text.encode(), "boot.toml")
         self.assertTrue(settings.dispatch.lends_slots)
 
+    def test_tunnels_where_a_contract_says_so(self):
+        """Deployments that do not ask for them, or lack a port, have none."""
+        settings = decode_boot_settings(BOOT.encode(), "boot.toml")
+        self.assertIsNone(settings.listen.tunnels)
+        text = 'contracts = ["recover"]\n' + BOOT
+        settings = decode_boot_settings(text.encode(), "boot.toml")
+        self.assertEqual(settings.listen.tunnels, Address("10.2.0.7", 7601))
+        text = text.replace("[7600, 7615]", "[7600, 7600]")
+        settings = decode_boot_settings(text.encode(), "boot.toml")
+        self.assertIsNone(settings.listen.tunnels)
+
+    def test_tunnels_fit_the_limits_of_the_machine(self):
+        # Guards against limits that together exceed the memory or the descriptors.
+        for memory_mb, max_fds in ((128, 4_100), (300, 4_100), (300, 600)):
+            text = (
+                'contracts = ["recover"]\n'
+                f"{BOOT}[limits]\nmemory_mb = {memory_mb}\nmax_fds = {max_fds}\n"
+            )
+            settings = decode_boot_settings(text.encode(), "boot.toml")
+            limits = settings.http
+            self.assertGreater(settings.max_tunnels, 0)
+            self.assertLessEqual(
+                64_000_000
+                + limits.connections * 36_864
+                + limits.memory_bytes
+                + settings.max_tunnels * 40_960,
+                memory_mb * 1_000_000,
+            )
+            self.assertLessEqual(
+                2 * (limits.connections + settings.max_tunnels)
+                + limits.control_connections,
+                max_fds - 200,
+            )
+
     def test_limits_of_the_machine(self):
         # Guards against limits that together exceed the memory or the descriptors.
         for memory_mb, max_fds in ((88, 4_100), (128, 4_100), (300, 4_100), (300, 600)):
