Release the slot of a complete answer before it is sent to its caller

Cause: a call kept its slot and its connection to the server until its caller had the whole answer, up to its time limit or 20 s, while the server had finished.

Change: an attempt ends when its answer was read as a whole; the answer is sent afterwards. Streams keep their slot, as their server still sends.

--- a/src/sassafraspin/routed/attempt.py
+++ b/src/sassafraspin/routed/attempt.py
@@ -6,6 +6,7 @@
 from sassafraspin.http import BodyFraming, Response
 
 __all__ = [
+    "Answered",
     "AttemptOutcome",
     "AttemptProgress",
     "Delivered",
@@ -17,9 +18,16 @@
 ]
 
 
+@dataclass(frozen=True)
+class Answered:
+    """The backend server returned a complete answer, which the caller lacks yet."""
+
+    response: Response
+
+
 @dataclass(frozen=True)
 class Delivered:
-    """The caller received the complete answer."""
+    """The caller received the complete answer while it was read."""
 
 
 @dataclass(frozen=True)
@@ -51,7 +59,7 @@
     reason: str
 
 
-AttemptOutcome = Delivered | NotRun | Unused | Failed | Lost
+AttemptOutcome = Answered | Delivered | NotRun | Unused | Failed | Lost
 """Outcome of an attempt at one backend server."""
 
 
@@ -84,7 +92,7 @@
 def release_result(outcome: AttemptOutcome) -> ReleaseResult:
     """Return what the dispatcher is told of an outcome."""
     match outcome:
-        case Delivered():
+        case Answered() | Delivered():
             return ReleaseResult.ANSWERED
         # A refusal by a rate limit is no failure of the server.
         case Unused() | NotRun(names_limit=True):
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -34,6 +34,7 @@
     ResponseMetadata,
 )
 from sassafraspin.routed.attempt import (
+    Answered,
     AttemptOutcome,
     AttemptProgress,
     Delivered,
@@ -200,10 +201,15 @@
     async def _try_server(self, slot: SlotGrant) -> bool:
         """Make an attempt; return whether the caller has the answer.
 
-        Only ``_last_failure`` keeps a failed response, so that it can be given up.
+        The slot is released before a complete answer is sent, as its caller may read
+        slowly. Only ``_last_failure`` keeps a failed response, so that it can be given
+        up.
         """
         outcome = await self._attempt(slot)
         match outcome:
+            case Answered(response):
+                await self._responder.send(response)
+                return True
             case Delivered():
                 return True
             case Unused():
@@ -394,8 +400,7 @@
             progress.server_failed_it = True
             return Failed(whole)
         progress.record_data(self._node.now())
-        await self._responder.send(whole)
-        return Delivered()
+        return Answered(whole)
 
     def _is_own(self, response: OpenResponse, metadata: ResponseMetadata) -> bool:
         """Return whether an answer belongs to this request.
