Attribute failures that others refute to the instance's own path

Cause: the dispatcher counted each failed attempt against the server, whoever reported it. An instance that reaches no server reports failures of all of them, so that sound servers were ejected and started servers kept a low pace.

Change: a failure is refuted by a later answer of the same run and version of the server to another instance. An instance that fails at two servers or more without an answer in between, and of which two failures were refuted, is cut off: its failures no longer count, those that it reported are withdrawn, and servers that were ejected only for them are readmitted at their former pace. It is trusted again with its next answer, or after 5 s without a refutation. A single reporter or a single server is judged as before. A release with path_failed is no evidence from the start.

--- a/src/sassafraspin/backends/backend.py
+++ b/src/sassafraspin/backends/backend.py
@@ -1,7 +1,7 @@
 """State of one backend server, as known to the dispatcher of its service."""
 
 import math
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from sassafraspin.backends.announcement import Announcement
@@ -15,6 +15,9 @@
 __all__ = ["Backend", "Reservation"]
 
 _FAILURES_BEFORE_EJECTION = 3
+_MAX_FAILURES = 16
+"""Latest failures without a success in between whose reporters are remembered."""
+
 _BASE_EJECTION_SECONDS = 2.0
 _MAX_EJECTION_SECONDS = 60.0
 _MS_PER_SECOND = 1000
@@ -72,9 +75,11 @@
             overhead,
         )
         self._backlog = PrefillBacklog()
-        self._failures = 0
+        self._failures: deque[str] = deque(maxlen=_MAX_FAILURES)
         self._ejections = 0
         self._ejected_until = float("-inf")
+        self._ejected_for: list[str] = []
+        self._limit_before_ejection = announcement.slots
         self._withdrawn = False
         self._is_evacuated = False
         self._rate_limit: RateLimit | None = None
@@ -182,7 +187,7 @@
             self._cache = PrefixCacheView()
             self._parts = HeldParts()
             self._backlog = PrefillBacklog()
-            self._failures = 0
+            self._failures.clear()
             self._ejected_until = float("-inf")
             self._withdrawn = False
             self._rate_limit = None
@@ -250,6 +255,10 @@
         """Let the server bear little at first, as after a start."""
         return self._pace.restart(now)
 
+    def restore_pace(self) -> PaceChange:
+        """Let the server bear what it did before an ejection without a reason."""
+        return self._pace.restore(self._limit_before_ejection)
+
     def allows_request(self, now: float) -> bool:
         """Return whether the rate limits allow another request now."""
         return not self.is_rate_limited or all(
@@ -288,7 +297,7 @@
         """
         if not self.takes_requests(now) or now < self._ejected_until:
             return False
-        is_probing = self._ejections > 0 and self._failures >= _FAILURES_BEFORE_EJECTION
+        is_probing = self._ejections > 0 and self._has_failed_often
         return not (is_probing and self._reservations)
 
     def has_room(self, tokens: int) -> bool:
@@ -325,26 +334,49 @@
 
     def record_success(self) -> None:
         """Record an answered request, which resets the failure counters."""
-        self._failures = 0
+        self._failures.clear()
         self._ejections = 0
 
-    def record_failure(self, now: float, may_eject: bool = True) -> bool:
+    def record_failure(
+        self, now: float, may_eject: bool = True, reporter: str = ""
+    ) -> bool:
         """Record a failed request; return whether the server was ejected for it.
 
         A server is ejected after several failures without a success in between.
         ``may_eject`` is false while too many servers of the service are ejected; the
-        failure is counted nevertheless.
+        failure is counted nevertheless. ``reporter`` is the entry instance.
         """
-        self._failures += 1
-        if self._failures < _FAILURES_BEFORE_EJECTION or not may_eject:
+        self._failures.append(reporter)
+        if not self._has_failed_often or not may_eject:
             return False
         self._ejections += 1
         duration = min(
             _BASE_EJECTION_SECONDS * 2 ** (self._ejections - 1), _MAX_EJECTION_SECONDS
         )
         self._ejected_until = now + duration
+        self._ejected_for = list(self._failures)
+        self._limit_before_ejection = self._pace.limit
         return True
 
+    def withdraw_failures(self, reporter: str, now: float) -> bool:
+        """Forget what an entry instance reported; return whether it ends an ejection.
+
+        It does if too few failures remain.
+        """
+        kept = [item for item in self._failures if item != reporter]
+        self._failures = deque(kept, maxlen=_MAX_FAILURES)
+        self._ejected_for = [item for item in self._ejected_for if item != reporter]
+        if len(self._ejected_for) >= _FAILURES_BEFORE_EJECTION:
+            return False
+        was_ejected = self.is_ejected(now)
+        self._ejections = 0
+        self._ejected_until = float("-inf")
+        return was_ejected
+
+    @property
+    def _has_failed_often(self) -> bool:
+        return len(self._failures) >= _FAILURES_BEFORE_EJECTION
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the server gets no requests because of recent failures."""
         return now < self._ejected_until
--- a/src/sassafraspin/backends/pace.py
+++ b/src/sassafraspin/backends/pace.py
@@ -18,6 +18,7 @@
     ON_TIME = "on-time"
     LATE = "late"
     FAILED = "failed"
+    RESTORED = "restored"
 
 
 @dataclass(frozen=True)
@@ -75,6 +76,10 @@
         self._started_at = self._reduced_at = now
         return self._set(int(_START_SHARE * self._slots), PaceReason.STARTED)
 
+    def restore(self, limit: int) -> PaceChange:
+        """Undo a restart for which there was no reason."""
+        return self._set(max(limit, self._limit), PaceReason.RESTORED)
+
     def record_answer(
         self, is_late: bool, sent_at: float, now: float
     ) -> PaceChange | None:
--- a/src/sassafraspin/dispatch/pacing.py
+++ b/src/sassafraspin/dispatch/pacing.py
@@ -66,6 +66,11 @@
         if self._is_enabled:
             self._log(backend, backend.restart_pace(now))
 
+    def restore(self, backend: Backend) -> None:
+        """Undo the restart after an ejection for which there was no reason."""
+        if self._is_enabled:
+            self._log(backend, backend.restore_pace())
+
     def record_first_token(
         self, backend: Backend, grant: Grant, seconds: float, now: float
     ) -> None:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -34,6 +34,7 @@
 from sassafraspin.dispatch.overload import OverloadControl
 from sassafraspin.dispatch.pacing import ServerPacing
 from sassafraspin.dispatch.rate_limits import replaces_limit
+from sassafraspin.dispatch.reporters import Reporters, ServerVersion
 from sassafraspin.dispatch.servers import ServerTable
 from sassafraspin.dispatch.slot_order import order_for_slots
 from sassafraspin.dispatch.trials import Trials
@@ -155,6 +156,7 @@
         )
         self._queue = WaitingQueue()
         self._grants = GrantTable()
+        self._reporters = Reporters()
         self._trials = Trials(suspects or NoSuspects(), self._grants, now)
         self._grant_counter = 0
         self._uncached_tokens = 0
@@ -199,10 +201,10 @@
         return self._servers.get(backend_id)
 
     def entry_instances(self) -> frozenset[str]:
-        """Return the names of the entry instances with waiting or granted requests."""
+        """Return the names of the entry instances that have asked for slots."""
         waiting = (item.entry for item in self._queue)
         granted = (grant.entry for grant in self._grants)
-        return frozenset((*waiting, *granted))
+        return frozenset((*waiting, *granted, *self._reporters.names))
 
     def status(self, now: float) -> PoolStatus:
         """Return the status of the pool."""
@@ -323,7 +325,7 @@
             ends_by + _GRANT_EXPIRY_MARGIN_SECONDS,
             self._expected_end(active, ends_by, now),
         )
-        self._grants.add(grant)
+        self._add_grant(grant)
         if active.request.tries and not active.request.lent:
             self._budget.record_retry(now)
         self._gate.record_start(active.grant.version)
@@ -361,7 +363,10 @@
             return []
         if not _was_prefilled(release):
             self._forget_parts(grant)
-        self._record_outcome(grant, release, now)
+        if release.server_leaves:
+            self._withdraw_run(grant, now)
+        if self._record_report(grant, release, now):
+            self._record_outcome(grant, release, now)
         return self._grant_free_slots(now)
 
     def record_rate_limit(
@@ -387,6 +392,7 @@
         grant = self._grants.get(notice.grant_id)
         if grant is None:
             return []
+        self._record_answer(grant, now)
         self._adapt_pace(grant, notice.first_token_ms / _MS_PER_SECOND, now)
         return self._grant_free_slots(now)
 
@@ -425,6 +431,7 @@
         for grant in self._grants:
             if grant.entry == entry:
                 self._end_grant(grant.grant_id, now)
+        self._reporters.forget(entry)
         return self._grant_free_slots(now)
 
     def tick(self, now: float) -> list[SendToEntry]:
@@ -436,6 +443,7 @@
         for grant in self._grants:
             if now >= grant.expires_at:
                 self._end_grant(grant.grant_id, now)
+        self._reporters.expire(now)
         self._servers.refresh(now)
         self._overload.expire_late(now)
         self._admission.expire_unserved(now)
@@ -620,7 +628,7 @@
         choice.backend.backlog.add(grant.grant_id, prefill, now)
         if not request.tries and not request.lent:
             self._budget.record_first_attempt(now)
-        self._grants.add(grant)
+        self._add_grant(grant)
         self._trials.record_start(grant, now)
         choice.backend.count_request(now)
         self._reserve(choice.backend, grant, now)
@@ -658,10 +666,15 @@
         reservation = Reservation(grant.grant_id, request.tokens, gap)
         self._servers.reserve(backend, reservation, now)
 
+    def _add_grant(self, grant: Grant) -> None:
+        self._grants.add(grant)
+        self._reporters.record_grant(grant.entry)
+
     def _end_grant(self, grant_id: str, now: float) -> Grant | None:
         grant = self._grants.remove(grant_id)
         if grant is None:
             return None
+        self._reporters.record_end(grant.entry)
         if not grant.request.lent:
             self._limits.finish(grant.request)
         self._gate.record_end(grant.message.version)
@@ -677,6 +690,41 @@
         if backend is not None:
             backend.parts.forget_grant(grant.grant_id, grant.request.parts)
 
+    def _withdraw_run(self, grant: Grant, now: float) -> None:
+        """Stop sending requests to a server that has said that it leaves."""
+        backend = self._servers.get(grant.message.backend_id)
+        if backend is None:
+            return
+        if backend.announcement.incarnation == grant.message.incarnation:
+            self._servers.withdraw(grant.message.backend_id, now)
+
+    def _record_report(self, grant: Grant, release: SlotRelease, now: float) -> bool:
+        """Record whether an instance reached a server.
+
+        Returns whether the outcome says something about the server.
+        """
+        entry, source = grant.entry, _server_version(grant)
+        if release.path_failed:
+            if self._reporters.record_path_failure(entry, now):
+                self._servers.withdraw_failures(entry, now)
+            return False
+        match release.result:
+            case ReleaseResult.ANSWERED:
+                self._record_answer(grant, now)
+            case ReleaseResult.FAILED if release.server_failed_it:
+                self._reporters.record_contact(entry, now)
+            case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
+                return self._reporters.record_failure(entry, source, now)
+            case ReleaseResult.CANCELLED if release.answer_tokens:
+                self._reporters.record_contact(entry, now)
+        return True
+
+    def _record_answer(self, grant: Grant, now: float) -> None:
+        """Record an answer, which shows that other instances are cut off."""
+        source = _server_version(grant)
+        for entry in self._reporters.record_answer(grant.entry, source, now):
+            self._servers.withdraw_failures(entry, now)
+
     def _record_outcome(self, grant: Grant, release: SlotRelease, now: float) -> None:
         backend = self._servers.get(grant.message.backend_id)
         server = None
@@ -688,9 +736,6 @@
         )
         if backend is None:
             return
-        is_same_run = backend.announcement.incarnation == grant.message.incarnation
-        if release.server_leaves and is_same_run:
-            self._servers.withdraw(grant.message.backend_id, now)
         match release.result:
             case ReleaseResult.ANSWERED:
                 backend.record_success()
@@ -700,7 +745,7 @@
                 )
             case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
                 self._pacing.record_failure(backend, grant, now)
-                self._servers.record_failure(backend, now)
+                self._servers.record_failure(backend, grant.entry, now)
             case ReleaseResult.CANCELLED:
                 pass
 
@@ -746,6 +791,11 @@
             return False
 
 
+def _server_version(grant: Grant) -> ServerVersion:
+    message = grant.message
+    return ServerVersion(message.backend_id, message.incarnation, message.version)
+
+
 def _server_time(
     backend: Backend, request: SlotRequest, answer_tokens: int
 ) -> ServerTime:
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -472,7 +472,7 @@
         self.refresh(now)
         return True
 
-    def record_failure(self, backend: Backend, now: float) -> None:
+    def record_failure(self, backend: Backend, reporter: str, now: float) -> None:
         """Record a failed request and eject a server that fails too often.
 
         The share of servers that are ejected at the same time is limited: if all of
@@ -480,10 +480,25 @@
         """
         ejected = sum(item.is_ejected(now) for item in self._backends.values())
         allowed = max(1, int(_MAX_EJECTED_SHARE * len(self._backends)))
-        if backend.record_failure(now, may_eject=ejected < allowed):
+        if backend.record_failure(now, ejected < allowed, reporter):
             self._pacing.restart(backend, now)
             self.refresh(now)
 
+    def withdraw_failures(self, reporter: str, now: float) -> None:
+        """Forget the failures that an entry instance without a path has reported.
+
+        Servers that were ejected only for them are used again.
+        """
+        readmitted = [
+            item
+            for item in self._backends.values()
+            if item.withdraw_failures(reporter, now)
+        ]
+        for backend in readmitted:
+            self._pacing.restore(backend)
+        if readmitted:
+            self.refresh(now)
+
     def set_cache_tokens(self, tokens: int) -> None:
         """Set the size of each server's prefix cache in tokens, 0 if not known."""
         self._cache_tokens = tokens
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -380,7 +380,9 @@
 
     A server that has just started, came back, turned cold or was ejected begins with a
     small ``limit`` (``reason`` is ``started``); answers that are ``on-time`` raise it,
-    those that are ``late`` or ``failed`` halve it. At ``slots`` it has no effect.
+    those that are ``late`` or ``failed`` halve it. It is ``restored`` if the server was
+    ejected for failures of an instance that reaches no server. At ``slots`` it has no
+    effect.
     """
 
     part: ClassVar[str] = "dispatch"
--- /dev/null
+++ b/tests/test_reporters.py
@@ -0,0 +1,98 @@
+"""Which entry instances are found to be cut off from the servers."""
+
+import unittest
+
+from sassafraspin.dispatch.reporters import Reporters, ServerVersion
+
+
+def source(server: str, version: str = "v1", incarnation: int = 1) -> ServerVersion:
+    """Return a version in one run of a server."""
+    return ServerVersion(server, incarnation, version)
+
+
+class TestReporters(unittest.TestCase):
+    """Failures of one instance at servers that answer others."""
+
+    def setUp(self):
+        self.reporters = Reporters()
+        for entry in ("a", "b", "c"):
+            self.reporters.record_grant(entry)
+
+    def fail(self, entry: str, *servers: str, at: float = 0.0, version="v1") -> None:
+        for server in servers:
+            self.reporters.record_failure(entry, source(server, version), at)
+
+    def answer(self, entry: str, *servers: str, at: float, version="v1") -> list[str]:
+        found = []
+        for server in servers:
+            server_version = source(server, version)
+            found += self.reporters.record_answer(entry, server_version, at)
+        return found
+
+    def test_instance_that_fails_where_others_get_answers_is_cut_off(self):
+        self.fail("a", "s1", "s2")
+        self.assertEqual(self.answer("b", "s1", "s2", at=0.5), ["a"])
+        self.assertTrue(self.reporters.is_cut_off("a"))
+        self.assertFalse(self.reporters.record_failure("a", source("s3"), 0.6))
+
+    def test_failures_at_a_single_server_say_nothing_about_the_path(self):
+        for second in range(5):
+            self.fail("a", "s1", at=second)
+            self.assertEqual(self.answer("b", "s1", "s2", at=second + 0.5), [])
+
+    def test_server_without_requests_does_not_hide_the_cut(self):
+        """One that was ejected gets none, so that nobody refutes the failures there."""
+        self.fail("a", "s1", "s2")
+        self.answer("b", "s2", at=0.5)
+        self.fail("a", "s2", at=0.6)
+        self.assertEqual(self.answer("b", "s2", at=1.0), ["a"])
+
+    def test_servers_that_fail_for_all_are_not_excused(self):
+        for entry in ("a", "b", "c"):
+            self.fail(entry, "s1", "s2")
+        self.answer("c", "s3", "s4", at=0.5)
+        self.assertTrue(self.reporters.record_failure("a", source("s1"), 1.0))
+
+    def test_answer_at_about_the_same_time_refutes_nothing(self):
+        """It may have been sent before the server failed."""
+        self.fail("a", "s1", "s2", at=1.0)
+        self.assertEqual(self.answer("b", "s1", "s2", at=1.05), [])
+
+    def test_answers_of_another_version_refute_nothing(self):
+        self.fail("a", "s1", "s2", version="v2")
+        self.assertEqual(self.answer("b", "s1", "s2", at=0.5), [])
+
+    def test_answers_after_a_restart_refute_nothing(self):
+        self.fail("a", "s1", "s2")
+        for server in ("s1", "s2"):
+            later = source(server, incarnation=2)
+            self.assertEqual(self.reporters.record_answer("b", later, 0.5), ())
+
+    def test_answer_ends_the_doubt(self):
+        self.fail("a", "s1", "s2")
+        self.answer("b", "s1", "s2", at=0.5)
+        self.answer("a", "s1", at=0.6)
+        self.assertFalse(self.reporters.is_cut_off("a"))
+
+    def test_own_answers_in_between_exclude_a_cut(self):
+        self.fail("a", "s1", at=0.0)
+        self.answer("b", "s1", at=0.5)
+        self.answer("a", "s3", at=0.6)
+        self.fail("a", "s2", at=0.7)
+        self.assertEqual(self.answer("b", "s2", at=1.2), [])
+
+    def test_doubt_ends_without_further_evidence(self):
+        self.fail("a", "s1", "s2")
+        self.answer("b", "s1", "s2", at=0.5)
+        self.reporters.expire(5.4)
+        self.assertTrue(self.reporters.is_cut_off("a"))
+        self.reporters.expire(5.6)
+        self.assertFalse(self.reporters.is_cut_off("a"))
+
+    def test_state_is_bounded(self):
+        for number in range(1_000):
+            self.fail("a", f"s{number}")
+        self.assertLessEqual(len(self.reporters._failures), 16)
+        self.reporters.forget("a")
+        self.assertEqual(len(self.reporters._failures), 0)
+        self.assertEqual(self.reporters.names, ("b", "c"))
