Limit the slots of instances that get no answers to their share

Cause: a request at an instance that is cut off keeps its slot until its connect timeout or time limit. With connections that hang, such requests took all slots, and calls at the other instances waited or came too late. They got no answers either, so that nothing refuted the failures of the cut ones.

Change: an instance that fails at two servers or more without an answer in between holds, together with others like it, at most their share of the slots; what goes beyond is refused. If all instances are like that, nothing changes. Requests that take three times as long as expected while their instance gets no answer at all are taken as such failures for this purpose, though not as evidence against a server, as open connections that hang do not fail early.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -59,6 +59,12 @@
 _GRANT_SCAN_REQUESTS = 16
 _MS_PER_SECOND = 1000
 
+_SILENCE_INTERVAL_SECONDS = 0.2
+_SILENT_SECONDS = 0.4
+_SILENT_FACTOR = 3.0
+"""A request that takes longer than both times counts as unanswered. That alone is no
+fault of its instance: it has to be one at several servers that answer others."""
+
 _DISCOVERY_SECONDS = 2.0
 """Time that a dispatcher that knows no servers at its start waits for them to announce
 themselves."""
@@ -159,6 +165,7 @@
         self._reporters = Reporters()
         self._trials = Trials(suspects or NoSuspects(), self._grants, now)
         self._grant_counter = 0
+        self._next_silence_at = now
         self._uncached_tokens = 0
         self._again_tokens = 0
         self._effects: list[SendToEntry] = []
@@ -301,9 +308,11 @@
         """
         effects = self._grant_free_slots(now)
         is_scanned = len(self._queue) < _GRANT_SCAN_REQUESTS
+        may_hold_more = not self._holds_its_share(entry, now)
         waiting = self._admission.waiting(entry, request, now)
         if (
             not is_scanned
+            or not may_hold_more
             or now > waiting.latest_start
             or not self._servers.has_free_slot
             or not self._try_grant(waiting, now)
@@ -443,12 +452,31 @@
         for grant in self._grants:
             if now >= grant.expires_at:
                 self._end_grant(grant.grant_id, now)
-        self._reporters.expire(now)
+        self._record_silence(now)
         self._servers.refresh(now)
         self._overload.expire_late(now)
         self._admission.expire_unserved(now)
         return self._grant_free_slots(now)
 
+    def _record_silence(self, now: float) -> None:
+        """Look for instances that get no answers at all, at intervals.
+
+        Requests that hang do not fail before their time limits.
+        """
+        self._reporters.expire(now)
+        if now < self._next_silence_at or self._reporters.is_alone:
+            return
+        self._next_silence_at = now + _SILENCE_INTERVAL_SECONDS
+        for grant in self._grants:
+            if now < grant.granted_at + _SILENT_SECONDS:
+                continue
+            seconds = _SILENT_FACTOR * (grant.expected_end - grant.granted_at)
+            is_overdue = now > grant.granted_at + seconds
+            if is_overdue and not self._reporters.has_answer_since(
+                grant.entry, grant.granted_at
+            ):
+                self._reporters.record_failure(grant.entry, _server_version(grant), now)
+
     def record_overdue(self, now: float) -> None:
         """Count the running requests that are slow already during a move.
 
@@ -507,6 +535,10 @@
                     self._overload.time_out(waiting, now)
                     granted = True
                     break
+                elif self._holds_its_share(waiting.entry, now):
+                    self._overload.shed(waiting, RefusalReason.OVERLOADED, now)
+                    granted = True
+                    break
                 elif self._try_grant(waiting, now):
                     granted = True
                     break
@@ -516,11 +548,19 @@
         self._overload.preempt_lower_tiers(now)
         return self._drain_effects()
 
+    def _holds_its_share(self, entry: str, now: float) -> bool:
+        """Return whether an instance without answers may get no further slot now."""
+        if not self._reporters.is_limited(entry):
+            return False
+        return not self._reporters.may_hold_more(entry, self._servers.open_slots(now))
+
     def _grant_to_unserved(self, now: float) -> None:
         """Grant slots that became free earlier than expected, and nobody waits for."""
         if not self._servers.has_free_slot:
             return
         for waiting in self._admission.first_unserved(_GRANT_SCAN_REQUESTS):
+            if self._holds_its_share(waiting.entry, now):
+                continue
             if now <= waiting.latest_start and self._try_grant(waiting, now):
                 self._admission.take_unserved(waiting.request.request_id)
 
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -71,7 +71,8 @@
         self._reporters: dict[str, _Reporter] = {}
         self._failures: dict[ServerVersion, dict[str, float]] = {}
         self._cut_off: set[str] = set()
-        self._cut_off_grants = 0
+        self._limited: set[str] = set()
+        self._limited_grants = 0
 
     @property
     def is_alone(self) -> bool:
@@ -87,6 +88,10 @@
         """Return whether the failures of an instance are due to its path."""
         return entry in self._cut_off
 
+    def is_limited(self, entry: str) -> bool:
+        """Return whether ``may_hold_more`` decides about an instance."""
+        return entry in self._limited
+
     def has_answer_since(self, entry: str, at: float) -> bool:
         """Return whether an instance reached a server after some time."""
         reporter = self._reporters.get(entry)
@@ -95,23 +100,24 @@
     def may_hold_more(self, entry: str, slots: int) -> bool:
         """Return whether an instance may get another one of all slots.
 
-        Those that are cut off hold at most their share, so that requests that hang do
-        not take the slots of the others.
+        Those that get no answers and fail at several servers hold at most their share,
+        refuted or not: if requests that hang took all slots, the others would get no
+        answers either, and nothing would be refuted.
         """
-        if entry not in self._cut_off:
+        if len(self._limited) == len(self._reporters):
             return True
-        share = slots * len(self._cut_off) // len(self._reporters)
-        return self._cut_off_grants < max(1, share)
+        share = slots * len(self._limited) // len(self._reporters)
+        return self._limited_grants < max(1, share)
 
     def record_grant(self, entry: str) -> None:
         """Count a slot that was granted to an instance."""
         self._get(entry).grants += 1
-        self._cut_off_grants += entry in self._cut_off
+        self._limited_grants += entry in self._limited
 
     def record_end(self, entry: str) -> None:
         """Count a slot that an instance holds no more."""
         self._get(entry).grants -= 1
-        self._cut_off_grants -= entry in self._cut_off
+        self._limited_grants -= entry in self._limited
 
     def record_contact(self, entry: str, now: float) -> None:
         """Record that an instance reached a server, whatever came of it."""
@@ -138,6 +144,8 @@
                 self._remove(entry, reporter, next(iter(reporter.failures)))
             reporter.failures[source] = now
             self._failures.setdefault(source, {})[entry] = now
+            if reporter.servers >= _MIN_SERVERS:
+                self._limit(entry, reporter)
         return entry not in self._cut_off
 
     def record_path_failure(self, entry: str, now: float) -> bool:
@@ -185,17 +193,23 @@
         if entry in self._cut_off:
             return False
         self._cut_off.add(entry)
-        self._cut_off_grants += reporter.grants
+        self._limit(entry, reporter)
         return True
 
+    def _limit(self, entry: str, reporter: _Reporter) -> None:
+        if entry not in self._limited:
+            self._limited.add(entry)
+            self._limited_grants += reporter.grants
+
     def _trust(self, entry: str, reporter: _Reporter) -> None:
         for source in list(reporter.failures):
             self._remove(entry, reporter, source)
         reporter.refuted = 0
         reporter.refuted_at.clear()
-        if entry in self._cut_off:
-            self._cut_off.remove(entry)
-            self._cut_off_grants -= reporter.grants
+        self._cut_off.discard(entry)
+        if entry in self._limited:
+            self._limited.remove(entry)
+            self._limited_grants -= reporter.grants
 
     def _remove(self, entry: str, reporter: _Reporter, source: ServerVersion) -> float:
         failures = self._failures[source]
--- a/tests/test_reporters.py
+++ b/tests/test_reporters.py
@@ -89,6 +89,28 @@
         self.reporters.expire(5.6)
         self.assertFalse(self.reporters.is_cut_off("a"))
 
+    def test_slots_of_instances_without_answers_are_limited(self):
+        """Requests that hang must leave slots for those that are answered."""
+        self.fail("a", "s1")
+        self.assertFalse(self.reporters.is_limited("a"))
+        self.fail("a", "s2")
+        held = [self.hold("a", 9) for _ in range(9)]
+        self.assertEqual(held, [True, True, *[False] * 7])
+        self.answer("a", "s1", at=0.1)
+        self.assertFalse(self.reporters.is_limited("a"))
+
+    def test_slots_are_not_limited_if_all_fail(self):
+        for entry in ("a", "b", "c"):
+            self.fail(entry, "s1", "s2")
+        self.assertTrue(all(self.hold("a", 9) for _ in range(9)))
+
+    def hold(self, entry: str, slots: int) -> bool:
+        """Hold another slot if the instance may; return whether it does."""
+        may_hold = self.reporters.may_hold_more(entry, slots)
+        if may_hold:
+            self.reporters.record_grant(entry)
+        return may_hold
+
     def test_state_is_bounded(self):
         for number in range(1_000):
             self.fail("a", f"s{number}")
