Keep failures of cut instances out of the comparison of versions

Cause: when a cut breaks off what an instance runs, several requests to a new version fail at once, before anything shows that it is the path; requests that hang count as slow. A good version was rolled back. The sequential test cannot be undone.

Change: while a version is rolled out, a request that was broken off or ended without an answer counts once its instance gets an answer, or after 1 s, and not at all if the instance is found to be cut off. A running request counts as slow only if its instance had an answer since its grant. Complete answers with an error status count at once, and a single reporter is judged as before.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -16,6 +16,7 @@
 from sassafraspin.dispatch.admission import Admission
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.grants import Grant, GrantTable
+from sassafraspin.dispatch.held_outcomes import HeldOutcomes, Outcome
 from sassafraspin.dispatch.messages import (
     ActiveGrant,
     DispatchMessage,
@@ -163,6 +164,7 @@
         self._queue = WaitingQueue()
         self._grants = GrantTable()
         self._reporters = Reporters()
+        self._held_outcomes = HeldOutcomes()
         self._trials = Trials(suspects or NoSuspects(), self._grants, now)
         self._grant_counter = 0
         self._next_silence_at = now
@@ -453,6 +455,7 @@
             if now >= grant.expires_at:
                 self._end_grant(grant.grant_id, now)
         self._record_silence(now)
+        self._compare_versions(self._held_outcomes.take_due(now))
         self._servers.refresh(now)
         self._overload.expire_late(now)
         self._admission.expire_unserved(now)
@@ -481,7 +484,8 @@
         """Count the running requests that are slow already during a move.
 
         The old version's come first: a delay of both versions raises the baseline
-        before the new version is compared with it.
+        before the new version is compared with it. Those of an instance that has had no
+        answer meanwhile may hang on its path.
         """
         move = self._gate.move
         if move is None:
@@ -491,7 +495,7 @@
             self._grants, key=lambda item: item.message.version == new_version
         ):
             backend = self._servers.get(grant.message.backend_id)
-            if backend is None:
+            if backend is None or not self._has_path(grant):
                 continue
             grant.limits_counted = self._gate.record_unfinished(
                 grant.message.version,
@@ -501,6 +505,12 @@
                 grant.limits_counted,
             )
 
+    def _has_path(self, grant: Grant) -> bool:
+        """Return whether an instance has reached a server since it got a slot."""
+        return self._reporters.is_alone or self._reporters.has_answer_since(
+            grant.entry, grant.granted_at
+        )
+
     def server_counts(self) -> ServerCounts:
         """Count the servers that accept work: all, and those with the new version."""
         accepting = self._servers.accepting
@@ -746,24 +756,37 @@
         entry, source = grant.entry, _server_version(grant)
         if release.path_failed:
             if self._reporters.record_path_failure(entry, now):
-                self._servers.withdraw_failures(entry, now)
+                self._withdraw_reports(entry, now)
             return False
         match release.result:
             case ReleaseResult.ANSWERED:
                 self._record_answer(grant, now)
             case ReleaseResult.FAILED if release.server_failed_it:
-                self._reporters.record_contact(entry, now)
+                self._record_contact(entry, now)
             case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
                 return self._reporters.record_failure(entry, source, now)
             case ReleaseResult.CANCELLED if release.answer_tokens:
-                self._reporters.record_contact(entry, now)
+                self._record_contact(entry, now)
+            case ReleaseResult.CANCELLED:
+                return not self._reporters.is_cut_off(entry)
         return True
 
+    def _record_contact(self, entry: str, now: float) -> None:
+        """Record that an instance has a path, so that its other reports count."""
+        self._reporters.record_contact(entry, now)
+        self._compare_versions(self._held_outcomes.take(entry))
+
     def _record_answer(self, grant: Grant, now: float) -> None:
         """Record an answer, which shows that other instances are cut off."""
         source = _server_version(grant)
         for entry in self._reporters.record_answer(grant.entry, source, now):
-            self._servers.withdraw_failures(entry, now)
+            self._withdraw_reports(entry, now)
+        self._compare_versions(self._held_outcomes.take(grant.entry))
+
+    def _withdraw_reports(self, entry: str, now: float) -> None:
+        """Forget what an instance without a path has reported about servers."""
+        self._servers.withdraw_failures(entry, now)
+        self._held_outcomes.take(entry)
 
     def _record_outcome(self, grant: Grant, release: SlotRelease, now: float) -> None:
         backend = self._servers.get(grant.message.backend_id)
@@ -771,8 +794,10 @@
         if backend is not None:
             server = _server_time(backend, grant.request, release.answer_tokens)
         version = grant.message.version
-        self._gate.record_outcome(
-            version, grant.request, release, server, grant.limits_counted
+        self._record_version(
+            grant.entry,
+            Outcome(version, grant.request, release, server, grant.limits_counted),
+            now,
         )
         if backend is None:
             return
@@ -789,6 +814,25 @@
             case ReleaseResult.CANCELLED:
                 pass
 
+    def _record_version(self, entry: str, outcome: Outcome, now: float) -> None:
+        """Compare the versions, unless the path of the instance may have failed."""
+        if self._gate.move is None:
+            return
+        if outcome.may_be_due_to_path and not self._reporters.is_alone:
+            self._held_outcomes.hold(entry, outcome, now)
+        else:
+            self._compare_versions([outcome])
+
+    def _compare_versions(self, outcomes: list[Outcome]) -> None:
+        for outcome in outcomes:
+            self._gate.record_outcome(
+                outcome.version,
+                outcome.request,
+                outcome.release,
+                outcome.server,
+                outcome.limits_counted,
+            )
+
     def _record_first_token(self, release: SlotRelease, now: float) -> None:
         """Correct the estimates for a server by the first token of a request."""
         grant = self._grants.get(release.grant_id)
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -130,9 +130,10 @@
     ) -> tuple[str, ...]:
         """Record an answer; return the instances that it shows to be cut off."""
         self.record_contact(entry, now)
-        failures = self._failures.get(source, {})
         refuted = [
-            other for other, at in failures.items() if now - at > _REORDERING_SECONDS
+            other
+            for other, at in self._failures.get(source, {}).items()
+            if now - at > _REORDERING_SECONDS
         ]
         return tuple(other for other in refuted if self._refute(other, source, now))
 
