Withdraw crashes that only instances without a path have reported

Cause: when a cut resets what an instance runs, the instance finds that the servers refuse connections too, and reports crashes. Equal requests were suspected of them, and ran one at a time on all instances.

Change: a crash keeps the instances that reported it. The leader forgets crashes whose reporters are all cut off, and takes none from a release with path_failed. A crash that another instance reported too stays.

--- a/src/sassafraspin/daemon/dispatch_service.py
+++ b/src/sassafraspin/daemon/dispatch_service.py
@@ -194,6 +194,10 @@
         pool = self._pools.get(release.service)
         return None if pool is None else pool.grant(release.grant_id)
 
+    def cut_off_entries(self) -> frozenset[str]:
+        """Return the entry instances that reach no servers, though others do."""
+        return frozenset().union(*(pool.cut_off for pool in self._pools.values()))
+
     def apply_retirements(self) -> None:
         """Stop using the servers that the control log has retired.
 
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -215,6 +215,11 @@
         granted = (grant.entry for grant in self._grants)
         return frozenset((*waiting, *granted, *self._reporters.names))
 
+    @property
+    def cut_off(self) -> frozenset[str]:
+        """Return the entry instances that reach no servers, though others do."""
+        return self._reporters.cut_off
+
     def status(self, now: float) -> PoolStatus:
         """Return the status of the pool."""
         return PoolStatus(
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -74,6 +74,11 @@
         self._limited: set[str] = set()
         self._limited_grants = 0
 
+    @property
+    def cut_off(self) -> frozenset[str]:
+        """Return the instances whose failures are due to their path."""
+        return frozenset(self._cut_off)
+
     @property
     def is_alone(self) -> bool:
         """Return whether a single instance reports, which nobody can refute."""
--- a/src/sassafraspin/isolation/crashes.py
+++ b/src/sassafraspin/isolation/crashes.py
@@ -27,7 +27,8 @@
     """Crash of one server, with the signatures of each request that may have caused it.
 
     ``is_refused`` says that the server refused connections afterwards. Without that, it
-    may have broken off the requests for another reason.
+    may have broken off the requests for another reason. ``reporters`` are the entry
+    instances that reported it, empty for a crash that an earlier leader knew.
     """
 
     server: str
@@ -35,6 +36,7 @@
     at: float
     requests: list[frozenset[str]] = field(default_factory=list)
     is_refused: bool = False
+    reporters: set[str] = field(default_factory=set)
 
     @property
     def run(self) -> tuple[str, int]:
--- a/src/sassafraspin/isolation/evidence.py
+++ b/src/sassafraspin/isolation/evidence.py
@@ -144,9 +144,11 @@
         signatures: tuple[str, ...],
         now: float,
         incarnation: int = 0,
+        reporter: str = "",
     ) -> None:
         """Record a request of a server that refused connections when it was lost."""
-        self._record((server, incarnation), signatures, now, is_refused=True)
+        run = server, incarnation
+        self._record(run, signatures, now, reporter, is_refused=True)
 
     def record_loss(
         self,
@@ -154,15 +156,32 @@
         signatures: tuple[str, ...],
         now: float,
         incarnation: int = 0,
+        reporter: str = "",
     ) -> None:
         """Record a request that a server broke off, for whatever reason."""
-        self._record((server, incarnation), signatures, now, is_refused=False)
+        run = server, incarnation
+        self._record(run, signatures, now, reporter, is_refused=False)
+
+    def withdraw(self, reporters: frozenset[str]) -> None:
+        """Forget the crashes that only instances without a path have reported."""
+        withdrawn = [
+            crash
+            for crash in self._crashes
+            if crash.requests and crash.reporters and crash.reporters <= reporters
+        ]
+        for crash in withdrawn:
+            crash.requests.clear()
+            if self._last_crashes.get(crash.run) is crash:
+                del self._last_crashes[crash.run]
+        if withdrawn:
+            self._index_all()
 
     def _record(
         self,
         run: tuple[str, int],
         signatures: tuple[str, ...],
         now: float,
+        reporter: str,
         is_refused: bool,
     ) -> None:
         self._drop_old(now)
@@ -170,6 +189,8 @@
         if crash is None or not crash.explains(now, is_refused):
             crash = self._open_crash(Crash(*run, now, is_refused=is_refused))
         if now - crash.at < REPORTS_SECONDS:
+            if reporter:
+                crash.reporters.add(reporter)
             self._add_request(crash, signatures, now)
 
     def _open_crash(self, crash: Crash) -> Crash:
--- a/src/sassafraspin/routed/isolation.py
+++ b/src/sassafraspin/routed/isolation.py
@@ -67,11 +67,14 @@
 
     def record(self, release: SlotRelease, grant: Grant | None) -> None:
         """Record how a request ended; ``grant`` is that of its slot, if it is known."""
+        if release.path_failed:
+            return
         now = self._node.now()
-        server, incarnation = release.backend_id, 0
+        server, incarnation, reporter = release.backend_id, 0, ""
         signatures = release.parts
         if grant is not None:
             incarnation = grant.message.incarnation
+            reporter = grant.entry
             signatures = tuple(filter(None, (*signatures, grant.request.signature)))
         if release.result is ReleaseResult.ANSWERED or release.server_failed_it:
             sent_at = now - release.total_ms / _MS_PER_SECOND
@@ -80,9 +83,14 @@
         elif not signatures or self._is_found(signatures):
             return
         elif release.may_have_crashed_server:
-            self._evidence.record_crash(server, signatures, now, incarnation)
+            self._evidence.record_crash(server, signatures, now, incarnation, reporter)
         elif release.was_broken_off:
-            self._evidence.record_loss(server, signatures, now, incarnation)
+            self._evidence.record_loss(server, signatures, now, incarnation, reporter)
+
+    def withdraw(self, reporters: frozenset[str]) -> None:
+        """Forget the crashes that only instances without a path have reported."""
+        if reporters:
+            self._evidence.withdraw(reporters)
 
     def tick(self) -> None:
         """On the leader, isolate the parts found and report what is suspected."""
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -227,6 +227,7 @@
         self._standby.tick()
         self._log_evacuations()
         self._send_heartbeat(now)
+        self._isolation.withdraw(self._dispatch.cut_off_entries())
         self._isolation.tick()
         self._client.close_unusable()
         if self.relay is not None:
--- a/tests/test_request_isolation.py
+++ b/tests/test_request_isolation.py
@@ -103,6 +103,15 @@
         successor.record_crash("s5", (HARMFUL,), 5.0)
         self.assertEqual(successor.find_harmful(6.0).signature, HARMFUL)
 
+    def test_crashes_that_only_instances_without_a_path_reported_are_withdrawn(self):
+        for server, reporters in (("s1", "a"), ("s2", "ab"), ("s3", "ac")):
+            for reporter in reporters:
+                self.evidence.record_crash(server, (SOUND,), 1.0, 1, reporter)
+        self.evidence.withdraw(frozenset("ab"))
+        self.assertEqual(self.evidence.suspicion(SOUND), Suspected(1))
+        self.evidence.withdraw(frozenset("abc"))
+        self.assertEqual(self.evidence.suspicion(SOUND), Unsuspected())
+
     def test_request_that_does_not_come_again_is_soon_not_reported(self):
         self.crash(1.0, SOUND)
         self.crash(2.0, HARMFUL)
