Give back the charges of attempts that never left a cut instance

Cause: each attempt is charged to the usage cap of its account and, if it is a further one, to the retry budget, also if it was never sent. A cut instance could use up both without a single arrival at a server.

Change: a release with path_failed whose result is not-sent takes its charges back, those of a first attempt included, which would otherwise allow retries. Without path_failed the server may have turned the request away, which is an arrival, so that it stays charged.

Requests on slots that another instance lends stay charged.

--- a/src/sassafraspin/dispatch/budget.py
+++ b/src/sassafraspin/dispatch/budget.py
@@ -64,6 +64,15 @@
             self._counts.append(_Count(now, number))
             self._sum += number
 
+    def refund(self) -> None:
+        """Remove one, of the newest counts."""
+        for position in range(len(self._counts) - 1, -1, -1):
+            count = self._counts[position]
+            if count.number > 0:
+                self._counts[position] = _Count(count.at, count.number - 1)
+                self._sum -= 1
+                return
+
     def total(self, now: float) -> int:
         while self._counts and self._counts[0].at < now - self._seconds:
             self._sum -= self._counts.popleft().number
@@ -180,6 +189,15 @@
         self._retries.add(1, now)
         self._unreported_retries += 1
 
+    def refund(self, is_retry: bool) -> None:
+        """Take back an attempt that reached no server."""
+        if is_retry:
+            self._retries.refund()
+            self._unreported_retries -= 1
+        else:
+            self._first_attempts.refund()
+            self._unreported_first_attempts -= 1
+
     def try_acquire(self, now: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
         if self._unreported_retries + 1 > self._reserve:
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -374,7 +374,8 @@
     def release(self, release: SlotRelease, now: float) -> list[SendToEntry]:
         """Release the slot of a request that has ended and record its outcome."""
         self._record_first_token(release, now)
-        grant = self._end_grant(release.grant_id, now)
+        is_refunded = _is_undelivered(release)
+        grant = self._end_grant(release.grant_id, now, is_refunded)
         if grant is None:
             return []
         if not _was_prefilled(release):
@@ -725,13 +726,15 @@
         self._grants.add(grant)
         self._reporters.record_grant(grant.entry)
 
-    def _end_grant(self, grant_id: str, now: float) -> Grant | None:
+    def _end_grant(
+        self, grant_id: str, now: float, is_refunded: bool = False
+    ) -> Grant | None:
         grant = self._grants.remove(grant_id)
         if grant is None:
             return None
         self._reporters.record_end(grant.entry)
         if not grant.request.lent:
-            self._limits.finish(grant.request)
+            self._finish_charges(grant.request, is_refunded)
         self._gate.record_end(grant.message.version)
         backend = self._servers.get(grant.message.backend_id)
         if backend is not None:
@@ -739,6 +742,14 @@
         self._servers.release(grant.message.backend_id, grant_id, now)
         return grant
 
+    def _finish_charges(self, request: SlotRequest, is_refunded: bool) -> None:
+        """End what a request is charged, and take it back if it reached no server."""
+        if is_refunded:
+            self._limits.withdraw(request)
+            self._budget.refund(is_retry=request.tries > 0)
+        else:
+            self._limits.finish(request)
+
     def _forget_parts(self, grant: Grant) -> None:
         """Forget the parts that a server holds only if it has run the request."""
         backend = self._servers.get(grant.message.backend_id)
@@ -880,6 +891,14 @@
             return False
 
 
+def _is_undelivered(release: SlotRelease) -> bool:
+    """Return whether a request certainly never left its entry instance.
+
+    Without a path it was not sent; otherwise the server may have turned it away.
+    """
+    return release.path_failed and release.result is ReleaseResult.NOT_SENT
+
+
 def _server_version(grant: Grant) -> ServerVersion:
     message = grant.message
     return ServerVersion(message.backend_id, message.incarnation, message.version)
