Limit instances without answers only while slots are scarce

Cause: an instance with little traffic and two slow requests looks like one that gets no answers, and was refused further slots though most were free.

Change: the limit holds while less than a quarter of the slots is free. As the cut is then found later in some cases, further failures of an instance that has failed at two servers without an answer in between do not count against servers before they are refuted, unless no instance gets answers.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -66,6 +66,9 @@
 """A request that takes longer than both times counts as unanswered. That alone is no
 fault of its instance: it has to be one at several servers that answer others."""
 
+_SPARE_SHARE = 0.25
+"""Share of free slots above which instances without answers are not limited."""
+
 _DISCOVERY_SECONDS = 2.0
 """Time that a dispatcher that knows no servers at its start waits for them to announce
 themselves."""
@@ -382,7 +385,9 @@
             self._forget_parts(grant)
         if release.server_leaves:
             self._withdraw_run(grant, now)
-        if self._record_report(grant, release, now):
+        counts = self._record_report(grant, release, now)
+        self._record_version(grant, release, now)
+        if counts:
             self._record_outcome(grant, release, now)
         return self._grant_free_slots(now)
 
@@ -565,10 +570,16 @@
         return self._drain_effects()
 
     def _holds_its_share(self, entry: str, now: float) -> bool:
-        """Return whether an instance without answers may get no further slot now."""
+        """Return whether an instance without answers may get no further slot now.
+
+        It may while many are free: it may also be one with a few slow requests.
+        """
         if not self._reporters.is_limited(entry):
             return False
-        return not self._reporters.may_hold_more(entry, self._servers.open_slots(now))
+        slots = self._servers.open_slots(now)
+        if self._servers.free_slots(now) > _SPARE_SHARE * slots:
+            return False
+        return not self._reporters.may_hold_more(entry, slots)
 
     def _grant_to_unserved(self, now: float) -> None:
         """Grant slots that became free earlier than expected, and nobody waits for."""
@@ -783,8 +794,6 @@
                 return self._reporters.record_failure(entry, source, now)
             case ReleaseResult.CANCELLED if release.answer_tokens:
                 self._record_contact(entry, now)
-            case ReleaseResult.CANCELLED:
-                return not self._reporters.is_cut_off(entry)
         return True
 
     def _record_contact(self, entry: str, now: float) -> None:
@@ -806,15 +815,6 @@
 
     def _record_outcome(self, grant: Grant, release: SlotRelease, now: float) -> None:
         backend = self._servers.get(grant.message.backend_id)
-        server = None
-        if backend is not None:
-            server = _server_time(backend, grant.request, release.answer_tokens)
-        version = grant.message.version
-        self._record_version(
-            grant.entry,
-            Outcome(version, grant.request, release, server, grant.limits_counted),
-            now,
-        )
         if backend is None:
             return
         match release.result:
@@ -830,10 +830,18 @@
             case ReleaseResult.CANCELLED:
                 pass
 
-    def _record_version(self, entry: str, outcome: Outcome, now: float) -> None:
+    def _record_version(self, grant: Grant, release: SlotRelease, now: float) -> None:
         """Compare the versions, unless the path of the instance may have failed."""
-        if self._gate.move is None:
+        entry = grant.entry
+        if self._gate.move is None or self._reporters.is_cut_off(entry):
             return
+        backend = self._servers.get(grant.message.backend_id)
+        server = None
+        if backend is not None:
+            server = _server_time(backend, grant.request, release.answer_tokens)
+        outcome = Outcome(
+            grant.message.version, grant.request, release, server, grant.limits_counted
+        )
         if outcome.may_be_due_to_path and not self._reporters.is_alone:
             self._held_outcomes.hold(entry, outcome, now)
         else:
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -109,7 +109,7 @@
         refuted or not: if requests that hang took all slots, the others would get no
         answers either, and nothing would be refuted.
         """
-        if len(self._limited) == len(self._reporters):
+        if self._all_are_limited:
             return True
         share = slots * len(self._limited) // len(self._reporters)
         return self._limited_grants < max(1, share)
@@ -143,8 +143,16 @@
         return tuple(other for other in refuted if self._refute(other, source, now))
 
     def record_failure(self, entry: str, source: ServerVersion, now: float) -> bool:
-        """Record a failure; return whether it counts against the server."""
+        """Record a failure; return whether it counts against the server.
+
+        The first ones of an instance at several servers do until they are refuted.
+        Further ones without an answer in between say more about the instance, unless
+        no instance gets answers.
+        """
         reporter = self._get(entry)
+        is_credible = entry not in self._limited
+        if self._all_are_limited:
+            is_credible = entry not in self._cut_off
         if source not in reporter.failures:
             if len(reporter.failures) >= _MAX_FAILURES:
                 self._remove(entry, reporter, next(iter(reporter.failures)))
@@ -152,7 +160,7 @@
             self._failures.setdefault(source, {})[entry] = now
             if reporter.servers >= _MIN_SERVERS:
                 self._limit(entry, reporter)
-        return entry not in self._cut_off
+        return is_credible
 
     def record_path_failure(self, entry: str, now: float) -> bool:
         """Record that an instance found its path to have failed.
@@ -175,6 +183,10 @@
             self._trust(entry, reporter)
             del self._reporters[entry]
 
+    @property
+    def _all_are_limited(self) -> bool:
+        return len(self._limited) == len(self._reporters)
+
     def _get(self, entry: str) -> _Reporter:
         reporter = self._reporters.get(entry)
         if reporter is None:
