Treat an answer with a status above 599 as lost

What callers saw: the answer of a server in trouble with status 600 to 999, as it came; with X-Not-Executed, a 503 that promises that the request had not run.

Cause: h11 accepts statuses up to 999, RFC 9110 (section 15) up to 599.

Change: such an answer is lost, so callers get 502, which promises nothing.

Result: tests.test_early_answers.TestStatuses passes (two of three failed before).

--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -33,6 +33,7 @@
 a write to the caller. As much of a stream is handed over without a turn for others."""
 
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _STATUSES_WITHOUT_BODY = (_NO_CONTENT, _NOT_MODIFIED)
@@ -270,6 +271,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionLost("the server closed before its answer", is_closed=True)
+        if event.status_code > _LAST_STATUS:
+            raise ConnectionLost("the answer has a status that does not exist")
         headers = Headers.from_wire(event.headers)
         self._framing = _body_framing(request, event, headers)
         self._has_doubtful_end |= _has_doubtful_end(event.status_code, headers)
