Bound the end of a tunnel whose other direction stays open

A tunnel whose instance had closed it in order kept its place for 10 s if the server did not close its side, so that few closed tunnels could use up the limit. The server has 1 s now, and bytes that wait to be read are not discarded by a reset when a limit ends.

--- a/src/sassafraspin/relay/tunnel_server.py
+++ b/src/sassafraspin/relay/tunnel_server.py
@@ -25,8 +25,10 @@
 _REQUEST_SECONDS = 1.0
 """Limit for the arrival of the request frame."""
 
-_CLOSING_SECONDS = 10.0
-"""Limit for the second direction of a tunnel after the first has ended in order."""
+_CALLER_ENDED_SECONDS = 1.0
+_SERVER_ENDED_SECONDS = 10.0
+"""Limits for the other direction after one has ended in order. Instances end their side
+only when no answer is due."""
 
 _CALLER_LOST_MS = 30_000
 """A caller's instance whose own caller reads slowly leaves its receive buffer full."""
@@ -138,41 +140,44 @@
     def __init__(self, caller: trio.SocketStream, server: trio.SocketStream) -> None:
         self._caller = caller
         self._server = server
+        self._scope = trio.CancelScope()
         self._has_ended = False
+        self._is_broken = False
 
     async def copy(self) -> None:
         """Copy until the end; the sockets are closed, by a reset unless in order."""
-        is_complete = False
+        is_in_order = False
         try:
-            async with trio.open_nursery() as nursery:
-                scope = nursery.cancel_scope
-                nursery.start_soon(self._copy, self._caller, self._server, scope)
-                nursery.start_soon(self._copy, self._server, self._caller, scope)
-            is_complete = not scope.cancelled_caught
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        self._copy, self._caller, self._server, _CALLER_ENDED_SECONDS
+                    )
+                    nursery.start_soon(
+                        self._copy, self._server, self._caller, _SERVER_ENDED_SECONDS
+                    )
+            is_in_order = not self._is_broken
         finally:
-            if is_complete:
-                self._server.socket.close()
-                self._caller.socket.close()
-            else:
-                # A broken answer without a length must not look complete.
-                reset(self._server)
-                reset(self._caller)
+            for stream in (self._server, self._caller):
+                if is_in_order:
+                    stream.socket.close()
+                else:
+                    # A broken answer without a length must not look complete.
+                    reset(stream)
 
     async def _copy(
-        self,
-        source: trio.SocketStream,
-        sink: trio.SocketStream,
-        scope: trio.CancelScope,
+        self, source: trio.SocketStream, sink: trio.SocketStream, closing: float
     ) -> None:
+        """Copy one direction; ``closing`` limits the other one after its end."""
         try:
             while data := await source.receive_some(_COPY_BYTES):
                 await sink.send_all(data)
             await sink.send_eof()
         except _LOST as error:
             _log.debug("A tunnel is reset: {}.", error)
-            scope.cancel()
-            await trio.lowlevel.checkpoint()
+            self._is_broken = True
+            self._scope.cancel()
             return
         if not self._has_ended:
             self._has_ended = True
-            scope.deadline = trio.current_time() + _CLOSING_SECONDS
+            self._scope.deadline = trio.current_time() + closing
--- a/src/sassafraspin/routed/daemon.py
+++ b/src/sassafraspin/routed/daemon.py
@@ -172,6 +172,11 @@
         """Return the addresses of the backend servers that this instance knows."""
         return frozenset() if self._runtime is None else self._runtime.servers
 
+    @property
+    def tunnels(self) -> int:
+        """Return the number of open tunnels of other instances."""
+        return 0 if self._tunnel_server is None else self._tunnel_server.tunnels
+
     @property
     def _in_flight(self) -> int:
         return 0 if self._runtime is None else self._runtime.entry.in_flight
--- a/tests/test_partitioned_calls.py
+++ b/tests/test_partitioned_calls.py
@@ -147,6 +147,45 @@
         self.play(scenario)
 
 
+class TestStoppingRelay(PartitionCase):
+    """An instance that stops while another one reaches servers through it."""
+
+    def test_open_tunnel_lives_until_its_answer(self):
+        async def scenario(deployment):
+            cut, *others = deployment.instances
+            await warm_up(cut)
+            cut.links.cut(Cut.RESET)
+            await self.expect_served(cut)
+            release = trio.Event()
+            is_running = trio.Event()
+
+            async def wait(request: Request, responder: Responder) -> None:
+                is_running.set()
+                await release.wait()
+                await answer_by_kind(request, responder)
+
+            for runner in deployment.runners:
+                runner.behaviour = wait
+            statuses = []
+
+            async def call() -> None:
+                statuses.append((await cut.call("/unsafe/1")).status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await is_running.wait()
+                relays = [item for item in others if item.daemon.tunnels]
+                self.assertNotEqual(relays, [])
+                for relay in relays:
+                    nursery.start_soon(relay.daemon.shut_down)
+                while any(relay.daemon.is_ready for relay in relays):
+                    await trio.sleep(0.01)
+                release.set()
+            self.assertEqual(statuses, [200])
+
+        self.play(scenario)
+
+
 class TestSoundPaths(PartitionCase):
     """Failures that must not count as a partition, or cannot be passed around."""
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -171,6 +171,16 @@
 
         self.play(scenario)
 
+    def test_close_of_the_caller_ends_the_tunnel_at_a_server_that_stays_silent(self):
+        async def scenario(setup):
+            caller, server = await setup.open()
+            caller.socket.close()
+            while setup.server.tunnels:
+                await trio.sleep(0.01)
+            self.assertEqual(await server.receive_some(), b"")
+
+        self.play(scenario)
+
     def test_end_of_the_tunnel_server_resets_its_tunnels(self):
         async def scenario(setup):
             async with trio.open_nursery() as nursery:
