Start the daemons of the partition tests faster, on addresses of their own

Servers that registered before the view was known reached the other daemons 4 s later, and two runs at the same time could take the same ports.

--- a/tests/partitioned_deployment.py
+++ b/tests/partitioned_deployment.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import random
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -154,6 +155,13 @@
         return sum(len(runner.requests) for runner in self.runners)
 
 
+def loopback_hosts(count: int) -> list[str]:
+    """Return loopback addresses that other test runs hardly use."""
+    generator = random.SystemRandom()
+    network = f"127.{generator.randrange(1, 255)}.{generator.randrange(255)}"
+    return [f"{network}.{number}" for number in range(1, count + 1)]
+
+
 @asynccontextmanager
 async def partitioned_deployment(
     count: int = 3, runners: int = 3
@@ -161,8 +169,8 @@
     """Run daemons and registered runners; yield once all daemons are ready."""
     ports = free_ports(5 + runners)
     listens = [
-        RoutedListen(*(Address(f"127.0.1.{number}", port) for port in ports[:5]))
-        for number in range(1, count + 1)
+        RoutedListen(*(Address(host, port) for port in ports[:5]))
+        for host in loopback_hosts(count)
     ]
     servers = [Address(HOST, port) for port in ports[5:]]
     deployment = PartitionedDeployment([], [])
@@ -188,6 +196,8 @@
                 await nursery.start(daemon.run)
                 deployment.instances.append(PartitionedInstance(daemon, listen, links))
             await put_configuration(listens)
+            # Servers that register before the view is known reach the others late.
+            await _wait_for_view(deployment)
             for number, address in enumerate(servers, start=1):
                 runner = FakeRunner(f"i-{number}", address, behaviour=answer_by_kind)
                 server = HttpServer(address, HttpLimits(), runner.handle)
@@ -196,7 +206,7 @@
                 await _register(listens, runner)
             while not all(item.daemon.is_ready for item in deployment.instances):
                 await trio.sleep(0.05)
-            await _wait_for_view(deployment)
+            await _wait_for_directory(deployment)
             await _wait_until_served(deployment)
             try:
                 yield deployment
@@ -236,10 +246,15 @@
 
 
 async def _wait_for_view(deployment: PartitionedDeployment) -> None:
-    """Wait until each instance knows all others and all servers."""
+    """Wait until each instance knows all others."""
     for instance in deployment.instances:
         while len(instance.daemon.members) < len(deployment.instances):
             await trio.sleep(0.05)
+
+
+async def _wait_for_directory(deployment: PartitionedDeployment) -> None:
+    """Wait until each instance knows all servers."""
+    for instance in deployment.instances:
         while len(instance.daemon.servers) < len(deployment.runners):
             await trio.sleep(0.05)
 
--- a/tests/test_relay_connector.py
+++ b/tests/test_relay_connector.py
@@ -14,9 +14,9 @@
 from sassafraspin.membership import Member
 from sassafraspin.relay import RelayConnector, TunnelServer
 from sassafraspin.settings import Address
+from tests.partitioned_deployment import loopback_hosts
 
 GUARD_SECONDS = 30
-HOSTS = ("127.0.2.1", "127.0.2.2", "127.0.2.3")
 SERVERS = 3
 MAX_TUNNELS = 100
 
@@ -95,7 +95,7 @@
         peers = []
         members = [
             Member(f"front-{number}", 1, "south", "a", host, 1)
-            for number, host in enumerate(HOSTS, start=1)
+            for number, host in enumerate(loopback_hosts(3), start=1)
         ]
         for member in members:
             peer = Peer(member.name)
