Tell the dispatcher that a server turned a request away

Cause: a release with the result not-sent did not tell an instance that reached no server from one that a busy server turned away. An instance that is turned away by several servers, while others get answers there, would count as cut off, and its refusals would no longer lower the pace of servers without room.

Measured: an instance that is turned away 40 times in a row beside answers to another one was taken for cut off before, and is not now.

--- a/src/sassafraspin/dispatch/messages.py
+++ b/src/sassafraspin/dispatch/messages.py
@@ -205,7 +205,8 @@
     its own path to the server, so that the failure is no evidence against the server.
     ``lacked_room`` says that the server refused the request as it had no room for it.
     ``overload_tolerance`` is the number of refusals a second that it named in its
-    answer, ``None`` if it named none.
+    answer, ``None`` if it named none. ``turned_away`` says that the server answered
+    that it did not run the request.
     """
 
     service: str
@@ -224,6 +225,7 @@
     path_failed: bool = False
     lacked_room: bool = False
     overload_tolerance: float | None = None
+    turned_away: bool = False
 
 
 class RateLimitNotice(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -791,7 +791,7 @@
                 self._record_answer(grant, now)
             case ReleaseResult.FAILED if release.server_failed_it:
                 self._record_contact(entry, now)
-            case ReleaseResult.NOT_SENT if release.lacked_room:
+            case ReleaseResult.NOT_SENT if release.turned_away:
                 self._record_contact(entry, now)
             case ReleaseResult.FAILED | ReleaseResult.NOT_SENT:
                 return self._reporters.record_failure(entry, source, now)
--- a/src/sassafraspin/routed/exchange.py
+++ b/src/sassafraspin/routed/exchange.py
@@ -445,6 +445,7 @@
         now = self._node.now()
         first_data_at = progress.first_data_at or now
         has_just_begun = now - first_data_at < _BEGINNING_SECONDS
+        is_answered = progress.framing is not None
         self._slots.release(
             SlotRelease(
                 self._call.service,
@@ -463,6 +464,7 @@
                 progress.path_failed,
                 progress.lacked_room,
                 progress.overload_tolerance,
+                turned_away=result is ReleaseResult.NOT_SENT and is_answered,
             )
         )
 
--- a/tests/test_partitioned_deployment.py
+++ b/tests/test_partitioned_deployment.py
@@ -5,13 +5,18 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 
+from sassafraspin.daemon.slots import SlotClient
+from sassafraspin.dispatch import ReleaseResult
 from sassafraspin.http import ConnectFailed, ConnectionLost, Headers, Request
 from sassafraspin.settings import Address
 from tests.drain_deployment import DrainModel, Report
 from tests.drain_world import INSTANCE_NAMES, Answer, Call, CallResponder, Instance
+from tests.scripted_server import Script
+from tests.test_broken_off_answers import IDENTITY, SUCCESS, ScriptedTestCase
 
 SEEDS = range(3)
 SETTLING_SECONDS = 1.0
@@ -129,3 +134,23 @@
             lambda leader: {leader, *[n for n in INSTANCE_NAMES if n != leader][:2]},
             pause_leader,
         )
+
+
+class TestReports(ScriptedTestCase):
+    """What the dispatcher is told of a request that was not run."""
+
+    def test_release_says_that_the_server_turned_the_request_away(self):
+        refusal = b"x-not-executed: 1\r\ncontent-length: 6\r\n\r\nfailed"
+        scripts = (
+            Script(b"HTTP/1.1 503 Busy\r\n" + IDENTITY + refusal),
+            Script(SUCCESS + b"content-length: 2\r\n\r\nok"),
+        )
+        with mock.patch.object(
+            SlotClient, "release", autospec=True, side_effect=SlotClient.release
+        ) as release:
+            self.receive("/safe/1", *scripts)
+        reported = [call.args[1] for call in release.call_args_list]
+        self.assertEqual(
+            [(item.result, item.turned_away) for item in reported],
+            [(ReleaseResult.NOT_SENT, True), (ReleaseResult.ANSWERED, False)],
+        )
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -221,6 +221,23 @@
             self.assertTrue(pool.ask("a", server, None))
 
 
+class TestBusyServers(unittest.TestCase):
+    """Servers that turn requests away for want of room."""
+
+    def test_instance_that_is_turned_away_is_not_cut_off(self):
+        """Its refusals must go on to lower the pace of servers without room."""
+        pool = _Pool()
+        for _ in range(20):
+            for server in ("runner-0", "runner-1"):
+                pool.ask("a", server, ReleaseResult.NOT_SENT, turned_away=True)
+                for _ in range(5):
+                    pool.ask("b", server, ReleaseResult.ANSWERED)
+        self.assertEqual(pool.pool.cut_off, frozenset())
+        for _ in range(3):
+            pool.ask("a", "runner-0", ReleaseResult.NOT_SENT, turned_away=True)
+        self.assertTrue(pool.is_ejected("runner-0"))
+
+
 class _CountingLimits(AccountLimits):
     """Limits that count refunds."""
 
