Log the instances that do not reach the backend servers

Cause: the logs did not tell a server that fails from an instance that does not reach it, nor whether the instance or the dispatcher found that out.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -51,7 +51,11 @@
     uncached_tokens,
 )
 from sassafraspin.settings import DispatchSettings
-from sassafraspin.telemetry.events import RateLimitChanged, log_event
+from sassafraspin.telemetry.events import (
+    InstanceCutOff,
+    RateLimitChanged,
+    log_event,
+)
 
 __all__ = ["Pool", "PoolStatus", "SendToEntry"]
 
@@ -784,7 +788,7 @@
         entry, source = grant.entry, _server_version(grant)
         if release.path_failed:
             if self._reporters.record_path_failure(entry, now):
-                self._withdraw_reports(entry, now)
+                self._withdraw_reports(entry, True, now)
             return False
         match release.result:
             case ReleaseResult.ANSWERED:
@@ -808,11 +812,12 @@
         """Record an answer, which shows that other instances are cut off."""
         source = _server_version(grant)
         for entry in self._reporters.record_answer(grant.entry, source, now):
-            self._withdraw_reports(entry, now)
+            self._withdraw_reports(entry, False, now)
         self._compare_versions(self._held_outcomes.take(grant.entry))
 
-    def _withdraw_reports(self, entry: str, now: float) -> None:
+    def _withdraw_reports(self, entry: str, is_reported: bool, now: float) -> None:
         """Forget what an instance without a path has reported about servers."""
+        log_event(InstanceCutOff(self._service, entry, is_reported))
         self._servers.withdraw_failures(entry, now)
         self._held_outcomes.take(entry)
 
--- a/src/sassafraspin/telemetry/events.py
+++ b/src/sassafraspin/telemetry/events.py
@@ -22,6 +22,7 @@
     "EVENTS",
     "EvacuationsInForce",
     "Event",
+    "InstanceCutOff",
     "InstanceStarted",
     "InstanceStopped",
     "InstanceStopping",
@@ -411,6 +412,21 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class InstanceCutOff(Event):
+    """An instance gets no answers from servers that answer other instances.
+
+    Its failures do not count against the servers until it gets an answer. ``reported``
+    says that it found so itself; otherwise the dispatcher did.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    text: ClassVar[str] = "An instance does not reach the backend servers."
+    service: str
+    instance: str
+    reported: bool
+
+
 @dataclass(frozen=True)
 class ServerCold(Event):
     """A backend server is cold, or is no longer so: ``cold_ms`` is 0 then.
@@ -560,6 +576,7 @@
     OverloadToleranceChanged,
     RateLimitChanged,
     ServerPaced,
+    InstanceCutOff,
     ServerCold,
     ServerNoticed,
     PartIsolated,
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from sassafraspin.admission import AccountLimits
 from sassafraspin.dispatch import ReleaseResult, SlotGrant, SlotRelease, SlotRequest
@@ -15,6 +16,7 @@
     RollbackReason,
 )
 from sassafraspin.settings import DispatchSettings
+from sassafraspin.telemetry.events import InstanceCutOff
 from tests.partition_model import DEFAULT_SHAPE, Cut, PartitionModel, Shape
 from tests.pool_model import SERVICE, announcement
 
@@ -78,6 +80,15 @@
             model.advance(0.8)
             self.assertEqual(model.pool.status(model.now).accepting, 6, seed)
 
+    def test_instances_without_a_path_are_logged_once(self):
+        with mock.patch("sassafraspin.dispatch.pool.log_event") as log:
+            model = play(1, 2, Cut.REFUSED)
+        logged = [call.args[0] for call in log.call_args_list]
+        self.assertEqual(
+            sorted(logged, key=lambda event: event.instance),
+            [InstanceCutOff(SERVICE, entry, False) for entry in model.entries[:2]],
+        )
+
     def test_failures_that_the_instance_attributes_to_its_path_eject_nothing(self):
         model = PartitionModel(1)
         model.knows_its_path = set(model.entries)
