--- a/tests/test_route_shares.py
+++ b/tests/test_route_shares.py
@@ -33,7 +33,10 @@
 class _Overload:
     """Requests of a first and of an added route to a service, in virtual time."""
 
-    def __init__(self, load: float, added_objective_ms: int) -> None:
+    def __init__(
+        self, load: float, added_objective_ms: int, added_every: int = ADDED_EVERY
+    ) -> None:
+        self._added_every = added_every
         self._objectives = {"first": FIRST_OBJECTIVE_MS, "added": added_objective_ms}
         self._gap = 1 / (load * CAPACITY)
         self._now = 0.0
@@ -75,7 +78,7 @@
 
     def _arrive(self) -> None:
         self._arrivals += 1
-        route = "first" if self._arrivals % ADDED_EVERY else "added"
+        route = "first" if self._arrivals % self._added_every else "added"
         request = SlotRequest(
             request_id=f"{route}:{self._arrivals}",
             service=SERVICE,
@@ -126,6 +129,11 @@
         first, added = _Overload(load, added_objective_ms).served_shares()
         self.assertGreaterEqual(added, LEAST_SHARE * first, f"first: {first:.3f}")
 
+    def check_both(self, load: float, added_objective_ms: int, every: int) -> None:
+        """Check that neither route starves if both ask for more than their share."""
+        shares = _Overload(load, added_objective_ms, every).served_shares()
+        self.assertGreaterEqual(min(shares), LEAST_SHARE * max(shares), f"{shares}")
+
     def test_equal_objectives(self):
         self.check(1.5, FIRST_OBJECTIVE_MS)
 
@@ -135,6 +143,12 @@
     def test_objective_below_the_time_of_an_answer(self):
         self.check(1.5, 100)
 
+    def test_shorter_objective_and_half_of_the_requests(self):
+        self.check_both(3.0, FIRST_OBJECTIVE_MS // 2, 2)
+
+    def test_equal_objectives_and_a_third_of_the_requests(self):
+        self.check_both(3.0, FIRST_OBJECTIVE_MS, 3)
+
 
 if __name__ == "__main__":
     unittest.main()
