Give the turns of requests that leave the queue unserved back to their route

Cause: each request advanced the virtual time of its account and route when it was queued, also one that was then deferred as late, refused or withdrawn. The route's next requests were placed behind all others, though their expected wait was short, became late, and advanced that time further. The larger the share of requests that leave unserved, the longer it lasts.

Change: a request that leaves the queue without a slot gives its cost back. Requests of an account and route keep their order.

--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -87,16 +87,19 @@
     A rank holds the on-time or the late requests of one tier. In each rank, every
     route of a client account has a virtual time that advances by the cost of its
     requests, so a burst on one route delays its own requests and not those of other
-    accounts or routes. An account shares its turns among its routes.
+    accounts or routes. An account shares its turns among its routes. A request that
+    leaves unserved gives its cost back, as it has used no turn.
     """
 
     def __init__(self) -> None:
         self._waiting: dict[str, WaitingRequest] = {}
         self._ranks: dict[str, int] = {}
         self._starts: dict[str, float] = {}
+        self._costs: dict[str, float] = {}
         self._heaps: list[list[tuple[float, int, str]]] = [[] for _ in range(_RANKS)]
         self._virtual_time = [0.0] * _RANKS
         self._flow_time: list[dict[_Flow, float]] = [{} for _ in range(_RANKS)]
+        self._last_start: list[dict[_Flow, float]] = [{} for _ in range(_RANKS)]
         self._counts: list[dict[_Flow, int]] = [{} for _ in range(_RANKS)]
         self._route_counts: list[dict[str, int]] = [{} for _ in range(_RANKS)]
         self._counter = 0
@@ -145,13 +148,18 @@
         times = self._flow_time[rank]
         flow = _flow(request)
         routes = self._routes_with(rank, flow)
-        start = max(self._virtual_time[rank], times.get(flow, 0.0))
-        times[flow] = start + routes * waiting.expected_seconds
+        cost = routes * waiting.expected_seconds
+        turn = max(self._virtual_time[rank], times.get(flow, 0.0))
+        times[flow] = turn + cost
+        # Costs that were given back may not let it pass older ones of its flow.
+        start = max(turn, self._last_start[rank].get(flow, 0.0))
+        self._last_start[rank][flow] = start
         self._counter += 1
         heapq.heappush(self._heaps[rank], (start, self._counter, request.request_id))
         self._waiting[request.request_id] = waiting
         self._ranks[request.request_id] = rank
         self._starts[request.request_id] = start
+        self._costs[request.request_id] = cost
         counts = self._counts[rank]
         counts[flow] = counts.get(flow, 0) + 1
         self._route_counts[rank][flow.account] = routes
@@ -192,11 +200,18 @@
         self.add(waiting, late=True)
 
     def remove(self, request_id: str) -> WaitingRequest | None:
-        """Remove a request from any position; return it if it was queued."""
-        waiting = self._waiting.pop(request_id, None)
-        if waiting is None:
+        """Remove a request that gets no slot; return it if it was queued."""
+        if request_id not in self._ranks:
             return None
-        del self._starts[request_id]
+        times = self._flow_time[self._ranks[request_id]]
+        cost = self._costs[request_id]
+        waiting = self._take(request_id)
+        times[_flow(waiting.request)] -= cost
+        return waiting
+
+    def _take(self, request_id: str) -> WaitingRequest:
+        waiting = self._waiting.pop(request_id)
+        del self._starts[request_id], self._costs[request_id]
         self._decrement_count(waiting, self._ranks.pop(request_id))
         return waiting
 
@@ -210,7 +225,7 @@
         rank = self._ranks[request_id]
         start = self._starts[request_id]
         self._virtual_time[rank] = max(self._virtual_time[rank], start)
-        return self.remove(request_id)
+        return self._take(request_id)
 
     def in_order(
         self, limit: int, may_start: Callable[[SlotRequest], bool] | None = None
@@ -252,6 +267,7 @@
         if counts[flow]:
             return
         del counts[flow]
+        self._last_start[rank].pop(flow, None)
         routes = self._route_counts[rank]
         routes[flow.account] -= 1
         if not routes[flow.account]:
