Show writes that follow one that was abandoned half way, failing

A chunk that follows a part of another one is read as the rest of it (MIXED), and a part of a body without framing ends in order.

--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -11,6 +11,8 @@
 
 LIMITS = HttpLimits(idle_timeout_ms=600_000)
 GUARD_SECONDS = 10.0
+LONG_EVENT = b"a" * 16_777_216
+ABANDON_SECONDS = 0.2
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -28,6 +30,20 @@
         await responder.finish()
 
 
+async def _report_after_abandoned_write(request, responder) -> None:
+    await responder.start(200, Headers(()))
+    with trio.move_on_after(ABANDON_SECONDS):
+        await responder.write(LONG_EVENT)
+    await responder.write(b"error")
+
+
+async def _finish_after_abandoned_write(request, responder) -> None:
+    await responder.start(200, Headers(()), is_framed=False)
+    with trio.move_on_after(ABANDON_SECONDS):
+        await responder.write(LONG_EVENT)
+    await responder.finish()
+
+
 async def _complete(request, responder) -> None:
     await responder.send(Response(200, body=b"answer"))
 
@@ -46,13 +62,17 @@
 class TestAbandonedAnswers(unittest.TestCase):
     """A connection does not stay open and silent after an answer was abandoned."""
 
-    def read_to_end(self, handler) -> bytes | None:
-        """Return what arrives until the connection ends, ``None`` if it stays open."""
+    def read_to_end(self, handler, pause_seconds: float = 0.0) -> bytes | None:
+        """Return what arrives until the connection ends, ``None`` if it stays open.
+
+        The pause is that before the first read.
+        """
 
         async def run() -> bytes | None:
             received = b""
             async with _connected(handler) as stream:
                 await stream.send_all(REQUEST)
+                await trio.sleep(pause_seconds)
                 with trio.move_on_after(GUARD_SECONDS):
                     while data := await stream.receive_some():
                         received += data
@@ -70,6 +90,16 @@
         self.assertIn(b"event", received)
         self.assertNotIn(b"0\r\n\r\n", received)
 
+    def test_nothing_follows_a_part_of_a_chunk(self):
+        received = self.read_to_end(_report_after_abandoned_write, 3 * ABANDON_SECONDS)
+        self.assertIsNotNone(received)
+        self.assertNotIn(b"error", received)
+
+    def test_part_of_a_body_without_framing_does_not_look_complete(self):
+        with self.assertRaises(ExceptionGroup) as raised:
+            self.read_to_end(_finish_after_abandoned_write, 3 * ABANDON_SECONDS)
+        self.assertIsNotNone(raised.exception.subgroup(trio.BrokenResourceError))
+
     def test_connection_of_a_complete_answer_is_kept(self):
         async def run() -> bytes:
             async with _connected(_complete) as stream:
