--- a/src/sassafraspin/relay/choice.py
+++ b/src/sassafraspin/relay/choice.py
@@ -14,10 +14,13 @@
 class RelayChoice:
     """Orders the other instances, those that worked lately first.
 
-    Availability zones play no part: a zone may be partitioned as a whole.
+    Among those that are equally good, the ones of the same region come first: the hop
+    is short. Availability zones play no part: a zone may be partitioned as a whole.
 
     Parameters
     ----------
+    region : str
+        Region of this instance.
     members : callable
         Returns the other members of the view.
     generator : random.Random
@@ -25,8 +28,12 @@
     """
 
     def __init__(
-        self, members: Callable[[], Sequence[Member]], generator: random.Random
+        self,
+        region: str,
+        members: Callable[[], Sequence[Member]],
+        generator: random.Random,
     ) -> None:
+        self._region = region
         self._members = members
         self._generator = generator
         self._worked_at: dict[str, float] = {}
@@ -36,7 +43,7 @@
         """Return up to ``count`` instances in the order to ask them."""
         members = list(self._members())
         self._generator.shuffle(members)
-        members.sort(key=lambda member: self._rank(member.name, now))
+        members.sort(key=lambda member: self._rank(member, now))
         return members[:count]
 
     def record_success(self, name: str, now: float) -> None:
@@ -49,9 +56,10 @@
         self._failed_at[name] = now
         self._worked_at.pop(name, None)
 
-    def _rank(self, name: str, now: float) -> int:
-        if now - self._failed_at.get(name, float("-inf")) <= _AVOID_SECONDS:
-            return 2
-        if now - self._worked_at.get(name, float("-inf")) <= _PREFER_SECONDS:
-            return 0
-        return 1
+    def _rank(self, member: Member, now: float) -> tuple[int, bool]:
+        is_far = member.region != self._region
+        if now - self._failed_at.get(member.name, float("-inf")) <= _AVOID_SECONDS:
+            return 2, is_far
+        if now - self._worked_at.get(member.name, float("-inf")) <= _PREFER_SECONDS:
+            return 0, is_far
+        return 1, is_far
--- a/src/sassafraspin/relay/connector.py
+++ b/src/sassafraspin/relay/connector.py
@@ -86,6 +86,8 @@
         Opens a TCP connection to a server or another instance.
     tunnel_port : int
         Port of the tunnel server of each instance.
+    region : str
+        Region of this instance.
     members : callable
         Returns the other members of the view.
     servers : callable
@@ -98,6 +100,7 @@
         self,
         dial: Dial,
         tunnel_port: int,
+        region: str,
         members: Callable[[], Sequence[Member]],
         servers: Callable[[], frozenset[Address]],
         generator: random.Random,
@@ -106,7 +109,7 @@
         self._tunnel_port = tunnel_port
         self._servers = servers
         self._generator = generator
-        self._relays = RelayChoice(members, generator)
+        self._relays = RelayChoice(region, members, generator)
         self._monitor = PathMonitor()
         self._nursery: trio.Nursery | None = None
         self._next_probe_at = -math.inf
@@ -188,6 +191,8 @@
                 )
                 with trio.move_on_after(_HEAD_START_SECONDS):
                     await failed.wait()
+                # A process that was held up may find both due; the direct one wins.
+                await trio.lowlevel.checkpoint()
                 result = await self._open_tunnel(address)
                 if result.path is not None:
                     self._take_tunnel(result.path, race)
--- a/src/sassafraspin/routed/runtime.py
+++ b/src/sassafraspin/routed/runtime.py
@@ -199,7 +199,12 @@
         if address is None:
             return None
         return RelayConnector(
-            dial, address.port, self._other_members, lambda: self.servers, generator
+            dial,
+            address.port,
+            self._settings.instance.region,
+            self._other_members,
+            lambda: self.servers,
+            generator,
         )
 
     def _other_members(self) -> list[Member]:
--- a/tests/test_path_monitor.py
+++ b/tests/test_path_monitor.py
@@ -89,11 +89,15 @@
     """Order in which other instances are asked for a tunnel."""
 
     def setUp(self):
+        self.choice = self.choice_among(["south"] * 5)
+
+    def choice_among(self, regions: list[str]) -> RelayChoice:
+        """Return the choice of an instance in the south."""
         members = [
-            Member(f"front-{number}", 1, "south", "a", f"10.0.1.{number}", 7400)
-            for number in range(1, 6)
+            Member(f"front-{number}", 1, region, "a", f"10.0.1.{number}", 7400)
+            for number, region in enumerate(regions, start=1)
         ]
-        self.choice = RelayChoice(lambda: members, random.Random(1))
+        return RelayChoice("south", lambda: members, random.Random(1))
 
     def names(self, now: float, count: int = 5) -> list[str]:
         return [member.name for member in self.choice.candidates(now, count)]
@@ -113,3 +117,13 @@
     def test_all_are_asked_in_turn(self):
         firsts = {self.names(1.0, 1)[0] for _ in range(100)}
         self.assertEqual(len(firsts), 5)
+
+    def test_other_regions_are_asked_after_the_own_one(self):
+        self.choice = self.choice_among(["north", "south", "north", "south"])
+        names = self.names(1.0)
+        self.assertCountEqual(names[:2], ["front-2", "front-4"])
+
+    def test_other_regions_are_asked_before_those_that_failed(self):
+        self.choice = self.choice_among(["north", "south"])
+        self.choice.record_failure("front-2", 1.0)
+        self.assertEqual(self.names(1.5), ["front-1", "front-2"])
--- a/tests/test_relay_connector.py
+++ b/tests/test_relay_connector.py
@@ -103,6 +103,7 @@
             peer.connector = RelayConnector(
                 self.dial_of(peer, frozenset(servers)),
                 tunnel_port,
+                member.region,
                 lambda others=others: others,
                 lambda: frozenset(servers),
                 random.Random(1),
