Do not trust the end of an answer whose connection was reset after it

What callers saw: part of an answer without a length, as one that ended in order, from a server that ended its side of the connection and reset it before it had read the request (20 kB; larger ones fail while they are written).

Cause: after the orderly end of a connection, reads return no error if it is reset; only SO_ERROR tells.

Change: the client looks there when a connection ends. A server that ends its answer and reads on, as RFC 9112 (section 9.6) recommends, is trusted as before. A reset that arrives after the end was read is not noticed.

--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -376,6 +376,8 @@
         with trio.move_on_after(self._timeouts.progress):
             try:
                 data = await self._stream.receive_some(self._read_bytes)
+                if not data:
+                    _check_not_reset(self._stream)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise self._lost("the connection was reset", error) from error
             self.received_at = trio.current_time()
@@ -389,6 +391,15 @@
         return ConnectionLost(reason, is_closed=True)
 
 
+def _check_not_reset(stream: trio.SocketStream) -> None:
+    """Raise ``BrokenResourceError`` if a connection was reset after its orderly end.
+
+    Its server has not read the whole request. Reads report only the orderly end.
+    """
+    if stream.socket.getsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_ERROR):
+        raise trio.BrokenResourceError("the connection was reset after its end")
+
+
 def _is_readable(stream: trio.SocketStream) -> bool:
     """Return whether a close or unexpected bytes are pending on an idle connection."""
     return stream.socket.is_readable()
