Write nothing after bytes of a response that were abandoned

What callers saw: in an answer in chunks that reached its time limit while the caller did not read, the error event of the end lies inside the event before it (MIXED), sent after waiting for the caller once more, up to the write timeout.

Cause: h11 counts a chunk as sent when it returns its bytes. If the write was cancelled half way, the peer takes the next chunk, with its head, for the rest of the one before. This happens where daemon.entry reports the end of a started stream. For a body without framing, a finish after such a write would also have let a part look complete; no handler does that today.

Change: a write after an abandoned one fails, so that the connection is closed at once, and such a body keeps its reset.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -247,7 +247,7 @@
 
     async def finish(self) -> None:
         """End the body."""
-        if self._ends_with_connection:
+        if self._ends_with_connection and not self._has_unwritten_bytes:
             self._reset_on_close(False)
         await self._write(self._protocol.send(h11.EndOfMessage()))
 
@@ -457,6 +457,9 @@
             scope.cancel()
 
     async def _write(self, data: bytes) -> None:
+        if self._has_unwritten_bytes:
+            # The peer would take these bytes for the rest of the earlier ones.
+            raise trio.BrokenResourceError("an earlier write was abandoned")
         self._has_unwritten_bytes = True
         with trio.move_on_after(self._limits.write_timeout_ms / _MS_PER_SECOND):
             await self._stream.send_all(data)
