--- a/tests/test_route_shares.py
+++ b/tests/test_route_shares.py
@@ -34,9 +34,14 @@
     """Requests of a first and of an added route to a service, in virtual time."""
 
     def __init__(
-        self, load: float, added_objective_ms: int, added_every: int = ADDED_EVERY
+        self,
+        load: float,
+        added_objective_ms: int,
+        added_every: int = ADDED_EVERY,
+        other_accounts: int = 0,
     ) -> None:
         self._added_every = added_every
+        self._other_accounts = other_accounts
         self._objectives = {"first": FIRST_OBJECTIVE_MS, "added": added_objective_ms}
         self._gap = 1 / (load * CAPACITY)
         self._now = 0.0
@@ -82,7 +87,7 @@
         request = SlotRequest(
             request_id=f"{route}:{self._arrivals}",
             service=SERVICE,
-            client_account="a",
+            client_account=self._account(route),
             profile=route,
             route=route,
             tier=0,
@@ -96,6 +101,12 @@
         self._receive(self._pool.request("e", request, self._now))
         self._schedule(self._now + self._gap, self._arrive)
 
+    def _account(self, route: str) -> str:
+        """Return the account of a request; others may share the first route."""
+        if route == "added" or not self._other_accounts:
+            return "a"
+        return f"b{self._arrivals % self._other_accounts}"
+
     def _receive(self, effects: list[SendToEntry]) -> None:
         for effect in effects:
             match effect.message:
@@ -149,6 +160,14 @@
     def test_equal_objectives_and_a_third_of_the_requests(self):
         self.check_both(3.0, FIRST_OBJECTIVE_MS, 3)
 
+    def test_shorter_objective_beside_many_accounts(self):
+        """The account has its share if its objective is as long as that of others."""
+        shares = [
+            _Overload(1.5, objective_ms, other_accounts=30).served_shares()[1]
+            for objective_ms in (FIRST_OBJECTIVE_MS // 2, FIRST_OBJECTIVE_MS)
+        ]
+        self.assertGreaterEqual(shares[0], LEAST_SHARE * shares[1], f"{shares}")
+
 
 if __name__ == "__main__":
     unittest.main()
