Accept a route whose service is empty beside its traffic split

An empty name, like null, names no service, and such configurations were accepted before; refusing a valid configuration would leave its change out of force.

tests.test_platform passes.

--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -139,7 +139,7 @@
     """Yield the unknown services that routes name beside a traffic split."""
     services = {service.name for service in document.services}
     for position, route in enumerate(document.routes):
-        is_unused = bool(route.traffic_split) and route.service is not None
+        is_unused = bool(route.traffic_split and route.service)
         if is_unused and route.service not in services:
             path = f"$.routes[{position}].service"
             yield Problem(path, f"no service is named {route.service!r}")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -326,11 +326,13 @@
         with self.assertRaises(InvalidInput):
             decode_table(encoded(document))
 
-    def test_known_service_beside_a_split(self):
-        document = configuration()
-        document["routes"][0]["service"] = "desk"
-        table = decode_table(encoded(document))
-        self.assertEqual(len(table.routes[0].shares), 2)
+    def test_service_beside_a_split_that_is_known_or_empty(self):
+        for name in ("desk", "", None):
+            with self.subTest(name=name):
+                document = configuration()
+                document["routes"][0]["service"] = name
+                table = decode_table(encoded(document))
+                self.assertEqual(len(table.routes[0].shares), 2)
 
     def test_truncated_document(self):
         body = encoded(configuration())
