Ask the next relay if one has not answered for 60 ms

Where most instances are partitioned and connections hang, three relays that could not help took 450 ms, longer than the time limit for connecting.

--- a/src/sassafraspin/relay/connector.py
+++ b/src/sassafraspin/relay/connector.py
@@ -35,7 +35,15 @@
 _RELAY_CONNECT_MS = 100
 """Time limits for a tunnel, and for its relay to connect to the server."""
 
-_MAX_RELAYS = 3
+_RELAY_STAGGER_SECONDS = 0.06
+"""Time after which the next relay is asked too."""
+
+_MAX_RELAYS = 4
+_HELPFUL_REPLIES = (
+    TunnelReply.CONNECTED,
+    TunnelReply.TARGET_REFUSED,
+    TunnelReply.TARGET_UNREACHABLE,
+)
 _PROBE_SECONDS = 0.15
 _PROBE_INTERVAL_SECONDS = 0.3
 _SILENCE_PROBE_INTERVAL_SECONDS = 0.4
@@ -77,6 +85,13 @@
     reply: TunnelReply | None = None
 
 
+@dataclass
+class _Search:
+    """State of a search for a tunnel."""
+
+    result: _TunnelResult = _TunnelResult()
+
+
 class RelayConnector:
     """Opens connections, through another instance if this one is partitioned.
 
@@ -234,18 +249,54 @@
         race.path = path
 
     async def _open_tunnel(self, address: Address) -> _TunnelResult:
-        """Ask other instances, one after the other, for a tunnel to a server."""
-        for relay in self._relays.candidates(trio.current_time(), _MAX_RELAYS):
-            reply, stream = await self._ask(relay, address)
-            now = trio.current_time()
-            if stream is not None:
-                self._relays.record_success(relay.name, now)
-                return _TunnelResult(ServerPath(stream, relay.name))
-            if reply in (TunnelReply.TARGET_REFUSED, TunnelReply.TARGET_UNREACHABLE):
-                self._relays.record_success(relay.name, now)
-                return _TunnelResult(reply=reply)
+        """Ask other instances for a tunnel, the next one if one is slow or cannot help.
+
+        The first that opens it, or that finds the server down, ends the search.
+        """
+        search = _Search()
+        relays = self._relays.candidates(trio.current_time(), _MAX_RELAYS)
+        try:
+            async with trio.open_nursery() as nursery:
+                for relay in relays:
+                    answered = trio.Event()
+                    nursery.start_soon(
+                        self._try_relay,
+                        relay,
+                        address,
+                        search,
+                        answered,
+                        nursery.cancel_scope,
+                    )
+                    with trio.move_on_after(_RELAY_STAGGER_SECONDS):
+                        await answered.wait()
+        except BaseException:
+            if search.result.path is not None:
+                reset(search.result.path.stream)
+            raise
+        return search.result
+
+    async def _try_relay(
+        self,
+        relay: Member,
+        address: Address,
+        search: _Search,
+        answered: trio.Event,
+        scope: trio.CancelScope,
+    ) -> None:
+        reply, stream = await self._ask(relay, address)
+        now = trio.current_time()
+        answered.set()
+        if reply not in _HELPFUL_REPLIES:
             self._relays.record_failure(relay.name, now)
-        return _TunnelResult()
+            return
+        self._relays.record_success(relay.name, now)
+        scope.cancel()
+        if search.result.path is not None:
+            if stream is not None:
+                reset(stream)
+            return
+        path = None if stream is None else ServerPath(stream, relay.name)
+        search.result = _TunnelResult(path, reply)
 
     async def _ask(
         self, relay: Member, address: Address
