--- a/src/sassafraspin/relay/connector.py
+++ b/src/sassafraspin/relay/connector.py
@@ -13,14 +13,9 @@
 from sassafraspin.http.sockets import detect_lost_peer, reset
 from sassafraspin.membership import Member
 from sassafraspin.relay.choice import RelayChoice
-from sassafraspin.relay.messages import (
-    BadFrame,
-    TunnelReply,
-    TunnelRequest,
-    encode_request,
-    receive_reply,
-)
+from sassafraspin.relay.messages import TunnelReply
 from sassafraspin.relay.reachability import PathMonitor
+from sassafraspin.relay.tunnel_client import TunnelClient
 from sassafraspin.relay.tunnel_server import TunnelRefused
 from sassafraspin.settings import Address
 from sassafraspin.telemetry import part_logger
@@ -31,19 +26,6 @@
 _HEAD_START_SECONDS = 0.12
 """Time of a direct connection before a tunnel is tried beside it (RFC 8305)."""
 
-_RELAY_SECONDS = 0.15
-_RELAY_CONNECT_MS = 100
-"""Time limits for a tunnel, and for its relay to connect to the server."""
-
-_RELAY_STAGGER_SECONDS = 0.06
-"""Time after which the next relay is asked too."""
-
-_MAX_RELAYS = 4
-_HELPFUL_REPLIES = (
-    TunnelReply.CONNECTED,
-    TunnelReply.TARGET_REFUSED,
-    TunnelReply.TARGET_UNREACHABLE,
-)
 _PROBE_SECONDS = 0.15
 _PROBE_INTERVAL_SECONDS = 0.3
 _SILENCE_PROBE_INTERVAL_SECONDS = 0.4
@@ -77,21 +59,6 @@
     error: OSError | None = None
 
 
-@dataclass(frozen=True)
-class _TunnelResult:
-    """An open tunnel, the reply of a relay that reaches other servers, or neither."""
-
-    path: ServerPath | None = None
-    reply: TunnelReply | None = None
-
-
-@dataclass
-class _Search:
-    """State of a search for a tunnel."""
-
-    result: _TunnelResult = _TunnelResult()
-
-
 class RelayConnector:
     """Opens connections, through another instance if this one is partitioned.
 
@@ -121,10 +88,11 @@
         generator: random.Random,
     ) -> None:
         self._dial = dial
-        self._tunnel_port = tunnel_port
         self._servers = servers
         self._generator = generator
-        self._relays = RelayChoice(region, members, generator)
+        self._tunnels = TunnelClient(
+            dial, tunnel_port, RelayChoice(region, members, generator)
+        )
         self._monitor = PathMonitor()
         self._nursery: trio.Nursery | None = None
         self._next_probe_at = -math.inf
@@ -150,7 +118,7 @@
         """Open a connection; raises ``OSError`` if neither way leads to the server."""
         if not self._monitor.is_partitioned:
             return await self._connect_racing(address)
-        result = await self._open_tunnel(address)
+        result = await self._tunnels.open(address)
         if result.path is not None:
             return result.path
         if result.reply is not None:
@@ -178,7 +146,7 @@
         """
         if not self._monitor.is_partitioned:
             return await self._probe(address) is _Probe.REFUSED
-        result = await self._open_tunnel(address)
+        result = await self._tunnels.open(address)
         if result.path is not None:
             reset(result.path.stream)
         return result.reply is TunnelReply.TARGET_REFUSED
@@ -208,7 +176,7 @@
                     await failed.wait()
                 # A process that was held up may find both due; the direct one wins.
                 await trio.lowlevel.checkpoint()
-                result = await self._open_tunnel(address)
+                result = await self._tunnels.open(address)
                 if result.path is not None:
                     self._take_tunnel(result.path, race)
                     nursery.cancel_scope.cancel()
@@ -248,77 +216,6 @@
             return
         race.path = path
 
-    async def _open_tunnel(self, address: Address) -> _TunnelResult:
-        """Ask other instances for a tunnel, the next one if one is slow or cannot help.
-
-        The first that opens it, or that finds the server down, ends the search.
-        """
-        search = _Search()
-        relays = self._relays.candidates(trio.current_time(), _MAX_RELAYS)
-        try:
-            async with trio.open_nursery() as nursery:
-                for relay in relays:
-                    answered = trio.Event()
-                    nursery.start_soon(
-                        self._try_relay,
-                        relay,
-                        address,
-                        search,
-                        answered,
-                        nursery.cancel_scope,
-                    )
-                    with trio.move_on_after(_RELAY_STAGGER_SECONDS):
-                        await answered.wait()
-        except BaseException:
-            if search.result.path is not None:
-                reset(search.result.path.stream)
-            raise
-        return search.result
-
-    async def _try_relay(
-        self,
-        relay: Member,
-        address: Address,
-        search: _Search,
-        answered: trio.Event,
-        scope: trio.CancelScope,
-    ) -> None:
-        reply, stream = await self._ask(relay, address)
-        now = trio.current_time()
-        answered.set()
-        if reply not in _HELPFUL_REPLIES:
-            self._relays.record_failure(relay.name, now)
-            return
-        self._relays.record_success(relay.name, now)
-        scope.cancel()
-        if search.result.path is not None:
-            if stream is not None:
-                reset(stream)
-            return
-        path = None if stream is None else ServerPath(stream, relay.name)
-        search.result = _TunnelResult(path, reply)
-
-    async def _ask(
-        self, relay: Member, address: Address
-    ) -> tuple[TunnelReply | None, trio.SocketStream | None]:
-        """Return the reply of a relay, ``None`` without one, and the open tunnel."""
-        request = TunnelRequest(address.host, address.port, _RELAY_CONNECT_MS)
-        stream = None
-        reply = None
-        try:
-            with trio.move_on_after(_RELAY_SECONDS):
-                stream = await self._dial(Address(relay.host, self._tunnel_port))
-                detect_lost_peer(stream)
-                await stream.send_all(encode_request(request))
-                reply = await receive_reply(stream)
-        except (OSError, BadFrame, trio.BrokenResourceError) as error:
-            _log.debug("No tunnel through {}: {}.", relay.name, error)
-        finally:
-            if stream is not None and reply is not TunnelReply.CONNECTED:
-                reset(stream)
-                stream = None
-        return reply, stream
-
     # Connections for other instances
 
     async def connect_for_other(
@@ -429,7 +326,7 @@
                 return _Probe.REACHED
             except OSError as error:
                 refusal = error
-        result = await self._open_tunnel(address)
+        result = await self._tunnels.open(address)
         if result.path is not None:
             reset(result.path.stream)
             self._record_failure(address, started_at, refusal)
@@ -442,7 +339,7 @@
     def _is_confirmed(self, reply: TunnelReply | None) -> bool:
         """Return whether a refusal was seen elsewhere too, if there are others."""
         if reply is None:
-            return not self._relays.candidates(trio.current_time(), 1)
+            return not self._tunnels.has_relays
         return reply is TunnelReply.TARGET_REFUSED
 
     async def _probe_direct(self, address: Address) -> bool:
