Trust instances again whose failures are old

Cause: an instance that had failed at two servers without an answer since, and was then idle, stayed limited for good, and its next failure did not count.

Change: that ends 5 s after its last failure.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -583,7 +583,7 @@
         slots = self._servers.open_slots(now)
         if self._servers.free_slots(now) > _SPARE_SHARE * slots:
             return False
-        return not self._reporters.may_hold_more(entry, slots)
+        return not self._reporters.may_hold_more(slots)
 
     def _grant_to_unserved(self, now: float) -> None:
         """Grant slots that became free earlier than expected, and nobody waits for."""
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -15,8 +15,9 @@
 _FAILURE_SECONDS = 10.0
 """Age from which on a failure says nothing about the present path."""
 
-_CUT_OFF_SECONDS = 5.0
-"""Time after which an instance is trusted again unless further failures are refuted."""
+_DOUBT_SECONDS = 5.0
+"""Time after which an instance is trusted again: since the last refutation if it is cut
+off, otherwise since its last failure."""
 
 _MIN_SERVERS = 2
 _MIN_REFUTED = 2
@@ -47,7 +48,7 @@
     refuted: int = 0
     refuted_at: set[str] = field(default_factory=set)
     answered_at: float = float("-inf")
-    cut_off_until: float = float("-inf")
+    doubted_until: float = float("-inf")
     grants: int = 0
 
     @property
@@ -102,8 +103,8 @@
         reporter = self._reporters.get(entry)
         return reporter is not None and reporter.answered_at >= at
 
-    def may_hold_more(self, entry: str, slots: int) -> bool:
-        """Return whether an instance may get another one of all slots.
+    def may_hold_more(self, slots: int) -> bool:
+        """Return whether a limited instance may get another one of all slots.
 
         Those that get no answers and fail at several servers hold at most their share,
         refuted or not: if requests that hang took all slots, the others would get no
@@ -160,6 +161,8 @@
             self._failures.setdefault(source, {})[entry] = now
             if reporter.servers >= _MIN_SERVERS:
                 self._limit(entry, reporter)
+        if entry not in self._cut_off:
+            reporter.doubted_until = now + _DOUBT_SECONDS
         return is_credible
 
     def record_path_failure(self, entry: str, now: float) -> bool:
@@ -170,10 +173,10 @@
         return self._distrust(entry, self._get(entry), now)
 
     def expire(self, now: float) -> None:
-        """Trust the instances again of which no failure was refuted for a while."""
-        for entry in list(self._cut_off):
+        """Trust the instances again of which nothing was heard for a while."""
+        for entry in list(self._limited):
             reporter = self._reporters[entry]
-            if now >= reporter.cut_off_until:
+            if now >= reporter.doubted_until:
                 self._trust(entry, reporter)
 
     def forget(self, entry: str) -> None:
@@ -207,7 +210,7 @@
         return self._distrust(entry, reporter, now)
 
     def _distrust(self, entry: str, reporter: _Reporter, now: float) -> bool:
-        reporter.cut_off_until = now + _CUT_OFF_SECONDS
+        reporter.doubted_until = now + _DOUBT_SECONDS
         if entry in self._cut_off:
             return False
         self._cut_off.add(entry)
--- a/tests/test_reporters.py
+++ b/tests/test_reporters.py
@@ -115,11 +115,17 @@
 
     def hold(self, entry: str, slots: int) -> bool:
         """Hold another slot if the instance may; return whether it does."""
-        may_hold = self.reporters.may_hold_more(entry, slots)
+        may_hold = self.reporters.may_hold_more(slots)
         if may_hold:
             self.reporters.record_grant(entry)
         return may_hold
 
+    def test_old_failures_do_not_limit_an_idle_instance(self):
+        self.fail("a", "s1", "s2")
+        self.reporters.expire(5.1)
+        self.assertFalse(self.reporters.is_limited("a"))
+        self.assertTrue(self.reporters.record_failure("a", source("s3"), 60.0))
+
     def test_state_is_bounded(self):
         for number in range(1_000):
             self.fail("a", f"s{number}")
