Keep the slow start of a server that no longer names its tolerance

Cause: an answer without the statement gave a server all its slots. One that has just started again is expected to tolerate few refusals until its first answer, so with pacing on that answer ended its ramp, which it runs through otherwise.

Change: only a limit found from refusals ends so; one that a server has since its start grows on with each answer.

Result: the new test of tests.test_overload_tolerance passes (8 of 8 slots after the first answer before, 2 now); tests.test_brittle_servers, tests.test_pace and tests.test_cold_servers pass.

--- a/src/sassafraspin/backends/pace.py
+++ b/src/sassafraspin/backends/pace.py
@@ -115,6 +115,9 @@
     ) -> PaceChange | None:
         """Follow what the server says about the refusals a second that it tolerates.
 
+        When it names none any more, a limit found from refusals ends. One that it has
+        since its start grows on with each answer.
+
         Parameters
         ----------
         tolerance : float or None
@@ -130,10 +133,11 @@
             self._probe = LimitProbe(share * tolerance)
             self._burst = BurstLimit(share * tolerance, now)
             return None
+        has_refused = self._probe is not None and self._probe.has_refused
         self._probe = self._burst = None
-        if self.is_full:
-            return None
         self._is_paused = False
+        if self.is_full or not has_refused:
+            return None
         return self._set(self._slots, PaceReason.RESTORED)
 
     def pause(self, until: float) -> None:
--- a/src/sassafraspin/backends/probing.py
+++ b/src/sassafraspin/backends/probing.py
@@ -17,6 +17,8 @@
 request refuses one again: it has less room than it had in use."""
 
 _REFUSALS_PER_PROBE = 2.0
+"""Refusals that a probe may cost, as others are on their way when it is refused."""
+
 _MIN_INTERVAL_SECONDS = 1.0
 _MAX_INTERVAL_SECONDS = 8.0
 _LONGEST_INTERVAL_SECONDS = 60.0
@@ -61,6 +63,11 @@
         self._interval = self._min_interval
         self._resume_at = -math.inf
 
+    @property
+    def has_refused(self) -> bool:
+        """Return whether the server has refused a request since it started."""
+        return self._reduced_at > -math.inf
+
     @property
     def resume_at(self) -> float:
         """Return the time until which the server gets no requests.
@@ -128,7 +135,7 @@
         if now < self._probe_at:
             return limit
         self._raised_at = now
-        if self._reduced_at > -math.inf:
+        if self.has_refused:
             self._probe_at = now + self._interval
         return limit + 1
 
--- a/tests/test_overload_tolerance.py
+++ b/tests/test_overload_tolerance.py
@@ -209,6 +209,17 @@
         self.assertIsNone(self.pace.tolerance)
         self.assertEqual(self.fill(NOW + 0.5), SLOTS)
 
+    def test_server_that_starts_without_the_statement_still_starts_slowly(self):
+        """Its first answer says that it is sound, not that it bears its full load."""
+        self.learn()
+        while self.grants:
+            self.answer(NOW + 0.2)
+        self.pool.announce(self.server(incarnation=2), NOW + 1.0)
+        self.fill(NOW + 1.0)
+        self.answer(NOW + 1.1, tolerance=None)
+        self.assertIsNone(self.pace.tolerance)
+        self.assertLess(self.pace.limit, SLOTS // 2)
+
     def test_answer_to_an_older_request_does_not_end_it(self):
         self.learn()
         self.answer(NOW + 0.2, tolerance=None)
