Limit only instances that fail at a third of the servers

Cause: an instance with long answers at some servers and two others that are down looked like one that reaches no server, and was held to its share of the slots while these were scarce.

Change: failures at a third of the servers, as many as may be ejected, limit an instance; requests that are not answered for long do not, as a busy server may still answer. They still count as failures that others may refute.

--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -485,6 +485,7 @@
         if now < self._next_silence_at or self._reporters.is_alone:
             return
         self._next_silence_at = now + _SILENCE_INTERVAL_SECONDS
+        self._reporters.set_server_count(len(self._servers.all))
         for grant in self._grants:
             if now < grant.granted_at + _SILENT_SECONDS:
                 continue
@@ -493,7 +494,7 @@
             if is_overdue and not self._reporters.has_answer_since(
                 grant.entry, grant.granted_at
             ):
-                self._reporters.record_failure(grant.entry, _server_version(grant), now)
+                self._reporters.record_silence(grant.entry, _server_version(grant), now)
 
     def record_overdue(self, now: float) -> None:
         """Count the running requests that are slow already during a move.
--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -41,10 +41,12 @@
     """What is known of an entry instance; times are monotonic, in seconds.
 
     ``failures`` are those since its last answer that nobody has refuted; ``refuted`` is
-    the number of the others, at the servers ``refuted_at``.
+    the number of the others, at the servers ``refuted_at``. ``silent`` are the servers
+    that did not answer it for long and have not failed.
     """
 
     failures: dict[ServerVersion, float] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
     refuted: int = 0
     refuted_at: set[str] = field(default_factory=set)
     answered_at: float = float("-inf")
@@ -74,6 +76,14 @@
         self._cut_off: set[str] = set()
         self._limited: set[str] = set()
         self._limited_grants = 0
+        self._limiting_servers = 0
+
+    def set_server_count(self, count: int) -> None:
+        """Set the number of servers: an instance that fails at a third is limited.
+
+        Fewer may be down while long answers of the others take their time.
+        """
+        self._limiting_servers = (count + 2) // 3
 
     @property
     def cut_off(self) -> frozenset[str]:
@@ -154,16 +164,33 @@
         is_credible = entry not in self._limited
         if self._all_are_limited:
             is_credible = entry not in self._cut_off
+        self._add_failure(entry, reporter, source, now)
+        reporter.silent.discard(source.server)
+        failed = reporter.servers - len(reporter.silent - reporter.refuted_at)
+        if failed >= max(_MIN_SERVERS, self._limiting_servers):
+            self._limit(entry, reporter)
+        return is_credible
+
+    def record_silence(self, entry: str, source: ServerVersion, now: float) -> None:
+        """Record that a server has not answered an instance for long.
+
+        A busy server may still answer, so that this alone does not limit an instance.
+        """
+        reporter = self._get(entry)
+        if source not in reporter.failures:
+            reporter.silent.add(source.server)
+        self._add_failure(entry, reporter, source, now)
+
+    def _add_failure(
+        self, entry: str, reporter: _Reporter, source: ServerVersion, now: float
+    ) -> None:
         if source not in reporter.failures:
             if len(reporter.failures) >= _MAX_FAILURES:
                 self._remove(entry, reporter, next(iter(reporter.failures)))
             reporter.failures[source] = now
             self._failures.setdefault(source, {})[entry] = now
-            if reporter.servers >= _MIN_SERVERS:
-                self._limit(entry, reporter)
         if entry not in self._cut_off:
             reporter.doubted_until = now + _DOUBT_SECONDS
-        return is_credible
 
     def record_path_failure(self, entry: str, now: float) -> bool:
         """Record that an instance found its path to have failed.
@@ -227,6 +254,7 @@
             self._remove(entry, reporter, source)
         reporter.refuted = 0
         reporter.refuted_at.clear()
+        reporter.silent.clear()
         self._cut_off.discard(entry)
         if entry in self._limited:
             self._limited.remove(entry)
--- a/tests/test_reporters.py
+++ b/tests/test_reporters.py
@@ -35,6 +35,19 @@
         self.assertTrue(self.reporters.is_cut_off("a"))
         self.assertFalse(self.reporters.record_failure("a", source("s3"), 0.6))
 
+    def test_instance_that_fails_at_few_of_many_servers_keeps_its_slots(self):
+        """Its answers may be long, and a few servers may be down, in an overload."""
+        self.reporters.set_server_count(9)
+        for server in ("s3", "s4", "s5"):
+            self.reporters.record_silence("a", source(server), 0.0)
+        self.fail("a", "s1", "s2")
+        self.assertFalse(self.reporters.is_limited("a"))
+
+    def test_instance_that_fails_at_a_third_of_the_servers_is_limited(self):
+        self.reporters.set_server_count(9)
+        self.fail("a", "s1", "s2", "s3")
+        self.assertTrue(self.reporters.is_limited("a"))
+
     def test_failures_at_a_single_server_say_nothing_about_the_path(self):
         for second in range(5):
             self.fail("a", "s1", at=second)
