Use one function for resets and one registration in the tests of daemons

Cause: the option that resets a connection on close was set by four copies, two of them in the server and the soak's proxy; the tests of partitions had copies of the registration of a runner and of the loop over the control addresses; the least number of servers was derived at each failure.

Change: http.sockets has reset_on_close, which the server, reset and the proxy call; tests.routed_deployment has registration and put_control, which both deployments use. No behaviour and no assertion changes.

--- a/src/sassafraspin/dispatch/reporters.py
+++ b/src/sassafraspin/dispatch/reporters.py
@@ -76,14 +76,14 @@
         self._cut_off: set[str] = set()
         self._limited: set[str] = set()
         self._limited_grants = 0
-        self._limiting_servers = 0
+        self._limiting_servers = _MIN_SERVERS
 
     def set_server_count(self, count: int) -> None:
         """Set the number of servers: an instance that fails at a third is limited.
 
         Fewer may be down while long answers of the others take their time.
         """
-        self._limiting_servers = (count + 2) // 3
+        self._limiting_servers = max(_MIN_SERVERS, (count + 2) // 3)
 
     @property
     def cut_off(self) -> frozenset[str]:
@@ -167,7 +167,7 @@
         self._add_failure(entry, reporter, source, now)
         reporter.silent.discard(source.server)
         failed = reporter.servers - len(reporter.silent - reporter.refuted_at)
-        if failed >= max(_MIN_SERVERS, self._limiting_servers):
+        if failed >= self._limiting_servers:
             self._limit(entry, reporter)
         return is_credible
 
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -1,7 +1,6 @@
 """Server side of one HTTP/1.1 connection, with size limits and timeouts."""
 
 import socket
-import struct
 from dataclasses import dataclass
 
 import h11
@@ -34,6 +33,7 @@
     problem_response,
 )
 from sassafraspin.http.responder import Handler, Responder
+from sassafraspin.http.sockets import reset_on_close
 from sassafraspin.settings import HttpLimits
 
 __all__ = ["ServerConnection"]
@@ -248,7 +248,7 @@
     async def finish(self) -> None:
         """End the body."""
         if self._ends_with_connection and not self._has_unwritten_bytes:
-            self._reset_on_close(False)
+            reset_on_close(self._stream, False)
         await self._write(self._protocol.send(h11.EndOfMessage()))
 
     @property
@@ -261,11 +261,6 @@
         """Return whether a streamed body ends with the connection."""
         return self._protocol.their_http_version == b"1.0"
 
-    def _reset_on_close(self, enabled: bool) -> None:
-        """Set whether a close of the connection resets it and drops unsent bytes."""
-        linger = struct.pack("ii", int(enabled), 0)
-        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
     def _head(self, status: int, headers: Headers) -> bytes:
         fields = list(headers.items)
         if self._closing:
@@ -278,7 +273,7 @@
             self._protocol = _unframed_protocol()
         head = self._head(status, headers)
         if self._ends_with_connection:
-            self._reset_on_close(True)
+            reset_on_close(self._stream, True)
         return head
 
     async def _read_request(self, hold: MemoryHold) -> Request | _Closed:
--- a/src/sassafraspin/http/sockets.py
+++ b/src/sassafraspin/http/sockets.py
@@ -6,15 +6,18 @@
 
 import trio
 
-__all__ = ["detect_lost_peer", "is_path_error", "limit_unread", "reset"]
+__all__ = [
+    "detect_lost_peer",
+    "is_path_error",
+    "limit_unread",
+    "reset",
+    "reset_on_close",
+]
 
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 3
 _LOST_AFTER_MS = 2_000
 
-# SO_LINGER on with timeout 0: closing the socket sends a reset.
-_LINGER_RESET = struct.pack("ii", 1, 0)
-
 _PATH_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 
 
@@ -40,10 +43,16 @@
     _set(stream, socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", limit_ms)
 
 
+def reset_on_close(stream: trio.SocketStream, enabled: bool) -> None:
+    """Set whether a close of the connection resets it and drops unsent bytes."""
+    linger = struct.pack("ii", int(enabled), 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def reset(stream: trio.SocketStream) -> None:
     """Close a connection so that its peer sees a reset instead of an orderly end."""
     try:
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        reset_on_close(stream, True)
     except OSError:
         # The socket was closed before.
         return
--- a/src/sassafraspin/soak/proxy.py
+++ b/src/sassafraspin/soak/proxy.py
@@ -1,18 +1,14 @@
 """TCP proxy between callers and one instance that injects network faults."""
 
-import struct
-from contextlib import suppress
-
 import trio
 
+from sassafraspin.http.sockets import reset
 from sassafraspin.settings import Address
 from sassafraspin.soak.model import Direction
 
 __all__ = ["LinkProxy"]
 
 _CHUNK_BYTES = 16_384
-# SO_LINGER on with timeout 0: closing the socket sends a reset.
-_LINGER_RESET = struct.pack("ii", 1, 0)
 _POLL_INTERVAL_SECONDS = 0.01
 _CONNECTION_LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
@@ -63,11 +59,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for stream in list(self._streams):
-            with suppress(OSError):
-                stream.socket.setsockopt(
-                    trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, _LINGER_RESET
-                )
-            stream.socket.close()
+            reset(stream)
         self._streams.clear()
 
     async def _serve_connection(self, caller: trio.SocketStream) -> None:
--- a/tests/partitioned_deployment.py
+++ b/tests/partitioned_deployment.py
@@ -1,7 +1,6 @@
 """Daemons on loopback addresses of their own, each of which can be partitioned."""
 
 import enum
-import json
 import random
 import tempfile
 from collections.abc import AsyncIterator
@@ -32,6 +31,8 @@
     FakeRunner,
     answer,
     put_configuration,
+    put_control,
+    registration,
     routed_settings,
     runner_headers,
 )
@@ -217,32 +218,8 @@
 
 
 async def _register(listens: list[RoutedListen], runner: FakeRunner) -> None:
-    document = {
-        "service": runner.service,
-        "address": f"{runner.address.host}:{runner.address.port}",
-        "zone": "a",
-        "version": runner.version,
-        "slots": runner.slots,
-        "state": "ready",
-        "sequence": 1,
-        "born": 1,
-    }
-    request = Request(
-        "PUT",
-        f"/sassafraspin/instances/{runner.name}",
-        Headers((("host", "control"),)),
-        json.dumps(document).encode(),
-    )
-    client = HttpClient(TIMEOUTS)
-    try:
-        while True:
-            for listen in listens:
-                response = await client.send(listen.control, request)
-                if response.status == 200:
-                    return
-                await trio.sleep(0.05)
-    finally:
-        client.close()
+    document = registration(runner, "ready", 1)
+    await put_control(listens, f"instances/{runner.name}", document)
 
 
 async def _wait_for_view(deployment: PartitionedDeployment) -> None:
--- a/tests/routed_deployment.py
+++ b/tests/routed_deployment.py
@@ -70,6 +70,20 @@
             raise
 
 
+def registration(runner: FakeRunner, state: str, sequence: int) -> dict:
+    """Return what a runner says of itself when it registers."""
+    return {
+        "service": runner.service,
+        "address": f"{runner.address.host}:{runner.address.port}",
+        "zone": "a",
+        "version": runner.version,
+        "slots": runner.slots,
+        "state": state,
+        "sequence": sequence,
+        "born": 1,
+    }
+
+
 class RoutedDeployment:
     """One daemon and its runners, with methods for callers, operators and runners."""
 
@@ -94,16 +108,7 @@
     async def register(self, runner: FakeRunner, state: str = "ready") -> Response:
         """Register a runner with the daemon."""
         self._sequence += 1
-        document = {
-            "service": runner.service,
-            "address": f"{runner.address.host}:{runner.address.port}",
-            "zone": "a",
-            "version": runner.version,
-            "slots": runner.slots,
-            "state": state,
-            "sequence": self._sequence,
-            "born": 1,
-        }
+        document = registration(runner, state, self._sequence)
         return await self.control("PUT", f"instances/{runner.name}", document)
 
     def request(self, path: str, request_id: str = "id-1", **headers: str) -> Request:
@@ -226,11 +231,16 @@
 
 async def put_configuration(listens: list[RoutedListen]) -> None:
     """Offer the routing table to each daemon in turn until one accepts it."""
+    await put_control(listens, "config", configuration())
+
+
+async def put_control(listens: list[RoutedListen], path: str, document: dict) -> None:
+    """Send a control request to each daemon in turn until one accepts it."""
     request = Request(
         "PUT",
-        "/sassafraspin/config",
+        f"/sassafraspin/{path}",
         Headers((("host", "control"),)),
-        json.dumps(configuration()).encode(),
+        json.dumps(document).encode(),
     )
     client = HttpClient(TIMEOUTS)
     try:
