Show a request whose route lost its turn to withdrawn ones, failing

A route whose requests become late faster than turns come round never gets one: each request keeps the start tag of its arrival, behind those that have left the queue.

--- a/tests/test_queue_turns.py
+++ b/tests/test_queue_turns.py
@@ -78,6 +78,14 @@
         self.queue.add(new)
         self.assertLess(self.place_of(kept), self.place_of(new))
 
+    def test_request_behind_a_withdrawn_one_takes_its_turn(self):
+        for number in range(WITHDRAWN):
+            self.queue.add(_waiting_request("added", number))
+        for number in range(WITHDRAWN - 1):
+            self.queue.remove(f"added:{number}")
+        last = _waiting_request("added", WITHDRAWN - 1)
+        self.assertLessEqual(self.place_of(last), 1)
+
     def test_served_requests_keep_their_cost(self):
         for number in range(WITHDRAWN):
             self.queue.add(_waiting_request("added", number))
