Leave a turn in the queue to the route, not to the request that waits

Callers of an added route with a shorter objective were hardly served in a lasting overload (CONFIG). Each request had the start tag of its arrival. If the one at the head became late or left, those behind it kept their later tags, so that a route whose requests become late faster than turns come round lost its turn each time. Costs that were given back helped later arrivals only.

A rank of the queue is now a FairQueue of its own: each flow has one start tag, which advances only when a request is served. The three dictionaries by request and the bookkeeping of costs that were given back are gone.

--- a/src/sassafraspin/admission/__init__.py
+++ b/src/sassafraspin/admission/__init__.py
@@ -12,7 +12,8 @@
     Limits,
     WithinLimits,
 )
-from sassafraspin.admission.queue import WaitingQueue, WaitingRequest
+from sassafraspin.admission.queue import WaitingQueue
+from sassafraspin.admission.waiting import WaitingRequest
 
 __all__ = [
     "AccountLimits",
