Refuse a configuration whose numbers cannot be replicated or used

A configuration with a number above 64 bits was answered 503 for ever, as the control log cannot hold it.

The fields of the document have bounds, so that the 400 names the field.

--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -32,9 +32,19 @@
 objectives or eight gap objectives, whichever is longest."""
 
 
+_MAX_COUNT = 2**63 - 1
+_MAX_AMOUNT = 2**53
+"""Largest whole number, and largest number of a unit: far above any that is meant, and
+sums and multiples of it stay finite and within 64 bits."""
+
+_Version = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(msgspec.Struct):
@@ -50,13 +60,13 @@
     hostname: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = _DEFAULT_OBJECTIVE_MS
-    target_gap_ms: float = 0
-    priority: int = 0
+    timeout_ms: _Amount
+    target_latency_ms: _Amount = _DEFAULT_OBJECTIVE_MS
+    target_gap_ms: _Amount = 0
+    priority: _Count = 0
     service: str | None = None
     traffic_split: list[_Split] | None = None
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     stream_resume: bool = False
     allowed_regions: list[str] = []
@@ -66,24 +76,24 @@
 class _Engine(msgspec.Struct):
     """``stride`` is the number of tokens in one event of a stream."""
 
-    kv_capacity_tokens: int = 0
-    stride: int = 1
+    kv_capacity_tokens: _Count = 0
+    stride: _Count = 1
 
 
 class _Service(msgspec.Struct):
     """``cold_per_s`` is the rate that a runner takes while it is cold, 0 for any."""
 
     name: str
-    max_connections: int = 100
-    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_connections: _Count = 100
+    cold_per_s: _Amount = 0.0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Count = 3_000
+    idle_timeout_ms: _Count = 15_000
 
 
 class _Tenant(msgspec.Struct):
@@ -91,16 +101,16 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Count | None = None
     unit: str = "requests"
-    plain_tokens: int = 0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    plain_tokens: _Count = 0
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
     allowed_regions: list[str] = []
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
