Refuse a configuration that is no UTF-8 text

A document with damaged bytes in a field that is not used here, as health_path, was acknowledged and is then read back with these bytes (CONFIG: cannot be read in full). The decoder checks the text of the fields that it needs alone.

Shown by a test that failed before. The check takes a copy of the document for a moment.

--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -129,6 +129,8 @@
         If the document cannot be decoded or the routing table is invalid.
     """
     try:
+        # The decoder skips fields that are not used without a look at their bytes.
+        str(body, "utf-8")
         document = _DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidInput(_SOURCE, (Problem("$", str(error)),)) from error
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -23,6 +23,18 @@
     return json.dumps(document).replace(f'"{NUMBER}"', number).encode()
 
 
+class TestUnreadableDocuments(unittest.TestCase):
+    """A document that is no valid JSON text is not acknowledged."""
+
+    def test_bytes_that_are_no_utf_8_in_a_field_that_is_not_used(self):
+        document = configuration()
+        document["services"][0]["health_path"] = "/health"
+        body = json.dumps(document).encode()
+        decode_table(body)
+        with self.assertRaises(InvalidInput):
+            decode_table(body.replace(b"/health", b"/he\xff\xfe"))
+
+
 class TestNumbers(unittest.TestCase):
     """Numbers that cannot be replicated or used are not acknowledged."""
 
