Send header fields outside ASCII byte for byte

After a change that named an account with a letter outside ASCII, as many of our users' names have, each call of that account ended with 500 (CONFIG: a confirmed change is not served); so did each call with such a byte in any header, and each answer of a server with one. h11 encodes text as ASCII, and headers were given to it as text.

Headers are encoded as they were decoded. Names of accounts and keys are UTF-8, and a name with control characters or a space around it is refused, as no header can carry it. The tests failed before: 500 for both kinds of call, 401 for a key outside ASCII.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -25,7 +25,13 @@
     MemoryKind,
     MemoryUsage,
 )
-from sassafraspin.http.messages import Headers, Request, Response
+from sassafraspin.http.messages import (
+    Headers,
+    Request,
+    Response,
+    decode_text,
+    encode_text,
+)
 from sassafraspin.http.problems import (
     BadRequest,
     BodyTooLarge,
@@ -79,7 +85,9 @@
     "TooManyConnections",
     "Unauthorized",
     "as_handler",
+    "decode_text",
     "dial_tcp",
+    "encode_text",
     "format_event",
     "problem_response",
     "read_body",
--- a/src/sassafraspin/http/client_connection.py
+++ b/src/sassafraspin/http/client_connection.py
@@ -431,8 +431,8 @@
     return is_chunked or headers.get("content-length") not in (None, "0")
 
 
-def _headers_with_length(request: Request) -> list[tuple[str, str]]:
-    headers = list(request.headers.items)
+def _headers_with_length(request: Request) -> list[tuple[bytes, bytes]]:
+    headers = request.headers
     if request.body or request.method in ("POST", "PUT", "PATCH"):
-        headers.append(("content-length", str(len(request.body))))
-    return headers
+        headers = headers.adding("content-length", str(len(request.body)))
+    return headers.to_wire()
--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -262,9 +262,9 @@
         return self._protocol.their_http_version == b"1.0"
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        fields = list(headers.items)
         if self._closing:
-            fields.append(("connection", "close"))
+            headers = headers.adding("connection", "close")
+        fields = headers.to_wire()
         return self._protocol.send(h11.Response(status_code=status, headers=fields))
 
     def _open_head(self, status: int, headers: Headers, is_framed: bool) -> bytes:
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -7,7 +7,14 @@
 if TYPE_CHECKING:
     from sassafraspin.http.memory import MemoryHold
 
-__all__ = ["Headers", "Request", "Response", "has_two_framings"]
+__all__ = [
+    "Headers",
+    "Request",
+    "Response",
+    "decode_text",
+    "encode_text",
+    "has_two_framings",
+]
 
 
 @dataclass(frozen=True)
@@ -17,7 +24,8 @@
     Parameters
     ----------
     items : tuple of (str, str)
-        Pairs of lower-case name and value, in the order received.
+        Pairs of lower-case name and value, in the order received. Each character of a
+        value stands for one byte, as header fields may have any encoding.
     """
 
     items: tuple[tuple[str, str], ...] = ()
@@ -31,6 +39,13 @@
             )
         )
 
+    def to_wire(self) -> list[tuple[bytes, bytes]]:
+        """Encode the header fields for h11."""
+        return [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in self.items
+        ]
+
     def get(self, name: str) -> str | None:
         """Return the first value of a field, or ``None`` if it is absent."""
         lower_name = name.lower()
@@ -99,6 +114,19 @@
     hold: "MemoryHold | None" = field(default=None, compare=False, repr=False)
 
 
+def encode_text(text: str) -> str:
+    """Return text in UTF-8 as the value of a header field."""
+    return text.encode().decode("latin-1")
+
+
+def decode_text(value: str) -> str:
+    """Return the text of a header field in UTF-8; other bytes stay as they are."""
+    try:
+        return value.encode("latin-1").decode()
+    except UnicodeDecodeError:
+        return value
+
+
 def has_two_framings(headers: Headers) -> bool:
     """Return whether a message declares both a length and chunks.
 
--- a/src/sassafraspin/platform/adapter.py
+++ b/src/sassafraspin/platform/adapter.py
@@ -3,7 +3,15 @@
 import math
 
 from sassafraspin.backends import PromptPart, ServerNotice
-from sassafraspin.http import BadRequest, Headers, Request, RequestProblem, Response
+from sassafraspin.http import (
+    BadRequest,
+    Headers,
+    Request,
+    RequestProblem,
+    Response,
+    decode_text,
+    encode_text,
+)
 from sassafraspin.http.problems import problem_response
 from sassafraspin.platform.control_api import ControlApi
 from sassafraspin.routed import (
@@ -111,7 +119,7 @@
         headers = headers.adding(_TIMEOUT_MS, str(target.timeout_ms))
         headers = headers.adding(_EXPECTED_SERVER, target.instance_id)
         if target.account is not None:
-            headers = headers.adding(_ACCOUNT, target.account)
+            headers = headers.adding(_ACCOUNT, encode_text(target.account))
         if target.resume_after is not None:
             headers = headers.adding(_RESUME_AFTER, target.resume_after)
         return Request(request.method, request.target, headers, request.body)
@@ -166,7 +174,9 @@
 
 def _api_key(headers: Headers) -> str | None:
     scheme, _, key = (headers.get("authorization") or "").partition(" ")
-    return key.strip() if scheme.lower() == _KEY_SCHEME and key else None
+    if scheme.lower() != _KEY_SCHEME or not key:
+        return None
+    return decode_text(key.strip())
 
 
 def _parse_integer(headers: Headers, name: str) -> int | None:
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -1,5 +1,6 @@
 """Decoder for the platform's configuration document."""
 
+import unicodedata
 from collections.abc import Iterator
 from typing import Annotated
 
@@ -141,7 +142,11 @@
         tuple(map(_account, document.tenants)),
         _limits(document.limits),
     )
-    problems = (*validate_table(table), *_unused_service_problems(document))
+    problems = (
+        *validate_table(table),
+        *_unused_service_problems(document),
+        *_account_name_problems(document),
+    )
     if problems:
         raise InvalidInput(_SOURCE, problems)
     return table
@@ -157,6 +162,19 @@
             yield Problem(path, f"no service is named {route.service!r}")
 
 
+def _account_name_problems(document: _Document) -> Iterator[Problem]:
+    """Yield the names that no header field can carry to a server."""
+    for position, account in enumerate(document.tenants):
+        name = account.name
+        if name != name.strip(" ") or any(map(_is_control, name)):
+            path = f"$.tenants[{position}].name"
+            yield Problem(path, "no control characters, and no space around it")
+
+
+def _is_control(character: str) -> bool:
+    return unicodedata.category(character) == "Cc"
+
+
 def _route(item: _Route) -> Route:
     kind = _kind(item.route_type)
     return Route(
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -4,10 +4,16 @@
 import unittest
 
 import msgspec
+import trio
 
 from sassafraspin.errors import InvalidInput
+from sassafraspin.http import Headers, Request
 from sassafraspin.platform.document import decode_table
-from tests.routed_deployment import configuration
+from tests.routed_deployment import (
+    RoutedDeployment,
+    configuration,
+    routed_deployment,
+)
 
 NUMBER = "@number"
 
@@ -84,5 +90,61 @@
             decode_table(json.dumps(document).encode())
 
 
+class TestNamesInHeaders(unittest.TestCase):
+    """Names and headers outside ASCII reach the servers, and callers get answers."""
+
+    def run_test(self, account: dict, key: str, **headers: str) -> Request:
+        """Call with a key of an account; return what the server has received."""
+
+        async def call(deployment: RoutedDeployment) -> Request:
+            document = configuration(2)
+            document["tenants"] = [account]
+            await deployment.control("PUT", "config", document)
+            while True:
+                answer = await deployment.call(
+                    "/safe/x", authorization=f"Token {key}", **headers
+                )
+                if answer.status != 401:
+                    break
+                await trio.sleep(0.05)
+            self.assertEqual(answer.status, 200, bytes(answer.body))
+            return next(item for one in deployment.runners for item in one.requests)
+
+        async def scenario() -> Request:
+            async with routed_deployment() as deployment:
+                return await call(deployment)
+
+        return trio.run(scenario)
+
+    def test_account_outside_ascii(self):
+        request = self.run_test({"name": "Tüyhane", "api_keys": ["key-2"]}, "key-2")
+        tenant = request.headers.get("x-tenant")
+        self.assertEqual(tenant.encode("latin-1").decode(), "Tüyhane")
+
+    def test_key_outside_ascii(self):
+        key = "schlüssel".encode().decode("latin-1")
+        self.run_test({"name": "mill", "api_keys": ["schlüssel"]}, key)
+
+    def test_header_of_the_caller_outside_ascii(self):
+        account = {"name": "mill", "api_keys": ["key-2"]}
+        request = self.run_test(account, "key-2", x_note="caf\xe9")
+        self.assertEqual(request.headers.get("x-note"), "caf\xe9")
+
+    def test_account_that_no_header_can_carry(self):
+        for name in ("a\r\nx-tenant: b", "a\0", " a", "a\t"):
+            document = configuration()
+            document["tenants"][0]["name"] = name
+            with self.subTest(name=name), self.assertRaises(InvalidInput):
+                decode_table(json.dumps(document).encode())
+
+
+class TestHeaders(unittest.TestCase):
+    """Header fields are sent as they were received."""
+
+    def test_bytes_outside_ascii(self):
+        items = [(b"x-note", b"caf\xc3\xa9 \xff")]
+        self.assertEqual(Headers.from_wire(items).to_wire(), items)
+
+
 if __name__ == "__main__":
     unittest.main()
