Apply the limits of a new configuration to open connections

The server tells its connections; each applies the limits to its next request and the time to its present wait.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -79,13 +79,12 @@
     ) -> None:
         self._stream = stream
         self._limits = limits
+        self._next_limits = limits
         self._handler = handler
         self._memory = memory
         self._classify = classify
         self._idle_since: float | None = None
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._protocol = _server_protocol(limits)
         self._closing = False
         self._has_served = False
         self._has_unwritten_bytes = False
@@ -94,6 +93,12 @@
         self._idle_scope: trio.CancelScope | None = None
         self._checkpoints = CheckpointCounter()
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Set the limits for the next request, and for the wait until it arrives."""
+        self._next_limits = limits
+        if self._idle_scope is not None and self._idle_since is not None:
+            self._idle_scope.deadline = self._idle_since + self._idle_seconds
+
     def close_when_idle(self) -> None:
         """Close once idle; requests that have arrived are answered before.
 
@@ -123,7 +128,7 @@
     def _idle_seconds(self) -> float:
         """Return how long the connection may wait for the next request."""
         if not self._closing:
-            return self._limits.idle_timeout_ms / _MS_PER_SECOND
+            return self._next_limits.idle_timeout_ms / _MS_PER_SECOND
         return 0.0 if self._has_served else _FIRST_REQUEST_SECONDS
 
     @property
@@ -302,10 +307,11 @@
         return Request(method, target, headers, body, read_seconds)
 
     async def _read_head(self) -> h11.Request | _Closed:
+        data = self._protocol.trailing_data[0] or await self._wait_for_data()
+        if not data:
+            return _Closed()
+        self._adopt_limits()
         if not self._protocol.trailing_data[0]:
-            data = await self._wait_for_data()
-            if not data:
-                return _Closed()
             self._protocol.receive_data(data)
         self._received_at = trio.current_time()
         with trio.move_on_after(self._limits.header_timeout_ms / _MS_PER_SECOND):
@@ -315,6 +321,15 @@
             return _Closed()
         raise RequestTimeout("header")
 
+    def _adopt_limits(self) -> None:
+        """Apply limits that were set since the last request."""
+        if self._limits.header_bytes != self._next_limits.header_bytes:
+            received, _ = self._protocol.trailing_data
+            self._protocol = _server_protocol(self._next_limits)
+            if received:
+                self._protocol.receive_data(received)
+        self._limits = self._next_limits
+
     async def _wait_for_data(self) -> bytes:
         """Return the first bytes of a request, none if the connection is to end."""
         data = b""
@@ -463,6 +478,10 @@
         raise trio.BrokenResourceError("write timed out: the peer is not reading")
 
 
+def _server_protocol(limits: HttpLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 def _unframed_protocol() -> h11.Connection:
     """Return a protocol that sends a response without framing and then must close.
 
--- a/src/sassafraspin/http/server.py
+++ b/src/sassafraspin/http/server.py
@@ -67,8 +67,10 @@
         self._accept_loops_ended = trio.Event()
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Set the limits for connections accepted from now on."""
+        """Set the limits for requests that arrive from now on."""
         self._limits = limits
+        for connection in self._connections:
+            connection.set_limits(limits)
 
     async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until drained or cancelled."""
