Find the route of a request whose target has absolute form

RFC 9112, section 3.2.2, asks servers to accept this form.

The server passes on path and query, with the host of the target in the Host header.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -22,6 +22,7 @@
     Request,
     Response,
     has_two_framings,
+    to_origin_form,
 )
 from sassafraspin.http.problems import (
     BadRequest,
@@ -289,7 +290,9 @@
         if has_two_framings(headers):
             raise BadRequest("the request declares both a length and chunks")
         method = head.method.decode("ascii")
-        target = head.target.decode("ascii", "replace")
+        target, headers = to_origin_form(
+            head.target.decode("ascii", "replace"), headers
+        )
         self._check_declared_length(head)
         request = Request(method, target, headers)
         del head
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -1,5 +1,6 @@
 """Request and response types shared by the HTTP server and client."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -14,8 +15,11 @@
     "decode_text",
     "encode_text",
     "has_two_framings",
+    "to_origin_form",
 ]
 
+_AUTHORITY = re.compile(r"[^/?]*")
+
 
 @dataclass(frozen=True)
 class Headers:
@@ -135,3 +139,20 @@
     """
     is_chunked = headers.get("transfer-encoding") is not None
     return is_chunked and headers.get("content-length") is not None
+
+
+def to_origin_form(target: str, headers: Headers) -> tuple[str, Headers]:
+    """Return the path and query of a target, and the headers with its host.
+
+    A target in absolute form names the host itself, whatever the header says (RFC 9112,
+    section 3.2.2). Other targets stay as they are.
+    """
+    if not target.lower().startswith(("http://", "https://")):
+        return target, headers
+    rest = target.partition("://")[2]
+    authority = _AUTHORITY.match(rest)[0]
+    path = rest[len(authority) :]
+    if not path.startswith("/"):
+        path = f"/{path}"
+    host = authority.rpartition("@")[2]
+    return path, headers.without(frozenset({"host"})).adding("host", host)
