Give orders with unusual durations or names a clear answer

The causes of the refused numbers and names were looked for on the other control calls. An order for a rollout of 1e17 s had no answer but 503, as its milliseconds cannot be replicated, and one of 1e300 s none but 500; both get 400 now, as a duration ends at 1e9 s. A name in a path was taken as it is escaped, so that an order for a zone or service outside ASCII got 404; it is decoded. The three tests failed before.

--- a/src/sassafraspin/platform/control_api.py
+++ b/src/sassafraspin/platform/control_api.py
@@ -1,6 +1,7 @@
 """HTTP API for operators and runners, served by the control leader."""
 
 from typing import Annotated
+from urllib.parse import unquote
 
 import msgspec
 
@@ -25,6 +26,9 @@
 _JSON = Headers((("content-type", "application/json"),))
 _REDIRECT_STATUS = 307
 
+_MAX_DURATION_SECONDS = 1e9
+"""Longest rollout, 30 years; its milliseconds are replicated in 64 bits."""
+
 _ROLLOUT_STATES = {
     RolloutState.RUNNING: "running",
     RolloutState.SUCCEEDED: "succeeded",
@@ -37,7 +41,7 @@
 
     service: str
     target: str
-    duration_s: Annotated[float, msgspec.Meta(gt=0)]
+    duration_s: Annotated[float, msgspec.Meta(gt=0, le=_MAX_DURATION_SECONDS)]
 
 
 class _RolloutReport(msgspec.Struct):
@@ -77,7 +81,7 @@
             return problem_response(problem)
 
     async def _answer(self, request: Request) -> Response:
-        parts = [part for part in request.path.split("/") if part]
+        parts = [unquote(part) for part in request.path.split("/") if part]
         match (request.method, *parts):
             case ("PUT", root, "config") if root == _ROOT:
                 return await self._put_config(request)
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -147,6 +147,33 @@
         self.assertEqual(Headers.from_wire(items).to_wire(), items)
 
 
+class TestOrders(unittest.TestCase):
+    """Orders of operators whose values or names are unusual get a clear answer."""
+
+    def order(self, method: str, path: str, document: dict | None = None) -> int:
+        """Return the status of an order, 0 if there is none after a while."""
+
+        async def scenario() -> int:
+            async with routed_deployment() as deployment:
+                with trio.move_on_after(3.0):
+                    answer = await deployment.control(method, path, document)
+                    return answer.status
+                return 0
+
+        return trio.run(scenario)
+
+    def test_rollout_without_end(self):
+        document = {"service": "desk", "target": "v2", "duration_s": 1e300}
+        self.assertEqual(self.order("POST", "rollouts", document), 400)
+
+    def test_rollout_of_centuries(self):
+        document = {"service": "desk", "target": "v2", "duration_s": 1e17}
+        self.assertEqual(self.order("POST", "rollouts", document), 400)
+
+    def test_name_with_an_escaped_character(self):
+        self.assertEqual(self.order("POST", "evacuations/%61"), 200)
+
+
 class TestTargets(unittest.TestCase):
     """A route is found whichever form the target of a request has."""
 
