Ignore empty lines before a request

A client that sends an empty line after a body got 400 for its next request, whatever the configuration (RFC 9112, section 2.2, asks servers to ignore it). The first bytes of a request are received in one place, which also applies the limits in force. The test failed before, at the start of a connection and after a body.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -310,12 +310,8 @@
         return Request(method, target, headers, body, read_seconds)
 
     async def _read_head(self) -> h11.Request | _Closed:
-        data = self._protocol.trailing_data[0] or await self._wait_for_data()
-        if not data:
+        if not await self._receive_start():
             return _Closed()
-        self._adopt_limits()
-        if not self._protocol.trailing_data[0]:
-            self._protocol.receive_data(data)
         self._received_at = trio.current_time()
         with trio.move_on_after(self._limits.header_timeout_ms / _MS_PER_SECOND):
             event = await self._next_event()
@@ -324,14 +320,24 @@
             return _Closed()
         raise RequestTimeout("header")
 
-    def _adopt_limits(self) -> None:
-        """Apply limits that were set since the last request."""
-        if self._limits.header_bytes != self._next_limits.header_bytes:
-            received, _ = self._protocol.trailing_data
-            self._protocol = _server_protocol(self._next_limits)
-            if received:
-                self._protocol.receive_data(received)
+    async def _receive_start(self) -> bool:
+        """Receive the first bytes of a request, and apply the limits in force to it.
+
+        Empty lines before it are ignored (RFC 9112, section 2.2). Returns whether there
+        is a request.
+        """
+        received = b""
+        while not received:
+            kept = self._protocol.trailing_data[0]
+            data = kept or await self._wait_for_data()
+            if not data:
+                return False
+            if kept or self._limits.header_bytes != self._next_limits.header_bytes:
+                self._protocol = _server_protocol(self._next_limits)
+            received = data.lstrip(b"\r\n")
         self._limits = self._next_limits
+        self._protocol.receive_data(received)
+        return True
 
     async def _wait_for_data(self) -> bytes:
         """Return the first bytes of a request, none if the connection is to end."""
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -61,6 +61,14 @@
     def test_garbage(self):
         self.assertIn(b"400", self.exchange(b"\x00\x01garbage\r\n\r\n"))
 
+    def test_empty_lines_before_requests(self):
+        call = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb"
+        for pieces in ((b"\r\n" + call + b"\r\n\r\n" + call,), (call, b"\r\n", call)):
+            with self.subTest(pieces=pieces):
+                answers = self.exchange(*pieces, pause=0.05)
+                self.assertEqual(answers.count(b" 200 "), 2)
+                self.assertNotIn(b" 400 ", answers)
+
     def test_long_header(self):
         header = b"X: " + b"a" * 5000
         self.assertIn(b"400", self.exchange(b"GET / HTTP/1.1\r\n" + header))
