--- a/src/sassafraspin/admission/fair_queue.py
+++ b/src/sassafraspin/admission/fair_queue.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from operator import itemgetter
@@ -24,18 +24,11 @@
     route: str
 
 
-class _Turn(NamedTuple):
-    """Place of a request: by virtual time, then by number of its arrival."""
+_Turn = tuple[float, int]
+"""Place of a request: virtual time, then number of its arrival, which is unique."""
 
-    start: float
-    arrival: int
-
-
-class _Queued(NamedTuple):
-    """A request and the number of its arrival."""
-
-    arrival: int
-    waiting: WaitingRequest
+_Queued = tuple[int, WaitingRequest]
+"""Number of the arrival of a request, and the request."""
 
 
 @dataclass
@@ -51,7 +44,7 @@
     @property
     def turn(self) -> _Turn:
         """Return the turn of the first request."""
-        return _Turn(self.start, next(iter(self.requests.values())).arrival)
+        return self.start, next(iter(self.requests.values()))[0]
 
 
 class FairQueue:
@@ -97,10 +90,12 @@
 
     def add(self, waiting: WaitingRequest) -> None:
         """Add a request at the end of those of its account and route."""
+        if not self._backlogs:
+            self._flow_time.clear()
         self._arrivals += 1
         self._count += 1
         flow = _flow(waiting.request)
-        queued = _Queued(self._arrivals, waiting)
+        queued = self._arrivals, waiting
         backlog = self._backlogs.get(flow)
         if backlog is not None:
             backlog.requests[waiting.request.request_id] = queued
@@ -131,35 +126,34 @@
 
         Requests for which ``may_start`` is false are left out and do not count.
         """
-        if not self._backlogs:
-            self._flow_time.clear()
         ordered: list[WaitingRequest] = []
         passed: list[tuple[_Turn, _Flow]] = []
         # The next request of each flow whose first turn was passed.
-        opened: list[tuple[_Turn, WaitingRequest, Iterator]] = []
+        opened: list[tuple[_Turn, _Flow, WaitingRequest, Iterator[_Queued]]] = []
         while len(ordered) < limit:
             first = self._first_turn()
-            if first is not None and (not opened or first[0] < opened[0][0]):
-                passed.append(heapq.heappop(self._turns))
-                following = self._flow_turns(first[1])
+            if first is not None and (not opened or first < opened[0]):
+                turn, flow = heapq.heappop(self._turns)
+                passed.append(first)
+                following = iter(self._backlogs[flow].requests.values())
                 _, waiting = next(following)
             elif opened:
-                _, waiting, following = heapq.heappop(opened)
+                turn, flow, waiting, following = heapq.heappop(opened)
             else:
                 break
             if may_start is None or may_start(waiting.request):
                 ordered.append(waiting)
-            for turn, later in following:
-                heapq.heappush(opened, (turn, later, following))
-                break
+            queued = next(following, None)
+            if queued is not None:
+                later = turn[0] + self._cost(flow, waiting), queued[0]
+                heapq.heappush(opened, (later, flow, queued[1], following))
         for item in passed:
             heapq.heappush(self._turns, item)
         return ordered
 
     def last(self) -> WaitingRequest:
         """Return the request whose turn comes last; the queue may not be empty."""
-        last_turns = (deque(self._flow_turns(flow), 1)[0] for flow in self._backlogs)
-        return max(last_turns, key=itemgetter(0))[1]
+        return max(map(self._last_turn, self._backlogs), key=itemgetter(0))[1]
 
     def _first_turn(self) -> tuple[_Turn, _Flow] | None:
         """Return the first turn, ``None`` if nothing waits, and drop outdated ones."""
@@ -171,12 +165,15 @@
             heapq.heappop(self._turns)
         return None
 
-    def _flow_turns(self, flow: _Flow) -> Iterator[tuple[_Turn, WaitingRequest]]:
-        """Yield the requests of a flow with their turns."""
-        start = self._backlogs[flow].start
-        for arrival, waiting in self._backlogs[flow].requests.values():
-            yield _Turn(start, arrival), waiting
-            start += self._cost(flow, waiting)
+    def _last_turn(self, flow: _Flow) -> tuple[_Turn, WaitingRequest]:
+        """Return the last request of a flow with its turn."""
+        backlog = self._backlogs[flow]
+        arrival, last = next(reversed(backlog.requests.values()))
+        earlier = sum(item.expected_seconds for _, item in backlog.requests.values())
+        start = backlog.start + self._route_counts[flow.account] * (
+            earlier - last.expected_seconds
+        )
+        return (start, arrival), last
 
     def _cost(self, flow: _Flow, waiting: WaitingRequest) -> float:
         return self._route_counts[flow.account] * waiting.expected_seconds
--- a/src/sassafraspin/admission/queue.py
+++ b/src/sassafraspin/admission/queue.py
@@ -130,7 +130,10 @@
         """
         ordered: list[WaitingRequest] = []
         for rank in self._ranks:
-            ordered += rank.in_order(limit - len(ordered), may_start)
+            if len(ordered) == limit:
+                break
+            if len(rank) > 0:
+                ordered += rank.in_order(limit - len(ordered), may_start)
         return ordered
 
     def last_of_lowest_tier(self) -> WaitingRequest | None:
