Answer HEAD requests with a head alone

A HEAD request that the daemon refused, with 404 or 503, was closed without an answer, as was one whose server or stand-in sends a body: the body was given to h11, which allows none, so that the connection failed. Callers that probe a route so saw no final answer.

Bodies of answers to HEAD are left out, and their length is declared where it is known. The test failed before: no answer to either of two requests on a connection.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -89,6 +89,7 @@
         self._closing = False
         self._has_served = False
         self._has_unwritten_bytes = False
+        self._omits_bodies = False
         self._received_at = 0.0
         self._peer = _peer_host(stream)
         self._idle_scope: trio.CancelScope | None = None
@@ -200,6 +201,9 @@
 
     async def send(self, response: Response) -> None:
         """Send a response; without a length if the end of its body is not declared."""
+        if self._omits_bodies:
+            await self._send_without_body(response)
+            return
         if response.is_framed:
             length = ("content-length", str(len(response.body)))
             data = self._head(response.status, response.headers.adding(*length))
@@ -217,6 +221,14 @@
         await self._write(data)
         await self.finish()
 
+    async def _send_without_body(self, response: Response) -> None:
+        """Send the head of a response to ``HEAD``, with a length if it is known."""
+        headers = response.headers
+        if response.body:
+            headers = headers.adding("content-length", str(len(response.body)))
+        data = self._head(response.status, headers)
+        await self._write(data + self._protocol.send(h11.EndOfMessage()))
+
     async def _send_large(self, head: bytes, response: Response) -> None:
         """Send a body without a copy of it, unless others wait for its memory."""
         hold = response.hold or MemoryHold(self._memory)
@@ -248,7 +260,9 @@
         await self._write(self._open_head(status, headers, is_framed))
 
     async def write(self, chunk: bytes) -> None:
-        """Send a chunk of the body."""
+        """Send a chunk of the body, which is left out in answers to ``HEAD``."""
+        if self._omits_bodies:
+            return
         await self._write(self._protocol.send(h11.Data(data=chunk)))
 
     async def finish(self) -> None:
@@ -290,6 +304,7 @@
         if has_two_framings(headers):
             raise BadRequest("the request declares both a length and chunks")
         method = head.method.decode("ascii")
+        self._omits_bodies = method == "HEAD"
         target, headers = to_origin_form(
             head.target.decode("ascii", "replace"), headers
         )
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -69,6 +69,13 @@
                 self.assertEqual(answers.count(b" 200 "), 2)
                 self.assertNotIn(b" 400 ", answers)
 
+    def test_head_is_answered_without_a_body(self):
+        call = b"HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+        answers = self.exchange(call + call)
+        self.assertEqual(answers.count(b" 200 "), 2)
+        self.assertEqual(answers.count(b"content-length: 4\r\n"), 2)
+        self.assertNotIn(b"body", answers)
+
     def test_long_header(self):
         header = b"X: " + b"a" * 5000
         self.assertIn(b"400", self.exchange(b"GET / HTTP/1.1\r\n" + header))
