--- a/src/sassafraspin/dispatch/pool.py
+++ b/src/sassafraspin/dispatch/pool.py
@@ -14,7 +14,6 @@
 from sassafraspin.admission import Limits, WaitingQueue, WaitingRequest
 from sassafraspin.backends import STRICT_SHARE, Announcement, Backend, Reservation
 from sassafraspin.dispatch.admission import Admission
-from sassafraspin.dispatch.answer_lengths import AnswerLengths
 from sassafraspin.dispatch.budget import RetryBudget
 from sassafraspin.dispatch.grants import Grant, GrantTable
 from sassafraspin.dispatch.held_outcomes import HeldOutcomes, Outcome
@@ -170,7 +169,6 @@
             settings.reuse_window_ms / _MS_PER_SECOND,
         )
         self._queue = WaitingQueue()
-        self._answer_lengths = AnswerLengths()
         self._grants = GrantTable()
         self._reporters = Reporters()
         self._held_outcomes = HeldOutcomes()
@@ -283,26 +281,13 @@
             return self._lend(entry, request, now)
         effects = []
         if not self.is_waiting(request.request_id):
-            self._admission.admit(entry, self._with_likely_length(request), now)
+            self._admission.admit(entry, request, now)
             effects = self._grant_free_slots(now)
         if self.is_waiting(request.request_id):
             waiting = SlotWaiting(request.request_id)
             effects.append(SendToEntry(entry, waiting))
         return effects
 
-    def _with_likely_length(self, request: SlotRequest) -> SlotRequest:
-        """Return the request, as long as others of its route if it declares too much.
-
-        Its answer may be shorter than the largest one that it declares, which could not
-        be complete in time.
-        """
-        needed_ms = self._servers.fastest_decode(request) * _MS_PER_SECOND
-        if needed_ms <= request.deadline_ms:
-            return request
-        longest = self._answer_lengths.longest(request.route)
-        tokens = min(request.answer_tokens, longest)
-        return msgspec.structs.replace(request, answer_tokens=tokens)
-
     def is_waiting(self, request_id: str) -> bool:
         """Return whether a request waits for a slot, here or of another instance."""
         return request_id in self._queue or self._admission.is_unserved(request_id)
@@ -853,9 +838,6 @@
                     self._servers.update_free(backend, now)
             case ReleaseResult.ANSWERED:
                 backend.record_success()
-                if release.answer_tokens:
-                    route = grant.request.route
-                    self._answer_lengths.record(route, release.answer_tokens)
                 backend.speed.observe_decode(
                     release.answer_tokens,
                     (release.total_ms - release.first_token_ms) / 1000,
--- a/src/sassafraspin/dispatch/servers.py
+++ b/src/sassafraspin/dispatch/servers.py
@@ -253,16 +253,8 @@
         """
         if not self._accepting:
             return 0.0
-        return self.fastest_first_token(request) + self.fastest_decode(request)
-
-    def fastest_decode(self, request: SlotRequest) -> float:
-        """Return the time for the tokens of an answer at the best rate of all servers.
-
-        It is 0 if no server accepts work.
-        """
-        if not self._accepting:
-            return 0.0
-        return request.answer_tokens / self._best_decode_rate
+        decode = request.answer_tokens / self._best_decode_rate
+        return self.fastest_first_token(request) + decode
 
     def fastest_first_token(self, request: SlotRequest) -> float:
         """Return the time to first token at the best prefill rate of all servers.
