Refuse a malformed request after a HEAD request with a body

What was kept of a HEAD request decided about the answer to the next one: a refusal of a request that cannot be parsed then declared a length and had no body, so that its connection was closed without an answer. So was the refusal of a HEAD request with two framings, whose kind was not known yet. Found in the review of the change; the test failed before for both.

--- a/src/sassafraspin/http/connection.py
+++ b/src/sassafraspin/http/connection.py
@@ -297,14 +297,15 @@
         return head
 
     async def _read_request(self, hold: MemoryHold) -> Request | _Closed:
+        self._omits_bodies = False
         head = await self._read_head()
         if isinstance(head, _Closed):
             return head
+        self._omits_bodies = head.method == b"HEAD"
         headers = Headers.from_wire(head.headers)
         if has_two_framings(headers):
             raise BadRequest("the request declares both a length and chunks")
         method = head.method.decode("ascii")
-        self._omits_bodies = method == "HEAD"
         target, headers = to_origin_form(
             head.target.decode("ascii", "replace"), headers
         )
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -76,6 +76,14 @@
         self.assertEqual(answers.count(b"content-length: 4\r\n"), 2)
         self.assertNotIn(b"body", answers)
 
+    def test_refusals_beside_head_requests(self):
+        call = b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n"
+        framings = b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+        ambiguous = call.replace(b"\r\n\r\n", b"\r\n" + framings + b"\r\n")
+        for pieces in ((call, b"\x00garbage\r\n\r\n"), (ambiguous,)):
+            with self.subTest(pieces=pieces):
+                self.assertIn(b" 400 ", self.exchange(*pieces, pause=0.05))
+
     def test_long_header(self):
         header = b"X: " + b"a" * 5000
         self.assertIn(b"400", self.exchange(b"GET / HTTP/1.1\r\n" + header))
