Name servers in headers as accounts are named

Since names in control paths are decoded, a server whose identifier lies outside ASCII was registered, and each call that was sent to it ended with 500, as its name could not be written into a header; an identifier with control characters would have ended the same way. The name is sent in UTF-8, and one that no header can carry gets 400 at its registration. Both tests failed before.

--- a/src/sassafraspin/http/__init__.py
+++ b/src/sassafraspin/http/__init__.py
@@ -31,6 +31,7 @@
     Response,
     decode_text,
     encode_text,
+    is_header_text,
 )
 from sassafraspin.http.problems import (
     BadRequest,
@@ -89,6 +90,7 @@
     "dial_tcp",
     "encode_text",
     "format_event",
+    "is_header_text",
     "problem_response",
     "read_body",
 ]
--- a/src/sassafraspin/http/messages.py
+++ b/src/sassafraspin/http/messages.py
@@ -1,6 +1,7 @@
 """Request and response types shared by the HTTP server and client."""
 
 import re
+import unicodedata
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
     "decode_text",
     "encode_text",
     "has_two_framings",
+    "is_header_text",
     "to_origin_form",
 ]
 
@@ -123,6 +125,12 @@
     return text.encode().decode("latin-1")
 
 
+def is_header_text(text: str) -> bool:
+    """Return whether a header field can carry a text unchanged."""
+    is_printable = not any(unicodedata.category(item) == "Cc" for item in text)
+    return is_printable and text == text.strip(" ")
+
+
 def decode_text(value: str) -> str:
     """Return the text of a header field in UTF-8; other bytes stay as they are."""
     try:
--- a/src/sassafraspin/platform/adapter.py
+++ b/src/sassafraspin/platform/adapter.py
@@ -117,7 +117,7 @@
         dropped = _HOP_BY_HOP | _RESERVED | _connection_names(request.headers)
         headers = request.headers.without(dropped)
         headers = headers.adding(_TIMEOUT_MS, str(target.timeout_ms))
-        headers = headers.adding(_EXPECTED_SERVER, target.instance_id)
+        headers = headers.adding(_EXPECTED_SERVER, encode_text(target.instance_id))
         if target.account is not None:
             headers = headers.adding(_ACCOUNT, encode_text(target.account))
         if target.resume_after is not None:
--- a/src/sassafraspin/platform/document.py
+++ b/src/sassafraspin/platform/document.py
@@ -1,12 +1,12 @@
 """Decoder for the platform's configuration document."""
 
-import unicodedata
 from collections.abc import Iterator
 from typing import Annotated
 
 import msgspec
 
 from sassafraspin.errors import InvalidInput, Problem
+from sassafraspin.http import is_header_text
 from sassafraspin.routes import (
     CallerLimits,
     Engine,
@@ -165,16 +165,11 @@
 def _account_name_problems(document: _Document) -> Iterator[Problem]:
     """Yield the names that no header field can carry to a server."""
     for position, account in enumerate(document.tenants):
-        name = account.name
-        if name != name.strip(" ") or any(map(_is_control, name)):
+        if not is_header_text(account.name):
             path = f"$.tenants[{position}].name"
             yield Problem(path, "no control characters, and no space around it")
 
 
-def _is_control(character: str) -> bool:
-    return unicodedata.category(character) == "Cc"
-
-
 def _route(item: _Route) -> Route:
     kind = _kind(item.route_type)
     return Route(
--- a/src/sassafraspin/platform/registration.py
+++ b/src/sassafraspin/platform/registration.py
@@ -8,6 +8,7 @@
 
 from sassafraspin.backends import Announcement
 from sassafraspin.errors import InvalidInput, Problem
+from sassafraspin.http import is_header_text
 from sassafraspin.settings import Address
 
 __all__ = ["decode_registration"]
@@ -74,6 +75,9 @@
         msgspec.convert(backend_id, _Name)
     except (ValueError, msgspec.DecodeError, RecursionError) as error:
         raise InvalidInput(_SOURCE, (Problem("$", str(error)),)) from error
+    if not is_header_text(backend_id):
+        message = "no control characters, and no space around it"
+        raise InvalidInput(_SOURCE, (Problem("$.id", message),))
     address = _parse_address(item.address)
     return Announcement(
         id=backend_id,
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -131,6 +131,29 @@
         request = self.run_test(account, "key-2", x_note="caf\xe9")
         self.assertEqual(request.headers.get("x-note"), "caf\xe9")
 
+    def test_server_outside_ascii(self):
+        async def scenario() -> Request:
+            async with routed_deployment(runners=1) as deployment:
+                [runner] = deployment.runners
+                await deployment.register(runner, "draining")
+                runner.name = "%E2%82%ACuro"
+                await deployment.register(runner)
+                answer = await deployment.call("/safe/x")
+                self.assertEqual(answer.status, 200, bytes(answer.body))
+                return runner.requests[-1]
+
+        expected = trio.run(scenario).headers.get("x-expect-instance")
+        self.assertEqual(expected.encode("latin-1").decode(), "\u20acuro")
+
+    def test_server_that_no_header_can_name(self):
+        async def scenario() -> int:
+            async with routed_deployment(runners=1) as deployment:
+                [runner] = deployment.runners
+                runner.name = "i-1%0D%0Ax:y"
+                return (await deployment.register(runner)).status
+
+        self.assertEqual(trio.run(scenario), 400)
+
     def test_account_that_no_header_can_carry(self):
         for name in ("a\r\nx-tenant: b", "a\0", " a", "a\t"):
             document = configuration()
