--- a/tests/configuration_soak.py
+++ b/tests/configuration_soak.py
@@ -5,11 +5,9 @@
 
 import json
 import random
-import signal
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 from pathlib import Path
 
@@ -25,20 +23,12 @@
     Response,
 )
 from sassafraspin.settings import Address, HttpLimits
+from tests.control_faults import CATCH_UP_SECONDS, CONTACT_SECONDS, ControlFaults
 from tests.control_processes import ControlProcesses
 from tests.routed_deployment import FakeRunner, registration
 
 __all__ = ["ConfigurationSoak", "SoakBounds", "SoakRun"]
 
-CONTROL_INSTANCES = 3
-OTHER_INSTANCES = 5
-
-CONTACT_SECONDS = 3.0
-"""Time for which an instance and the control instances must have run undisturbed."""
-
-CATCH_UP_SECONDS = 4.0
-"""Time after which a control instance that is back may be relied on."""
-
 HEARTBEAT_SECONDS = 1.0
 
 _ROUTES = 40
@@ -89,15 +79,6 @@
 DEFAULT_BOUNDS = SoakBounds()
 
 
-@dataclass
-class _Instance:
-    """An instance that is meant to run; times are those of the soak's clock."""
-
-    has_disk: bool
-    disturbed_at: float = field(default_factory=trio.current_time)
-    is_frozen: bool = False
-
-
 class ConfigurationSoak:
     """One run: faults in a series, changes and reads at all instances beside them.
 
@@ -124,8 +105,7 @@
         self._seconds = seconds
         self._bounds = bounds
         self._processes = ControlProcesses(folder)
-        self._instances: dict[int, _Instance] = {}
-        self._numbers = count()
+        self._faults = ControlFaults(self._processes, self._generator, self._note)
         timeouts = ClientTimeouts(
             connect=bounds.answer, progress=bounds.answer, exchange=bounds.answer
         )
@@ -134,7 +114,6 @@
         self._version = 0
         self._acknowledged = 0
         self._calls = 0
-        self._core_disturbed_at = float("-inf")
         self._violations: list[str] = []
         self._started_at = 0.0
 
@@ -147,7 +126,7 @@
                 async with trio.open_nursery() as changes:
                     changes.start_soon(self._make_changes, nursery)
                     changes.start_soon(self._read_often)
-                    await self._inject_faults()
+                    await self._faults.inject(self._seconds)
                     changes.cancel_scope.cancel()
                 await self._check_end()
                 nursery.cancel_scope.cancel()
@@ -157,11 +136,7 @@
         return SoakRun(self._acknowledged, self._calls, tuple(self._violations))
 
     async def _start_all(self, nursery: trio.Nursery) -> None:
-        first = list(range(CONTROL_INSTANCES))
-        for number in range(CONTROL_INSTANCES + OTHER_INSTANCES):
-            has_disk = next(self._numbers) < CONTROL_INSTANCES
-            self._instances[number] = _Instance(has_disk)
-            self._processes.start(number, first, has_disk, is_first=True)
+        self._faults.start_all()
         server = HttpServer(self._runner.address, HttpLimits(), self._runner.handle)
         await nursery.start(server.serve)
         nursery.start_soon(self._send_heartbeats)
@@ -206,7 +181,9 @@
             path = f"instances/{self._runner.name}"
             response = None
             while response is None or response.status != 200:
-                response = await self._order(self._any(), "PUT", path, document)
+                response = await self._order(
+                    self._faults.any_instance(), "PUT", path, document
+                )
                 await trio.sleep(0.05)
             await trio.sleep(HEARTBEAT_SECONDS)
 
@@ -222,7 +199,10 @@
         asked_at = trio.current_time()
         while True:
             response = await self._order(
-                self._any(), "PUT", "config", _configuration(self._version)
+                self._faults.any_instance(),
+                "PUT",
+                "config",
+                _configuration(self._version),
             )
             status = 0 if response is None else response.status
             if status == 200:
@@ -232,43 +212,30 @@
                 self._note(f"change {self._version} is refused with {status}")
                 return
             now = trio.current_time()
-            calm_since = max(asked_at, self._disturbed_at + self._bounds.recovery)
+            calm_since = max(
+                asked_at, self._faults.disturbed_at + self._bounds.recovery
+            )
             if self._acknowledged and now - calm_since > self._bounds.acknowledge:
                 self._note(f"change {self._version} is not acknowledged")
                 asked_at = now
             await trio.sleep(_PAUSE_SECONDS)
 
-    def _any(self) -> int:
-        return self._generator.choice(sorted(self._instances))
-
     # Checks
 
     def _note(self, violation: str) -> None:
         seconds = trio.current_time() - self._started_at
         self._violations.append(f"{seconds:.1f} s: {violation}")
 
-    @property
-    def _disturbed_at(self) -> float:
-        instances = self._instances.values()
-        return max(self._core_disturbed_at, *(item.disturbed_at for item in instances))
-
-    def _is_in_touch(self, number: int) -> bool:
-        instance = self._instances.get(number)
-        if instance is None or instance.is_frozen:
-            return False
-        undisturbed_since = max(instance.disturbed_at, self._core_disturbed_at)
-        return trio.current_time() - undisturbed_since > CONTACT_SECONDS
-
     async def _check_change(self, version: int) -> None:
         """Check that no instance serves an older configuration any more."""
         await trio.sleep(self._bounds.in_force)
-        for number in sorted(self._instances):
+        for number in self._faults.instances:
             await self._check_route(number, version)
 
     async def _read_often(self) -> None:
         """Check that no instance ever shows less than was acknowledged before."""
         while True:
-            expected, number = self._acknowledged, self._any()
+            expected, number = self._acknowledged, self._faults.any_instance()
             read = await self._read(number)
             if read is not None and read < expected:
                 self._note(f"instance {number} shows {read}, not {expected}")
@@ -282,19 +249,19 @@
         return json.loads(bytes(response.body))["version"]
 
     async def _check_route(self, number: int, version: int) -> None:
-        if not self._is_in_touch(number):
+        if not self._faults.is_in_touch(number):
             return
         address = self._processes.callers(number)
         path = f"/added-{version}/x"
         response = await self._send(address, "POST", path)
         status = 0 if response is None else response.status
         self._calls += status == 200
-        if self._is_in_touch(number) and status in (0, 401, 403, 404):
+        if self._faults.is_in_touch(number) and status in (0, 401, 403, 404):
             self._note(f"instance {number} answers route {version} with {status}")
 
     async def _wait_ready(self) -> None:
         with trio.move_on_after(self._bounds.recovery) as scope:
-            for number in sorted(self._instances):
+            for number in self._faults.instances:
                 while not await self._is_ready(number):
                     await trio.sleep(_PAUSE_SECONDS)
         if scope.cancelled_caught:
@@ -309,15 +276,15 @@
         """Kill all instances at once; check that what was acknowledged is served."""
         expected = self._acknowledged
         await trio.sleep(CATCH_UP_SECONDS)
-        await self._restart_all(loses_disk=self._generator.random() < 0.5)
+        await self._faults.restart_all(loses_disk=self._generator.random() < 0.5)
         await self._wait_ready()
-        for number in sorted(self._instances):
+        for number in self._faults.instances:
             read = await self._read(number)
             if read is None or read < expected:
                 self._note(f"instance {number} shows {read} at the end, not {expected}")
         await trio.sleep(CONTACT_SECONDS)
         with trio.move_on_after(self._bounds.recovery) as scope:
-            for number in sorted(self._instances):
+            for number in self._faults.instances:
                 served = self._calls
                 while self._calls == served:
                     await self._check_route(number, expected)
@@ -325,114 +292,6 @@
         if scope.cancelled_caught:
             self._note(f"instance {number} does not serve route {expected}")
 
-    # Faults
-
-    async def _inject_faults(self) -> None:
-        faults: list[Callable[[], Awaitable[None]]] = [
-            self._replace_planned,
-            self._replace_lost,
-            self._lose_disk,
-            self._restart_control,
-            self._restart_all,
-            self._freeze,
-            self._restart,
-        ]
-        ends_at = trio.current_time() + self._seconds
-        while trio.current_time() < ends_at:
-            await self._generator.choice(faults)()
-            await trio.sleep(CATCH_UP_SECONDS + self._generator.choice((0.1, 0.5, 3.0)))
-
-    @property
-    def _control(self) -> list[int]:
-        return [number for number, item in self._instances.items() if item.has_disk]
-
-    def _start(self, number: int, has_disk: bool) -> None:
-        """Start an instance whose seeds are any that run."""
-        others = sorted({*self._instances, number})
-        seeds = self._generator.sample(others, min(3, len(others)))
-        self._instances[number] = _Instance(has_disk)
-        self._processes.start(number, seeds, has_disk)
-        if has_disk:
-            self._core_disturbed_at = trio.current_time()
-
-    async def _end(self, number: int, signal_number: signal.Signals) -> None:
-        """End an instance; after SIGTERM its status has to be 0."""
-        instance = self._instances.pop(number)
-        self._processes.signal(number, signal_number)
-        status = await self._processes.wait_exit(number)
-        if signal_number is signal.SIGTERM and status != 0:
-            self._note(f"instance {number} ends with status {status}")
-        if instance.has_disk:
-            self._core_disturbed_at = trio.current_time()
-
-    async def _replace_planned(self) -> None:
-        """Start a successor of a control instance, then stop the instance."""
-        old = self._generator.choice(self._control)
-        self._start(next(self._numbers), has_disk=True)
-        await trio.sleep(self._generator.uniform(0.5, 4.5))
-        await self._end(old, signal.SIGTERM)
-
-    async def _replace_lost(self) -> None:
-        """Kill a control instance for good, and start another one."""
-        old = self._generator.choice(self._control)
-        await self._end(old, signal.SIGKILL)
-        await trio.sleep(self._generator.choice((0.0, 1.0, 4.0)))
-        self._start(next(self._numbers), has_disk=True)
-
-    async def _lose_disk(self) -> None:
-        number = self._generator.choice(self._control)
-        await self._end(number, signal.SIGKILL)
-        self._processes.delete_data(number)
-        await trio.sleep(self._generator.choice((0.0, 0.5, 3.0)))
-        self._start(number, has_disk=True)
-
-    async def _restart_control(self) -> None:
-        await self._restart_together(self._control)
-
-    async def _restart_all(self, loses_disk: bool = False) -> None:
-        numbers = sorted(self._instances)
-        lost = self._generator.choice(self._control) if loses_disk else None
-        await self._restart_together(numbers, lost)
-
-    async def _restart_together(
-        self, numbers: list[int], lost_disk: int | None = None
-    ) -> None:
-        """Kill instances at the same moment, and start them again in any order."""
-        stopped = {number: self._instances[number] for number in numbers}
-        self._core_disturbed_at = trio.current_time() + CONTACT_SECONDS
-        for number in stopped:
-            self._processes.signal(number, signal.SIGKILL)
-        for number in stopped:
-            await self._processes.wait_exit(number)
-        if lost_disk is not None:
-            self._processes.delete_data(lost_disk)
-        await trio.sleep(self._generator.uniform(0.1, 1.0))
-        self._generator.shuffle(numbers)
-        for number in numbers:
-            self._start(number, stopped[number].has_disk)
-
-    async def _freeze(self) -> None:
-        number = self._any()
-        instance = self._instances[number]
-        instance.is_frozen = True
-        self._processes.signal(number, signal.SIGSTOP)
-        if instance.has_disk:
-            self._core_disturbed_at = trio.current_time() + CONTACT_SECONDS
-        await trio.sleep(self._generator.choice((0.6, 1.5, 3.0, 6.0)))
-        self._processes.signal(number, signal.SIGCONT)
-        instance.is_frozen = False
-        instance.disturbed_at = trio.current_time()
-        if instance.has_disk:
-            self._core_disturbed_at = trio.current_time()
-
-    async def _restart(self) -> None:
-        number = self._any()
-        has_disk = self._instances[number].has_disk
-        kind = self._generator.choice((signal.SIGKILL, signal.SIGTERM))
-        await self._end(number, kind)
-        await trio.sleep(self._generator.choice((0.0, 0.3, 2.0)))
-        self._start(number, has_disk)
-
 
 def _configuration(version: int) -> dict:
     """Return a configuration with the routes of the last versions."""
